--- /dev/null
+++ b/include/carobwind/counter.h
@@ -0,0 +1,61 @@
+/* Counters of a process and their text in the Prometheus format. */
+#ifndef CAROBWIND_COUNTER_H
+#define CAROBWIND_COUNTER_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+typedef enum {
+    CBW_COUNTER_REQUESTS,
+    CBW_COUNTER_DONE,
+    CBW_COUNTER_NOTRUN,
+    CBW_COUNTER_UNKNOWN,
+    CBW_COUNTER_REFUSED_AT_ENTRY,
+    CBW_COUNTER_REFUSED_BY_OWNER,
+    CBW_COUNTER_EXPIRED_IN_QUEUE,
+    CBW_COUNTER_MALFORMED,
+    CBW_COUNTER_READS_PRIMARY,
+    CBW_COUNTER_READS_REPLICA,
+    CBW_COUNTER_WRITES,
+    CBW_COUNTER_REPLICA_REJECTED,
+    CBW_COUNTER_FORWARDED,
+    CBW_COUNTER_FORWARD_RETRIES,
+    CBW_COUNTER_RETRIES,
+    CBW_COUNTER_RETRIES_DENIED,
+    CBW_COUNTER_CALLS_TIMED_OUT,
+    CBW_COUNTER_SETTLED,
+    CBW_COUNTER_CONFIRM_ROUNDS,
+    CBW_COUNTER_STATE_CALLS,
+    CBW_COUNTER_PROMOTIONS_STARTED,
+    CBW_COUNTER_PROMOTIONS_WON,
+    CBW_COUNTER_PROMOTIONS_LOST,
+    CBW_COUNTER_CONNECTIONS_OPENED,
+    CBW_COUNTER_CONNECTIONS_LOST,
+    CBW_COUNTER_STORE_CALLS,
+    CBW_COUNTER_STORE_FAILURES,
+    CBW_COUNTER_PEER_MESSAGES,
+    CBW_COUNTER_PEER_BYTES,
+    CBW_COUNTER_PROBES,
+    CBW_COUNTER_CONFIG_APPLIED,
+    CBW_COUNTER_CONFIG_FETCHED,
+    CBW_COUNTER_SESSIONS,
+    CBW_COUNTER_TRANSACTIONS,
+    CBW_COUNTER_COUNT_,
+} cbw_counter_id_t;
+
+/* Metric names of the members of cbw_counter_id_t, in their order. */
+extern const char *const CbwCounter_String[];
+
+typedef struct {
+    uint64_t values[CBW_COUNTER_COUNT_];
+} cbw_counters_t;
+
+/* Adds `amount`; `counters` may be NULL, which counts nothing. */
+void CbwCounter_Add(cbw_counters_t *counters, cbw_counter_id_t id,
+                    uint64_t amount);
+/* Writes all counters as Prometheus text, cut at `size` bytes.
+ * Returns the length written. */
+size_t CbwCounter_Format(const cbw_counters_t *counters, char *text,
+                         size_t size);
+
+#endif
--- /dev/null
+++ b/include/carobwind/limit.h
@@ -0,0 +1,34 @@
+/* Limits of statements in flight at one endpoint, behind a table of
+ * functions: a fixed limit, and one that adapts to what the endpoint shows. */
+#ifndef CAROBWIND_LIMIT_H
+#define CAROBWIND_LIMIT_H
+
+#include "carobwind/types.h"
+
+typedef struct {
+    int limit;
+    int maximum;
+    int in_flight;
+    cbw_time_t minimum_latency; /* of the recent windows */
+    cbw_time_t window_minimum;
+    cbw_time_t window_sum;
+    int window_count;
+    int windows;      /* since the minimum was measured anew */
+    bool window_full; /* the limit was reached in this window */
+} cbw_limit_t;
+
+typedef struct {
+    void (*on_reply)(cbw_limit_t *limit, cbw_time_t latency);
+} cbw_limit_ops_t;
+
+/* `slots` from the inventory; `maximum` from the connection allowance. */
+void CbwLimit_Init(cbw_limit_t *limit, int slots, int maximum);
+/* The policy called `name` ("fixed" or "adaptive"), or NULL. */
+const cbw_limit_ops_t *CbwLimit_Policy(const char *name);
+bool CbwLimit_HasRoom(const cbw_limit_t *limit);
+void CbwLimit_OnSend(cbw_limit_t *limit);
+/* `latency` is negative when there was no answer to learn from. */
+void CbwLimit_OnEnd(cbw_limit_t *limit, const cbw_limit_ops_t *ops,
+                    cbw_time_t latency);
+
+#endif
--- /dev/null
+++ b/include/carobwind/request.h
@@ -0,0 +1,102 @@
+/* One statement on its way through the system, and its outcome. */
+#ifndef CAROBWIND_REQUEST_H
+#define CAROBWIND_REQUEST_H
+
+#include "carobwind/inventory.h"
+#include "carobwind/list.h"
+#include "carobwind/types.h"
+
+typedef enum {
+    CBW_VERB_STATEMENT,
+    CBW_VERB_BEGIN,
+    CBW_VERB_COMMIT,
+    CBW_VERB_ROLLBACK,
+    CBW_VERB_SETTLE, /* find out or cancel what became of a key */
+} cbw_verb_t;
+
+/* Names of the members of cbw_verb_t, in their order. */
+extern const char *const CbwRequest_VerbString[];
+
+typedef enum {
+    CBW_OUTCOME_PENDING,
+    CBW_OUTCOME_DONE,
+    CBW_OUTCOME_NOTRUN,  /* it did not run and never will */
+    CBW_OUTCOME_UNKNOWN, /* it may or may not have run */
+} cbw_outcome_t;
+
+/* Names of the members of cbw_outcome_t, in their order. */
+extern const char *const CbwRequest_OutcomeString[];
+
+/* Where a request stands inside the owner. */
+typedef enum {
+    CBW_REQUEST_QUEUED,
+    CBW_REQUEST_PARKED, /* waits for a replica to catch up */
+    CBW_REQUEST_RUNNING,
+    CBW_REQUEST_CONFIRMING,
+    CBW_REQUEST_SETTLING,
+    CBW_REQUEST_FINISHED,
+} cbw_request_state_t;
+
+typedef struct {
+    cbw_outcome_t outcome;
+    char *result; /* owned by the request; NULL: empty */
+    size_t result_size;
+    char token[Cbw_TOKEN_MAX];
+    char reason[64]; /* why it was not done; short, for people */
+    cbw_time_t retry_after;
+} cbw_answer_t;
+
+/* Owns `statement` and the answer's result. */
+typedef struct {
+    cbw_link_t link;
+    cbw_verb_t verb;
+    char database[Cbw_NAME_MAX];
+    char kind_name[Cbw_NAME_MAX];
+    char *statement;
+    size_t statement_size;
+    char key[Cbw_KEY_MAX]; /* writes and commits always have one */
+    char token[Cbw_TOKEN_MAX];
+    char trace[Cbw_TRACE_MAX];
+    cbw_time_t age; /* oldest data accepted; Cbw_NEVER: any */
+    cbw_time_t arrived;
+    cbw_time_t deadline;
+    uint64_t transaction; /* 0: none */
+    bool maybe_sent;      /* an endpoint may have received it */
+
+    /* The owner's part. */
+    int rank;
+    bool writes;
+    cbw_confirm_level_t confirm;
+    cbw_request_state_t state;
+    int endpoint;
+    int attempts;
+    uint64_t call;
+    cbw_time_t sent_at;
+    cbw_time_t give_up_at;
+    uint64_t term;     /* term of the answer */
+    uint64_t position; /* to be confirmed */
+    uint64_t ticket;   /* confirmation round that must complete */
+    bool cancelled;    /* what is confirmed is the tombstone of the key */
+    bool needs_primary;
+    cbw_time_t queued_at;
+    cbw_time_t answered_at;
+    cbw_time_t parked_at;
+
+    cbw_answer_t answer;
+} cbw_request_t;
+
+/* Zeroes `request` and links it to nothing. */
+void CbwRequest_Init(cbw_request_t *request);
+/* Frees what the request owns. */
+void CbwRequest_Finish(cbw_request_t *request);
+/* Sets the statement to a copy. Returns 0, -1: no memory. */
+int CbwRequest_SetStatement(cbw_request_t *request, const char *statement,
+                            size_t size);
+/* Sets the answer's result to a copy. Returns 0, -1: no memory. */
+int CbwRequest_SetResult(cbw_request_t *request, const char *result,
+                         size_t size);
+/* Sets outcome and reason; a result that was set before is kept. */
+void CbwRequest_End(cbw_request_t *request, cbw_outcome_t outcome,
+                    const char *reason);
+
+#endif
--- /dev/null
+++ b/src/carobwind-endpoint/main.c
@@ -0,0 +1,87 @@
+#include <signal.h>
+#include <stdio.h>
+#include <sysexits.h>
+
+#include "carobwind/log.h"
+#include "server.h"
+#include "share/fault.h"
+#include "share/options.h"
+#include "share/reaper.h"
+
+static endpoint_settings_t settings = {
+    .listen = "127.0.0.1:7400",
+    .data = "",
+    .connections = 50,
+    .slots = 3,
+    .service_ms = 5,
+    .connect_ms = 12,
+    .seed = 1,
+};
+
+static const cbw_option_t options[] = {
+    {CBW_OPTION_STRING, "listen", "IP:PORT", "address to listen on",
+     &settings.listen, 0, 0},
+    {CBW_OPTION_STRING, "data", "FILE", "keeps the log over a restart",
+     &settings.data, 0, 0},
+    {CBW_OPTION_FLAG, "primary", NULL, "begins as primary of term 1",
+     &settings.primary, 0, 0},
+    {CBW_OPTION_INTEGER, "connections", "N", "most connections at once",
+     &settings.connections, 1, 100000},
+    {CBW_OPTION_INTEGER, "slots", "N", "statements that run at once",
+     &settings.slots, 1, 10000},
+    {CBW_OPTION_DOUBLE, "service-ms", "MS", "mean time of a statement",
+     &settings.service_ms, 0, 0},
+    {CBW_OPTION_DOUBLE, "connect-ms", "MS", "time of a new connection",
+     &settings.connect_ms, 0, 0},
+    {CBW_OPTION_DOUBLE, "delay-ms", "MS", "round trip to the hosts",
+     &settings.delay_ms, 0, 0},
+    {CBW_OPTION_DOUBLE, "lag-ms", "MS", "replication lag", &settings.lag_ms, 0,
+     0},
+    {CBW_OPTION_INTEGER, "seed", "N", "of the service times", &settings.seed,
+     0, 1000000000},
+};
+
+static const cbw_program_t program = {
+    .program = "carobwind-endpoint",
+    .summary = "A stand-in for one database endpoint, for tests and demos.",
+    .options = options,
+    .option_count = sizeof(options) / sizeof(options[0]),
+};
+
+static void
+on_signal(struct ev_loop *loop, ev_signal *watcher, int events)
+{
+    (void)watcher;
+    (void)events;
+    ev_break(loop, EVBREAK_ALL);
+}
+
+int
+main(int argc, char **argv)
+{
+    static server_t server;
+    struct ev_loop *loop = ev_default_loop(EVFLAG_AUTO);
+    const char *words[CbwOptions_WORDS_MAX];
+    cbw_findings_t findings;
+    cbw_error_t error = {0};
+    ev_signal terminate;
+
+    CbwFindings_Init(&findings);
+    if (CbwOptions_Parse(&program, argc, argv, words, &findings) < 0) {
+        CbwFindings_Print(&findings, stderr);
+        return EX_USAGE;
+    }
+    signal(SIGPIPE, SIG_IGN);
+    CbwFault_Enable();
+    CbwReaper_Start(loop);
+    if (Server_Init(&server, loop, &settings, &error) != 0) {
+        fprintf(stderr, "carobwind-endpoint: %s\n", error.text);
+        return EX_UNAVAILABLE;
+    }
+    ev_signal_init(&terminate, on_signal, SIGTERM);
+    ev_signal_start(loop, &terminate);
+    CbwLog_Write(CBW_LOG_INFO, "endpoint", "started", "listen=%s primary=%d",
+                 settings.listen, settings.primary);
+    ev_run(loop, 0);
+    return EX_OK;
+}
--- /dev/null
+++ b/src/libcarobwind/confirm.c
@@ -0,0 +1,102 @@
+#include "carobwind/confirm.h"
+
+#include <assert.h>
+#include <string.h>
+
+void
+CbwConfirm_Init(cbw_confirm_t *confirm, int endpoint_count)
+{
+    assert(endpoint_count > 0 && endpoint_count <= Cbw_ENDPOINTS_MAX);
+    memset(confirm, 0, sizeof(*confirm));
+    confirm->endpoint_count = endpoint_count;
+}
+
+void
+CbwConfirm_SetTerm(cbw_confirm_t *confirm, uint64_t term)
+{
+    if (confirm->term == term) {
+        return;
+    }
+    confirm->term = term;
+    memset(confirm->answered, 0, sizeof(confirm->answered));
+    memset(confirm->held, 0, sizeof(confirm->held));
+}
+
+uint64_t
+CbwConfirm_Ticket(cbw_confirm_t *confirm)
+{
+    return ++confirm->sequence;
+}
+
+uint64_t
+CbwConfirm_Question(cbw_confirm_t *confirm)
+{
+    return ++confirm->sequence;
+}
+
+void
+CbwConfirm_OnState(cbw_confirm_t *confirm, int endpoint, uint64_t question,
+                   const cbw_endpoint_state_t *state)
+{
+    assert(endpoint >= 0 && endpoint < confirm->endpoint_count);
+    if (state->term != confirm->term) {
+        return;
+    }
+    if (question > confirm->answered[endpoint]) {
+        confirm->answered[endpoint] = question;
+    }
+    if (state->last_term == confirm->term &&
+        state->position > confirm->held[endpoint]) {
+        confirm->held[endpoint] = state->position;
+    }
+}
+
+/* The highest value that a majority of `values` reaches. */
+static uint64_t
+majority_value(const uint64_t *values, int count)
+{
+    uint64_t best = 0;
+
+    for (int i = 0; i < count; i++) {
+        int reaching = 0;
+        for (int j = 0; j < count; j++) {
+            reaching += values[j] >= values[i];
+        }
+        if (reaching > count / 2 && values[i] > best) {
+            best = values[i];
+        }
+    }
+    return best;
+}
+
+uint64_t
+CbwConfirm_ProvedQuestion(const cbw_confirm_t *confirm)
+{
+    return majority_value(confirm->answered, confirm->endpoint_count);
+}
+
+bool
+CbwConfirm_IsTermProved(const cbw_confirm_t *confirm, uint64_t ticket)
+{
+    return CbwConfirm_ProvedQuestion(confirm) > ticket;
+}
+
+uint64_t
+CbwConfirm_Position(const cbw_confirm_t *confirm)
+{
+    return majority_value(confirm->held, confirm->endpoint_count);
+}
+
+bool
+CbwConfirm_IsProved(const cbw_confirm_t *confirm, cbw_confirm_level_t level,
+                    uint64_t ticket, uint64_t position)
+{
+    if (level == CBW_CONFIRM_NONE) {
+        return true;
+    }
+    if (!CbwConfirm_IsTermProved(confirm, ticket)) {
+        return false;
+    }
+    return level == CBW_CONFIRM_TERM ||
+           CbwConfirm_Position(confirm) >= position;
+}
--- /dev/null
+++ b/src/libcarobwind/counter.c
@@ -0,0 +1,68 @@
+#include "carobwind/counter.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+
+const char *const CbwCounter_String[] = {
+    "requests_total",
+    "requests_done_total",
+    "requests_notrun_total",
+    "requests_unknown_total",
+    "requests_refused_at_entry_total",
+    "requests_refused_by_owner_total",
+    "requests_expired_in_queue_total",
+    "requests_malformed_total",
+    "reads_from_primary_total",
+    "reads_from_replica_total",
+    "writes_total",
+    "replica_answers_rejected_total",
+    "requests_forwarded_total",
+    "forward_retries_total",
+    "retries_total",
+    "retries_denied_total",
+    "endpoint_calls_timed_out_total",
+    "keys_settled_total",
+    "confirmation_rounds_total",
+    "state_calls_total",
+    "promotions_started_total",
+    "promotions_won_total",
+    "promotions_lost_total",
+    "endpoint_connections_opened_total",
+    "endpoint_connections_lost_total",
+    "store_calls_total",
+    "store_failures_total",
+    "peer_control_messages_total",
+    "peer_control_bytes_total",
+    "probes_total",
+    "configurations_applied_total",
+    "configurations_fetched_total",
+    "sessions_total",
+    "transactions_total",
+};
+
+_Static_assert(sizeof(CbwCounter_String) / sizeof(CbwCounter_String[0]) ==
+                   CBW_COUNTER_COUNT_,
+               "each counter has a name");
+
+void
+CbwCounter_Add(cbw_counters_t *counters, cbw_counter_id_t id, uint64_t amount)
+{
+    if (counters != NULL) {
+        counters->values[id] += amount;
+    }
+}
+
+size_t
+CbwCounter_Format(const cbw_counters_t *counters, char *text, size_t size)
+{
+    size_t length = 0;
+
+    for (int i = 0; i < CBW_COUNTER_COUNT_ && length < size; i++) {
+        int written = snprintf(
+            text + length, size - length,
+            "# TYPE carobwind_%s counter\ncarobwind_%s %" PRIu64 "\n",
+            CbwCounter_String[i], CbwCounter_String[i], counters->values[i]);
+        length += (size_t)written;
+    }
+    return length < size ? length : size - 1;
+}
--- /dev/null
+++ b/src/libcarobwind/group.c
@@ -0,0 +1,163 @@
+#include "carobwind/group.h"
+
+#include <assert.h>
+#include <string.h>
+
+/* The share of an endpoint's connection allowance that one owner uses, so
+ * that two owners fit. */
+#define ALLOWANCE_PERCENT 40
+
+static int
+allowed_connections(const cbw_endpoint_t *endpoint)
+{
+    int allowed = endpoint->connections * ALLOWANCE_PERCENT / 100;
+
+    /* Two are kept for control calls. */
+    allowed -= 2;
+    return allowed > 1 ? allowed : 1;
+}
+
+void
+CbwGroup_Init(cbw_group_t *group, const cbw_database_t *database)
+{
+    assert(database->endpoint_count > 0 &&
+           database->endpoint_count <= Cbw_ENDPOINTS_MAX);
+    memset(group, 0, sizeof(*group));
+    group->count = database->endpoint_count;
+    group->primary = -1;
+    for (int i = 0; i < group->count; i++) {
+        const cbw_endpoint_t *endpoint = &database->endpoints[i];
+        group->endpoints[i].leaving = endpoint->leaving;
+        CbwLimit_Init(&group->endpoints[i].limit, endpoint->slots,
+                      allowed_connections(endpoint));
+    }
+}
+
+static void
+add_sample(cbw_group_t *group, cbw_time_t sent, uint64_t position)
+{
+    cbw_position_sample_t *sample;
+
+    if (group->history_count > 0) {
+        const cbw_position_sample_t *last =
+            &group->history[(group->history_count - 1) % Cbw_GROUP_HISTORY];
+        if (sent < last->time + Cbw_GROUP_SAMPLE_INTERVAL) {
+            return;
+        }
+    }
+    sample = &group->history[group->history_count++ % Cbw_GROUP_HISTORY];
+    sample->time = sent;
+    sample->position = position;
+}
+
+static bool
+update_primary(cbw_group_t *group, int index,
+               const cbw_endpoint_state_t *state)
+{
+    int before = group->primary;
+    uint64_t term_before = group->term;
+
+    if (state->term > group->term) {
+        group->term = state->term;
+        group->primary = -1;
+        group->history_count = 0;
+        group->proved_at = 0;
+    }
+    if (state->term == group->term) {
+        if (state->primary) {
+            group->primary = index;
+        }
+        else if (group->primary == index) {
+            group->primary = -1;
+        }
+    }
+    return group->primary != before || group->term != term_before;
+}
+
+bool
+CbwGroup_OnState(cbw_group_t *group, int index, cbw_time_t sent,
+                 cbw_time_t now, const cbw_endpoint_state_t *state)
+{
+    cbw_group_endpoint_t *endpoint = &group->endpoints[index];
+    bool changed;
+
+    assert(index >= 0 && index < group->count);
+    if (now > endpoint->heard_at) {
+        endpoint->heard_at = now;
+    }
+    if (state->term < endpoint->state.term ||
+        (state->term == endpoint->state.term && sent < endpoint->state_sent)) {
+        return false;
+    }
+    endpoint->state = *state;
+    endpoint->state_sent = sent;
+    changed = update_primary(group, index, state);
+    if (group->primary == index) {
+        add_sample(group, sent, state->position);
+    }
+    return changed;
+}
+
+cbw_time_t
+CbwGroup_Age(const cbw_group_t *group, cbw_time_t now, uint64_t position)
+{
+    size_t kept = group->history_count < Cbw_GROUP_HISTORY
+                      ? group->history_count
+                      : Cbw_GROUP_HISTORY;
+
+    for (size_t i = 0; i < kept; i++) {
+        const cbw_position_sample_t *sample =
+            &group
+                 ->history[(group->history_count - 1 - i) % Cbw_GROUP_HISTORY];
+        if (sample->position <= position) {
+            cbw_time_t known = sample->time < group->proved_at
+                                   ? sample->time
+                                   : group->proved_at;
+            return known == 0 ? Cbw_NEVER : now - known;
+        }
+    }
+    return Cbw_NEVER;
+}
+
+cbw_token_check_t
+CbwGroup_CheckToken(const cbw_endpoint_state_t *state,
+                    const cbw_token_t *token)
+{
+    if (token->term > state->last_term) {
+        return CBW_TOKEN_BEHIND;
+    }
+    if (token->term == state->last_term) {
+        return token->position <= state->position ? CBW_TOKEN_HELD
+                                                  : CBW_TOKEN_BEHIND;
+    }
+    /* An older term counts up to where the next one began. */
+    for (int i = state->begin_count - 1; i >= 0; i--) {
+        if (state->begins[i].term > token->term) {
+            return token->position < state->begins[i].position
+                       ? CBW_TOKEN_HELD
+                       : CBW_TOKEN_LOST;
+        }
+    }
+    return CBW_TOKEN_LOST;
+}
+
+bool
+CbwGroup_IsHealthy(const cbw_group_t *group, int index, cbw_time_t now)
+{
+    cbw_time_t heard_at = group->endpoints[index].heard_at;
+
+    return heard_at != 0 && now - heard_at < Cbw_GROUP_HEALTHY_FOR;
+}
+
+bool
+CbwGroup_IsFresh(const cbw_group_t *group, cbw_time_t now,
+                 const cbw_endpoint_state_t *state, cbw_time_t age)
+{
+    if (age == Cbw_NEVER) {
+        return true;
+    }
+    if (state->last_term != group->term) {
+        return false;
+    }
+    return CbwGroup_Age(group, now, state->position) <= age;
+}
--- /dev/null
+++ b/src/libcarobwind/membership.c
@@ -0,0 +1,422 @@
+#include "carobwind/membership.h"
+
+#include <assert.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "carobwind/rendezvous.h"
+
+const char *const CbwMembership_StateString[] = {"alive", "suspect", "leaving",
+                                                 "dead"};
+
+const cbw_membership_settings_t CbwMembership_DefaultSettings = {
+    .probe_interval = 200 * Cbw_MSEC,
+    .probe_timeout = 100 * Cbw_MSEC,
+    .suspect_timeout = 600 * Cbw_MSEC,
+    .forget_after = 60 * Cbw_SEC,
+};
+
+/* Members asked to probe in this host's place. */
+#define INDIRECT_PROBES 3
+/* A dead member is probed this often, so that healed partitions are found. */
+#define DEAD_PROBE_INTERVAL (3 * Cbw_SEC)
+/* A change is sent this many times, for each power of two of the fleet. */
+#define TRANSMISSIONS_FACTOR 3
+
+/* Finds a member's index by name; -1 when unknown. */
+static long
+find_index(const cbw_membership_t *membership, const char *name)
+{
+    for (size_t i = 0; i < membership->count; i++) {
+        if (strcmp(membership->members[i].public.name, name) == 0) {
+            return (long)i;
+        }
+    }
+    return -1;
+}
+
+static int
+transmissions(const cbw_membership_t *membership)
+{
+    int bits = 1;
+
+    for (size_t n = membership->count; n > 1; n /= 2) {
+        bits++;
+    }
+    return TRANSMISSIONS_FACTOR * bits;
+}
+
+static cbw_member_t *
+add_member(cbw_membership_t *membership, const cbw_member_change_t *change)
+{
+    cbw_member_t *member;
+
+    if (membership->count == membership->capacity) {
+        size_t capacity = membership->capacity ? 2 * membership->capacity : 16;
+        cbw_member_t *members =
+            realloc(membership->members, capacity * sizeof(*members));
+        if (members == NULL) {
+            return NULL;
+        }
+        membership->members = members;
+        membership->capacity = capacity;
+    }
+    member = &membership->members[membership->count++];
+    memset(member, 0, sizeof(*member));
+    member->public = *change;
+    return member;
+}
+
+int
+CbwMembership_Init(cbw_membership_t *membership,
+                   const cbw_membership_settings_t *settings,
+                   const cbw_membership_ops_t *ops, void *context,
+                   const char *name, const char *data_centre,
+                   const char *address, uint64_t incarnation, uint64_t seed)
+{
+    cbw_member_change_t self = {.state = CBW_MEMBER_ALIVE,
+                                .incarnation = incarnation};
+    cbw_member_t *member;
+
+    memset(membership, 0, sizeof(*membership));
+    membership->ops = ops;
+    membership->context = context;
+    membership->settings = *settings;
+    membership->epoch = 1;
+    CbwRandom_Init(&membership->random, seed);
+    snprintf(self.name, sizeof(self.name), "%s", name);
+    snprintf(self.data_centre, sizeof(self.data_centre), "%s", data_centre);
+    snprintf(self.address, sizeof(self.address), "%s", address);
+    member = add_member(membership, &self);
+    if (member == NULL) {
+        return -1;
+    }
+    member->transmissions_left = transmissions(membership);
+    return 0;
+}
+
+void
+CbwMembership_Finish(cbw_membership_t *membership)
+{
+    free(membership->members);
+    memset(membership, 0, sizeof(*membership));
+}
+
+static void
+set_state(cbw_membership_t *membership, cbw_time_t now, cbw_member_t *member,
+          cbw_member_state_t state, uint64_t incarnation)
+{
+    cbw_member_state_t before = member->public.state;
+
+    member->public.state = state;
+    member->public.incarnation = incarnation;
+    member->changed_at = now;
+    member->transmissions_left = transmissions(membership);
+    if (state == before) {
+        return;
+    }
+    /* A suspect keeps its work until it is found dead. */
+    if (!(before == CBW_MEMBER_ALIVE && state == CBW_MEMBER_SUSPECT) &&
+        !(before == CBW_MEMBER_SUSPECT && state == CBW_MEMBER_ALIVE)) {
+        membership->epoch++;
+    }
+    membership->ops->changed(membership->context, &member->public, before);
+}
+
+/* News about this host itself: a higher incarnation answers what is wrong. */
+static void
+hear_of_self(cbw_membership_t *membership, cbw_time_t now,
+             const cbw_member_change_t *change)
+{
+    cbw_member_t *self = &membership->members[0];
+
+    if (change->incarnation < self->public.incarnation ||
+        change->state == self->public.state) {
+        return;
+    }
+    self->public.incarnation = change->incarnation + 1;
+    self->changed_at = now;
+    self->transmissions_left = transmissions(membership);
+}
+
+/* Whether the news outranks what is known: a higher incarnation, or within
+ * the same one a worse state. */
+static bool
+is_newer(const cbw_member_change_t *change, const cbw_member_change_t *known)
+{
+    if (change->incarnation != known->incarnation) {
+        return change->incarnation > known->incarnation;
+    }
+    return change->state > known->state;
+}
+
+static void
+add_heard(cbw_membership_t *membership, cbw_time_t now,
+          const cbw_member_change_t *change)
+{
+    cbw_member_t *member = add_member(membership, change);
+
+    if (member == NULL) {
+        return;
+    }
+    member->changed_at = now;
+    member->transmissions_left = transmissions(membership);
+    membership->epoch++;
+    membership->ops->changed(membership->context, &member->public,
+                             CBW_MEMBER_DEAD);
+}
+
+void
+CbwMembership_Hear(cbw_membership_t *membership, cbw_time_t now,
+                   const cbw_member_change_t *change)
+{
+    long index = find_index(membership, change->name);
+    cbw_member_t *member;
+
+    if (index == 0) {
+        hear_of_self(membership, now, change);
+        return;
+    }
+    if (index < 0) {
+        if (change->state != CBW_MEMBER_DEAD) {
+            add_heard(membership, now, change);
+        }
+        return;
+    }
+    member = &membership->members[index];
+    if (!is_newer(change, &member->public)) {
+        /* Someone takes it for alive that is not, perhaps itself. */
+        if (change->state < member->public.state &&
+            member->transmissions_left == 0) {
+            member->transmissions_left = 1;
+        }
+        return;
+    }
+    memcpy(member->public.address, change->address, sizeof(change->address));
+    memcpy(member->public.data_centre, change->data_centre,
+           sizeof(change->data_centre));
+    set_state(membership, now, member, change->state, change->incarnation);
+}
+
+void
+CbwMembership_HearList(cbw_membership_t *membership, cbw_time_t now,
+                       const cbw_member_change_t *change)
+{
+    long index = find_index(membership, change->name);
+    cbw_member_t *member;
+
+    if (index < 0) {
+        /* Counts as dead until it answers a probe: the list lags. */
+        cbw_member_change_t listed = *change;
+        listed.state = CBW_MEMBER_DEAD;
+        listed.incarnation = 0;
+        member = add_member(membership, &listed);
+        if (member != NULL) {
+            member->changed_at = now;
+        }
+        return;
+    }
+    member = &membership->members[index];
+    if (change->state == CBW_MEMBER_LEAVING &&
+        member->public.state < CBW_MEMBER_LEAVING) {
+        set_state(membership, now, member, CBW_MEMBER_LEAVING,
+                  member->public.incarnation);
+    }
+}
+
+void
+CbwMembership_OnAck(cbw_membership_t *membership, cbw_time_t now,
+                    const char *name)
+{
+    long index = find_index(membership, name);
+
+    (void)now;
+    if (index > 0) {
+        membership->members[index].probed_at = 0;
+    }
+}
+
+size_t
+CbwMembership_Piggyback(cbw_membership_t *membership, const char *target,
+                        cbw_member_change_t *changes, size_t limit)
+{
+    size_t count = 0;
+    long index = target != NULL ? find_index(membership, target) : -1;
+    size_t start =
+        membership->count > 1
+            ? (size_t)CbwRandom_Below(&membership->random, membership->count)
+            : 0;
+
+    /* The target learns what is said of it, and can answer. */
+    if (index > 0 && limit > 0 &&
+        membership->members[index].public.state != CBW_MEMBER_ALIVE) {
+        changes[count++] = membership->members[index].public;
+    }
+    for (size_t i = 0; i < membership->count && count < limit; i++) {
+        cbw_member_t *member =
+            &membership->members[(start + i) % membership->count];
+        if (member->transmissions_left > 0) {
+            member->transmissions_left--;
+            changes[count++] = member->public;
+        }
+    }
+    return count;
+}
+
+void
+CbwMembership_Leave(cbw_membership_t *membership, cbw_time_t now)
+{
+    cbw_member_t *self = &membership->members[0];
+
+    set_state(membership, now, self, CBW_MEMBER_LEAVING,
+              self->public.incarnation + 1);
+}
+
+static bool
+can_probe(const cbw_member_t *member, cbw_time_t now)
+{
+    if (member->probed_at != 0) {
+        return false;
+    }
+    return member->public.state != CBW_MEMBER_DEAD ||
+           now - member->tried_at >= DEAD_PROBE_INTERVAL;
+}
+
+/* Round robin from a random start, which bounds the time until each member
+ * has been probed. */
+static void
+probe_next(cbw_membership_t *membership, cbw_time_t now)
+{
+    for (size_t i = 0; i < membership->count; i++) {
+        cbw_member_t *member;
+        membership->next_probe++;
+        if (membership->next_probe >= membership->count) {
+            membership->next_probe = 1;
+        }
+        if (membership->count < 2) {
+            return;
+        }
+        member = &membership->members[membership->next_probe];
+        if (can_probe(member, now)) {
+            member->probed_at = now;
+            member->tried_at = now;
+            member->indirect_sent = false;
+            membership->ops->probe(membership->context, &member->public, NULL);
+            return;
+        }
+    }
+}
+
+static void
+probe_indirectly(cbw_membership_t *membership, const cbw_member_t *target)
+{
+    int asked = 0;
+
+    for (int tries = 0; tries < 4 * INDIRECT_PROBES; tries++) {
+        size_t index = 1 + (size_t)CbwRandom_Below(&membership->random,
+                                                   membership->count - 1);
+        const cbw_member_t *via = &membership->members[index];
+        if (via == target || via->public.state != CBW_MEMBER_ALIVE) {
+            continue;
+        }
+        membership->ops->probe(membership->context, &target->public,
+                               &via->public);
+        if (++asked == INDIRECT_PROBES) {
+            return;
+        }
+    }
+}
+
+static void
+check_probe(cbw_membership_t *membership, cbw_time_t now, cbw_member_t *member)
+{
+    const cbw_membership_settings_t *settings = &membership->settings;
+    cbw_time_t waited = now - member->probed_at;
+
+    if (member->probed_at == 0) {
+        return;
+    }
+    if (!member->indirect_sent && waited >= settings->probe_timeout) {
+        member->indirect_sent = true;
+        probe_indirectly(membership, member);
+    }
+    if (waited >= 3 * settings->probe_timeout) {
+        member->probed_at = 0;
+        if (member->public.state == CBW_MEMBER_ALIVE) {
+            set_state(membership, now, member, CBW_MEMBER_SUSPECT,
+                      member->public.incarnation);
+        }
+        else if (member->public.state == CBW_MEMBER_LEAVING) {
+            set_state(membership, now, member, CBW_MEMBER_DEAD,
+                      member->public.incarnation);
+        }
+    }
+}
+
+static void
+check_members(cbw_membership_t *membership, cbw_time_t now)
+{
+    const cbw_membership_settings_t *settings = &membership->settings;
+
+    for (size_t i = 1; i < membership->count; i++) {
+        cbw_member_t *member = &membership->members[i];
+        cbw_time_t since = now - member->changed_at;
+        check_probe(membership, now, member);
+        if (member->public.state == CBW_MEMBER_SUSPECT &&
+            since >= settings->suspect_timeout) {
+            set_state(membership, now, member, CBW_MEMBER_DEAD,
+                      member->public.incarnation);
+        }
+        else if (member->public.state == CBW_MEMBER_DEAD &&
+                 since >= settings->forget_after) {
+            membership->members[i--] =
+                membership->members[--membership->count];
+        }
+    }
+}
+
+void
+CbwMembership_Tick(cbw_membership_t *membership, cbw_time_t now)
+{
+    check_members(membership, now);
+    if (now >= membership->next_probe_at) {
+        membership->next_probe_at = now + membership->settings.probe_interval;
+        probe_next(membership, now);
+    }
+}
+
+const cbw_member_t *
+CbwMembership_Find(const cbw_membership_t *membership, const char *name)
+{
+    long index = find_index(membership, name);
+
+    return index < 0 ? NULL : &membership->members[index];
+}
+
+const cbw_member_t *
+CbwMembership_Owner(const cbw_membership_t *membership, const char *database,
+                    const char *data_centre, const char *skip)
+{
+    const cbw_member_t *best = NULL;
+    uint64_t best_weight = 0;
+    bool best_near = false;
+
+    for (size_t i = 0; i < membership->count; i++) {
+        const cbw_member_t *member = &membership->members[i];
+        bool near = strcmp(member->public.data_centre, data_centre) == 0;
+        uint64_t weight;
+        if (member->public.state > CBW_MEMBER_SUSPECT ||
+            (skip != NULL && strcmp(member->public.name, skip) == 0)) {
+            continue;
+        }
+        weight = CbwRendezvous_Weight(database, member->public.name);
+        if (best == NULL || near > best_near ||
+            (near == best_near && weight > best_weight)) {
+            best = member;
+            best_weight = weight;
+            best_near = near;
+        }
+    }
+    return best;
+}
--- /dev/null
+++ b/src/libcarobwind/owner.c
@@ -0,0 +1,491 @@
+#include "carobwind/owner.h"
+
+#include <assert.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "private/owner.h"
+
+/* A request is refused when its estimated wait exceeds this part of the time
+ * that it has left. */
+#define WAIT_PART 2
+
+const char *const CbwOwner_ReachString[] = {"not asked", "asked", "none",
+                                            "moved"};
+
+void
+CbwOwner_Init(cbw_owner_t *owner, const cbw_inventory_t *inventory,
+              const cbw_database_t *database,
+              const cbw_owner_policies_t *policies, const cbw_owner_ops_t *ops,
+              void *context, uint64_t nonce, cbw_time_t now)
+{
+    memset(owner, 0, sizeof(*owner));
+    owner->database = database;
+    owner->inventory = inventory;
+    owner->policies = *policies;
+    owner->ops = ops;
+    owner->context = context;
+    owner->started_at = now;
+    CbwGroup_Init(&owner->group, database);
+    CbwQueue_Init(&owner->primary_queue, inventory->ranks,
+                  inventory->rank_count);
+    CbwQueue_Init(&owner->replica_queue, inventory->ranks,
+                  inventory->rank_count);
+    CbwConfirm_Init(&owner->confirm, database->endpoint_count);
+    CbwPromotion_Init(&owner->promotion, database->endpoint_count, nonce);
+    CbwRetry_Init(&owner->retries);
+    CbwList_Init(&owner->parked);
+    CbwList_Init(&owner->running);
+    CbwList_Init(&owner->confirming);
+    CbwList_Init(&owner->settling);
+    CbwList_Init(&owner->outstanding);
+    CbwList_Init(&owner->transactions);
+    for (int i = 0; i < Cbw_RANKS_MAX; i++) {
+        owner->admission[i] = 1000;
+    }
+}
+
+static void
+end_all(cbw_owner_t *owner, cbw_time_t now, cbw_link_t *list)
+{
+    cbw_link_t *link;
+    cbw_link_t *safe;
+
+    Cbw_LIST_FOREACH (list, link, safe) {
+        cbw_request_t *request = Cbw_LIST_ITEM(link, cbw_request_t, link);
+        bool untouched =
+            !request->maybe_sent && (request->state == CBW_REQUEST_QUEUED ||
+                                     request->state == CBW_REQUEST_PARKED);
+        CbwOwner_Answer_(owner, now, request,
+                         untouched ? CBW_OUTCOME_NOTRUN : CBW_OUTCOME_UNKNOWN,
+                         "the owner stopped");
+    }
+}
+
+static void
+end_queue(cbw_owner_t *owner, cbw_time_t now, cbw_queue_t *queue)
+{
+    cbw_request_t *request;
+
+    while ((request = owner->policies.queue->pop(queue)) != NULL) {
+        CbwOwner_Answer_(owner, now, request,
+                         request->maybe_sent ? CBW_OUTCOME_UNKNOWN
+                                             : CBW_OUTCOME_NOTRUN,
+                         "the owner stopped");
+    }
+}
+
+void
+CbwOwner_Finish(cbw_owner_t *owner, cbw_time_t now)
+{
+    cbw_link_t *link;
+
+    end_queue(owner, now, &owner->primary_queue);
+    end_queue(owner, now, &owner->replica_queue);
+    end_all(owner, now, &owner->parked);
+    end_all(owner, now, &owner->running);
+    end_all(owner, now, &owner->confirming);
+    end_all(owner, now, &owner->settling);
+    while ((link = CbwList_TakeFirst(&owner->outstanding)) != NULL) {
+        free(Cbw_LIST_ITEM(link, cbw_outstanding_t, link));
+    }
+    while ((link = CbwList_TakeFirst(&owner->transactions)) != NULL) {
+        free(Cbw_LIST_ITEM(link, cbw_transaction_t, link));
+    }
+}
+
+void
+CbwOwner_SetInventory(cbw_owner_t *owner, const cbw_inventory_t *inventory,
+                      const cbw_database_t *database)
+{
+    owner->inventory = inventory;
+    owner->database = database;
+    for (size_t i = 0; i < inventory->rank_count; i++) {
+        double floor = inventory->ranks[i].floor_percent / 100.0;
+        owner->primary_queue.ranks[i].floor = floor;
+        owner->replica_queue.ranks[i].floor = floor;
+    }
+    for (int i = 0; i < owner->group.count; i++) {
+        CbwOwner_SetLeaving(owner, i, database->endpoints[i].leaving);
+    }
+}
+
+void
+CbwOwner_SetLeaving(cbw_owner_t *owner, int endpoint, bool leaving)
+{
+    assert(endpoint >= 0 && endpoint < owner->group.count);
+    owner->group.endpoints[endpoint].leaving = leaving;
+}
+
+void
+CbwOwner_Decide_(cbw_owner_t *owner, cbw_time_t now, const char *format, ...)
+{
+    cbw_decision_t *decision =
+        &owner->decisions[owner->decision_count++ % Cbw_OWNER_DECISIONS];
+    va_list arguments;
+
+    decision->time = now;
+    va_start(arguments, format);
+    vsnprintf(decision->text, sizeof(decision->text), format, arguments);
+    va_end(arguments);
+}
+
+void
+CbwOwner_Answer_(cbw_owner_t *owner, cbw_time_t now, cbw_request_t *request,
+                 cbw_outcome_t outcome, const char *reason)
+{
+    (void)now;
+    CbwList_Remove(&request->link);
+    CbwRequest_End(request, outcome, reason);
+    owner->ops->answer(owner->context, request);
+}
+
+bool
+CbwOwner_Send_(cbw_owner_t *owner, cbw_time_t now, int endpoint,
+               cbw_call_t *call, cbw_request_t *request, cbw_time_t timeout)
+{
+    cbw_outstanding_t *outstanding = calloc(1, sizeof(*outstanding));
+
+    if (outstanding == NULL) {
+        return false;
+    }
+    CbwList_Init(&outstanding->link);
+    outstanding->id = ++owner->next_call;
+    outstanding->endpoint = endpoint;
+    outstanding->verb = call->verb;
+    outstanding->term = call->term;
+    outstanding->sent_at = now;
+    outstanding->deadline = now + timeout;
+    outstanding->request = request;
+    call->id = outstanding->id;
+    /* Listed first: the driver may reply from within the call. */
+    CbwList_Append(&owner->outstanding, &outstanding->link);
+    if (request != NULL) {
+        CbwLimit_OnSend(&owner->group.endpoints[endpoint].limit);
+        request->call = call->id;
+        request->endpoint = endpoint;
+        request->sent_at = now;
+        request->attempts++;
+        CbwList_Remove(&request->link);
+        CbwList_Append(request->state == CBW_REQUEST_SETTLING
+                           ? &owner->settling
+                           : &owner->running,
+                       &request->link);
+    }
+    if (call->verb == CBW_CALL_STATE) {
+        outstanding->question = CbwConfirm_Question(&owner->confirm);
+        owner->state_calls[endpoint] = outstanding;
+    }
+    if (owner->ops->call(owner->context, endpoint, call)) {
+        return true;
+    }
+    CbwOwner_Forget_(owner, outstanding, -1);
+    return false;
+}
+
+void
+CbwOwner_Forget_(cbw_owner_t *owner, cbw_outstanding_t *outstanding,
+                 cbw_time_t latency)
+{
+    int endpoint = outstanding->endpoint;
+
+    if (outstanding->request != NULL) {
+        outstanding->request->call = 0;
+        CbwLimit_OnEnd(&owner->group.endpoints[endpoint].limit,
+                       owner->policies.limit, latency);
+    }
+    if (owner->state_calls[endpoint] == outstanding) {
+        owner->state_calls[endpoint] = NULL;
+    }
+    CbwList_Remove(&outstanding->link);
+    free(outstanding);
+}
+
+/* Transactions. */
+
+cbw_transaction_t *
+CbwOwner_Transaction_(cbw_owner_t *owner, uint64_t id)
+{
+    cbw_link_t *link;
+    cbw_link_t *safe;
+
+    Cbw_LIST_FOREACH (&owner->transactions, link, safe) {
+        cbw_transaction_t *transaction =
+            Cbw_LIST_ITEM(link, cbw_transaction_t, link);
+        if (transaction->id == id) {
+            return transaction;
+        }
+    }
+    return NULL;
+}
+
+void
+CbwOwner_DropTransaction_(cbw_owner_t *owner, cbw_transaction_t *transaction)
+{
+    owner->ops->end_transaction(owner->context, transaction->endpoint,
+                                transaction->id);
+    CbwList_Remove(&transaction->link);
+    free(transaction);
+}
+
+void
+CbwOwner_EndTransaction(cbw_owner_t *owner, uint64_t id)
+{
+    cbw_transaction_t *transaction = CbwOwner_Transaction_(owner, id);
+
+    if (transaction != NULL && !transaction->busy) {
+        CbwOwner_DropTransaction_(owner, transaction);
+    }
+}
+
+static void
+expire_transactions(cbw_owner_t *owner, cbw_time_t now)
+{
+    cbw_link_t *link;
+    cbw_link_t *safe;
+
+    Cbw_LIST_FOREACH (&owner->transactions, link, safe) {
+        cbw_transaction_t *transaction =
+            Cbw_LIST_ITEM(link, cbw_transaction_t, link);
+        if (!transaction->busy &&
+            now - transaction->used_at > Cbw_OWNER_TRANSACTION_IDLE) {
+            CbwOwner_DropTransaction_(owner, transaction);
+        }
+    }
+}
+
+/* Submission. */
+
+cbw_queue_t *
+CbwOwner_QueueOf_(cbw_owner_t *owner, const cbw_request_t *request)
+{
+    return request->needs_primary ? &owner->primary_queue
+                                  : &owner->replica_queue;
+}
+
+/* Refuses a request that would wait too long. Returns whether it did. */
+static bool
+refuse_when_late(cbw_owner_t *owner, cbw_time_t now, cbw_request_t *request)
+{
+    cbw_queue_t *queue = CbwOwner_QueueOf_(owner, request);
+    cbw_time_t wait = owner->policies.queue->estimate(queue, request->rank);
+
+    if (request->maybe_sent || wait <= (request->deadline - now) / WAIT_PART) {
+        return false;
+    }
+    CbwCounter_Add(owner->policies.counters, CBW_COUNTER_REFUSED_BY_OWNER, 1);
+    request->answer.retry_after = wait;
+    CbwOwner_Answer_(owner, now, request, CBW_OUTCOME_NOTRUN,
+                     "the queue is too long for the deadline");
+    return true;
+}
+
+void
+CbwOwner_Submit(cbw_owner_t *owner, cbw_time_t now, cbw_request_t *request)
+{
+    const cbw_kind_t *kind =
+        CbwInventory_Kind(owner->inventory, request->kind_name);
+
+    if (kind == NULL) {
+        CbwOwner_Answer_(owner, now, request, CBW_OUTCOME_NOTRUN,
+                         "unknown kind of work");
+        return;
+    }
+    request->rank = kind->rank;
+    request->writes = kind->writes;
+    request->confirm = kind->confirm;
+    request->needs_primary = request->writes || request->transaction != 0 ||
+                             request->verb != CBW_VERB_STATEMENT;
+    request->give_up_at = request->deadline + Cbw_OWNER_SETTLE_GRACE;
+    CbwRetry_OnRequest(&owner->retries);
+    request->queued_at = now;
+    if (request->verb == CBW_VERB_SETTLE) {
+        CbwOwner_Settle_(owner, now, request);
+    }
+    else if (request->transaction != 0 && request->verb != CBW_VERB_BEGIN) {
+        CbwOwner_Continue_(owner, now, request);
+        return;
+    }
+    else if (!refuse_when_late(owner, now, request)) {
+        owner->policies.queue->push(CbwOwner_QueueOf_(owner, request),
+                                    request);
+    }
+    CbwOwner_Dispatch_(owner, now);
+}
+
+bool
+CbwOwner_IsIdle(const cbw_owner_t *owner)
+{
+    return owner->primary_queue.length == 0 &&
+           owner->replica_queue.length == 0 &&
+           CbwList_IsEmpty(&owner->parked) &&
+           CbwList_IsEmpty(&owner->running) &&
+           CbwList_IsEmpty(&owner->confirming) &&
+           CbwList_IsEmpty(&owner->settling) &&
+           CbwList_IsEmpty(&owner->transactions);
+}
+
+/* Time-outs of calls and requests. */
+
+static void
+expire_call(cbw_owner_t *owner, cbw_time_t now, cbw_outstanding_t *outstanding)
+{
+    cbw_reply_t lost = {.status = CBW_REPLY_LOST};
+
+    CbwCounter_Add(owner->policies.counters, CBW_COUNTER_CALLS_TIMED_OUT, 1);
+    owner->ops->abort(owner->context, outstanding->endpoint, outstanding->id);
+    CbwOwner_OnReply(owner, now, outstanding->id, &lost);
+}
+
+static void
+expire_calls(cbw_owner_t *owner, cbw_time_t now)
+{
+    cbw_link_t *link;
+    cbw_link_t *safe;
+    uint64_t late[64];
+    size_t count = 0;
+
+    Cbw_LIST_FOREACH (&owner->outstanding, link, safe) {
+        cbw_outstanding_t *outstanding =
+            Cbw_LIST_ITEM(link, cbw_outstanding_t, link);
+        if (now >= outstanding->deadline && count < 64) {
+            late[count++] = outstanding->id;
+        }
+    }
+    for (size_t i = 0; i < count; i++) {
+        Cbw_LIST_FOREACH (&owner->outstanding, link, safe) {
+            cbw_outstanding_t *outstanding =
+                Cbw_LIST_ITEM(link, cbw_outstanding_t, link);
+            if (outstanding->id == late[i]) {
+                expire_call(owner, now, outstanding);
+                break;
+            }
+        }
+    }
+}
+
+static void
+expire_list(cbw_owner_t *owner, cbw_time_t now, cbw_link_t *list)
+{
+    cbw_link_t *link;
+    cbw_link_t *safe;
+
+    Cbw_LIST_FOREACH (list, link, safe) {
+        cbw_request_t *request = Cbw_LIST_ITEM(link, cbw_request_t, link);
+        if (now >= request->give_up_at) {
+            CbwOwner_Answer_(owner, now, request, CBW_OUTCOME_UNKNOWN,
+                             "no proof within the deadline");
+        }
+    }
+}
+
+static void
+expire_queue(cbw_owner_t *owner, cbw_time_t now, cbw_queue_t *queue,
+             cbw_link_t *list)
+{
+    cbw_link_t *link;
+    cbw_link_t *safe;
+
+    Cbw_LIST_FOREACH (list, link, safe) {
+        cbw_request_t *request = Cbw_LIST_ITEM(link, cbw_request_t, link);
+        if (now < request->deadline) {
+            continue;
+        }
+        CbwQueue_Remove(queue, request);
+        if (request->maybe_sent && request->key[0] != '\0') {
+            CbwOwner_Settle_(owner, now, request);
+            continue;
+        }
+        CbwCounter_Add(owner->policies.counters, CBW_COUNTER_EXPIRED_IN_QUEUE,
+                       1);
+        CbwOwner_Answer_(owner, now, request,
+                         request->maybe_sent ? CBW_OUTCOME_UNKNOWN
+                                             : CBW_OUTCOME_NOTRUN,
+                         "the deadline passed in the queue");
+    }
+}
+
+static void
+expire_queues(cbw_owner_t *owner, cbw_time_t now)
+{
+    cbw_queue_t *queues[] = {&owner->primary_queue, &owner->replica_queue};
+
+    for (size_t i = 0; i < 2; i++) {
+        expire_queue(owner, now, queues[i], &queues[i]->arrivals);
+        for (size_t rank = 0; rank < queues[i]->rank_count; rank++) {
+            expire_queue(owner, now, queues[i],
+                         &queues[i]->ranks[rank].requests);
+        }
+    }
+}
+
+static void
+unpark(cbw_owner_t *owner, cbw_time_t now)
+{
+    cbw_link_t *link;
+    cbw_link_t *safe;
+
+    Cbw_LIST_FOREACH (&owner->parked, link, safe) {
+        cbw_request_t *request = Cbw_LIST_ITEM(link, cbw_request_t, link);
+        if (now - request->parked_at >= Cbw_OWNER_REPLICA_WAIT) {
+            CbwList_Remove(&request->link);
+            request->needs_primary = true;
+            owner->policies.queue->push(&owner->primary_queue, request);
+        }
+    }
+}
+
+/* Admission: entries let through less of a rank while its wait is long. */
+static void
+adapt_admission(cbw_owner_t *owner, cbw_time_t now)
+{
+    if (now < owner->admission_at) {
+        return;
+    }
+    owner->admission_at = now + Cbw_OWNER_ADMISSION_INTERVAL;
+    for (size_t i = 0; i < owner->inventory->rank_count; i++) {
+        const cbw_queue_ops_t *policy = owner->policies.queue;
+        cbw_time_t wait = policy->estimate(&owner->primary_queue, (int)i);
+        cbw_time_t other = policy->estimate(&owner->replica_queue, (int)i);
+        int *admission = &owner->admission[i];
+
+        if (other > wait) {
+            wait = other;
+        }
+        if (wait > Cbw_OWNER_ADMISSION_WAIT) {
+            *admission = *admission * 85 / 100;
+        }
+        else {
+            *admission += *admission / 25 + 5;
+        }
+        if (*admission < 10) {
+            *admission = 10;
+        }
+        if (*admission > 1000) {
+            *admission = 1000;
+        }
+    }
+}
+
+int
+CbwOwner_Admission(const cbw_owner_t *owner, int rank)
+{
+    assert(rank >= 0 && rank < Cbw_RANKS_MAX);
+    return owner->admission[rank];
+}
+
+void
+CbwOwner_Tick(cbw_owner_t *owner, cbw_time_t now)
+{
+    expire_calls(owner, now);
+    expire_queues(owner, now);
+    expire_list(owner, now, &owner->confirming);
+    expire_list(owner, now, &owner->settling);
+    expire_transactions(owner, now);
+    unpark(owner, now);
+    CbwOwner_TickHealth_(owner, now);
+    adapt_admission(owner, now);
+    CbwOwner_Dispatch_(owner, now);
+}
--- /dev/null
+++ b/src/libcarobwind/owner_health.c
@@ -0,0 +1,588 @@
+#include <inttypes.h>
+#include <string.h>
+
+#include "carobwind/owner.h"
+#include "private/owner.h"
+
+/* After a start, states are gathered for so long before a promotion. */
+#define START_GRACE (600 * Cbw_MSEC)
+/* An endpoint counts towards a promotion's majority when heard so lately. */
+#define MAJORITY_HEARD (600 * Cbw_MSEC)
+/* Wait for peers to say whether they reach the primary. */
+#define REACH_TIMEOUT (300 * Cbw_MSEC)
+/* How long an ownership that moved away stays there. */
+#define REACH_MOVED_FOR (2 * Cbw_SEC)
+/* A statement without an answer for so long raises the alert. */
+#define SLOW_STATEMENT (100 * Cbw_MSEC)
+/* Longest time that an endpoint holds back its answer to a state call. */
+#define STATE_WAIT (100 * Cbw_MSEC)
+/* An endpoint is told to follow at most this often. */
+#define FOLLOW_INTERVAL (200 * Cbw_MSEC)
+/* State calls in a row without an answer before work is held back. */
+#define TIMEOUTS_SUSPECT 2
+
+int
+CbwOwner_UsablePrimary_(const cbw_owner_t *owner, cbw_time_t now)
+{
+    int primary = owner->group.primary;
+
+    (void)now;
+    if (primary < 0 || owner->switch_started_at != 0 ||
+        owner->state_timeouts[primary] >= TIMEOUTS_SUSPECT) {
+        return -1;
+    }
+    return primary;
+}
+
+/* Confirmation rounds. */
+
+static cbw_confirm_level_t
+level_of(const cbw_request_t *request)
+{
+    return request->cancelled ? CBW_CONFIRM_POSITION : request->confirm;
+}
+
+void
+CbwOwner_ReleaseConfirmed_(cbw_owner_t *owner, cbw_time_t now)
+{
+    cbw_link_t *link;
+    cbw_link_t *safe;
+
+    Cbw_LIST_FOREACH (&owner->confirming, link, safe) {
+        cbw_request_t *request = Cbw_LIST_ITEM(link, cbw_request_t, link);
+        if (!CbwConfirm_IsProved(&owner->confirm, level_of(request),
+                                 request->ticket, request->position)) {
+            continue;
+        }
+        CbwTrace_Add(owner->policies.traces, request->trace, CBW_HOP_CONFIRM,
+                     request->answered_at, now,
+                     CbwInventory_ConfirmString[level_of(request)]);
+        CbwOwner_Answer_(owner, now, request,
+                         request->cancelled ? CBW_OUTCOME_NOTRUN
+                                            : CBW_OUTCOME_DONE,
+                         request->cancelled ? "the key is cancelled" : "");
+    }
+}
+
+/* The lowest position that a waiting request still needs; 0 when one needs
+ * nothing but an answer at once. */
+static uint64_t
+position_to_wait_for(const cbw_owner_t *owner)
+{
+    const cbw_link_t *link = owner->confirming.next;
+    uint64_t lowest = UINT64_MAX;
+
+    for (; link != &owner->confirming; link = link->next) {
+        const cbw_request_t *request =
+            Cbw_LIST_ITEM(link, cbw_request_t, link);
+        if (level_of(request) != CBW_CONFIRM_POSITION) {
+            return 0;
+        }
+        if (request->position < lowest) {
+            lowest = request->position;
+        }
+    }
+    return lowest == UINT64_MAX ? 0 : lowest;
+}
+
+static bool
+owes_answer(const cbw_owner_t *owner, int endpoint, cbw_time_t now)
+{
+    const cbw_link_t *link = owner->outstanding.next;
+
+    for (; link != &owner->outstanding; link = link->next) {
+        const cbw_outstanding_t *call =
+            Cbw_LIST_ITEM(link, cbw_outstanding_t, link);
+        if (call->endpoint == endpoint && call->request != NULL &&
+            now - call->sent_at > SLOW_STATEMENT) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+is_state_due(const cbw_owner_t *owner, int endpoint, cbw_time_t now)
+{
+    cbw_time_t waited = now - owner->state_asked_at[endpoint];
+
+    if (owner->state_asked_at[endpoint] == 0 ||
+        waited >= Cbw_OWNER_IDLE_INTERVAL) {
+        return true;
+    }
+    if (waited < Cbw_OWNER_ALERT_INTERVAL) {
+        /* A failed call must not be followed by another at once. */
+        return !CbwList_IsEmpty(&owner->confirming) &&
+               owner->state_timeouts[endpoint] == 0;
+    }
+    return !CbwList_IsEmpty(&owner->confirming) ||
+           CbwOwner_UsablePrimary_(owner, now) < 0 ||
+           owner->state_timeouts[endpoint] > 0 || owner->proof_wanted ||
+           owes_answer(owner, endpoint, now);
+}
+
+static void
+ask_state(cbw_owner_t *owner, cbw_time_t now, int endpoint,
+          uint64_t wait_position)
+{
+    cbw_call_t call = {
+        .verb = CBW_CALL_STATE,
+        .wait_position = wait_position,
+        .wait_limit = wait_position > 0 ? STATE_WAIT : 0,
+    };
+
+    owner->state_asked_at[endpoint] = now;
+    CbwCounter_Add(owner->policies.counters, CBW_COUNTER_STATE_CALLS, 1);
+    if (owner->proof_question == 0) {
+        owner->proof_question = owner->confirm.sequence + 1;
+        owner->proof_sent = now;
+    }
+    if (!CbwOwner_Send_(owner, now, endpoint, &call, NULL,
+                        Cbw_OWNER_STATE_TIMEOUT)) {
+        owner->state_timeouts[endpoint]++;
+    }
+}
+
+void
+CbwOwner_AskStates_(cbw_owner_t *owner, cbw_time_t now)
+{
+    uint64_t wait_position = position_to_wait_for(owner);
+
+    for (int i = 0; i < owner->group.count; i++) {
+        if (owner->state_calls[i] == NULL && is_state_due(owner, i, now)) {
+            ask_state(owner, now, i, wait_position);
+        }
+    }
+}
+
+static void
+update_proof(cbw_owner_t *owner)
+{
+    if (owner->proof_question != 0 &&
+        CbwConfirm_ProvedQuestion(&owner->confirm) >= owner->proof_question) {
+        owner->group.proved_at = owner->proof_sent;
+        owner->proof_question = 0;
+        owner->proof_wanted = false;
+        CbwCounter_Add(owner->policies.counters, CBW_COUNTER_CONFIRM_ROUNDS,
+                       1);
+    }
+}
+
+/* Changes of primary. */
+
+/* Requests that the former primary ran, or was about to, are tried at the next
+ * one under the same key. */
+static void
+take_back(cbw_owner_t *owner, cbw_time_t now, cbw_link_t *list)
+{
+    cbw_link_t taken;
+    cbw_link_t *link;
+    cbw_link_t *safe;
+
+    CbwList_Init(&taken);
+    Cbw_LIST_FOREACH (list, link, safe) {
+        cbw_request_t *request = Cbw_LIST_ITEM(link, cbw_request_t, link);
+        if (request->needs_primary ||
+            request->state == CBW_REQUEST_CONFIRMING) {
+            CbwList_Remove(link);
+            CbwList_Append(&taken, link);
+        }
+    }
+    while ((link = CbwList_TakeFirst(&taken)) != NULL) {
+        cbw_request_t *request = Cbw_LIST_ITEM(link, cbw_request_t, link);
+        cbw_reply_t lost = {.status = CBW_REPLY_LOST};
+        if (request->call != 0) {
+            owner->ops->abort(owner->context, request->endpoint,
+                              request->call);
+            CbwOwner_OnReply(owner, now, request->call, &lost);
+            continue;
+        }
+        request->maybe_sent = true;
+        request->cancelled = false;
+        if (request->transaction != 0) {
+            CbwOwner_Settle_(owner, now, request);
+        }
+        else {
+            CbwOwner_Requeue_(owner, now, request);
+        }
+    }
+}
+
+static void
+on_primary_change(cbw_owner_t *owner, cbw_time_t now)
+{
+    int primary = owner->group.primary;
+
+    CbwConfirm_SetTerm(&owner->confirm, owner->group.term);
+    owner->proof_question = 0;
+    owner->switch_started_at = 0;
+    owner->reach = CBW_REACH_NOT_ASKED;
+    if (primary >= 0) {
+        owner->state_timeouts[primary] = 0;
+        CbwOwner_Decide_(owner, now, "primary is %s in term %" PRIu64,
+                         owner->database->endpoints[primary].name,
+                         owner->group.term);
+    }
+    else {
+        CbwOwner_Decide_(owner, now, "no primary is known in term %" PRIu64,
+                         owner->group.term);
+    }
+    take_back(owner, now, &owner->running);
+    take_back(owner, now, &owner->confirming);
+}
+
+void
+CbwOwner_OnState_(cbw_owner_t *owner, cbw_time_t now, int endpoint,
+                  cbw_time_t sent, const cbw_endpoint_state_t *state)
+{
+    owner->state_timeouts[endpoint] = 0;
+    if (endpoint == owner->group.primary) {
+        owner->reach = CBW_REACH_NOT_ASKED;
+    }
+    if (CbwGroup_OnState(&owner->group, endpoint, sent, now, state)) {
+        on_primary_change(owner, now);
+    }
+}
+
+/* Promotion. */
+
+static void
+op_read_record(void *context)
+{
+    cbw_owner_t *owner = context;
+
+    owner->ops->read_record(owner->context);
+}
+
+static void
+op_swap_record(void *context, uint64_t version,
+               const cbw_group_record_t *record)
+{
+    cbw_owner_t *owner = context;
+
+    owner->ops->swap_record(owner->context, version, record);
+}
+
+/* Control calls of a promotion are sent from a tick or an answer, whose time
+ * the owner noted in `promotion_now`. */
+static void
+send_control(cbw_owner_t *owner, int endpoint, cbw_call_verb_t verb,
+             uint64_t term)
+{
+    cbw_call_t call = {.verb = verb, .term = term};
+
+    CbwOwner_Send_(owner, owner->promotion_now, endpoint, &call, NULL,
+                   Cbw_PROMOTION_STEP_TIMEOUT);
+}
+
+static void
+op_fence(void *context, int endpoint, uint64_t term)
+{
+    send_control(context, endpoint, CBW_CALL_FENCE, term);
+}
+
+static void
+op_promote(void *context, int endpoint, uint64_t term)
+{
+    send_control(context, endpoint, CBW_CALL_PROMOTE, term);
+}
+
+static void
+op_ended(void *context, uint64_t term, int endpoint, const char *reason)
+{
+    cbw_owner_t *owner = context;
+    bool won = endpoint >= 0;
+
+    CbwCounter_Add(
+        owner->policies.counters,
+        won ? CBW_COUNTER_PROMOTIONS_WON : CBW_COUNTER_PROMOTIONS_LOST, 1);
+    CbwOwner_Decide_(owner, owner->promotion_now,
+                     "promotion to term %" PRIu64 ": %s%s%s", term, reason,
+                     won ? " " : "",
+                     won ? owner->database->endpoints[endpoint].name : "");
+}
+
+static const cbw_promotion_ops_t promotion_ops = {
+    .read_record = op_read_record,
+    .swap_record = op_swap_record,
+    .fence = op_fence,
+    .promote = op_promote,
+    .ended = op_ended,
+};
+
+void
+CbwOwner_OnRecord(cbw_owner_t *owner, cbw_time_t now,
+                  cbw_store_status_t status, uint64_t version,
+                  const cbw_group_record_t *record)
+{
+    owner->promotion_now = now;
+    CbwPromotion_OnRecord(&owner->promotion, now, status, version, record,
+                          &promotion_ops, owner);
+}
+
+void
+CbwOwner_OnSwap(cbw_owner_t *owner, cbw_time_t now, cbw_store_status_t status,
+                uint64_t version)
+{
+    owner->promotion_now = now;
+    CbwPromotion_OnSwap(&owner->promotion, now, status, version,
+                        &promotion_ops, owner);
+}
+
+void
+CbwOwner_OnReach(cbw_owner_t *owner, cbw_time_t now, const char *host)
+{
+    if (owner->reach != CBW_REACH_ASKED) {
+        return;
+    }
+    if (host == NULL) {
+        owner->reach = CBW_REACH_NONE;
+        return;
+    }
+    owner->reach = CBW_REACH_MOVED;
+    owner->reach_asked_at = now;
+    CbwOwner_Decide_(owner, now, "%s reaches the primary: ownership moves",
+                     host);
+    owner->ops->move(owner->context, host);
+}
+
+void
+CbwOwner_OnControlReply_(cbw_owner_t *owner, cbw_time_t now,
+                         const cbw_outstanding_t *outstanding,
+                         const cbw_reply_t *reply)
+{
+    int endpoint = outstanding->endpoint;
+
+    owner->promotion_now = now;
+    switch (outstanding->verb) {
+    case CBW_CALL_STATE:
+        if (reply->status != CBW_REPLY_OK) {
+            owner->state_timeouts[endpoint]++;
+            break;
+        }
+        CbwConfirm_OnState(&owner->confirm, endpoint, outstanding->question,
+                           &reply->state);
+        update_proof(owner);
+        CbwOwner_ReleaseConfirmed_(owner, now);
+        CbwOwner_AskStates_(owner, now);
+        break;
+    case CBW_CALL_FENCE:
+        CbwPromotion_OnFence(&owner->promotion, now, endpoint,
+                             outstanding->term, reply->status, &reply->state,
+                             &promotion_ops, owner);
+        break;
+    case CBW_CALL_PROMOTE:
+        CbwPromotion_OnPromote(&owner->promotion, now, endpoint,
+                               outstanding->term, reply->status,
+                               &promotion_ops, owner);
+        break;
+    default:
+        break;
+    }
+}
+
+static unsigned
+leaving_mask(const cbw_owner_t *owner)
+{
+    unsigned mask = 0;
+
+    for (int i = 0; i < owner->group.count; i++) {
+        if (owner->group.endpoints[i].leaving) {
+            mask |= 1U << i;
+        }
+    }
+    return mask;
+}
+
+static void
+start_promotion(cbw_owner_t *owner, cbw_time_t now, unsigned excluded,
+                const char *reason)
+{
+    owner->promotion_now = now;
+    if (CbwPromotion_Start(&owner->promotion, now, owner->group.term, excluded,
+                           &promotion_ops, owner)) {
+        CbwCounter_Add(owner->policies.counters,
+                       CBW_COUNTER_PROMOTIONS_STARTED, 1);
+        CbwOwner_Decide_(owner, now, "promotion started: %s", reason);
+    }
+}
+
+/* Whether enough endpoints besides the primary answer to promote one. */
+static bool
+has_majority(const cbw_owner_t *owner, cbw_time_t now)
+{
+    int heard = 0;
+
+    for (int i = 0; i < owner->group.count; i++) {
+        cbw_time_t heard_at = owner->group.endpoints[i].heard_at;
+        if (i != owner->group.primary && heard_at != 0 &&
+            now - heard_at < MAJORITY_HEARD) {
+            heard++;
+        }
+    }
+    return heard > owner->group.count / 2;
+}
+
+static bool
+is_primary_down(const cbw_owner_t *owner, cbw_time_t now)
+{
+    int primary = owner->group.primary;
+
+    if (primary < 0) {
+        return now - owner->started_at > START_GRACE;
+    }
+    return owner->state_timeouts[primary] >= TIMEOUTS_SUSPECT &&
+           now - owner->group.endpoints[primary].heard_at >
+               Cbw_OWNER_PRIMARY_TIMEOUT;
+}
+
+/* Asks peers first whether only this host is cut off from the primary.
+ * Returns whether the promotion may go on. */
+static bool
+check_reach(cbw_owner_t *owner, cbw_time_t now)
+{
+    switch (owner->reach) {
+    case CBW_REACH_NOT_ASKED:
+        owner->reach = CBW_REACH_ASKED;
+        owner->reach_asked_at = now;
+        owner->ops->ask_reach(owner->context, owner->group.primary);
+        return owner->reach == CBW_REACH_NONE;
+    case CBW_REACH_ASKED:
+        if (now - owner->reach_asked_at > REACH_TIMEOUT) {
+            owner->reach = CBW_REACH_NONE;
+        }
+        return owner->reach == CBW_REACH_NONE;
+    case CBW_REACH_NONE:
+        return true;
+    case CBW_REACH_MOVED:
+        if (now - owner->reach_asked_at > REACH_MOVED_FOR) {
+            owner->reach = CBW_REACH_NOT_ASKED;
+        }
+        return false;
+    }
+    return false;
+}
+
+static void
+consider_failover(cbw_owner_t *owner, cbw_time_t now)
+{
+    int primary = owner->group.primary;
+    unsigned excluded = leaving_mask(owner);
+
+    if (!is_primary_down(owner, now) || !has_majority(owner, now) ||
+        CbwPromotion_IsActive(&owner->promotion)) {
+        return;
+    }
+    if (primary >= 0) {
+        if (!check_reach(owner, now)) {
+            return;
+        }
+        excluded |= 1U << primary;
+    }
+    start_promotion(owner, now, excluded,
+                    primary >= 0 ? "the primary gives no sign of life"
+                                 : "the term has no primary");
+}
+
+/* Planned hand-over of a leaving primary. */
+
+static bool
+has_caught_up_replica(const cbw_owner_t *owner, cbw_time_t now)
+{
+    const cbw_group_t *group = &owner->group;
+    const cbw_endpoint_state_t *primary =
+        &group->endpoints[group->primary].state;
+
+    for (int i = 0; i < group->count; i++) {
+        const cbw_group_endpoint_t *endpoint = &group->endpoints[i];
+        if (i != group->primary && !endpoint->leaving &&
+            CbwGroup_IsHealthy(group, i, now) &&
+            endpoint->state.last_term == primary->last_term &&
+            endpoint->state.position == primary->position &&
+            group->endpoints[group->primary].state_sent >=
+                owner->switch_started_at) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+is_primary_busy(const cbw_owner_t *owner, cbw_time_t now)
+{
+    const cbw_limit_t *limit =
+        &owner->group.endpoints[owner->group.primary].limit;
+    bool open_transactions =
+        !CbwList_IsEmpty(&owner->transactions) &&
+        now - owner->switch_started_at < Cbw_OWNER_SWITCH_TRANSACTIONS;
+
+    return limit->in_flight > 0 || open_transactions;
+}
+
+static void
+consider_switch(cbw_owner_t *owner, cbw_time_t now)
+{
+    int primary = owner->group.primary;
+
+    if (primary < 0 || !owner->group.endpoints[primary].leaving) {
+        owner->switch_started_at = 0;
+        return;
+    }
+    if (now < owner->switch_retry_at ||
+        CbwPromotion_IsActive(&owner->promotion)) {
+        return;
+    }
+    if (owner->switch_started_at == 0) {
+        owner->switch_started_at = now;
+        CbwOwner_Decide_(owner, now, "%s is leaving: writes pause",
+                         owner->database->endpoints[primary].name);
+        return;
+    }
+    if (now - owner->switch_started_at > Cbw_OWNER_SWITCH_LIMIT) {
+        owner->switch_started_at = 0;
+        owner->switch_retry_at = now + Cbw_OWNER_SWITCH_LIMIT;
+        CbwOwner_Decide_(owner, now, "no replica caught up: writes go on");
+        return;
+    }
+    if (!is_primary_busy(owner, now) && has_caught_up_replica(owner, now)) {
+        start_promotion(owner, now, leaving_mask(owner),
+                        "the primary is leaving");
+    }
+}
+
+static void
+tell_followers(cbw_owner_t *owner, cbw_time_t now)
+{
+    const cbw_group_t *group = &owner->group;
+
+    if (group->primary < 0) {
+        return;
+    }
+    for (int i = 0; i < group->count; i++) {
+        const cbw_group_endpoint_t *endpoint = &group->endpoints[i];
+        cbw_call_t call = {
+            .verb = CBW_CALL_FOLLOW,
+            .term = group->term,
+            .target = owner->database->endpoints[group->primary].address,
+        };
+        if (i == group->primary || endpoint->heard_at == 0 ||
+            endpoint->state.follows == group->term ||
+            !CbwGroup_IsHealthy(group, i, now) ||
+            now - owner->follow_at[i] < FOLLOW_INTERVAL) {
+            continue;
+        }
+        owner->follow_at[i] = now;
+        CbwOwner_Send_(owner, now, i, &call, NULL, Cbw_OWNER_STATE_TIMEOUT);
+    }
+}
+
+void
+CbwOwner_TickHealth_(cbw_owner_t *owner, cbw_time_t now)
+{
+    owner->promotion_now = now;
+    CbwPromotion_Tick(&owner->promotion, now, &promotion_ops, owner);
+    CbwOwner_AskStates_(owner, now);
+    consider_failover(owner, now);
+    consider_switch(owner, now);
+    tell_followers(owner, now);
+}
--- /dev/null
+++ b/src/libcarobwind/owner_reply.c
@@ -0,0 +1,309 @@
+#include <string.h>
+
+#include "carobwind/owner.h"
+#include "private/owner.h"
+
+static cbw_outstanding_t *
+find_outstanding(cbw_owner_t *owner, uint64_t id)
+{
+    cbw_link_t *link;
+    cbw_link_t *safe;
+
+    Cbw_LIST_FOREACH (&owner->outstanding, link, safe) {
+        cbw_outstanding_t *outstanding =
+            Cbw_LIST_ITEM(link, cbw_outstanding_t, link);
+        if (outstanding->id == id) {
+            return outstanding;
+        }
+    }
+    return NULL;
+}
+
+static void
+set_token(const cbw_owner_t *owner, cbw_request_t *request, uint64_t term,
+          uint64_t position)
+{
+    cbw_token_t token = {.term = term, .position = position};
+
+    memcpy(token.database, owner->database->name, sizeof(token.database));
+    CbwToken_Format(&token, request->answer.token);
+}
+
+void
+CbwOwner_Confirm_(cbw_owner_t *owner, cbw_time_t now, cbw_request_t *request)
+{
+    request->state = CBW_REQUEST_CONFIRMING;
+    request->answered_at = now;
+    request->ticket = CbwConfirm_Ticket(&owner->confirm);
+    CbwList_Remove(&request->link);
+    CbwList_Append(&owner->confirming, &request->link);
+    CbwOwner_ReleaseConfirmed_(owner, now);
+    CbwOwner_AskStates_(owner, now);
+}
+
+/* The position that must be held for a result of `entry_term`: one of an older
+ * term counts from the entry that began the current term. */
+static uint64_t
+position_to_confirm(const cbw_owner_t *owner, const cbw_reply_t *reply)
+{
+    if (reply->entry_term == owner->group.term ||
+        reply->state.begin_count == 0) {
+        return reply->entry_position;
+    }
+    return reply->state.begins[0].position;
+}
+
+static void
+on_write_done(cbw_owner_t *owner, cbw_time_t now, cbw_request_t *request,
+              const cbw_reply_t *reply)
+{
+    if (CbwRequest_SetResult(request, reply->result, reply->result_size) !=
+        0) {
+        CbwOwner_Answer_(owner, now, request, CBW_OUTCOME_UNKNOWN,
+                         "out of memory");
+        return;
+    }
+    set_token(owner, request, reply->entry_term, reply->entry_position);
+    request->term = reply->entry_term;
+    request->position = position_to_confirm(owner, reply);
+    CbwCounter_Add(owner->policies.counters, CBW_COUNTER_WRITES, 1);
+    CbwOwner_Confirm_(owner, now, request);
+}
+
+static void
+on_cancelled(cbw_owner_t *owner, cbw_time_t now, cbw_request_t *request,
+             const cbw_reply_t *reply)
+{
+    request->cancelled = true;
+    request->position = position_to_confirm(owner, reply);
+    CbwOwner_Confirm_(owner, now, request);
+}
+
+/* Whether a read's answer shows what the request asks for. */
+static bool
+check_read(cbw_owner_t *owner, cbw_time_t now, cbw_request_t *request,
+           const cbw_reply_t *reply, int endpoint)
+{
+    cbw_token_t token;
+
+    if (request->token[0] != '\0' &&
+        CbwToken_Parse(&token, request->token) == 0 &&
+        strcmp(token.database, owner->database->name) == 0) {
+        switch (CbwGroup_CheckToken(&reply->state, &token)) {
+        case CBW_TOKEN_HELD:
+            break;
+        case CBW_TOKEN_LOST:
+            CbwOwner_Answer_(owner, now, request, CBW_OUTCOME_NOTRUN,
+                             "the token names a write lost in a failover");
+            return false;
+        case CBW_TOKEN_BEHIND:
+            CbwCounter_Add(owner->policies.counters,
+                           CBW_COUNTER_REPLICA_REJECTED, 1);
+            request->needs_primary = true;
+            CbwOwner_Requeue_(owner, now, request);
+            return false;
+        }
+    }
+    if (endpoint == owner->group.primary) {
+        return true;
+    }
+    if (!CbwGroup_IsFresh(&owner->group, now, &reply->state, request->age)) {
+        CbwCounter_Add(owner->policies.counters, CBW_COUNTER_REPLICA_REJECTED,
+                       1);
+        request->needs_primary = true;
+        CbwOwner_Requeue_(owner, now, request);
+        return false;
+    }
+    return true;
+}
+
+static void
+on_read_done(cbw_owner_t *owner, cbw_time_t now, cbw_request_t *request,
+             const cbw_reply_t *reply, int endpoint)
+{
+    bool from_primary = endpoint == owner->group.primary;
+
+    if (!check_read(owner, now, request, reply, endpoint)) {
+        return;
+    }
+    if (CbwRequest_SetResult(request, reply->result, reply->result_size) !=
+        0) {
+        CbwOwner_Answer_(owner, now, request, CBW_OUTCOME_UNKNOWN,
+                         "out of memory");
+        return;
+    }
+    set_token(owner, request, reply->state.last_term, reply->state.position);
+    CbwCounter_Add(owner->policies.counters,
+                   from_primary ? CBW_COUNTER_READS_PRIMARY
+                                : CBW_COUNTER_READS_REPLICA,
+                   1);
+    /* A superseded primary's data may be older than allowed. */
+    if (from_primary && request->age != Cbw_NEVER &&
+        (owner->group.proved_at == 0 ||
+         now - owner->group.proved_at > request->age)) {
+        request->confirm = CBW_CONFIRM_TERM;
+        CbwOwner_Confirm_(owner, now, request);
+        return;
+    }
+    CbwOwner_Answer_(owner, now, request, CBW_OUTCOME_DONE, "");
+}
+
+/* A statement inside a transaction has no outcome of its own yet. */
+static void
+on_transaction_step(cbw_owner_t *owner, cbw_time_t now, cbw_request_t *request,
+                    const cbw_reply_t *reply)
+{
+    if (CbwRequest_SetResult(request, reply->result, reply->result_size) !=
+        0) {
+        CbwOwner_Answer_(owner, now, request, CBW_OUTCOME_NOTRUN,
+                         "out of memory");
+        return;
+    }
+    CbwOwner_Answer_(owner, now, request, CBW_OUTCOME_DONE, "");
+}
+
+static void
+on_request_ok(cbw_owner_t *owner, cbw_time_t now, cbw_request_t *request,
+              const cbw_reply_t *reply, int endpoint)
+{
+    bool open_transaction =
+        request->transaction != 0 && request->verb != CBW_VERB_COMMIT;
+
+    if (request->state == CBW_REQUEST_SETTLING ||
+        request->verb == CBW_VERB_COMMIT) {
+        on_write_done(owner, now, request, reply);
+    }
+    else if (open_transaction) {
+        on_transaction_step(owner, now, request, reply);
+    }
+    else if (request->writes) {
+        on_write_done(owner, now, request, reply);
+    }
+    else {
+        on_read_done(owner, now, request, reply, endpoint);
+    }
+}
+
+/* A statement of a transaction whose connection or primary is gone. */
+static void
+on_transaction_lost(cbw_owner_t *owner, cbw_time_t now, cbw_request_t *request)
+{
+    if (request->verb == CBW_VERB_COMMIT && request->maybe_sent) {
+        CbwOwner_Settle_(owner, now, request);
+        return;
+    }
+    CbwOwner_Answer_(owner, now, request, CBW_OUTCOME_NOTRUN,
+                     "the transaction is lost: nothing of it ran");
+}
+
+static void
+on_not_done(cbw_owner_t *owner, cbw_time_t now, cbw_request_t *request,
+            const cbw_reply_t *reply)
+{
+    if (reply->status == CBW_REPLY_LOST) {
+        request->maybe_sent = true;
+    }
+    if (request->transaction != 0 && request->state != CBW_REQUEST_SETTLING) {
+        on_transaction_lost(owner, now, request);
+        return;
+    }
+    CbwOwner_Requeue_(owner, now, request);
+}
+
+/* The transaction after one of its statements was answered. */
+static void
+update_transaction(cbw_owner_t *owner, cbw_time_t now,
+                   const cbw_request_t *request, cbw_reply_status_t status)
+{
+    cbw_transaction_t *transaction;
+    bool over;
+
+    if (request->transaction == 0 || request->state == CBW_REQUEST_SETTLING) {
+        return;
+    }
+    transaction = CbwOwner_Transaction_(owner, request->transaction);
+    if (transaction == NULL) {
+        return;
+    }
+    transaction->busy = false;
+    transaction->used_at = now;
+    over = request->verb == CBW_VERB_COMMIT ||
+           request->verb == CBW_VERB_ROLLBACK ||
+           (status != CBW_REPLY_OK && status != CBW_REPLY_FAILED);
+    if (over) {
+        CbwOwner_DropTransaction_(owner, transaction);
+    }
+}
+
+static void
+on_request_reply(cbw_owner_t *owner, cbw_time_t now, cbw_request_t *request,
+                 const cbw_reply_t *reply, int endpoint)
+{
+    update_transaction(owner, now, request, reply->status);
+    switch (reply->status) {
+    case CBW_REPLY_OK:
+        on_request_ok(owner, now, request, reply, endpoint);
+        break;
+    case CBW_REPLY_CANCELLED:
+        on_cancelled(owner, now, request, reply);
+        break;
+    case CBW_REPLY_FAILED:
+        CbwRequest_SetResult(request, reply->result, reply->result_size);
+        CbwOwner_Answer_(owner, now, request, CBW_OUTCOME_NOTRUN,
+                         "the endpoint refused the statement");
+        break;
+    case CBW_REPLY_SUPERSEDED:
+    case CBW_REPLY_NOT_PRIMARY:
+    case CBW_REPLY_NO_TX:
+    case CBW_REPLY_FULL:
+    case CBW_REPLY_LOST:
+        on_not_done(owner, now, request, reply);
+        break;
+    }
+}
+
+static bool
+carries_state(cbw_reply_status_t status)
+{
+    return status == CBW_REPLY_OK || status == CBW_REPLY_CANCELLED ||
+           status == CBW_REPLY_SUPERSEDED || status == CBW_REPLY_NOT_PRIMARY;
+}
+
+void
+CbwOwner_OnReply(cbw_owner_t *owner, cbw_time_t now, uint64_t id,
+                 const cbw_reply_t *reply)
+{
+    cbw_outstanding_t *found = find_outstanding(owner, id);
+    cbw_outstanding_t outstanding;
+    cbw_request_t *request;
+    cbw_time_t latency = -1;
+
+    if (found == NULL) {
+        return; /* late: given up before */
+    }
+    outstanding = *found;
+    request = outstanding.request;
+    if (reply->status == CBW_REPLY_OK && request != NULL) {
+        latency = now - outstanding.sent_at;
+        CbwTrace_Add(owner->policies.traces, request->trace, CBW_HOP_ENDPOINT,
+                     outstanding.sent_at, now,
+                     owner->database->endpoints[outstanding.endpoint].name);
+    }
+    CbwOwner_Forget_(owner, found, latency);
+    if (request != NULL) {
+        /* Off the running list, so that a change of primary that the reply
+         * reveals does not take it for a request in flight. */
+        CbwList_Remove(&request->link);
+    }
+    if (carries_state(reply->status)) {
+        CbwOwner_OnState_(owner, now, outstanding.endpoint,
+                          outstanding.sent_at, &reply->state);
+    }
+    if (request != NULL) {
+        on_request_reply(owner, now, request, reply, outstanding.endpoint);
+    }
+    else {
+        CbwOwner_OnControlReply_(owner, now, &outstanding, reply);
+    }
+    CbwOwner_Dispatch_(owner, now);
+}
--- /dev/null
+++ b/src/libcarobwind/queue.c
@@ -0,0 +1,236 @@
+#include "carobwind/queue.h"
+
+#include <assert.h>
+#include <string.h>
+
+#include "carobwind/plugin.h"
+
+/* A floor saves up at most so many dispatches while its rank has work. */
+#define CREDIT_MAX 4.0
+/* Dispatches in one sample of the dispatch rate. */
+#define RATE_SAMPLE 16
+/* Weight of a new sample in a smoothed rate. */
+#define RATE_WEIGHT 0.25
+
+void
+CbwQueue_Init(cbw_queue_t *queue, const cbw_rank_t *ranks, size_t rank_count)
+{
+    assert(rank_count <= Cbw_RANKS_MAX);
+    memset(queue, 0, sizeof(*queue));
+    queue->rank_count = rank_count;
+    CbwList_Init(&queue->arrivals);
+    for (size_t i = 0; i < rank_count; i++) {
+        CbwList_Init(&queue->ranks[i].requests);
+        queue->ranks[i].floor = ranks[i].floor_percent / 100.0;
+    }
+}
+
+void
+CbwQueue_Remove(cbw_queue_t *queue, cbw_request_t *request)
+{
+    CbwList_Remove(&request->link);
+    queue->ranks[request->rank].length--;
+    queue->length--;
+}
+
+static void
+count_in(cbw_queue_t *queue, cbw_request_t *request)
+{
+    request->state = CBW_REQUEST_QUEUED;
+    queue->ranks[request->rank].length++;
+    queue->length++;
+}
+
+void
+CbwQueue_OnDispatch(cbw_queue_t *queue, cbw_time_t now, int rank)
+{
+    double seconds;
+    double rate;
+
+    queue->ranks[rank].served++;
+    queue->rate_count++;
+    if (queue->rate_since == 0) {
+        queue->rate_since = now;
+        queue->rate_count = 0;
+        return;
+    }
+    if (queue->rate_count < RATE_SAMPLE) {
+        return;
+    }
+    seconds = (double)(now - queue->rate_since + 1) / Cbw_SEC;
+    rate = (double)queue->rate_count / seconds;
+    queue->dispatch_rate =
+        queue->dispatch_rate == 0
+            ? rate
+            : queue->dispatch_rate +
+                  RATE_WEIGHT * (rate - queue->dispatch_rate);
+    for (size_t i = 0; i < queue->rank_count; i++) {
+        cbw_rank_queue_t *r = &queue->ranks[i];
+        r->rate += RATE_WEIGHT * ((double)r->served / seconds - r->rate);
+        r->served = 0;
+    }
+    queue->rate_since = now;
+    queue->rate_count = 0;
+}
+
+/* Requests that a new one of `rank` waits for, over the rate at which the
+ * queue is served. */
+static cbw_time_t
+wait_for(const cbw_queue_t *queue, size_t ahead, double rate)
+{
+    if (ahead == 0 || queue->dispatch_rate <= 0) {
+        return 0;
+    }
+    return (cbw_time_t)((double)ahead * Cbw_SEC / (rate > 1 ? rate : 1));
+}
+
+/* Ranked policy: urgent first, but each lower rank earns a share of the
+ * dispatches, its floor, as long as it has work. */
+
+static void
+ranked_push(cbw_queue_t *queue, cbw_request_t *request)
+{
+    CbwList_Append(&queue->ranks[request->rank].requests, &request->link);
+    count_in(queue, request);
+}
+
+static void
+ranked_push_front(cbw_queue_t *queue, cbw_request_t *request)
+{
+    CbwList_Prepend(&queue->ranks[request->rank].requests, &request->link);
+    count_in(queue, request);
+}
+
+static void
+earn_credit(cbw_queue_t *queue)
+{
+    for (size_t i = 0; i < queue->rank_count; i++) {
+        cbw_rank_queue_t *rank = &queue->ranks[i];
+        if (rank->length == 0) {
+            rank->credit = 0;
+            continue;
+        }
+        rank->credit += rank->floor;
+        if (rank->credit > CREDIT_MAX) {
+            rank->credit = CREDIT_MAX;
+        }
+    }
+}
+
+/* The rank to serve next: the one with most saved credit if any has earned a
+ * dispatch, else the most urgent with work; -1 when there is none. */
+static int
+next_rank(const cbw_queue_t *queue)
+{
+    int best = -1;
+    int urgent = -1;
+
+    for (size_t i = 0; i < queue->rank_count; i++) {
+        const cbw_rank_queue_t *rank = &queue->ranks[i];
+        if (rank->length == 0) {
+            continue;
+        }
+        if (urgent < 0) {
+            urgent = (int)i;
+        }
+        if (rank->credit >= 1.0 &&
+            (best < 0 || rank->credit > queue->ranks[best].credit)) {
+            best = (int)i;
+        }
+    }
+    return best >= 0 ? best : urgent;
+}
+
+static cbw_request_t *
+ranked_pop(cbw_queue_t *queue)
+{
+    cbw_rank_queue_t *rank;
+    cbw_request_t *request;
+    int index;
+
+    earn_credit(queue);
+    index = next_rank(queue);
+    if (index < 0) {
+        return NULL;
+    }
+    rank = &queue->ranks[index];
+    rank->credit = rank->credit >= 1.0 ? rank->credit - 1.0 : 0;
+    request = Cbw_LIST_ITEM(rank->requests.next, cbw_request_t, link);
+    CbwQueue_Remove(queue, request);
+    return request;
+}
+
+static cbw_time_t
+ranked_estimate(const cbw_queue_t *queue, int rank)
+{
+    size_t ahead = queue->ranks[rank].length;
+    double rate = queue->ranks[rank].rate;
+    double share = queue->dispatch_rate;
+
+    /* What is left for this rank after the more urgent ones. */
+    for (int i = 0; i < rank; i++) {
+        share -= queue->ranks[i].rate;
+    }
+    if (share < queue->dispatch_rate * queue->ranks[rank].floor) {
+        share = queue->dispatch_rate * queue->ranks[rank].floor;
+    }
+    return wait_for(queue, ahead, share > rate ? share : rate);
+}
+
+/* First-come-first-served policy, the baseline. */
+
+static void
+fifo_push(cbw_queue_t *queue, cbw_request_t *request)
+{
+    CbwList_Append(&queue->arrivals, &request->link);
+    count_in(queue, request);
+}
+
+static void
+fifo_push_front(cbw_queue_t *queue, cbw_request_t *request)
+{
+    CbwList_Prepend(&queue->arrivals, &request->link);
+    count_in(queue, request);
+}
+
+static cbw_request_t *
+fifo_pop(cbw_queue_t *queue)
+{
+    cbw_request_t *request;
+
+    if (CbwList_IsEmpty(&queue->arrivals)) {
+        return NULL;
+    }
+    request = Cbw_LIST_ITEM(queue->arrivals.next, cbw_request_t, link);
+    CbwQueue_Remove(queue, request);
+    return request;
+}
+
+static cbw_time_t
+fifo_estimate(const cbw_queue_t *queue, int rank)
+{
+    (void)rank;
+    return wait_for(queue, queue->length, queue->dispatch_rate);
+}
+
+static const cbw_queue_ops_t ranked_ops = {
+    .push = ranked_push,
+    .push_front = ranked_push_front,
+    .pop = ranked_pop,
+    .estimate = ranked_estimate,
+};
+
+static const cbw_queue_ops_t fifo_ops = {
+    .push = fifo_push,
+    .push_front = fifo_push_front,
+    .pop = fifo_pop,
+    .estimate = fifo_estimate,
+};
+
+Cbw_PLUGIN_REGISTER(queue_ranked, CBW_PLUGIN_QUEUE, "ranked", &ranked_ops)
+    Cbw_PLUGIN_REGISTER(queue_fifo, CBW_PLUGIN_QUEUE, "fifo", &fifo_ops)
+
+        const cbw_queue_ops_t *CbwQueue_Policy(const char *name)
+{
+    return CbwPlugin_Find(CBW_PLUGIN_QUEUE, name);
+}
--- /dev/null
+++ b/src/libcarobwind/rendezvous.c
@@ -0,0 +1,10 @@
+#include "carobwind/rendezvous.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+uint64_t
+CbwRendezvous_Weight(const char *database, const char *host)
+{
+    return XXH64(host, strlen(host), XXH64(database, strlen(database), 0));
+}
--- /dev/null
+++ b/src/libcarobwind/token.c
@@ -0,0 +1,52 @@
+#include "carobwind/token.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Parses decimal digits up to `end`; the whole stretch must be digits. */
+static int
+parse_number(const char *text, char end, uint64_t *value, const char **rest)
+{
+    char *stop;
+
+    if (*text < '0' || *text > '9') {
+        return -1;
+    }
+    *value = strtoull(text, &stop, 10);
+    if (*stop != end) {
+        return -1;
+    }
+    *rest = stop + 1;
+    return 0;
+}
+
+int
+CbwToken_Parse(cbw_token_t *token, const char *text)
+{
+    const char *colon = strchr(text, ':');
+    const char *rest;
+    size_t length;
+
+    memset(token, 0, sizeof(*token));
+    if (colon == NULL) {
+        return -1;
+    }
+    length = (size_t)(colon - text);
+    if (length == 0 || length >= sizeof(token->database)) {
+        return -1;
+    }
+    memcpy(token->database, text, length);
+    if (parse_number(colon + 1, ':', &token->term, &rest) != 0) {
+        return -1;
+    }
+    return parse_number(rest, '\0', &token->position, &rest);
+}
+
+void
+CbwToken_Format(const cbw_token_t *token, char *text)
+{
+    snprintf(text, Cbw_TOKEN_MAX, "%s:%" PRIu64 ":%" PRIu64, token->database,
+             token->term, token->position);
+}
--- /dev/null
+++ b/src/share/rpc.c
@@ -0,0 +1,351 @@
+#include "share/rpc.h"
+
+#include <rpc/rpc_msg.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "share/peer_rpc.h"
+
+#define MARK_LAST 0x80000000U
+#define FIRST_RECORD_CAPACITY 1024
+#define FIRST_ENCODE_SIZE 2048
+
+/* Encoding. */
+
+typedef struct {
+    struct rpc_msg message;
+    xdrproc_t encode; /* what follows a call's header; NULL: nothing */
+    void *object;
+} outgoing_t;
+
+static bool
+encode_into(char *bytes, size_t size, outgoing_t *outgoing, size_t *used)
+{
+    XDR xdr;
+    bool ok;
+
+    xdrmem_create(&xdr, bytes, (u_int)size, XDR_ENCODE);
+    if (outgoing->message.rm_direction == CALL) {
+        ok = xdr_callmsg(&xdr, &outgoing->message) &&
+             outgoing->encode(&xdr, outgoing->object);
+    }
+    else {
+        ok = xdr_replymsg(&xdr, &outgoing->message);
+    }
+    *used = xdr_getpos(&xdr);
+    xdr_destroy(&xdr);
+    return ok;
+}
+
+/* Sends a message as one record of one fragment. The buffer grows until the
+ * message fits. */
+static size_t
+send_message(cbw_rpc_t *rpc, outgoing_t *outgoing)
+{
+    for (size_t size = FIRST_ENCODE_SIZE; size <= CbwRpc_RECORD_MAX;
+         size *= 8) {
+        char *bytes = malloc(size + 4);
+        uint32_t mark;
+        size_t used;
+        if (bytes == NULL) {
+            return 0;
+        }
+        if (encode_into(bytes + 4, size, outgoing, &used)) {
+            mark = htonl((uint32_t)used | MARK_LAST);
+            memcpy(bytes, &mark, sizeof(mark));
+            CbwStream_Write(&rpc->stream, bytes, used + 4);
+            free(bytes);
+            return used + 4;
+        }
+        free(bytes);
+    }
+    return 0;
+}
+
+size_t
+CbwRpc_Call(cbw_rpc_t *rpc, uint32_t xid, uint32_t procedure, xdrproc_t encode,
+            void *arguments)
+{
+    outgoing_t outgoing = {.encode = encode, .object = arguments};
+
+    outgoing.message.rm_xid = xid;
+    outgoing.message.rm_direction = CALL;
+    outgoing.message.rm_call.cb_rpcvers = RPC_MSG_VERSION;
+    outgoing.message.rm_call.cb_prog = CAROBWIND_PEER;
+    outgoing.message.rm_call.cb_vers = CAROBWIND_PEER_V1;
+    outgoing.message.rm_call.cb_proc = procedure;
+    outgoing.message.rm_call.cb_cred = _null_auth;
+    outgoing.message.rm_call.cb_verf = _null_auth;
+    return send_message(rpc, &outgoing);
+}
+
+static outgoing_t
+accepted_reply(uint32_t xid, enum accept_stat status)
+{
+    outgoing_t outgoing = {0};
+
+    outgoing.message.rm_xid = xid;
+    outgoing.message.rm_direction = REPLY;
+    outgoing.message.rm_reply.rp_stat = MSG_ACCEPTED;
+    outgoing.message.acpted_rply.ar_verf = _null_auth;
+    outgoing.message.acpted_rply.ar_stat = status;
+    return outgoing;
+}
+
+size_t
+CbwRpc_Reply(cbw_rpc_t *rpc, uint32_t xid, xdrproc_t encode, void *result)
+{
+    outgoing_t outgoing = accepted_reply(xid, SUCCESS);
+
+    outgoing.message.acpted_rply.ar_results.proc = encode;
+    outgoing.message.acpted_rply.ar_results.where = result;
+    return send_message(rpc, &outgoing);
+}
+
+/* Decoding. */
+
+static void
+refuse_call(cbw_rpc_t *rpc, uint32_t xid, enum accept_stat status)
+{
+    outgoing_t outgoing = accepted_reply(xid, status);
+
+    if (status == PROG_MISMATCH) {
+        outgoing.message.acpted_rply.ar_vers.low = CAROBWIND_PEER_V1;
+        outgoing.message.acpted_rply.ar_vers.high = CAROBWIND_PEER_V1;
+    }
+    send_message(rpc, &outgoing);
+}
+
+static void
+dispatch_call(cbw_rpc_t *rpc, XDR *xdr, struct rpc_msg *message)
+{
+    const struct call_body *call = &message->rm_call;
+
+    if (call->cb_prog != CAROBWIND_PEER) {
+        refuse_call(rpc, message->rm_xid, PROG_UNAVAIL);
+    }
+    else if (call->cb_vers != CAROBWIND_PEER_V1) {
+        refuse_call(rpc, message->rm_xid, PROG_MISMATCH);
+    }
+    else if (call->cb_proc < PEER_PROBE || call->cb_proc > PEER_DRAIN) {
+        refuse_call(rpc, message->rm_xid, PROC_UNAVAIL);
+    }
+    else if (!rpc->ops->on_call(rpc, message->rm_xid, call->cb_proc, xdr)) {
+        refuse_call(rpc, message->rm_xid, GARBAGE_ARGS);
+    }
+}
+
+static void
+dispatch_reply(cbw_rpc_t *rpc, XDR *xdr, const struct rpc_msg *message)
+{
+    bool ok = message->rm_reply.rp_stat == MSG_ACCEPTED &&
+              message->acpted_rply.ar_stat == SUCCESS;
+
+    rpc->ops->on_reply(rpc, message->rm_xid, ok ? xdr : NULL);
+}
+
+/* The direction is the second word of a message. */
+static bool
+is_call(const char *record, size_t size)
+{
+    uint32_t direction;
+
+    if (size < 8) {
+        return false;
+    }
+    memcpy(&direction, record + 4, sizeof(direction));
+    return ntohl(direction) == CALL;
+}
+
+/* Leaves the result to be decoded by the caller. */
+static bool_t
+decode_nothing(XDR *xdr, ...)
+{
+    (void)xdr;
+    return TRUE;
+}
+
+void
+CbwRpc_Dispatch(cbw_rpc_t *rpc, char *record, size_t size)
+{
+    char credentials[2][MAX_AUTH_BYTES];
+    struct rpc_msg message;
+    XDR xdr;
+
+    memset(&message, 0, sizeof(message));
+    xdrmem_create(&xdr, record, (u_int)size, XDR_DECODE);
+    if (is_call(record, size)) {
+        message.rm_call.cb_cred.oa_base = credentials[0];
+        message.rm_call.cb_verf.oa_base = credentials[1];
+        if (xdr_callmsg(&xdr, &message)) {
+            dispatch_call(rpc, &xdr, &message);
+        }
+        else {
+            CbwStream_Close(&rpc->stream);
+            rpc->ops->on_close(rpc, "malformed call");
+        }
+    }
+    else {
+        message.acpted_rply.ar_verf.oa_base = credentials[0];
+        message.acpted_rply.ar_results.proc = decode_nothing;
+        if (xdr_replymsg(&xdr, &message)) {
+            dispatch_reply(rpc, &xdr, &message);
+        }
+        else {
+            CbwStream_Close(&rpc->stream);
+            rpc->ops->on_close(rpc, "malformed reply");
+        }
+    }
+    xdr_destroy(&xdr);
+}
+
+static int
+append_record(cbw_rpc_t *rpc, const char *bytes, size_t size)
+{
+    size_t needed = rpc->record_size + size;
+    size_t capacity =
+        rpc->record_capacity ? rpc->record_capacity : FIRST_RECORD_CAPACITY;
+    char *record;
+
+    if (needed > CbwRpc_RECORD_MAX) {
+        return -1;
+    }
+    if (needed > rpc->record_capacity) {
+        while (capacity < needed) {
+            capacity *= 2;
+        }
+        record = realloc(rpc->record, capacity);
+        if (record == NULL) {
+            return -1;
+        }
+        rpc->record = record;
+        rpc->record_capacity = capacity;
+    }
+    memcpy(rpc->record + rpc->record_size, bytes, size);
+    rpc->record_size += size;
+    return 0;
+}
+
+/* Takes bytes of the fragment's mark. Returns the number taken. */
+static size_t
+take_mark(cbw_rpc_t *rpc, const char *bytes, size_t size)
+{
+    size_t taken = 0;
+    uint32_t mark;
+
+    while (taken < size && rpc->mark_size < 4) {
+        rpc->mark[rpc->mark_size++] = (unsigned char)bytes[taken++];
+    }
+    if (rpc->mark_size == 4) {
+        memcpy(&mark, rpc->mark, sizeof(mark));
+        mark = ntohl(mark);
+        rpc->last_fragment = (mark & MARK_LAST) != 0;
+        rpc->fragment_left = mark & ~MARK_LAST;
+    }
+    return taken;
+}
+
+static void
+end_fragment(cbw_rpc_t *rpc)
+{
+    size_t size = rpc->record_size;
+
+    rpc->mark_size = 0;
+    if (rpc->last_fragment) {
+        rpc->record_size = 0;
+        CbwRpc_Dispatch(rpc, rpc->record, size);
+    }
+}
+
+static void
+on_bytes(cbw_stream_t *stream, const char *bytes, size_t size)
+{
+    cbw_rpc_t *rpc = stream->context;
+
+    while (size > 0 && CbwStream_IsOpen(stream)) {
+        size_t taken;
+        if (rpc->mark_size < 4) {
+            taken = take_mark(rpc, bytes, size);
+        }
+        else {
+            taken = size < rpc->fragment_left ? size : rpc->fragment_left;
+            if (append_record(rpc, bytes, taken) != 0) {
+                CbwStream_Close(stream);
+                rpc->ops->on_close(rpc, "record too long");
+                return;
+            }
+            rpc->fragment_left -= taken;
+        }
+        bytes += taken;
+        size -= taken;
+        if (rpc->mark_size == 4 && rpc->fragment_left == 0) {
+            end_fragment(rpc);
+        }
+    }
+}
+
+static void
+on_close(cbw_stream_t *stream, const char *reason)
+{
+    cbw_rpc_t *rpc = stream->context;
+
+    rpc->ops->on_close(rpc, reason);
+}
+
+static void
+on_connected(cbw_stream_t *stream)
+{
+    cbw_rpc_t *rpc = stream->context;
+
+    if (rpc->ops->on_connected != NULL) {
+        rpc->ops->on_connected(rpc);
+    }
+}
+
+static const cbw_stream_ops_t stream_ops = {
+    .on_connected = on_connected,
+    .on_bytes = on_bytes,
+    .on_close = on_close,
+};
+
+void
+CbwRpc_Accept(cbw_rpc_t *rpc, struct ev_loop *loop, int fd, const char *ip,
+              const cbw_rpc_ops_t *ops, void *context)
+{
+    memset(rpc, 0, sizeof(*rpc));
+    rpc->ops = ops;
+    rpc->context = context;
+    CbwStream_Accept(&rpc->stream, loop, fd, ip, &stream_ops, rpc);
+}
+
+int
+CbwRpc_Connect(cbw_rpc_t *rpc, struct ev_loop *loop, const char *local_ip,
+               const char *address, const cbw_rpc_ops_t *ops, void *context,
+               cbw_error_t *error)
+{
+    memset(rpc, 0, sizeof(*rpc));
+    rpc->ops = ops;
+    rpc->context = context;
+    return CbwStream_Connect(&rpc->stream, loop, local_ip, address,
+                             &stream_ops, rpc, error);
+}
+
+void
+CbwRpc_Close(cbw_rpc_t *rpc)
+{
+    CbwStream_Close(&rpc->stream);
+}
+
+void
+CbwRpc_Finish(cbw_rpc_t *rpc)
+{
+    CbwStream_Close(&rpc->stream);
+    free(rpc->record);
+    rpc->record = NULL;
+}
+
+bool
+CbwRpc_IsOpen(const cbw_rpc_t *rpc)
+{
+    return CbwStream_IsOpen(&rpc->stream);
+}
--- /dev/null
+++ b/src/share/stream.c
@@ -0,0 +1,275 @@
+#include "share/stream.h"
+
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "share/fault.h"
+
+#define READ_SIZE 65536
+/* Reads in a row before other connections get their turn. */
+#define READS_PER_EVENT 4
+
+bool
+CbwStream_IsOpen(const cbw_stream_t *stream)
+{
+    return stream->fd >= 0;
+}
+
+void
+CbwStream_Close(cbw_stream_t *stream)
+{
+    if (stream->fd < 0) {
+        return;
+    }
+    ev_io_stop(stream->loop, &stream->reader);
+    ev_io_stop(stream->loop, &stream->writer);
+    close(stream->fd);
+    stream->fd = -1;
+    free(stream->output);
+    stream->output = NULL;
+    stream->output_size = 0;
+    stream->output_start = 0;
+    stream->output_capacity = 0;
+}
+
+static void
+fail(cbw_stream_t *stream, const char *reason)
+{
+    CbwStream_Close(stream);
+    stream->ops->on_close(stream, reason);
+}
+
+/* Whether bytes in this direction are lost, from now on for good. */
+static bool
+is_lost(cbw_stream_t *stream, cbw_fault_direction_t direction)
+{
+    if (!stream->silent &&
+        (CbwFault_IsCut(stream->ip, direction) ||
+         CbwFault_IsSilenced(stream->ip, stream->silence_count))) {
+        stream->silent = true;
+    }
+    return stream->silent;
+}
+
+static void
+on_readable(struct ev_loop *loop, ev_io *watcher, int events)
+{
+    static char buffer[READ_SIZE];
+    cbw_stream_t *stream = watcher->data;
+
+    (void)loop;
+    (void)events;
+    for (int i = 0; i < READS_PER_EVENT; i++) {
+        ssize_t size = read(stream->fd, buffer, sizeof(buffer));
+        if (size == 0) {
+            if (!is_lost(stream, CBW_FAULT_IN)) {
+                fail(stream, "the other side closed");
+            }
+            else {
+                ev_io_stop(stream->loop, &stream->reader);
+            }
+            return;
+        }
+        if (size < 0) {
+            if (errno != EAGAIN && errno != EINTR) {
+                fail(stream, strerror(errno));
+            }
+            return;
+        }
+        if (is_lost(stream, CBW_FAULT_IN)) {
+            continue;
+        }
+        stream->heard_at = CbwNet_Now();
+        stream->ops->on_bytes(stream, buffer, (size_t)size);
+        if (stream->fd < 0 || !ev_is_active(&stream->reader) ||
+            (size_t)size < sizeof(buffer)) {
+            return;
+        }
+    }
+}
+
+static void
+on_connect_ready(cbw_stream_t *stream)
+{
+    int number = 0;
+    socklen_t length = sizeof(number);
+
+    getsockopt(stream->fd, SOL_SOCKET, SO_ERROR, &number, &length);
+    if (number != 0) {
+        fail(stream, strerror(number));
+        return;
+    }
+    stream->connecting = false;
+    ev_io_start(stream->loop, &stream->reader);
+    if (stream->ops->on_connected != NULL) {
+        stream->ops->on_connected(stream);
+    }
+}
+
+static void
+on_writable(struct ev_loop *loop, ev_io *watcher, int events)
+{
+    cbw_stream_t *stream = watcher->data;
+
+    (void)loop;
+    (void)events;
+    if (stream->connecting) {
+        on_connect_ready(stream);
+        if (stream->fd < 0) {
+            return;
+        }
+    }
+    while (stream->output_start < stream->output_size) {
+        ssize_t size = write(stream->fd, stream->output + stream->output_start,
+                             stream->output_size - stream->output_start);
+        if (size < 0) {
+            if (errno != EAGAIN && errno != EINTR) {
+                fail(stream, strerror(errno));
+            }
+            return;
+        }
+        stream->output_start += (size_t)size;
+    }
+    stream->output_start = 0;
+    stream->output_size = 0;
+    ev_io_stop(stream->loop, &stream->writer);
+    if (stream->close_when_written) {
+        fail(stream, "closed after the last answer");
+    }
+}
+
+static void
+init_stream(cbw_stream_t *stream, struct ev_loop *loop, int fd, const char *ip,
+            const cbw_stream_ops_t *ops, void *context)
+{
+    memset(stream, 0, sizeof(*stream));
+    stream->loop = loop;
+    stream->fd = fd;
+    stream->ops = ops;
+    stream->context = context;
+    stream->silence_count = CbwFault_SilenceCount();
+    stream->heard_at = CbwNet_Now();
+    snprintf(stream->ip, sizeof(stream->ip), "%s", ip);
+    ev_io_init(&stream->reader, on_readable, fd, EV_READ);
+    ev_io_init(&stream->writer, on_writable, fd, EV_WRITE);
+    stream->reader.data = stream;
+    stream->writer.data = stream;
+}
+
+void
+CbwStream_Accept(cbw_stream_t *stream, struct ev_loop *loop, int fd,
+                 const char *ip, const cbw_stream_ops_t *ops, void *context)
+{
+    init_stream(stream, loop, fd, ip, ops, context);
+    ev_io_start(loop, &stream->reader);
+}
+
+int
+CbwStream_Connect(cbw_stream_t *stream, struct ev_loop *loop,
+                  const char *local_ip, const char *address,
+                  const cbw_stream_ops_t *ops, void *context,
+                  cbw_error_t *error)
+{
+    char ip[CbwNet_IP_MAX];
+    size_t length = strcspn(address, ":");
+    int fd;
+
+    stream->fd = -1;
+    fd = CbwNet_Connect(local_ip, address, error);
+    if (fd < 0) {
+        return -1;
+    }
+    if (length >= sizeof(ip)) {
+        length = sizeof(ip) - 1;
+    }
+    memcpy(ip, address, length);
+    ip[length] = '\0';
+    init_stream(stream, loop, fd, ip, ops, context);
+    stream->connecting = true;
+    ev_io_start(loop, &stream->writer);
+    return 0;
+}
+
+/* Makes room for `size` more bytes of output. */
+static int
+reserve_output(cbw_stream_t *stream, size_t size)
+{
+    size_t needed = stream->output_size + size;
+    size_t capacity = stream->output_capacity ? stream->output_capacity : 1024;
+    char *output;
+
+    if (needed - stream->output_start > CbwStream_OUTPUT_MAX) {
+        return -1;
+    }
+    if (needed <= stream->output_capacity) {
+        return 0;
+    }
+    while (capacity < needed) {
+        capacity *= 2;
+    }
+    output = realloc(stream->output, capacity);
+    if (output == NULL) {
+        return -1;
+    }
+    stream->output = output;
+    stream->output_capacity = capacity;
+    return 0;
+}
+
+void
+CbwStream_Write(cbw_stream_t *stream, const char *bytes, size_t size)
+{
+    ssize_t written = 0;
+
+    if (stream->fd < 0 || is_lost(stream, CBW_FAULT_OUT)) {
+        return;
+    }
+    if (!stream->connecting && stream->output_size == 0) {
+        written = write(stream->fd, bytes, size);
+        if (written < 0) {
+            written = 0; /* the event loop reports what is wrong */
+        }
+        if ((size_t)written == size) {
+            return;
+        }
+    }
+    if (reserve_output(stream, size - (size_t)written) != 0) {
+        shutdown(stream->fd, SHUT_RDWR); /* reported as closed by the loop */
+        return;
+    }
+    memcpy(stream->output + stream->output_size, bytes + written,
+           size - (size_t)written);
+    stream->output_size += size - (size_t)written;
+    ev_io_start(stream->loop, &stream->writer);
+}
+
+void
+CbwStream_CloseWhenWritten(cbw_stream_t *stream)
+{
+    if (stream->fd < 0) {
+        return;
+    }
+    stream->close_when_written = true;
+    ev_io_stop(stream->loop, &stream->reader);
+    ev_io_start(stream->loop, &stream->writer);
+}
+
+void
+CbwStream_Pause(cbw_stream_t *stream)
+{
+    if (stream->fd >= 0) {
+        ev_io_stop(stream->loop, &stream->reader);
+    }
+}
+
+void
+CbwStream_Resume(cbw_stream_t *stream)
+{
+    if (stream->fd >= 0 && !stream->close_when_written) {
+        ev_io_start(stream->loop, &stream->reader);
+    }
+}
