--- a/Makefile
+++ b/Makefile
@@ -44,7 +44,18 @@
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
 
+# Installs what is missing; does nothing when all is there.
+setup:
+	@pkg-config --exists glib-2.0 libtirpc 2>/dev/null && command -v tclsh \
+		>/dev/null && dpkg -s $(PACKAGES) tcllib >/dev/null 2>&1 || { \
+		apt-get update -q && apt-get install -q -y $(PACKAGES) tcllib \
+		pkg-config; }
+
+demo: setup
+	@$(MAKE) --no-print-directory all
+	@tclsh test/demo.tcl
+
 clean:
 	rm -rf $(BUILD)
 
-.PHONY: all clean
+.PHONY: all setup demo clean
--- a/include/carobwind/inventory.h
+++ b/include/carobwind/inventory.h
@@ -51,7 +51,7 @@
     cbw_time_t deadline; /* when the caller names none */
 } cbw_kind_t;
 
-/* Owns its arrays. */
+/* Owns its arrays. Databases are sorted by name. */
 typedef struct {
     int64_t version; /* of the store; 0 when not from the store */
     cbw_data_centre_t *data_centres;
--- a/include/carobwind/membership.h
+++ b/include/carobwind/membership.h
@@ -87,6 +87,15 @@
  * as dead until it answers a probe; one that leaves is marked. */
 void CbwMembership_HearList(cbw_membership_t *membership, cbw_time_t now,
                             const cbw_member_change_t *change);
+/* The platform's list says whether the endpoint at `address` is leaving. Such
+ * endpoints are spread beside the members, but are none. */
+void CbwMembership_HearEndpoint(cbw_membership_t *membership, cbw_time_t now,
+                                const char *address, bool leaving);
+/* Whether that list says that the endpoint at `address` leaves. */
+bool CbwMembership_IsEndpointLeaving(const cbw_membership_t *membership,
+                                     const char *address);
+/* Whether the record is of an endpoint. */
+bool CbwMembership_IsEndpoint(const cbw_member_change_t *member);
 /* `name` answered a probe, directly or through another. */
 void CbwMembership_OnAck(cbw_membership_t *membership, cbw_time_t now,
                          const char *name);
@@ -100,6 +109,9 @@
 /* Runs what is due. Call it every few tens of milliseconds. */
 void CbwMembership_Tick(cbw_membership_t *membership, cbw_time_t now);
 
+/* How many usable members come before this host in rendezvous order for
+ * `role`: a few roles are kept by the first members only. */
+int CbwMembership_Rank(const cbw_membership_t *membership, const char *role);
 const cbw_member_t *CbwMembership_Find(const cbw_membership_t *membership,
                                        const char *name);
 /* The owner of `database`: the first usable member in rendezvous order among
--- a/include/carobwind/owner.h
+++ b/include/carobwind/owner.h
@@ -56,8 +56,10 @@
     bool (*call)(void *context, int endpoint, const cbw_call_t *call);
     /* Drops the connection that carries call `id`; no reply follows. */
     void (*abort)(void *context, int endpoint, uint64_t id);
-    /* Rolls back and frees the connection of a transaction. */
-    void (*end_transaction)(void *context, int endpoint, uint64_t transaction);
+    /* Frees the connection of a transaction. When the end is not `clean`, the
+     * connection may still hold it, and is dropped. */
+    void (*end_transaction)(void *context, int endpoint, uint64_t transaction,
+                            bool clean);
     void (*answer)(void *context, cbw_request_t *request);
     /* The store's record of this group. */
     void (*read_record)(void *context);
@@ -152,6 +154,9 @@
                    cbw_time_t now);
 /* Answers every request that is still inside; frees all memory. */
 void CbwOwner_Finish(cbw_owner_t *owner, cbw_time_t now);
+/* Hands back the queued requests that were never sent, as pending, so that
+ * another owner can take them. */
+void CbwOwner_Evict(cbw_owner_t *owner);
 /* A new inventory that still has this database with the same endpoints. */
 void CbwOwner_SetInventory(cbw_owner_t *owner,
                            const cbw_inventory_t *inventory,
--- /dev/null
+++ b/src/carobwind-bench/caller.c
@@ -0,0 +1,468 @@
+#include "caller.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "share/net.h"
+#include "share/reaper.h"
+
+#define STATEMENT_MAX 256
+#define WORDS_MAX 16
+/* Pause before an attempt that found no answer is repeated. */
+#define RETRY_PAUSE (10 * Cbw_MSEC)
+/* Arrivals that wait for a session beyond this are dropped as unanswered. */
+#define BACKLOG_MAX 200000
+
+typedef struct session session_t;
+
+typedef struct {
+    cbw_link_t link;
+    caller_pool_t *pool;
+    size_t entry;
+    cbw_resp_t resp;
+    session_t *session; /* whose request it carries */
+    bool dropped;
+} connection_t;
+
+typedef struct {
+    cbw_link_t link;
+    load_kind_t *kind;
+    cbw_time_t intended;
+} arrival_t;
+
+/* The steps of a transaction. */
+typedef enum { STEP_BEGIN, STEP_FIRST, STEP_SECOND, STEP_COMMIT } step_t;
+
+struct session {
+    cbw_link_t link; /* idle, or busy */
+    caller_pool_t *pool;
+    uint64_t number;
+    size_t database;
+    char token[Cbw_TOKEN_MAX];
+    uint64_t sequence; /* of the session's writes */
+    connection_t *connection;
+
+    /* The request on its way. */
+    load_kind_t *kind;
+    cbw_time_t intended;
+    cbw_time_t sent_at;  /* of the first attempt */
+    cbw_time_t deadline; /* of this attempt */
+    cbw_time_t retry_at; /* 0: not waiting to try again */
+    int attempts;
+    step_t step;
+    char key[Cbw_KEY_MAX];
+    char statement[STATEMENT_MAX];
+    bool maybe_sent;
+};
+
+static cbw_link_t busy_sessions;
+
+static cbw_time_t
+elapsed(const caller_pool_t *pool)
+{
+    return CbwNet_Now() - pool->start;
+}
+
+void
+Caller_Init(caller_pool_t *pool)
+{
+    for (size_t i = 0; i < pool->entry_count; i++) {
+        CbwList_Init(&pool->idle_connections[i]);
+    }
+    CbwList_Init(&pool->idle_sessions);
+    CbwList_Init(&pool->backlog);
+    CbwList_Init(&busy_sessions);
+}
+
+/* Connections. */
+
+static void on_answer(session_t *session, const cbw_resp_message_t *message);
+static void on_no_answer(session_t *session);
+
+static void
+release_connection(void *object)
+{
+    connection_t *connection = object;
+
+    CbwResp_Finish(&connection->resp);
+    free(connection);
+}
+
+static void
+drop_connection(connection_t *connection)
+{
+    if (connection->dropped) {
+        return;
+    }
+    connection->dropped = true;
+    CbwList_Remove(&connection->link);
+    CbwResp_Close(&connection->resp);
+    CbwReaper_Later(release_connection, connection);
+}
+
+static void
+on_message(cbw_resp_t *resp, const cbw_resp_message_t *message)
+{
+    connection_t *connection = resp->context;
+    session_t *session = connection->session;
+
+    if (connection->dropped || session == NULL) {
+        return;
+    }
+    on_answer(session, message);
+}
+
+static void
+on_close(cbw_resp_t *resp, const char *reason)
+{
+    connection_t *connection = resp->context;
+    session_t *session = connection->session;
+
+    (void)reason;
+    drop_connection(connection);
+    if (session != NULL) {
+        session->connection = NULL;
+        on_no_answer(session);
+    }
+}
+
+static const cbw_resp_ops_t resp_ops = {
+    .on_message = on_message,
+    .on_close = on_close,
+};
+
+static connection_t *
+open_connection(caller_pool_t *pool, size_t entry)
+{
+    connection_t *connection = calloc(1, sizeof(*connection));
+
+    if (connection == NULL) {
+        abort();
+    }
+    CbwList_Init(&connection->link);
+    connection->pool = pool;
+    connection->entry = entry;
+    if (CbwResp_Connect(&connection->resp, pool->loop, pool->local_ip,
+                        pool->entries[entry], &CbwResp_ClientLimits, &resp_ops,
+                        connection, NULL) != 0) {
+        free(connection);
+        return NULL;
+    }
+    return connection;
+}
+
+/* A connection to a random entry: sessions roam. */
+static connection_t *
+take_connection(caller_pool_t *pool)
+{
+    size_t entry = (size_t)CbwRandom_Below(&pool->random, pool->entry_count);
+    cbw_link_t *link = CbwList_TakeFirst(&pool->idle_connections[entry]);
+
+    if (link != NULL) {
+        return Cbw_LIST_ITEM(link, connection_t, link);
+    }
+    return open_connection(pool, entry);
+}
+
+static void
+give_back(session_t *session)
+{
+    connection_t *connection = session->connection;
+
+    session->connection = NULL;
+    if (connection == NULL || connection->dropped) {
+        return;
+    }
+    connection->session = NULL;
+    CbwList_Prepend(&session->pool->idle_connections[connection->entry],
+                    &connection->link);
+}
+
+/* Requests. */
+
+/* Writes and reads of a session are of its own account, so that reads can be
+ * checked against its writes. */
+static void
+format_statement(session_t *session)
+{
+    char *text = session->statement;
+
+    switch (session->kind->type) {
+    case WORK_WRITE:
+        snprintf(text, STATEMENT_MAX, "put account.%" PRIu64 " %" PRIu64,
+                 session->number, session->sequence);
+        break;
+    case WORK_READ:
+    case WORK_READ_ANY:
+        snprintf(text, STATEMENT_MAX, "get account.%" PRIu64, session->number);
+        break;
+    case WORK_TRANSACTION:
+        snprintf(text, STATEMENT_MAX, "put pair.%" PRIu64 ".%s %" PRIu64,
+                 session->number, session->step == STEP_FIRST ? "a" : "b",
+                 session->sequence);
+        break;
+    }
+}
+
+static void
+send_request(session_t *session)
+{
+    caller_pool_t *pool = session->pool;
+    work_type_t type = session->kind->type;
+    const char *words[WORDS_MAX];
+    int count = 0;
+
+    format_statement(session);
+    if (type == WORK_TRANSACTION && session->step == STEP_BEGIN) {
+        words[count++] = "BEGIN";
+    }
+    else if (type == WORK_TRANSACTION && session->step == STEP_COMMIT) {
+        words[count++] = "COMMIT";
+    }
+    else {
+        words[count++] = "STMT";
+    }
+    words[count++] = pool->databases[session->database];
+    words[count++] = session->kind->name;
+    if (words[0][0] == 'S') {
+        words[count++] = session->statement;
+    }
+    if (type == WORK_WRITE || words[0][0] == 'C') {
+        words[count++] = "KEY";
+        words[count++] = session->key;
+    }
+    if (type == WORK_READ && session->token[0] != '\0') {
+        words[count++] = "TOKEN";
+        words[count++] = session->token;
+    }
+    if (type == WORK_WRITE && session->maybe_sent) {
+        words[count++] = "AGAIN";
+        words[count++] = "1";
+    }
+    session->deadline = elapsed(pool) + pool->patience;
+    CbwResp_Send(&session->connection->resp, count, words, NULL);
+}
+
+static void
+begin_attempt(session_t *session)
+{
+    session->retry_at = 0;
+    session->attempts++;
+    session->step = STEP_BEGIN;
+    session->connection = take_connection(session->pool);
+    if (session->connection == NULL) {
+        on_no_answer(session);
+        return;
+    }
+    session->connection->session = session;
+    send_request(session);
+}
+
+/* One line: start, end, session, database, kind, type, key, statement,
+ * outcome, result, token asked with, token, attempts, entry. */
+static void
+write_journal(const session_t *session, cbw_outcome_t outcome,
+              const char *result, const char *token)
+{
+    const caller_pool_t *pool = session->pool;
+
+    if (pool->journal == NULL) {
+        return;
+    }
+    fprintf(pool->journal,
+            "%" PRId64 "\t%" PRId64 "\t%" PRIu64 "\t%s\t%s\t%s\t%s\t%s\t%s\t"
+            "%s\t%s\t%s\t%d\n",
+            session->sent_at, elapsed(pool), session->number,
+            pool->databases[session->database], session->kind->name,
+            Load_WorkString[session->kind->type], session->key,
+            session->statement,
+            outcome == CBW_OUTCOME_PENDING ? "noanswer"
+                                           : CbwRequest_OutcomeString[outcome],
+            result, session->token, token, session->attempts);
+}
+
+static void start_next(session_t *session);
+
+static void
+finish_request(session_t *session, cbw_outcome_t outcome, const char *result,
+               const char *token)
+{
+    caller_pool_t *pool = session->pool;
+    cbw_time_t now = elapsed(pool);
+
+    write_journal(session, outcome, result, token);
+    if (outcome == CBW_OUTCOME_DONE && token[0] != '\0') {
+        snprintf(session->token, sizeof(session->token), "%s", token);
+    }
+    Load_Record(session->kind, session->intended, now, outcome,
+                session->intended >= pool->measure_from &&
+                    session->intended < pool->stop_at);
+    give_back(session);
+    CbwList_Remove(&session->link);
+    pool->in_flight--;
+    start_next(session);
+}
+
+/* The attempt found no answer: tries again under the same key. */
+static void
+on_no_answer(session_t *session)
+{
+    caller_pool_t *pool = session->pool;
+
+    if (session->connection != NULL) {
+        connection_t *connection = session->connection;
+        connection->session = NULL;
+        session->connection = NULL;
+        drop_connection(connection);
+    }
+    session->maybe_sent = true;
+    if (session->kind->type == WORK_TRANSACTION ||
+        session->attempts >= pool->attempts_max) {
+        finish_request(session, CBW_OUTCOME_PENDING, "", "");
+        return;
+    }
+    session->retry_at = elapsed(pool) + RETRY_PAUSE;
+}
+
+static cbw_outcome_t
+parse_outcome(const char *word)
+{
+    for (int i = CBW_OUTCOME_DONE; i <= CBW_OUTCOME_UNKNOWN; i++) {
+        if (strcmp(word, CbwRequest_OutcomeString[i]) == 0) {
+            return (cbw_outcome_t)i;
+        }
+    }
+    return CBW_OUTCOME_UNKNOWN;
+}
+
+static void
+on_answer(session_t *session, const cbw_resp_message_t *message)
+{
+    cbw_outcome_t outcome;
+
+    if (message->is_error || message->count != 4) {
+        on_no_answer(session);
+        return;
+    }
+    outcome = parse_outcome(message->words[0]);
+    if (outcome == CBW_OUTCOME_UNKNOWN &&
+        session->kind->type != WORK_TRANSACTION &&
+        session->attempts < session->pool->attempts_max) {
+        give_back(session);
+        session->maybe_sent = true;
+        session->retry_at = elapsed(session->pool) + RETRY_PAUSE;
+        return;
+    }
+    if (session->kind->type == WORK_TRANSACTION &&
+        session->step != STEP_COMMIT && outcome == CBW_OUTCOME_DONE) {
+        session->step++;
+        send_request(session);
+        return;
+    }
+    finish_request(session, outcome, message->words[1], message->words[2]);
+}
+
+/* Sessions. */
+
+static void
+start_request(session_t *session, load_kind_t *kind, cbw_time_t intended)
+{
+    caller_pool_t *pool = session->pool;
+
+    session->kind = kind;
+    session->intended = intended;
+    session->sent_at = elapsed(pool);
+    session->attempts = 0;
+    session->maybe_sent = false;
+    session->key[0] = '\0';
+    if (kind->type == WORK_WRITE || kind->type == WORK_TRANSACTION) {
+        session->sequence++;
+        snprintf(session->key, sizeof(session->key),
+                 "%" PRIx64 "-%" PRIu64 "-%" PRIu64, pool->run_id,
+                 session->number, session->sequence);
+    }
+    CbwList_Append(&busy_sessions, &session->link);
+    pool->in_flight++;
+    begin_attempt(session);
+}
+
+static session_t *
+new_session(caller_pool_t *pool)
+{
+    session_t *session = calloc(1, sizeof(*session));
+
+    if (session == NULL) {
+        abort();
+    }
+    CbwList_Init(&session->link);
+    session->pool = pool;
+    session->number = ++pool->session_count;
+    session->database = session->number % pool->database_count;
+    return session;
+}
+
+static void
+start_next(session_t *session)
+{
+    caller_pool_t *pool = session->pool;
+    cbw_link_t *link = CbwList_TakeFirst(&pool->backlog);
+    arrival_t *arrival;
+
+    if (link == NULL) {
+        CbwList_Append(&pool->idle_sessions, &session->link);
+        return;
+    }
+    pool->backlog_count--;
+    arrival = Cbw_LIST_ITEM(link, arrival_t, link);
+    start_request(session, arrival->kind, arrival->intended);
+    free(arrival);
+}
+
+void
+Caller_Arrive(caller_pool_t *pool, load_kind_t *kind, cbw_time_t intended)
+{
+    cbw_link_t *link = CbwList_TakeFirst(&pool->idle_sessions);
+    arrival_t *arrival;
+
+    if (link != NULL) {
+        start_request(Cbw_LIST_ITEM(link, session_t, link), kind, intended);
+        return;
+    }
+    if (pool->session_count < pool->session_limit) {
+        start_request(new_session(pool), kind, intended);
+        return;
+    }
+    if (pool->backlog_count >= BACKLOG_MAX) {
+        return;
+    }
+    arrival = calloc(1, sizeof(*arrival));
+    if (arrival == NULL) {
+        abort();
+    }
+    arrival->kind = kind;
+    arrival->intended = intended;
+    CbwList_Init(&arrival->link);
+    CbwList_Append(&pool->backlog, &arrival->link);
+    pool->backlog_count++;
+}
+
+void
+Caller_Tick(caller_pool_t *pool)
+{
+    cbw_time_t now = elapsed(pool);
+    cbw_link_t *link;
+    cbw_link_t *safe;
+
+    Cbw_LIST_FOREACH (&busy_sessions, link, safe) {
+        session_t *session = Cbw_LIST_ITEM(link, session_t, link);
+        if (session->retry_at != 0) {
+            if (now >= session->retry_at) {
+                begin_attempt(session);
+            }
+        }
+        else if (now >= session->deadline) {
+            on_no_answer(session);
+        }
+    }
+}
--- /dev/null
+++ b/src/carobwind-bench/load.c
@@ -0,0 +1,155 @@
+#include "load.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+const char *const Load_WorkString[] = {"write", "read", "readany",
+                                       "transaction"};
+
+static int
+parse_type(const char *text, work_type_t *type)
+{
+    for (int i = WORK_WRITE; i <= WORK_TRANSACTION; i++) {
+        if (strcmp(text, Load_WorkString[i]) == 0) {
+            *type = (work_type_t)i;
+            return 0;
+        }
+    }
+    return -1;
+}
+
+static int
+parse_kind(load_t *load, const char *text, cbw_error_t *error)
+{
+    load_kind_t *kind = &load->kinds[load->kind_count];
+    char type[16];
+
+    if (load->kind_count == LOAD_KINDS_MAX) {
+        return CbwError_Set(error, CBW_ERROR_INVALID, "over %d kinds",
+                            LOAD_KINDS_MAX);
+    }
+    memset(kind, 0, sizeof(*kind));
+    if (sscanf(text, "%47[^:]:%15[^:]:%lf", kind->name, type, &kind->rate) !=
+            3 ||
+        parse_type(type, &kind->type) != 0 || kind->rate < 0) {
+        return CbwError_Set(error, CBW_ERROR_INVALID,
+                            "\"%s\" is not KIND:write|read|readany|"
+                            "transaction:RATE",
+                            text);
+    }
+    kind->timeline = calloc(LOAD_BUCKETS_MAX, sizeof(*kind->timeline));
+    if (kind->timeline == NULL) {
+        return CbwError_Set(error, CBW_ERROR_MEMORY, "out of memory");
+    }
+    load->kind_count++;
+    return 0;
+}
+
+static int
+parse_flood(load_t *load, const char *text, cbw_error_t *error)
+{
+    load_flood_t *flood = &load->floods[load->flood_count];
+
+    if (load->flood_count == LOAD_FLOODS_MAX) {
+        return CbwError_Set(error, CBW_ERROR_INVALID, "over %d floods",
+                            LOAD_FLOODS_MAX);
+    }
+    if (sscanf(text, "%47[^:]:%lf:%lf:%lf", flood->kind, &flood->rate,
+               &flood->start, &flood->length) != 4) {
+        return CbwError_Set(error, CBW_ERROR_INVALID,
+                            "\"%s\" is not KIND:RATE:START:LENGTH", text);
+    }
+    load->flood_count++;
+    return 0;
+}
+
+/* Calls `parse` for each part between commas. */
+static int
+parse_parts(load_t *load, const char *text,
+            int (*parse)(load_t *load, const char *part, cbw_error_t *error),
+            cbw_error_t *error)
+{
+    char part[128];
+
+    while (*text != '\0') {
+        size_t length = strcspn(text, ",");
+        if (length >= sizeof(part)) {
+            return CbwError_Set(error, CBW_ERROR_INVALID, "\"%s\" is too long",
+                                text);
+        }
+        memcpy(part, text, length);
+        part[length] = '\0';
+        if (length > 0 && parse(load, part, error) != 0) {
+            return -1;
+        }
+        text += length + (text[length] == ',');
+    }
+    return 0;
+}
+
+int
+Load_ParseMix(load_t *load, const char *text, cbw_error_t *error)
+{
+    return parse_parts(load, text, parse_kind, error);
+}
+
+int
+Load_ParseFloods(load_t *load, const char *text, cbw_error_t *error)
+{
+    return parse_parts(load, text, parse_flood, error);
+}
+
+double
+Load_RateAt(const load_t *load, const load_kind_t *kind, double seconds)
+{
+    double rate = kind->rate;
+
+    for (size_t i = 0; i < load->flood_count; i++) {
+        const load_flood_t *flood = &load->floods[i];
+        if (strcmp(flood->kind, kind->name) == 0 && seconds >= flood->start &&
+            seconds < flood->start + flood->length) {
+            rate += flood->rate;
+        }
+    }
+    return rate;
+}
+
+static void
+record_gap(load_kind_t *kind, cbw_time_t finished)
+{
+    if (kind->last_done != 0 && finished - kind->last_done > kind->gap) {
+        kind->gap = finished - kind->last_done;
+        kind->gap_at = kind->last_done;
+    }
+    kind->last_done = finished;
+}
+
+void
+Load_Record(load_kind_t *kind, cbw_time_t intended, cbw_time_t finished,
+            cbw_outcome_t outcome, bool measured)
+{
+    size_t index = (size_t)(finished / LOAD_BUCKET);
+    load_bucket_t *bucket =
+        &kind->timeline[index < LOAD_BUCKETS_MAX ? index
+                                                 : LOAD_BUCKETS_MAX - 1];
+
+    if (outcome == CBW_OUTCOME_DONE) {
+        bucket->done++;
+        if (finished - intended > bucket->worst) {
+            bucket->worst = finished - intended;
+        }
+    }
+    else {
+        bucket->failed++;
+    }
+    if (!measured) {
+        return;
+    }
+    kind->sent++;
+    kind->outcomes[outcome]++;
+    if (outcome == CBW_OUTCOME_DONE) {
+        CbwHistogram_Add(&kind->latency, finished - intended);
+        record_gap(kind, finished);
+    }
+}
--- /dev/null
+++ b/src/carobwindctl/main.c
@@ -0,0 +1,474 @@
+/* The operators' tool. */
+
+#include <errno.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sysexits.h>
+
+#include "carobwind/inventory.h"
+#include "output.h"
+#include "platform_client.h"
+#include "share/options.h"
+#include "share/peer_client.h"
+
+#define CONFIG_KEY "config"
+/* Longest inventory file, which the store bounds. */
+#define FILE_MAX (1024 * 1024)
+
+static const char *platform_address = "127.0.0.1:7300";
+static const char *host_address = "127.0.0.1:7100";
+static bool json;
+static bool assume_yes;
+static long base_version = -1;
+
+static const cbw_option_t options[] = {
+    {CBW_OPTION_STRING, "platform", "IP:PORT", "the platform's service",
+     &platform_address, 0, 0},
+    {CBW_OPTION_STRING, "host", "IP:PORT", "a daemon's address for peers",
+     &host_address, 0, 0},
+    {CBW_OPTION_FLAG, "json", NULL, "print JSON instead of tables", &json, 0,
+     0},
+    {CBW_OPTION_FLAG, "yes", NULL, "apply without asking", &assume_yes, 0, 0},
+    {CBW_OPTION_INTEGER, "base", "VERSION",
+     "apply only onto this version (default: the one just read)",
+     &base_version, 0, 1000000000},
+};
+
+static const cbw_program_t program = {
+    .program = "carobwindctl",
+    .summary = "Checks and applies the inventory and rules, and shows what "
+               "the fleet does.",
+    .words_help =
+        "Commands:\n"
+        "  check FILE         report all that is wrong in an inventory\n"
+        "  apply FILE         check, show the changes, and put it in force\n"
+        "  show               print the inventory in force\n"
+        "  status             members and configuration, seen by --host\n"
+        "  explain DATABASE   who owns it, its primary, and why\n"
+        "  trace ID           the spans of a request on all hosts\n"
+        "  counters           counters of --host, as Prometheus text\n"
+        "  drain HOST         stop a host's daemon gracefully, by its name",
+    .options = options,
+    .option_count = sizeof(options) / sizeof(options[0]),
+    .words_max = 3,
+};
+
+/* Reads a whole file. Returns NULL after printing what is wrong. */
+static char *
+read_file(const char *path)
+{
+    FILE *file = fopen(path, "r");
+    char *text;
+    size_t size;
+
+    if (file == NULL) {
+        fprintf(stderr, "%s: %s\n", path, strerror(errno));
+        return NULL;
+    }
+    text = malloc(FILE_MAX + 2);
+    if (text == NULL) {
+        fclose(file);
+        return NULL;
+    }
+    size = fread(text, 1, FILE_MAX + 1, file);
+    fclose(file);
+    text[size] = '\0';
+    if (size > FILE_MAX || strlen(text) != size) {
+        fprintf(stderr, "%s: over %d bytes, or not text\n", path, FILE_MAX);
+        free(text);
+        return NULL;
+    }
+    return text;
+}
+
+/* Reads and checks an inventory. Returns an exit code. */
+static int
+load(const char *path, char **text, cbw_inventory_t *inventory)
+{
+    cbw_findings_t findings;
+    int code = EX_OK;
+
+    *text = read_file(path);
+    if (*text == NULL) {
+        return EX_NOINPUT;
+    }
+    CbwFindings_Init(&findings);
+    if (CbwInventory_Parse(inventory, *text, path, &findings) != 0) {
+        CbwFindings_Print(&findings, stderr);
+        fprintf(stderr, "%s: %zu findings\n", path, findings.count);
+        free(*text);
+        *text = NULL;
+        code = EX_DATAERR;
+    }
+    CbwFindings_Finish(&findings);
+    return code;
+}
+
+static int
+fail(const cbw_error_t *error)
+{
+    fprintf(stderr, "carobwindctl: %s\n", error->text);
+    switch (error->code) {
+    case CBW_ERROR_UNAVAILABLE:
+        return EX_TEMPFAIL;
+    case CBW_ERROR_CONFLICT:
+        return EX_CANTCREAT;
+    default:
+        return EX_UNAVAILABLE;
+    }
+}
+
+static int
+command_check(const char *path)
+{
+    cbw_inventory_t inventory;
+    char *text;
+    int code = load(path, &text, &inventory);
+
+    if (code != EX_OK) {
+        return code;
+    }
+    printf("%s: ok: %zu data-centres, %zu databases, %zu kinds\n", path,
+           inventory.data_centre_count, inventory.database_count,
+           inventory.kind_count);
+    CbwInventory_Finish(&inventory);
+    free(text);
+    return EX_OK;
+}
+
+static void
+print_change(void *context, const char *line)
+{
+    size_t *count = context;
+
+    (*count)++;
+    printf("  %s\n", line);
+}
+
+/* Prints what an apply changes. Returns the number of changes. */
+static size_t
+print_changes(const char *before_text, const cbw_inventory_t *after)
+{
+    cbw_inventory_t before;
+    cbw_findings_t ignored;
+    size_t count = 0;
+
+    CbwFindings_Init(&ignored);
+    memset(&before, 0, sizeof(before));
+    if (before_text[0] != '\0') {
+        CbwInventory_Parse(&before, before_text, "store", &ignored);
+    }
+    CbwInventory_Diff(&before, after, print_change, &count);
+    CbwInventory_Finish(&before);
+    CbwFindings_Finish(&ignored);
+    return count;
+}
+
+static bool
+confirm(void)
+{
+    char answer[8];
+
+    if (assume_yes) {
+        return true;
+    }
+    printf("apply? [y/N] ");
+    fflush(stdout);
+    return fgets(answer, sizeof(answer), stdin) != NULL && answer[0] == 'y';
+}
+
+static int
+swap_config(const char *text, uint64_t version)
+{
+    cbw_error_t error;
+    uint64_t present;
+
+    if (PlatformClient_Swap(platform_address, CONFIG_KEY, version, text,
+                            &present, &error) != 0) {
+        if (error.code == CBW_ERROR_CONFLICT) {
+            fprintf(stderr,
+                    "another operator was first: the version is no longer "
+                    "%llu. Run \"carobwindctl show\", take over their "
+                    "change, and apply again.\n",
+                    (unsigned long long)version);
+            return EX_CANTCREAT;
+        }
+        return fail(&error);
+    }
+    printf("applied as version %llu\n", (unsigned long long)present);
+    return EX_OK;
+}
+
+static int
+apply_text(const char *text, const cbw_inventory_t *inventory)
+{
+    char *before = NULL;
+    uint64_t version;
+    cbw_error_t error;
+    int code;
+
+    if (PlatformClient_Get(platform_address, CONFIG_KEY, &version, &before,
+                           &error) != 0) {
+        return fail(&error);
+    }
+    if (base_version >= 0 && version != (uint64_t)base_version) {
+        fprintf(stderr,
+                "another operator was first: version %llu is in force, not "
+                "%ld\n",
+                (unsigned long long)version, base_version);
+        free(before);
+        return EX_CANTCREAT;
+    }
+    if (strcmp(before, text) == 0) {
+        printf("version %llu is the same: nothing to apply\n",
+               (unsigned long long)version);
+        free(before);
+        return EX_OK;
+    }
+    printf("changes to version %llu:\n", (unsigned long long)version);
+    if (print_changes(before, inventory) == 0) {
+        printf("  (only comments or layout)\n");
+    }
+    free(before);
+    if (!confirm()) {
+        printf("not applied\n");
+        return EX_OK;
+    }
+    code = swap_config(text, version);
+    return code;
+}
+
+static int
+command_apply(const char *path)
+{
+    cbw_inventory_t inventory;
+    char *text;
+    int code = load(path, &text, &inventory);
+
+    if (code != EX_OK) {
+        return code;
+    }
+    code = apply_text(text, &inventory);
+    CbwInventory_Finish(&inventory);
+    free(text);
+    return code;
+}
+
+static int
+command_show(void)
+{
+    char *text = NULL;
+    uint64_t version;
+    cbw_error_t error;
+
+    if (PlatformClient_Get(platform_address, CONFIG_KEY, &version, &text,
+                           &error) != 0) {
+        return fail(&error);
+    }
+    if (json) {
+        Output_JsonText("version", version, "text", text);
+    }
+    else {
+        printf("# version %llu\n%s", (unsigned long long)version, text);
+    }
+    free(text);
+    return EX_OK;
+}
+
+/* Prints the text that a daemon answers to `procedure`. */
+static int
+print_answer(const char *address, uint32_t procedure, const char *subject)
+{
+    cbw_error_t error;
+    char *text;
+
+    if (PeerClient_Text(address, procedure, subject, &text, &error) != 0) {
+        return fail(&error);
+    }
+    if (procedure == PEER_COUNTERS && !json) {
+        fputs(text, stdout);
+    }
+    else if (procedure == PEER_COUNTERS) {
+        Output_JsonCounters(text);
+    }
+    else {
+        Output_Pairs(text, json);
+    }
+    free(text);
+    return EX_OK;
+}
+
+/* Asks each member in turn; the first that owns the database answers. Owners
+ * by rendezvous order come before those that only served a request. */
+static int
+command_explain(const char *database)
+{
+    peer_members_result members;
+    cbw_error_t error;
+    int code = EX_DATAERR;
+
+    if (PeerClient_Members(host_address, &members, &error) != 0) {
+        return fail(&error);
+    }
+    for (u_int i = 0; i < members.members.members_len && code != EX_OK; i++) {
+        const peer_member *member = &members.members.members_val[i];
+        char *text;
+        if (member->name[0] == '@' || member->state > 1 ||
+            PeerClient_Text(member->address, PEER_EXPLAIN, database, &text,
+                            &error) != 0) {
+            continue;
+        }
+        if (!json) {
+            printf("%-28s %s\n", "owner", member->name);
+        }
+        Output_Pairs(text, json);
+        free(text);
+        code = EX_OK;
+    }
+    if (code != EX_OK) {
+        fprintf(stderr, "no host owns a database \"%s\" now\n", database);
+    }
+    PeerClient_FreeMembers(&members);
+    return code;
+}
+
+static int
+command_trace(const char *id)
+{
+    peer_members_result members;
+    cbw_error_t error;
+    span_list_t spans;
+
+    if (PeerClient_Members(host_address, &members, &error) != 0) {
+        return fail(&error);
+    }
+    Output_InitSpans(&spans);
+    for (u_int i = 0; i < members.members.members_len; i++) {
+        const peer_member *member = &members.members.members_val[i];
+        char *text;
+        if (member->name[0] != '@' && member->state < 3 &&
+            PeerClient_Text(member->address, PEER_TRACE, id, &text, &error) ==
+                0) {
+            Output_AddSpans(&spans, text);
+            free(text);
+        }
+    }
+    PeerClient_FreeMembers(&members);
+    if (spans.count == 0) {
+        fprintf(stderr, "no host keeps a span of \"%s\"\n", id);
+        return EX_DATAERR;
+    }
+    Output_PrintSpans(&spans, json);
+    return EX_OK;
+}
+
+static int
+command_drain(const char *name)
+{
+    peer_members_result members;
+    cbw_error_t error;
+    int code = EX_DATAERR;
+
+    if (PeerClient_Members(host_address, &members, &error) != 0) {
+        return fail(&error);
+    }
+    for (u_int i = 0; i < members.members.members_len; i++) {
+        const peer_member *member = &members.members.members_val[i];
+        if (strcmp(member->name, name) == 0) {
+            code = PeerClient_Drain(member->address, &error) == 0
+                       ? EX_OK
+                       : fail(&error);
+        }
+    }
+    if (code == EX_DATAERR) {
+        fprintf(stderr, "there is no host \"%s\"\n", name);
+    }
+    else if (code == EX_OK) {
+        printf("%s is draining\n", name);
+    }
+    PeerClient_FreeMembers(&members);
+    return code;
+}
+
+typedef enum {
+    COMMAND_CHECK,
+    COMMAND_APPLY,
+    COMMAND_SHOW,
+    COMMAND_STATUS,
+    COMMAND_EXPLAIN,
+    COMMAND_TRACE,
+    COMMAND_COUNTERS,
+    COMMAND_DRAIN,
+} command_t;
+
+static const struct {
+    const char *name;
+    int words; /* with the name */
+} commands[] = {
+    [COMMAND_CHECK] = {"check", 2},       [COMMAND_APPLY] = {"apply", 2},
+    [COMMAND_SHOW] = {"show", 1},         [COMMAND_STATUS] = {"status", 1},
+    [COMMAND_EXPLAIN] = {"explain", 2},   [COMMAND_TRACE] = {"trace", 2},
+    [COMMAND_COUNTERS] = {"counters", 1}, [COMMAND_DRAIN] = {"drain", 2},
+};
+
+static int
+find_command(const char *name, int count)
+{
+    for (int i = COMMAND_CHECK; i <= COMMAND_DRAIN; i++) {
+        if (strcmp(commands[i].name, name) == 0 &&
+            commands[i].words == count) {
+            return i;
+        }
+    }
+    return -1;
+}
+
+static int
+run(int command, const char *word)
+{
+    switch ((command_t)command) {
+    case COMMAND_CHECK:
+        return command_check(word);
+    case COMMAND_APPLY:
+        return command_apply(word);
+    case COMMAND_SHOW:
+        return command_show();
+    case COMMAND_STATUS:
+        return print_answer(host_address, PEER_STATUS, "");
+    case COMMAND_EXPLAIN:
+        return command_explain(word);
+    case COMMAND_TRACE:
+        return command_trace(word);
+    case COMMAND_COUNTERS:
+        return print_answer(host_address, PEER_COUNTERS, "");
+    case COMMAND_DRAIN:
+        return command_drain(word);
+    }
+    return EX_USAGE;
+}
+
+int
+main(int argc, char **argv)
+{
+    const char *words[CbwOptions_WORDS_MAX];
+    cbw_findings_t findings;
+    int count;
+    int command;
+
+    signal(SIGPIPE, SIG_IGN);
+    CbwFindings_Init(&findings);
+    count = CbwOptions_Parse(&program, argc, argv, words, &findings);
+    if (count < 0) {
+        CbwFindings_Print(&findings, stderr);
+        return EX_USAGE;
+    }
+    command = count > 0 ? find_command(words[0], count) : -1;
+    if (command < 0) {
+        fprintf(stderr, "unknown command, or wrong number of words: see "
+                        "carobwindctl --help\n");
+        return EX_USAGE;
+    }
+    return run(command, count > 1 ? words[1] : "");
+}
--- /dev/null
+++ b/src/carobwindd/entry_task.c
@@ -0,0 +1,526 @@
+/* The entry task: callers' connections. A session has one request at a time
+ * on its way; the answers come in the order of its requests. */
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "caller_protocol.h"
+#include "carobwind/admission.h"
+#include "carobwind/log.h"
+#include "messages.h"
+#include "share/fault.h"
+#include "share/reaper.h"
+#include "share/resp.h"
+
+#define TICK_SECONDS 0.05
+#define SESSIONS_MAX 16384
+/* A session without a request is closed this long after a drain began. */
+#define DRAIN_IDLE (300 * Cbw_MSEC)
+
+typedef struct {
+    cbw_link_t link;
+    cbw_resp_t resp;
+    job_t *job; /* on its way; NULL: none */
+    bool gone;
+    uint64_t transaction; /* open one; 0: none */
+    char transaction_database[Cbw_NAME_MAX];
+    char transaction_kind[Cbw_NAME_MAX];
+    char transaction_host[Cbw_NAME_MAX];
+    cbw_time_t answered_at;
+} session_t;
+
+typedef struct {
+    daemon_t *daemon;
+    config_t *config;
+    cbw_admission_t *admissions; /* one for each database */
+    cbw_link_t sessions;
+    size_t session_count;
+    size_t jobs;
+    uint64_t next_number; /* of keys, traces and transactions */
+    bool draining;
+    cbw_time_t drain_at;
+    ev_io listener;
+    ev_timer timer;
+} entry_task_t;
+
+static entry_task_t self;
+
+static void
+release_session(void *object)
+{
+    session_t *session = object;
+
+    CbwResp_Finish(&session->resp);
+    free(session);
+}
+
+static void submit(session_t *session, job_t *job);
+
+/* The caller went away in a transaction: rolls it back. */
+static void
+roll_back(session_t *session)
+{
+    job_t *job = Job_New();
+    cbw_request_t *request = &job->request;
+
+    request->verb = CBW_VERB_ROLLBACK;
+    memcpy(request->database, session->transaction_database, Cbw_NAME_MAX);
+    memcpy(request->kind_name, session->transaction_kind, Cbw_NAME_MAX);
+    request->transaction = session->transaction;
+    request->arrived = CbwNet_Now();
+    request->deadline = request->arrived + 2 * Cbw_SEC;
+    memcpy(job->host, session->transaction_host, Cbw_NAME_MAX);
+    session->transaction = 0;
+    job->reply_to = TASK_ENTRY;
+    self.jobs++;
+    Task_Post(TASK_ENTRY, TASK_ROUTER, MESSAGE_JOB, &job->message);
+}
+
+static void
+end_session(session_t *session)
+{
+    if (!session->gone) {
+        session->gone = true;
+        CbwResp_Close(&session->resp);
+        CbwList_Remove(&session->link);
+        self.session_count--;
+    }
+    if (session->job != NULL) {
+        return; /* freed when its answer comes */
+    }
+    if (session->transaction != 0) {
+        roll_back(session);
+    }
+    CbwReaper_Later(release_session, session);
+}
+
+/* Answers: outcome, result or reason, token, trace id. */
+static void
+send_answer(session_t *session, const cbw_request_t *request)
+{
+    const cbw_answer_t *answer = &request->answer;
+    char reason[160];
+    const char *words[] = {CbwRequest_OutcomeString[answer->outcome], reason,
+                           answer->token, request->trace};
+    size_t sizes[4];
+
+    if (answer->retry_after > 0) {
+        snprintf(reason, sizeof(reason), "%s; retry after %" PRId64 " ms",
+                 answer->reason, answer->retry_after / Cbw_MSEC + 1);
+    }
+    else {
+        snprintf(reason, sizeof(reason), "%s", answer->reason);
+    }
+    for (int i = 0; i < 4; i++) {
+        sizes[i] = strlen(words[i]);
+    }
+    if (answer->outcome == CBW_OUTCOME_DONE) {
+        words[1] = answer->result != NULL ? answer->result : "";
+        sizes[1] = answer->result_size;
+    }
+    CbwResp_Send(&session->resp, 4, words, sizes);
+}
+
+static void
+count_outcome(cbw_outcome_t outcome)
+{
+    static const cbw_counter_id_t counters[] = {
+        [CBW_OUTCOME_PENDING] = CBW_COUNTER_UNKNOWN,
+        [CBW_OUTCOME_DONE] = CBW_COUNTER_DONE,
+        [CBW_OUTCOME_NOTRUN] = CBW_COUNTER_NOTRUN,
+        [CBW_OUTCOME_UNKNOWN] = CBW_COUNTER_UNKNOWN,
+    };
+
+    CbwCounter_Add(&self.daemon->counters, counters[outcome], 1);
+}
+
+/* Follows the session's transaction. */
+static void
+note_transaction(session_t *session, const job_t *job)
+{
+    const cbw_request_t *request = &job->request;
+    bool done = request->answer.outcome == CBW_OUTCOME_DONE;
+
+    if (request->transaction == 0) {
+        return;
+    }
+    if (request->verb == CBW_VERB_BEGIN && done) {
+        session->transaction = request->transaction;
+        memcpy(session->transaction_database, request->database, Cbw_NAME_MAX);
+        memcpy(session->transaction_kind, request->kind_name, Cbw_NAME_MAX);
+        memcpy(session->transaction_host, job->host, Cbw_NAME_MAX);
+    }
+    else if (request->verb != CBW_VERB_STATEMENT ||
+             (!done && strcmp(request->answer.reason,
+                              "the endpoint refused the statement") != 0)) {
+        session->transaction = 0;
+    }
+}
+
+static void
+hear_admission(const job_t *job)
+{
+    const cbw_database_t *database;
+
+    if (self.config == NULL || job->admission_count == 0) {
+        return;
+    }
+    database =
+        CbwInventory_Database(&self.config->inventory, job->request.database);
+    if (database != NULL) {
+        CbwAdmission_Hear(
+            &self.admissions[database - self.config->inventory.databases],
+            CbwNet_Now(), job->admission, job->admission_count);
+    }
+}
+
+static void
+finish_job(session_t *session, job_t *job)
+{
+    cbw_time_t now = CbwNet_Now();
+
+    count_outcome(job->request.answer.outcome);
+    CbwTrace_Add(&self.daemon->traces, job->request.trace, CBW_HOP_ENTRY,
+                 job->request.arrived, now,
+                 CbwRequest_OutcomeString[job->request.answer.outcome]);
+    note_transaction(session, job);
+    session->job = NULL;
+    session->answered_at = now;
+    if (session->gone) {
+        Job_Free(job);
+        end_session(session);
+        return;
+    }
+    send_answer(session, &job->request);
+    Job_Free(job);
+    if (self.draining && session->transaction == 0) {
+        CbwStream_CloseWhenWritten(&session->resp.stream);
+        return;
+    }
+    CbwResp_Resume(&session->resp);
+}
+
+static void
+on_job_done(job_t *job)
+{
+    self.jobs--;
+    hear_admission(job);
+    if (job->origin == NULL) {
+        Job_Free(job); /* a rollback that nobody waits for */
+        return;
+    }
+    finish_job(job->origin, job);
+}
+
+/* Requests. */
+
+static void
+refuse(session_t *session, job_t *job, const char *reason,
+       cbw_time_t retry_after)
+{
+    CbwRequest_End(&job->request, CBW_OUTCOME_NOTRUN, reason);
+    job->request.answer.retry_after = retry_after;
+    finish_job(session, job);
+}
+
+/* A number that no other start of any host uses, as text. */
+static void
+format_unique(char *text, size_t size, char prefix)
+{
+    snprintf(text, size, "%c%" PRIx64 "-%" PRIx64, prefix, self.daemon->nonce,
+             ++self.next_number);
+}
+
+static bool
+admit(const cbw_database_t *database, const cbw_kind_t *kind)
+{
+    cbw_admission_t *admission =
+        &self.admissions[database - self.config->inventory.databases];
+
+    return CbwAdmission_Admit(admission, CbwNet_Now(), kind->rank);
+}
+
+/* Checks the request against the session's transaction. Returns what is
+ * wrong, or NULL. */
+static const char *
+join_transaction(session_t *session, job_t *job)
+{
+    cbw_request_t *request = &job->request;
+
+    if (request->verb == CBW_VERB_BEGIN) {
+        if (session->transaction != 0) {
+            return "a transaction is open";
+        }
+        request->transaction = self.daemon->nonce + ++self.next_number;
+        return NULL;
+    }
+    if (session->transaction == 0) {
+        return request->verb == CBW_VERB_STATEMENT ? NULL
+                                                   : "no transaction is open";
+    }
+    if (strcmp(request->database, session->transaction_database) != 0) {
+        return "the open transaction is of another database";
+    }
+    request->transaction = session->transaction;
+    memcpy(job->host, session->transaction_host, Cbw_NAME_MAX);
+    return NULL;
+}
+
+static void
+submit(session_t *session, job_t *job)
+{
+    cbw_request_t *request = &job->request;
+    cbw_time_t now = CbwNet_Now();
+    const cbw_database_t *database;
+    const cbw_kind_t *kind;
+    const char *wrong;
+
+    request->arrived = now;
+    if (request->trace[0] == '\0') {
+        format_unique(request->trace, sizeof(request->trace), 't');
+    }
+    if (self.config == NULL) {
+        refuse(session, job, "this host has no configuration yet",
+               Cbw_ADMISSION_RETRY_AFTER);
+        return;
+    }
+    database =
+        CbwInventory_Database(&self.config->inventory, request->database);
+    kind = CbwInventory_Kind(&self.config->inventory, request->kind_name);
+    if (database == NULL || kind == NULL) {
+        refuse(session, job,
+               database == NULL ? "unknown database" : "unknown kind of work",
+               0);
+        return;
+    }
+    request->age = request->age < 0 ? kind->age : request->age;
+    request->deadline =
+        now + (request->deadline < 0 ? kind->deadline : request->deadline);
+    wrong = join_transaction(session, job);
+    if (wrong != NULL) {
+        refuse(session, job, wrong, 0);
+        return;
+    }
+    if ((request->transaction == 0 || request->verb == CBW_VERB_BEGIN) &&
+        !request->maybe_sent && !admit(database, kind)) {
+        CbwCounter_Add(&self.daemon->counters, CBW_COUNTER_REFUSED_AT_ENTRY,
+                       1);
+        refuse(session, job, "the owner admits no more of this rank now",
+               Cbw_ADMISSION_RETRY_AFTER);
+        return;
+    }
+    if ((kind->writes || request->verb == CBW_VERB_COMMIT) &&
+        request->key[0] == '\0') {
+        format_unique(request->key, sizeof(request->key), 'k');
+    }
+    job->origin = session;
+    job->reply_to = TASK_ENTRY;
+    self.jobs++;
+    Task_Post(TASK_ENTRY, TASK_ROUTER, MESSAGE_JOB, &job->message);
+}
+
+static void
+start_request(session_t *session, job_t *job)
+{
+    CbwCounter_Add(&self.daemon->counters, CBW_COUNTER_REQUESTS, 1);
+    session->job = job;
+    CbwResp_Pause(&session->resp);
+    submit(session, job);
+}
+
+static void
+reject(session_t *session, const char *reason)
+{
+    CbwCounter_Add(&self.daemon->counters, CBW_COUNTER_MALFORMED, 1);
+    CbwResp_SendError(&session->resp, reason);
+    CbwStream_CloseWhenWritten(&session->resp.stream);
+}
+
+static void
+answer_word(session_t *session, const char *word)
+{
+    const char *words[] = {word};
+
+    CbwResp_Send(&session->resp, 1, words, NULL);
+}
+
+static void
+on_message(cbw_resp_t *resp, const cbw_resp_message_t *message)
+{
+    session_t *session = resp->context;
+    job_t *job = Job_New();
+    cbw_error_t error;
+
+    switch (CallerProtocol_Parse(message->count, message->words,
+                                 message->sizes, &job->request, &error)) {
+    case CALLER_STATEMENT:
+        start_request(session, job);
+        return;
+    case CALLER_PING:
+        answer_word(session, "pong");
+        break;
+    case CALLER_FAULT:
+        if (CbwFault_Command(message->count - 1, message->words + 1) == 0) {
+            answer_word(session, "ok");
+        }
+        else {
+            reject(session, "faults are not enabled, or not understood");
+        }
+        break;
+    default:
+        reject(session, error.text);
+        break;
+    }
+    Job_Free(job);
+}
+
+static void
+on_malformed(cbw_resp_t *resp, const char *reason)
+{
+    reject(resp->context, reason);
+}
+
+static void
+on_close(cbw_resp_t *resp, const char *reason)
+{
+    (void)reason;
+    end_session(resp->context);
+}
+
+static const cbw_resp_ops_t session_ops = {
+    .on_message = on_message,
+    .on_malformed = on_malformed,
+    .on_close = on_close,
+};
+
+static void
+on_acceptable(struct ev_loop *loop, ev_io *watcher, int events)
+{
+    char ip[CbwNet_IP_MAX];
+    int fd;
+
+    (void)events;
+    while (self.session_count < SESSIONS_MAX &&
+           (fd = CbwNet_Accept(watcher->fd, ip)) >= 0) {
+        session_t *session = calloc(1, sizeof(*session));
+        if (session == NULL) {
+            abort();
+        }
+        CbwList_Init(&session->link);
+        CbwList_Append(&self.sessions, &session->link);
+        self.session_count++;
+        CbwCounter_Add(&self.daemon->counters, CBW_COUNTER_SESSIONS, 1);
+        CbwResp_Accept(&session->resp, loop, fd, ip, &CbwResp_ServerLimits,
+                       &session_ops, session);
+        session->answered_at = CbwNet_Now();
+    }
+}
+
+static void
+on_config(config_message_t *message)
+{
+    size_t count = message->config->inventory.database_count;
+
+    Config_Unref(self.config);
+    self.config = message->config;
+    free(self.admissions);
+    self.admissions = calloc(count + 1, sizeof(*self.admissions));
+    if (self.admissions == NULL) {
+        abort();
+    }
+    free(message);
+}
+
+/* Graceful shutdown: no new sessions; those without a request go first. */
+
+static void
+drain(void)
+{
+    self.draining = true;
+    self.drain_at = CbwNet_Now();
+    ev_io_stop(self.daemon->loop, &self.listener);
+    close(self.listener.fd);
+}
+
+static void
+close_idle_sessions(cbw_time_t now)
+{
+    cbw_link_t *link;
+    cbw_link_t *safe;
+
+    Cbw_LIST_FOREACH (&self.sessions, link, safe) {
+        session_t *session = Cbw_LIST_ITEM(link, session_t, link);
+        if (session->job == NULL && session->transaction == 0 &&
+            now - session->answered_at > DRAIN_IDLE &&
+            !session->resp.stream.close_when_written) {
+            CbwStream_CloseWhenWritten(&session->resp.stream);
+        }
+    }
+}
+
+static void
+on_tick(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+    cbw_time_t now = CbwNet_Now();
+
+    (void)loop;
+    (void)watcher;
+    (void)events;
+    if (self.draining && now - self.drain_at > DRAIN_IDLE) {
+        close_idle_sessions(now);
+    }
+}
+
+static void
+report_busy(message_t *request)
+{
+    report_message_t *report =
+        Cbw_LIST_ITEM(request, report_message_t, message);
+
+    report->busy = self.session_count + self.jobs;
+    Task_Post(TASK_ENTRY, TASK_MAIN, MESSAGE_REPORT, request);
+}
+
+static void
+handle(void *state, message_t *message)
+{
+    (void)state;
+    switch (message->type) {
+    case MESSAGE_JOB_DONE:
+        on_job_done(Cbw_LIST_ITEM(message, job_t, message));
+        break;
+    case MESSAGE_CONFIG:
+        on_config(Cbw_LIST_ITEM(message, config_message_t, message));
+        break;
+    case MESSAGE_DRAIN:
+        drain();
+        free(message);
+        break;
+    case MESSAGE_REPORT:
+        report_busy(message);
+        break;
+    default:
+        break;
+    }
+}
+
+int
+EntryTask_Start(daemon_t *daemon, cbw_error_t *error)
+{
+    int fd = CbwNet_Listen(daemon->settings.callers, error);
+
+    if (fd < 0) {
+        return -1;
+    }
+    self.daemon = daemon;
+    CbwList_Init(&self.sessions);
+    Task_Register(daemon->loop, TASK_ENTRY, handle, NULL);
+    ev_io_init(&self.listener, on_acceptable, fd, EV_READ);
+    ev_io_start(daemon->loop, &self.listener);
+    ev_timer_init(&self.timer, on_tick, TICK_SECONDS, TICK_SECONDS);
+    ev_timer_start(daemon->loop, &self.timer);
+    return 0;
+}
--- /dev/null
+++ b/src/carobwindd/main.c
@@ -0,0 +1,183 @@
+/* The daemon's start and its graceful shutdown. */
+
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/random.h>
+#include <sysexits.h>
+
+#include "carobwind/log.h"
+#include "messages.h"
+#include "share/fault.h"
+#include "share/net.h"
+#include "share/reaper.h"
+
+#define DRAIN_TICK_SECONDS 0.05
+/* News of the leaving needs this time at the least to spread. */
+#define DRAIN_LEAST (1200 * Cbw_MSEC)
+/* All must have been idle for so long before the process ends. */
+#define DRAIN_QUIET (300 * Cbw_MSEC)
+
+typedef struct {
+    daemon_t *daemon;
+    bool draining;
+    cbw_time_t drain_at;
+    cbw_time_t busy_at; /* when a task last reported to be busy */
+    ev_timer timer;
+} main_task_t;
+
+static daemon_t the_daemon;
+static main_task_t self;
+
+static void
+post_to(task_id_t task, message_type_t type)
+{
+    report_message_t *message = calloc(1, sizeof(*message));
+
+    if (message == NULL) {
+        abort();
+    }
+    CbwList_Init(&message->message.link);
+    Task_Post(TASK_MAIN, task, type, &message->message);
+}
+
+static void
+ask_reports(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+    cbw_time_t now = CbwNet_Now();
+    cbw_time_t limit = self.daemon->settings.drain_seconds * Cbw_SEC;
+
+    (void)watcher;
+    (void)events;
+    if (now - self.drain_at > limit) {
+        CbwLog_Write(CBW_LOG_WARNING, "main", "drain-limit", "seconds=%ld",
+                     self.daemon->settings.drain_seconds);
+        ev_break(loop, EVBREAK_ALL);
+        return;
+    }
+    if (now - self.drain_at > DRAIN_LEAST &&
+        now - self.busy_at > DRAIN_QUIET) {
+        ev_break(loop, EVBREAK_ALL);
+        return;
+    }
+    post_to(TASK_ENTRY, MESSAGE_REPORT);
+    post_to(TASK_OWNER, MESSAGE_REPORT);
+}
+
+static void
+begin_drain(void)
+{
+    if (self.draining) {
+        return;
+    }
+    self.draining = true;
+    self.drain_at = CbwNet_Now();
+    self.busy_at = self.drain_at;
+    CbwLog_Write(CBW_LOG_INFO, "main", "draining", "host=%s",
+                 self.daemon->settings.name);
+    post_to(TASK_MEMBER, MESSAGE_DRAIN);
+    post_to(TASK_ENTRY, MESSAGE_DRAIN);
+    ev_timer_init(&self.timer, ask_reports, DRAIN_TICK_SECONDS,
+                  DRAIN_TICK_SECONDS);
+    ev_timer_start(self.daemon->loop, &self.timer);
+}
+
+static void
+on_signal(struct ev_loop *loop, ev_signal *watcher, int events)
+{
+    (void)loop;
+    (void)watcher;
+    (void)events;
+    begin_drain();
+}
+
+static void
+handle(void *state, message_t *message)
+{
+    (void)state;
+    if (message->type == MESSAGE_REPORT) {
+        report_message_t *report =
+            Cbw_LIST_ITEM(message, report_message_t, message);
+        if (report->busy > 0) {
+            self.busy_at = CbwNet_Now();
+        }
+        free(report);
+    }
+    else if (message->type == MESSAGE_INBOUND) {
+        inbound_t *inbound = Cbw_LIST_ITEM(message, inbound_t, message);
+        begin_drain();
+        inbound->result.flag = TRUE;
+        Task_Post(TASK_MAIN, TASK_PEER, MESSAGE_INBOUND_DONE,
+                  &inbound->message);
+    }
+}
+
+static void
+init_daemon(daemon_t *daemon, struct ev_loop *loop)
+{
+    const char *peers = daemon->settings.peers;
+
+    daemon->loop = loop;
+    snprintf(daemon->local_ip, sizeof(daemon->local_ip), "%.*s",
+             (int)strcspn(peers, ":"), peers);
+    if (getrandom(&daemon->nonce, sizeof(daemon->nonce), 0) !=
+        sizeof(daemon->nonce)) {
+        abort();
+    }
+    CbwLog_SetLevel(
+        (cbw_log_level_t)CbwLog_LevelFromString(daemon->settings.log_level));
+    if (daemon->settings.test_faults) {
+        CbwFault_Enable();
+    }
+}
+
+static int
+start_tasks(daemon_t *daemon, cbw_error_t *error)
+{
+    Task_Register(daemon->loop, TASK_MAIN, handle, NULL);
+    StoreTask_Start(daemon);
+    ConfigTask_Start(daemon);
+    RouterTask_Start(daemon);
+    OwnerTask_Start(daemon);
+    if (MemberTask_Start(daemon, error) != 0 ||
+        PeerTask_Start(daemon, error) != 0) {
+        return -1;
+    }
+    return EntryTask_Start(daemon, error);
+}
+
+int
+main(int argc, char **argv)
+{
+    struct ev_loop *loop = ev_default_loop(EVFLAG_AUTO);
+    cbw_findings_t findings;
+    cbw_error_t error = {0};
+    ev_signal signals[2];
+
+    CbwFindings_Init(&findings);
+    if (Settings_Parse(&the_daemon.settings, argc, argv, &findings) != 0) {
+        CbwFindings_Print(&findings, stderr);
+        return EX_USAGE;
+    }
+    signal(SIGPIPE, SIG_IGN);
+    self.daemon = &the_daemon;
+    init_daemon(&the_daemon, loop);
+    CbwReaper_Start(loop);
+    if (start_tasks(&the_daemon, &error) != 0) {
+        fprintf(stderr, "carobwindd: %s\n", error.text);
+        return EX_UNAVAILABLE;
+    }
+    ev_signal_init(&signals[0], on_signal, SIGTERM);
+    ev_signal_init(&signals[1], on_signal, SIGINT);
+    ev_signal_start(loop, &signals[0]);
+    ev_signal_start(loop, &signals[1]);
+    CbwLog_Write(CBW_LOG_INFO, "main", "started",
+                 "host=%s data-centre=%s callers=%s peers=%s",
+                 the_daemon.settings.name, the_daemon.settings.data_centre,
+                 the_daemon.settings.callers, the_daemon.settings.peers);
+    ev_run(loop, 0);
+    CbwLog_Write(CBW_LOG_INFO, "main", "stopped", "host=%s",
+                 the_daemon.settings.name);
+    return EX_OK;
+}
--- /dev/null
+++ b/src/carobwindd/member_task.c
@@ -0,0 +1,532 @@
+/* The member task: runs the membership protocol over the peer task, and takes
+ * in the platform's host list on a few hosts for all. */
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "carobwind/log.h"
+#include "messages.h"
+#include "share/net.h"
+
+#define TICK_SECONDS 0.02
+/* Members that read the host list for all. */
+#define LIST_READERS 3
+#define LIST_INTERVAL (1 * Cbw_SEC)
+/* Wait for an answer of a peer that is asked for its members. */
+#define JOIN_INTERVAL (1 * Cbw_SEC)
+#define JOIN_TIMEOUT (500 * Cbw_MSEC)
+#define STATUS_TEXT_MAX 262144
+
+typedef struct {
+    daemon_t *daemon;
+    cbw_membership_t membership;
+    uint64_t published_epoch;
+    int64_t config_version;
+    cbw_time_t list_at;
+    bool list_asked;
+    cbw_time_t join_at;
+    bool joined; /* a peer sent its members */
+    ev_timer timer;
+} member_task_t;
+
+static member_task_t self;
+
+static void
+encode_member(peer_member *to, const cbw_member_change_t *from)
+{
+    to->name = strdup(from->name);
+    to->data_centre = strdup(from->data_centre);
+    to->address = strdup(from->address);
+    to->state = from->state;
+    to->incarnation = from->incarnation;
+}
+
+/* Returns whether the record is sound. */
+static bool
+decode_member(cbw_member_change_t *to, const peer_member *from)
+{
+    memset(to, 0, sizeof(*to));
+    if (from->state > CBW_MEMBER_DEAD || from->name[0] == '\0') {
+        return false;
+    }
+    snprintf(to->name, sizeof(to->name), "%s", from->name);
+    snprintf(to->data_centre, sizeof(to->data_centre), "%s",
+             from->data_centre);
+    snprintf(to->address, sizeof(to->address), "%s", from->address);
+    to->state = (cbw_member_state_t)from->state;
+    to->incarnation = from->incarnation;
+    return true;
+}
+
+static void
+hear_members(const peer_member *members, u_int count)
+{
+    for (u_int i = 0; i < count; i++) {
+        cbw_member_change_t change;
+        if (decode_member(&change, &members[i])) {
+            CbwMembership_Hear(&self.membership, CbwNet_Now(), &change);
+        }
+    }
+}
+
+/* The host's own record, then what is to be spread. */
+static void
+fill_changes(const char *target, peer_member **members, u_int *count)
+{
+    cbw_member_change_t changes[Cbw_MEMBER_CHANGES_MAX];
+    size_t found = CbwMembership_Piggyback(&self.membership, target, changes,
+                                           Cbw_MEMBER_CHANGES_MAX);
+
+    *members = calloc(found + 1, sizeof(**members));
+    if (*members == NULL) {
+        abort();
+    }
+    encode_member(&(*members)[0], &self.membership.members[0].public);
+    for (size_t i = 0; i < found; i++) {
+        encode_member(&(*members)[i + 1], &changes[i]);
+    }
+    *count = (u_int)found + 1;
+}
+
+static void
+tell_version(const char *address, int64_t version)
+{
+    version_message_t *message;
+
+    if (version <= self.config_version) {
+        return;
+    }
+    message = calloc(1, sizeof(*message));
+    if (message == NULL) {
+        return;
+    }
+    CbwList_Init(&message->message.link);
+    snprintf(message->address, sizeof(message->address), "%s", address);
+    message->version = version;
+    Task_Post(TASK_MEMBER, TASK_CONFIG, MESSAGE_PEER_VERSION,
+              &message->message);
+}
+
+/* Probes that this host sends. */
+
+static outbound_t *
+new_probe(const char *address, const char *name, inbound_t *inbound)
+{
+    outbound_t *outbound = Outbound_New(PEER_PROBE, address);
+    peer_probe_args *args = &outbound->args.probe;
+
+    snprintf(outbound->name, sizeof(outbound->name), "%s", name);
+    args->target = strdup("");
+    args->target_address = strdup("");
+    args->config_version = self.config_version;
+    fill_changes(name, &args->changes.changes_val, &args->changes.changes_len);
+    outbound->timeout = 3 * self.membership.settings.probe_timeout;
+    outbound->reply_to = TASK_MEMBER;
+    outbound->context = inbound;
+    return outbound;
+}
+
+static void
+op_probe(void *context, const cbw_member_change_t *target,
+         const cbw_member_change_t *via)
+{
+    outbound_t *outbound = new_probe(
+        via != NULL ? via->address : target->address, target->name, NULL);
+
+    (void)context;
+    CbwCounter_Add(&self.daemon->counters, CBW_COUNTER_PROBES, 1);
+    if (via != NULL) {
+        free(outbound->args.probe.target);
+        free(outbound->args.probe.target_address);
+        outbound->args.probe.target = strdup(target->name);
+        outbound->args.probe.target_address = strdup(target->address);
+    }
+    Task_Post(TASK_MEMBER, TASK_PEER, MESSAGE_OUTBOUND, &outbound->message);
+}
+
+static void
+op_changed(void *context, const cbw_member_change_t *member,
+           cbw_member_state_t before)
+{
+    (void)context;
+    CbwLog_Write(CBW_LOG_INFO, "member", "changed",
+                 "host=%s from=%s to=%s incarnation=%" PRIu64, member->name,
+                 CbwMembership_StateString[before],
+                 CbwMembership_StateString[member->state],
+                 member->incarnation);
+}
+
+static const cbw_membership_ops_t membership_ops = {
+    .probe = op_probe,
+    .changed = op_changed,
+};
+
+static void
+on_probe_done(outbound_t *outbound)
+{
+    inbound_t *inbound = outbound->context;
+    bool reached =
+        outbound->answered && (outbound->result.probe.reached ||
+                               outbound->args.probe.target[0] == '\0');
+
+    if (outbound->answered) {
+        const peer_probe_result *result = &outbound->result.probe;
+        hear_members(result->changes.changes_val, result->changes.changes_len);
+        tell_version(outbound->address, result->config_version);
+    }
+    if (reached) {
+        CbwMembership_OnAck(&self.membership, CbwNet_Now(), outbound->name);
+    }
+    if (inbound != NULL) {
+        inbound->result.probe.reached = reached;
+        Task_Post(TASK_MEMBER, TASK_PEER, MESSAGE_INBOUND_DONE,
+                  &inbound->message);
+    }
+    Outbound_Free(outbound);
+}
+
+/* Joining: one peer's members at once, instead of a few with each probe. */
+
+static void
+ask_members(const char *address)
+{
+    outbound_t *outbound = Outbound_New(PEER_MEMBERS, address);
+
+    outbound->timeout = JOIN_TIMEOUT;
+    outbound->reply_to = TASK_MEMBER;
+    Task_Post(TASK_MEMBER, TASK_PEER, MESSAGE_OUTBOUND, &outbound->message);
+}
+
+static void
+join(cbw_time_t now)
+{
+    const char *list = self.daemon->settings.join;
+
+    if (self.joined || now < self.join_at) {
+        return;
+    }
+    self.join_at = now + JOIN_INTERVAL;
+    while (*list != '\0') {
+        size_t length = strcspn(list, ",");
+        char address[Cbw_ADDRESS_MAX];
+        if (length > 0 && length < sizeof(address)) {
+            memcpy(address, list, length);
+            address[length] = '\0';
+            ask_members(address);
+        }
+        list += length + (list[length] == ',');
+    }
+    for (size_t i = 1; i < self.membership.count && i < 4; i++) {
+        ask_members(self.membership.members[i].public.address);
+    }
+}
+
+static void
+on_members_done(outbound_t *outbound)
+{
+    if (outbound->answered) {
+        const peer_members_result *result = &outbound->result.members;
+        self.joined = true;
+        hear_members(result->members.members_val, result->members.members_len);
+    }
+    Outbound_Free(outbound);
+}
+
+/* The platform's host list. */
+
+static void
+ask_list(cbw_time_t now)
+{
+    store_call_t *call;
+
+    if (self.list_asked || now < self.list_at) {
+        return;
+    }
+    self.list_at = now + LIST_INTERVAL;
+    if (self.membership.count > 1 &&
+        CbwMembership_Rank(&self.membership, "host-list") >= LIST_READERS) {
+        return;
+    }
+    self.list_asked = true;
+    call = StoreCall_New(STORE_HOSTS, "");
+    call->reply_to = TASK_MEMBER;
+    Task_Post(TASK_MEMBER, TASK_STORE, MESSAGE_STORE, &call->message);
+}
+
+/* Endpoints stand in the list without a data centre of daemons: their name
+ * begins with "endpoint/". */
+static void
+hear_listed(const char *name, const char *data_centre, const char *address,
+            const char *state)
+{
+    cbw_member_change_t change = {.state = CBW_MEMBER_ALIVE};
+    bool leaving = strcmp(state, "leaving") == 0;
+
+    if (strncmp(name, "endpoint/", 9) == 0) {
+        CbwMembership_HearEndpoint(&self.membership, CbwNet_Now(), address,
+                                   leaving);
+        return;
+    }
+    if (strcmp(name, self.daemon->settings.name) == 0 && !leaving) {
+        return;
+    }
+    if (leaving) {
+        change.state = CBW_MEMBER_LEAVING;
+    }
+    snprintf(change.name, sizeof(change.name), "%s", name);
+    snprintf(change.data_centre, sizeof(change.data_centre), "%s",
+             data_centre);
+    snprintf(change.address, sizeof(change.address), "%s", address);
+    CbwMembership_HearList(&self.membership, CbwNet_Now(), &change);
+}
+
+static void
+on_list(store_call_t *call)
+{
+    self.list_asked = false;
+    if (call->status == CBW_STORE_OK) {
+        for (int i = 0; i + 4 <= call->word_count; i += 4) {
+            hear_listed(call->words[i], call->words[i + 1], call->words[i + 2],
+                        call->words[i + 3]);
+        }
+    }
+    StoreCall_Free(call);
+}
+
+/* Peers' calls. */
+
+static void
+answer_probe(inbound_t *inbound)
+{
+    const peer_probe_args *args = &inbound->args.probe;
+    peer_probe_result *result = &inbound->result.probe;
+    const char *sender = NULL;
+
+    hear_members(args->changes.changes_val, args->changes.changes_len);
+    if (args->changes.changes_len > 0) {
+        sender = args->changes.changes_val[0].name;
+        tell_version(args->changes.changes_val[0].address,
+                     args->config_version);
+    }
+    result->config_version = self.config_version;
+    fill_changes(sender, &result->changes.changes_val,
+                 &result->changes.changes_len);
+    if (args->target[0] != '\0') {
+        outbound_t *probe =
+            new_probe(args->target_address, args->target, inbound);
+        Task_Post(TASK_MEMBER, TASK_PEER, MESSAGE_OUTBOUND, &probe->message);
+        return;
+    }
+    result->reached = TRUE;
+    Task_Post(TASK_MEMBER, TASK_PEER, MESSAGE_INBOUND_DONE, &inbound->message);
+}
+
+static void
+answer_members(inbound_t *inbound)
+{
+    peer_members_result *result = &inbound->result.members;
+    size_t count = self.membership.count;
+
+    if (count > PEER_MEMBERS_MAX) {
+        count = PEER_MEMBERS_MAX;
+    }
+    result->members.members_val = calloc(count, sizeof(peer_member));
+    if (result->members.members_val == NULL) {
+        abort();
+    }
+    result->members.members_len = (u_int)count;
+    for (size_t i = 0; i < count; i++) {
+        encode_member(&result->members.members_val[i],
+                      &self.membership.members[i].public);
+    }
+    Task_Post(TASK_MEMBER, TASK_PEER, MESSAGE_INBOUND_DONE, &inbound->message);
+}
+
+static void
+answer_status(inbound_t *inbound)
+{
+    static char text[STATUS_TEXT_MAX];
+    size_t length = (size_t)snprintf(
+        text, sizeof(text), "host\t%s\nconfiguration\t%" PRId64 "\n",
+        self.daemon->settings.name, self.config_version);
+
+    for (size_t i = 0; i < self.membership.count && length < sizeof(text);
+         i++) {
+        const cbw_member_change_t *member = &self.membership.members[i].public;
+        length += (size_t)snprintf(text + length, sizeof(text) - length,
+                                   "member.%s\t%s %s %s\n", member->name,
+                                   CbwMembership_StateString[member->state],
+                                   member->data_centre, member->address);
+    }
+    Inbound_SetText(inbound, true, text);
+    Task_Post(TASK_MEMBER, TASK_PEER, MESSAGE_INBOUND_DONE, &inbound->message);
+}
+
+static void
+answer_inbound(inbound_t *inbound)
+{
+    switch (inbound->procedure) {
+    case PEER_PROBE:
+        answer_probe(inbound);
+        break;
+    case PEER_MEMBERS:
+        answer_members(inbound);
+        break;
+    default:
+        answer_status(inbound);
+        break;
+    }
+}
+
+/* Views for the other tasks. */
+
+static view_t *
+copy_view(void)
+{
+    view_t *view = calloc(1, sizeof(*view));
+    size_t size = self.membership.count * sizeof(cbw_member_t);
+
+    if (view == NULL) {
+        abort();
+    }
+    view->references = 1;
+    view->membership = self.membership;
+    view->membership.members = malloc(size);
+    if (view->membership.members == NULL) {
+        abort();
+    }
+    memcpy(view->membership.members, self.membership.members, size);
+    view->membership.capacity = self.membership.count;
+    return view;
+}
+
+static void
+publish(void)
+{
+    static const task_id_t readers[] = {TASK_ROUTER, TASK_OWNER, TASK_CONFIG};
+    view_t *view;
+
+    if (self.published_epoch == self.membership.epoch) {
+        return;
+    }
+    self.published_epoch = self.membership.epoch;
+    view = copy_view();
+    for (size_t i = 0; i < sizeof(readers) / sizeof(readers[0]); i++) {
+        view_message_t *message = calloc(1, sizeof(*message));
+        if (message == NULL) {
+            abort();
+        }
+        CbwList_Init(&message->message.link);
+        message->view = View_Ref(view);
+        Task_Post(TASK_MEMBER, readers[i], MESSAGE_VIEW, &message->message);
+    }
+    View_Unref(view);
+}
+
+/* Tells a few members at once, without waiting for the next probe. */
+static void
+tell_some(void)
+{
+    size_t told = 0;
+
+    for (size_t i = 1; i < self.membership.count && told < 5; i++) {
+        size_t index = 1 + (size_t)CbwRandom_Below(&self.membership.random,
+                                                   self.membership.count - 1);
+        const cbw_member_change_t *member =
+            &self.membership.members[index].public;
+        if (member->state <= CBW_MEMBER_SUSPECT &&
+            !CbwMembership_IsEndpoint(member)) {
+            op_probe(NULL, member, NULL);
+            told++;
+        }
+    }
+}
+
+static void
+on_config(config_message_t *message)
+{
+    self.config_version = message->config->inventory.version;
+    Config_Unref(message->config);
+    free(message);
+    tell_some();
+}
+
+static void
+on_drain(void)
+{
+    CbwMembership_Leave(&self.membership, CbwNet_Now());
+    tell_some();
+}
+
+static void
+on_outbound_done(outbound_t *outbound)
+{
+    if (outbound->procedure == PEER_MEMBERS) {
+        on_members_done(outbound);
+    }
+    else {
+        on_probe_done(outbound);
+    }
+}
+
+static void
+handle(void *state, message_t *message)
+{
+    (void)state;
+    switch (message->type) {
+    case MESSAGE_INBOUND:
+        answer_inbound(Cbw_LIST_ITEM(message, inbound_t, message));
+        break;
+    case MESSAGE_OUTBOUND_DONE:
+        on_outbound_done(Cbw_LIST_ITEM(message, outbound_t, message));
+        break;
+    case MESSAGE_STORE_DONE:
+        on_list(Cbw_LIST_ITEM(message, store_call_t, message));
+        break;
+    case MESSAGE_CONFIG:
+        on_config(Cbw_LIST_ITEM(message, config_message_t, message));
+        break;
+    case MESSAGE_DRAIN:
+        on_drain();
+        free(message);
+        break;
+    default:
+        break;
+    }
+    publish();
+}
+
+static void
+on_tick(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+    cbw_time_t now = CbwNet_Now();
+
+    (void)loop;
+    (void)watcher;
+    (void)events;
+    CbwMembership_Tick(&self.membership, now);
+    ask_list(now);
+    join(now);
+    publish();
+}
+
+int
+MemberTask_Start(daemon_t *daemon, cbw_error_t *error)
+{
+    const settings_t *settings = &daemon->settings;
+
+    self.daemon = daemon;
+    if (CbwMembership_Init(&self.membership, &CbwMembership_DefaultSettings,
+                           &membership_ops, NULL, settings->name,
+                           settings->data_centre, settings->peers,
+                           (uint64_t)time(NULL), daemon->nonce) != 0) {
+        return CbwError_Set(error, CBW_ERROR_MEMORY, "out of memory");
+    }
+    Task_Register(daemon->loop, TASK_MEMBER, handle, NULL);
+    ev_timer_init(&self.timer, on_tick, TICK_SECONDS, TICK_SECONDS);
+    ev_timer_start(daemon->loop, &self.timer);
+    return 0;
+}
--- /dev/null
+++ b/src/carobwindd/messages.c
@@ -0,0 +1,141 @@
+#include "messages.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+static bool_t
+no_arguments(XDR *xdr, ...)
+{
+    (void)xdr;
+    return TRUE;
+}
+
+#define CODEC(function) ((xdrproc_t)(void (*)(void))(function))
+
+const peer_codec_t Peer_Codecs[] = {
+    [PEER_PROBE] = {CODEC(xdr_peer_probe_args), CODEC(xdr_peer_probe_result)},
+    [PEER_STATEMENT] = {CODEC(xdr_peer_statement_args),
+                        CODEC(xdr_peer_statement_result)},
+    [PEER_CONFIG] = {CODEC(xdr_peer_config_args),
+                     CODEC(xdr_peer_config_result)},
+    [PEER_REACH] = {CODEC(xdr_peer_reach_args), CODEC(xdr_bool)},
+    [PEER_MEMBERS] = {no_arguments, CODEC(xdr_peer_members_result)},
+    [PEER_EXPLAIN] = {CODEC(xdr_peer_text_args), CODEC(xdr_peer_text_result)},
+    [PEER_TRACE] = {CODEC(xdr_peer_text_args), CODEC(xdr_peer_text_result)},
+    [PEER_STATUS] = {no_arguments, CODEC(xdr_peer_text_result)},
+    [PEER_COUNTERS] = {no_arguments, CODEC(xdr_peer_text_result)},
+    [PEER_DRAIN] = {no_arguments, CODEC(xdr_bool)},
+};
+
+config_t *
+Config_Ref(config_t *config)
+{
+    config->references++;
+    return config;
+}
+
+void
+Config_Unref(config_t *config)
+{
+    if (config == NULL || --config->references > 0) {
+        return;
+    }
+    CbwInventory_Finish(&config->inventory);
+    free(config->text);
+    free(config);
+}
+
+view_t *
+View_Ref(view_t *view)
+{
+    view->references++;
+    return view;
+}
+
+void
+View_Unref(view_t *view)
+{
+    if (view == NULL || --view->references > 0) {
+        return;
+    }
+    CbwMembership_Finish(&view->membership);
+    free(view);
+}
+
+job_t *
+Job_New(void)
+{
+    job_t *job = calloc(1, sizeof(*job));
+
+    if (job == NULL) {
+        abort();
+    }
+    CbwList_Init(&job->message.link);
+    CbwRequest_Init(&job->request);
+    return job;
+}
+
+void
+Job_Free(job_t *job)
+{
+    CbwRequest_Finish(&job->request);
+    free(job);
+}
+
+store_call_t *
+StoreCall_New(store_verb_t verb, const char *key)
+{
+    store_call_t *call = calloc(1, sizeof(*call));
+
+    if (call == NULL) {
+        abort();
+    }
+    CbwList_Init(&call->message.link);
+    call->verb = verb;
+    snprintf(call->key, sizeof(call->key), "%s", key);
+    return call;
+}
+
+void
+StoreCall_Free(store_call_t *call)
+{
+    for (int i = 0; i < call->word_count; i++) {
+        free(call->words[i]);
+    }
+    free(call->words);
+    free(call->value);
+    free(call);
+}
+
+outbound_t *
+Outbound_New(uint32_t procedure, const char *address)
+{
+    outbound_t *outbound = calloc(1, sizeof(*outbound));
+
+    if (outbound == NULL) {
+        abort();
+    }
+    CbwList_Init(&outbound->message.link);
+    outbound->procedure = procedure;
+    snprintf(outbound->address, sizeof(outbound->address), "%s", address);
+    return outbound;
+}
+
+void
+Outbound_Free(outbound_t *outbound)
+{
+    const peer_codec_t *codec = &Peer_Codecs[outbound->procedure];
+
+    xdr_free(codec->args, &outbound->args);
+    if (outbound->answered) {
+        xdr_free(codec->result, &outbound->result);
+    }
+    free(outbound);
+}
+
+void
+Inbound_SetText(inbound_t *inbound, bool found, const char *text)
+{
+    inbound->result.text.found = found;
+    inbound->result.text.text = strdup(text);
+}
--- /dev/null
+++ b/src/carobwindd/peer_task.c
@@ -0,0 +1,596 @@
+/* The peer task: one connection to each peer that is called, and those that
+ * peers opened. Calls that get no answer in time are lost; a connection that
+ * is silent while calls wait is probed, and dropped when it stays silent. */
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "carobwind/log.h"
+#include "messages.h"
+#include "share/reaper.h"
+#include "share/rpc.h"
+
+#define TICK_SECONDS 0.02
+/* Silence of a connection with waiting calls until it is probed, and until it
+ * is dropped. */
+#define SILENCE_PROBE (120 * Cbw_MSEC)
+#define SILENCE_DROP (300 * Cbw_MSEC)
+/* An unused connection is closed after this time. */
+#define IDLE_CLOSE (30 * Cbw_SEC)
+#define CONNECTIONS_MAX 20000
+
+/* A connection that this host opened. */
+typedef struct {
+    cbw_link_t link;
+    cbw_rpc_t rpc;
+    char address[Cbw_ADDRESS_MAX];
+    cbw_link_t calls; /* of outbound_t */
+    uint32_t next_xid;
+    uint32_t probe_xid; /* 0: no probe of ours is waiting */
+    cbw_time_t waiting_since;
+    cbw_time_t used_at;
+} client_t;
+
+/* A connection that a peer opened. */
+typedef struct {
+    cbw_rpc_t rpc;
+    int references; /* the socket, and calls that are being answered */
+    bool gone;
+} server_t;
+
+static daemon_t *daemon_;
+static cbw_link_t clients;
+static ev_io listener;
+static ev_timer timer;
+static size_t server_count;
+
+/* Answers. */
+
+static void
+finish_call(outbound_t *call, bool answered)
+{
+    CbwList_Remove(&call->message.link);
+    call->answered = answered;
+    Task_Post(TASK_PEER, call->reply_to, MESSAGE_OUTBOUND_DONE,
+              &call->message);
+}
+
+static void
+release_client(void *object)
+{
+    client_t *client = object;
+
+    CbwRpc_Finish(&client->rpc);
+    free(client);
+}
+
+static void
+drop_client(client_t *client, const char *reason)
+{
+    cbw_link_t *link;
+
+    CbwLog_Write(CBW_LOG_DEBUG, "peer", "disconnected", "address=%s reason=%s",
+                 client->address, reason);
+    CbwRpc_Close(&client->rpc);
+    CbwList_Remove(&client->link);
+    while ((link = client->calls.next) != &client->calls) {
+        finish_call(Cbw_LIST_ITEM(link, outbound_t, message.link), false);
+    }
+    CbwReaper_Later(release_client, client);
+}
+
+static outbound_t *
+find_call(const client_t *client, uint32_t xid)
+{
+    const cbw_link_t *link = client->calls.next;
+
+    for (; link != &client->calls; link = link->next) {
+        outbound_t *call = Cbw_LIST_ITEM(link, outbound_t, message.link);
+        if (call->xid == xid) {
+            return call;
+        }
+    }
+    return NULL;
+}
+
+static void
+on_client_reply(cbw_rpc_t *rpc, uint32_t xid, XDR *result)
+{
+    client_t *client = rpc->context;
+    outbound_t *call;
+    xdrproc_t decode;
+
+    if (xid == client->probe_xid) {
+        client->probe_xid = 0;
+        return;
+    }
+    call = find_call(client, xid);
+    if (call == NULL) {
+        return; /* given up before */
+    }
+    decode = Peer_Codecs[call->procedure].result;
+    if (result != NULL && decode(result, &call->result)) {
+        finish_call(call, true);
+        return;
+    }
+    xdr_free(decode, &call->result);
+    memset(&call->result, 0, sizeof(call->result));
+    finish_call(call, false);
+}
+
+static bool
+on_client_call(cbw_rpc_t *rpc, uint32_t xid, uint32_t procedure, XDR *args)
+{
+    (void)rpc;
+    (void)xid;
+    (void)procedure;
+    (void)args;
+    return false; /* peers call on connections of their own */
+}
+
+static void
+on_client_close(cbw_rpc_t *rpc, const char *reason)
+{
+    drop_client(rpc->context, reason);
+}
+
+static const cbw_rpc_ops_t client_ops = {
+    .on_call = on_client_call,
+    .on_reply = on_client_reply,
+    .on_close = on_client_close,
+};
+
+/* Calls to peers. */
+
+static client_t *
+find_client(const char *address)
+{
+    cbw_link_t *link = clients.next;
+
+    for (; link != &clients; link = link->next) {
+        client_t *client = Cbw_LIST_ITEM(link, client_t, link);
+        if (strcmp(client->address, address) == 0) {
+            return client;
+        }
+    }
+    return NULL;
+}
+
+static client_t *
+open_client(const char *address)
+{
+    client_t *client = calloc(1, sizeof(*client));
+
+    if (client == NULL) {
+        return NULL;
+    }
+    if (CbwRpc_Connect(&client->rpc, daemon_->loop, daemon_->local_ip, address,
+                       &client_ops, client, NULL) != 0) {
+        free(client);
+        return NULL;
+    }
+    snprintf(client->address, sizeof(client->address), "%s", address);
+    CbwList_Init(&client->link);
+    CbwList_Init(&client->calls);
+    CbwList_Append(&clients, &client->link);
+    return client;
+}
+
+static void
+count_control(uint32_t procedure, size_t bytes)
+{
+    if (procedure != PEER_STATEMENT) {
+        CbwCounter_Add(&daemon_->counters, CBW_COUNTER_PEER_MESSAGES, 1);
+        CbwCounter_Add(&daemon_->counters, CBW_COUNTER_PEER_BYTES, bytes);
+    }
+}
+
+static uint32_t
+next_xid(client_t *client)
+{
+    client->next_xid++;
+    if (client->next_xid == 0) {
+        client->next_xid++;
+    }
+    return client->next_xid;
+}
+
+static void
+send_call(outbound_t *call)
+{
+    cbw_time_t now = CbwNet_Now();
+    client_t *client = find_client(call->address);
+    size_t bytes;
+
+    if (client == NULL) {
+        client = open_client(call->address);
+    }
+    if (client == NULL) {
+        finish_call(call, false);
+        return;
+    }
+    if (CbwList_IsEmpty(&client->calls)) {
+        client->waiting_since = now;
+    }
+    client->used_at = now;
+    call->xid = next_xid(client);
+    call->deadline = now + call->timeout;
+    CbwList_Append(&client->calls, &call->message.link);
+    bytes = CbwRpc_Call(&client->rpc, call->xid, call->procedure,
+                        Peer_Codecs[call->procedure].args, &call->args);
+    count_control(call->procedure, bytes);
+    if (bytes == 0) {
+        finish_call(call, false);
+    }
+}
+
+static void
+send_liveness_probe(client_t *client)
+{
+    peer_probe_args args = {.target = (char *)"",
+                            .target_address = (char *)""};
+
+    client->probe_xid = next_xid(client);
+    count_control(PEER_PROBE,
+                  CbwRpc_Call(&client->rpc, client->probe_xid, PEER_PROBE,
+                              Peer_Codecs[PEER_PROBE].args, &args));
+}
+
+static void
+expire_calls(client_t *client, cbw_time_t now)
+{
+    cbw_link_t *link;
+    cbw_link_t *safe;
+
+    Cbw_LIST_FOREACH (&client->calls, link, safe) {
+        outbound_t *call = Cbw_LIST_ITEM(link, outbound_t, message.link);
+        if (now >= call->deadline) {
+            finish_call(call, false);
+        }
+    }
+}
+
+static void
+check_client(client_t *client, cbw_time_t now)
+{
+    cbw_time_t heard_at = client->rpc.stream.heard_at;
+    cbw_time_t silent;
+
+    if (heard_at < client->waiting_since) {
+        heard_at = client->waiting_since;
+    }
+    silent = now - heard_at;
+    if (CbwList_IsEmpty(&client->calls)) {
+        if (now - client->used_at > IDLE_CLOSE) {
+            drop_client(client, "unused");
+        }
+        return;
+    }
+    if (silent > SILENCE_DROP) {
+        drop_client(client, "silent while calls wait");
+        return;
+    }
+    if (silent > SILENCE_PROBE && client->probe_xid == 0) {
+        send_liveness_probe(client);
+    }
+    expire_calls(client, now);
+}
+
+static void
+on_tick(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+    cbw_time_t now = CbwNet_Now();
+    cbw_link_t *link;
+    cbw_link_t *safe;
+
+    (void)loop;
+    (void)watcher;
+    (void)events;
+    Cbw_LIST_FOREACH (&clients, link, safe) {
+        check_client(Cbw_LIST_ITEM(link, client_t, link), now);
+    }
+}
+
+/* Calls of peers. */
+
+static void
+release_server(void *object)
+{
+    server_t *server = object;
+
+    CbwRpc_Finish(&server->rpc);
+    free(server);
+}
+
+static void
+unref_server(server_t *server)
+{
+    if (--server->references == 0) {
+        server_count--;
+        CbwReaper_Later(release_server, server);
+    }
+}
+
+static void
+on_server_close(cbw_rpc_t *rpc, const char *reason)
+{
+    server_t *server = rpc->context;
+
+    (void)reason;
+    if (!server->gone) {
+        server->gone = true;
+        unref_server(server);
+    }
+}
+
+static void
+copy_text(char *target, size_t size, const char *source)
+{
+    snprintf(target, size, "%s", source);
+}
+
+static job_t *
+job_from_args(const peer_statement_args *args)
+{
+    job_t *job = Job_New();
+    cbw_request_t *request = &job->request;
+    cbw_time_t now = CbwNet_Now();
+
+    request->verb = (cbw_verb_t)args->verb;
+    copy_text(request->database, sizeof(request->database), args->database);
+    copy_text(request->kind_name, sizeof(request->kind_name), args->kind);
+    copy_text(request->key, sizeof(request->key), args->key);
+    copy_text(request->token, sizeof(request->token), args->token);
+    copy_text(request->trace, sizeof(request->trace), args->trace);
+    CbwRequest_SetStatement(request, args->statement.statement_val,
+                            args->statement.statement_len);
+    request->age = args->age;
+    request->arrived = now;
+    request->deadline = now + args->remaining;
+    request->transaction = args->transaction;
+    request->maybe_sent = args->maybe_sent;
+    return job;
+}
+
+static bool
+is_valid_statement(const peer_statement_args *args)
+{
+    return args->verb <= CBW_VERB_SETTLE && args->remaining >= 0 &&
+           args->remaining <= 3600 * Cbw_SEC && args->age >= 0;
+}
+
+static task_id_t
+task_for(uint32_t procedure)
+{
+    switch (procedure) {
+    case PEER_EXPLAIN:
+    case PEER_REACH:
+        return TASK_OWNER;
+    case PEER_CONFIG:
+        return TASK_CONFIG;
+    case PEER_DRAIN:
+        return TASK_MAIN;
+    default:
+        return TASK_MEMBER;
+    }
+}
+
+typedef struct {
+    char text[16384];
+    size_t length;
+} span_text_t;
+
+static void
+append_span(void *context, const cbw_span_t *span)
+{
+    span_text_t *out = context;
+    int written =
+        snprintf(out->text + out->length, sizeof(out->text) - out->length,
+                 "%s\t%s\t%lld\t%lld\t%s\n", daemon_->settings.name,
+                 CbwTrace_HopString[span->hop], (long long)span->start,
+                 (long long)(span->end - span->start), span->detail);
+
+    if (out->length + (size_t)written < sizeof(out->text)) {
+        out->length += (size_t)written;
+    }
+    else {
+        out->text[out->length] = '\0';
+    }
+}
+
+/* What the process itself answers. */
+static bool
+answer_here(inbound_t *inbound)
+{
+    static char counters[16384];
+    span_text_t spans = {.length = 0};
+
+    switch (inbound->procedure) {
+    case PEER_TRACE:
+        spans.text[0] = '\0';
+        CbwTrace_Find(&daemon_->traces, inbound->args.text.subject,
+                      append_span, &spans);
+        Inbound_SetText(inbound, spans.length > 0, spans.text);
+        return true;
+    case PEER_COUNTERS:
+        CbwCounter_Format(&daemon_->counters, counters, sizeof(counters));
+        Inbound_SetText(inbound, true, counters);
+        return true;
+    default:
+        return false;
+    }
+}
+
+static void
+finish_inbound(inbound_t *inbound)
+{
+    server_t *server = inbound->connection;
+    const peer_codec_t *codec = &Peer_Codecs[inbound->procedure];
+
+    if (!server->gone) {
+        size_t bytes = CbwRpc_Reply(&server->rpc, inbound->xid, codec->result,
+                                    &inbound->result);
+        count_control(inbound->procedure, bytes);
+    }
+    xdr_free(codec->args, &inbound->args);
+    xdr_free(codec->result, &inbound->result);
+    free(inbound);
+    unref_server(server);
+}
+
+/* Where the answer to a peer's statement goes. */
+typedef struct {
+    server_t *server;
+    uint32_t xid;
+} statement_origin_t;
+
+static void
+start_statement(server_t *server, uint32_t xid, const inbound_t *inbound)
+{
+    job_t *job = job_from_args(&inbound->args.statement);
+    statement_origin_t *origin = calloc(1, sizeof(*origin));
+
+    if (origin == NULL) {
+        abort();
+    }
+    origin->server = server;
+    origin->xid = xid;
+    server->references++;
+    job->reply_to = TASK_PEER;
+    job->origin = origin;
+    Task_Post(TASK_PEER, TASK_OWNER, MESSAGE_JOB, &job->message);
+}
+
+static bool
+on_server_call(cbw_rpc_t *rpc, uint32_t xid, uint32_t procedure, XDR *args)
+{
+    server_t *server = rpc->context;
+    inbound_t *inbound = calloc(1, sizeof(*inbound));
+
+    if (inbound == NULL) {
+        return false;
+    }
+    CbwList_Init(&inbound->message.link);
+    inbound->procedure = procedure;
+    inbound->connection = server;
+    inbound->xid = xid;
+    if (!Peer_Codecs[procedure].args(args, &inbound->args) ||
+        (procedure == PEER_STATEMENT &&
+         !is_valid_statement(&inbound->args.statement))) {
+        xdr_free(Peer_Codecs[procedure].args, &inbound->args);
+        free(inbound);
+        return false;
+    }
+    if (procedure == PEER_STATEMENT) {
+        start_statement(server, xid, inbound);
+        xdr_free(Peer_Codecs[procedure].args, &inbound->args);
+        free(inbound);
+        return true;
+    }
+    server->references++;
+    if (answer_here(inbound)) {
+        finish_inbound(inbound);
+    }
+    else {
+        Task_Post(TASK_PEER, task_for(procedure), MESSAGE_INBOUND,
+                  &inbound->message);
+    }
+    return true;
+}
+
+static void
+finish_statement(job_t *job)
+{
+    statement_origin_t *origin = job->origin;
+    const cbw_answer_t *answer = &job->request.answer;
+    peer_statement_result result = {
+        .outcome = answer->outcome,
+        .token = (char *)answer->token,
+        .reason = (char *)answer->reason,
+        .retry_after = answer->retry_after,
+        .moved_to = job->moved_to,
+    };
+
+    result.result.result_val = answer->result;
+    result.result.result_len = (u_int)answer->result_size;
+    result.admission.admission_val = job->admission;
+    result.admission.admission_len = (u_int)job->admission_count;
+    if (!origin->server->gone) {
+        CbwRpc_Reply(&origin->server->rpc, origin->xid,
+                     Peer_Codecs[PEER_STATEMENT].result, &result);
+    }
+    unref_server(origin->server);
+    free(origin);
+    Job_Free(job);
+}
+
+static void
+on_server_reply(cbw_rpc_t *rpc, uint32_t xid, XDR *result)
+{
+    (void)rpc;
+    (void)xid;
+    (void)result;
+}
+
+static const cbw_rpc_ops_t server_ops = {
+    .on_call = on_server_call,
+    .on_reply = on_server_reply,
+    .on_close = on_server_close,
+};
+
+static void
+on_acceptable(struct ev_loop *loop, ev_io *watcher, int events)
+{
+    char ip[CbwNet_IP_MAX];
+    int fd;
+
+    (void)events;
+    while (server_count < CONNECTIONS_MAX &&
+           (fd = CbwNet_Accept(watcher->fd, ip)) >= 0) {
+        server_t *server = calloc(1, sizeof(*server));
+        if (server == NULL) {
+            abort();
+        }
+        server->references = 1;
+        server_count++;
+        CbwRpc_Accept(&server->rpc, loop, fd, ip, &server_ops, server);
+    }
+}
+
+static void
+handle(void *state, message_t *message)
+{
+    (void)state;
+    switch (message->type) {
+    case MESSAGE_OUTBOUND:
+        send_call(Cbw_LIST_ITEM(message, outbound_t, message));
+        break;
+    case MESSAGE_INBOUND_DONE:
+        finish_inbound(Cbw_LIST_ITEM(message, inbound_t, message));
+        break;
+    case MESSAGE_JOB_DONE:
+        finish_statement(Cbw_LIST_ITEM(message, job_t, message));
+        break;
+    default:
+        break;
+    }
+}
+
+int
+PeerTask_Start(daemon_t *daemon, cbw_error_t *error)
+{
+    int fd = CbwNet_Listen(daemon->settings.peers, error);
+
+    if (fd < 0) {
+        return -1;
+    }
+    daemon_ = daemon;
+    CbwList_Init(&clients);
+    ev_io_init(&listener, on_acceptable, fd, EV_READ);
+    ev_io_start(daemon->loop, &listener);
+    ev_timer_init(&timer, on_tick, TICK_SECONDS, TICK_SECONDS);
+    ev_timer_start(daemon->loop, &timer);
+    Task_Register(daemon->loop, TASK_PEER, handle, NULL);
+    return 0;
+}
--- /dev/null
+++ b/src/carobwindd/router_task.c
@@ -0,0 +1,433 @@
+/* The router task: the way of a request to the owner of its database, here or
+ * on a peer, and another try when the owner is lost. */
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "carobwind/log.h"
+#include "carobwind/owner.h"
+#include "carobwind/retry.h"
+#include "messages.h"
+#include "share/net.h"
+
+#define TICK_SECONDS 0.01
+/* Pause before a request is tried again. */
+#define RETRY_PAUSE (20 * Cbw_MSEC)
+/* A host that lost a request is passed over for so long. */
+#define AVOID_FOR (600 * Cbw_MSEC)
+/* Ownership that moved by reach stays moved for so long. */
+#define MOVED_FOR (3 * Cbw_SEC)
+/* Answers may come a little after the owner's own deadline. */
+#define ANSWER_MARGIN (200 * Cbw_MSEC)
+#define AVOIDED_MAX 16
+
+/* The owner of a database, as far as known. */
+typedef struct {
+    uint64_t epoch; /* of the view it was worked out from */
+    const cbw_member_t *owner;
+    char moved_to[Cbw_NAME_MAX]; /* "": by rendezvous order */
+    cbw_time_t moved_at;
+} route_t;
+
+typedef struct {
+    char name[Cbw_NAME_MAX];
+    cbw_time_t until;
+} avoided_t;
+
+typedef struct {
+    daemon_t *daemon;
+    config_t *config;
+    view_t *view;
+    route_t *routes; /* one for each database of the configuration */
+    avoided_t avoided[AVOIDED_MAX];
+    cbw_link_t waiting; /* jobs that are tried again at `due` */
+    cbw_retry_budget_t retries;
+    ev_timer timer;
+} router_task_t;
+
+static router_task_t self;
+
+static void
+finish(job_t *job)
+{
+    Task_Post(TASK_ROUTER, TASK_ENTRY, MESSAGE_JOB_DONE, &job->message);
+}
+
+static void
+end(job_t *job, cbw_outcome_t outcome, const char *reason)
+{
+    CbwRequest_End(&job->request, outcome, reason);
+    finish(job);
+}
+
+/* When the request is given up, with time to settle what was sent. */
+static cbw_time_t
+last_moment(const cbw_request_t *request)
+{
+    bool settles = request->maybe_sent && request->key[0] != '\0';
+
+    return request->deadline + (settles ? Cbw_OWNER_SETTLE_GRACE : 0);
+}
+
+static void
+give_up(job_t *job)
+{
+    end(job,
+        job->request.maybe_sent ? CBW_OUTCOME_UNKNOWN : CBW_OUTCOME_NOTRUN,
+        "no owner answered within the deadline");
+}
+
+/* Hosts that just lost a request. */
+
+static void
+avoid(const char *name)
+{
+    cbw_time_t now = CbwNet_Now();
+    avoided_t *oldest = &self.avoided[0];
+
+    for (int i = 0; i < AVOIDED_MAX; i++) {
+        if (strcmp(self.avoided[i].name, name) == 0) {
+            oldest = &self.avoided[i];
+            break;
+        }
+        if (self.avoided[i].until < oldest->until) {
+            oldest = &self.avoided[i];
+        }
+    }
+    memcpy(oldest->name, name, Cbw_NAME_MAX);
+    oldest->until = now + AVOID_FOR;
+}
+
+static bool
+is_avoided(const char *name, cbw_time_t now)
+{
+    for (int i = 0; i < AVOIDED_MAX; i++) {
+        if (self.avoided[i].until > now &&
+            strcmp(self.avoided[i].name, name) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Owners. */
+
+static const cbw_member_t *
+find_moved(route_t *route, cbw_time_t now)
+{
+    const cbw_member_t *member;
+
+    if (route->moved_to[0] == '\0') {
+        return NULL;
+    }
+    member = CbwMembership_Find(&self.view->membership, route->moved_to);
+    if (now - route->moved_at > MOVED_FOR || member == NULL ||
+        member->public.state > CBW_MEMBER_SUSPECT) {
+        route->moved_to[0] = '\0';
+        return NULL;
+    }
+    return member;
+}
+
+static const cbw_member_t *
+find_owner(const cbw_database_t *database, cbw_time_t now)
+{
+    const cbw_membership_t *members = &self.view->membership;
+    const char *data_centre = database->endpoints[0].data_centre;
+    route_t *route = &self.routes[database - self.config->inventory.databases];
+    const cbw_member_t *owner = find_moved(route, now);
+
+    if (strcmp(self.daemon->settings.owner_policy, "direct") == 0) {
+        return &members->members[0];
+    }
+    if (owner == NULL) {
+        if (route->owner == NULL || route->epoch != members->epoch) {
+            route->owner = CbwMembership_Owner(members, database->name,
+                                               data_centre, NULL);
+            route->epoch = members->epoch;
+        }
+        owner = route->owner;
+    }
+    if (owner != NULL && is_avoided(owner->public.name, now)) {
+        const cbw_member_t *next = CbwMembership_Owner(
+            members, database->name, data_centre, owner->public.name);
+        return next != NULL ? next : owner;
+    }
+    return owner;
+}
+
+/* Sending. */
+
+static void
+encode_statement(peer_statement_args *args, const cbw_request_t *request,
+                 cbw_time_t now)
+{
+    cbw_time_t remaining = request->deadline - now;
+
+    args->verb = request->verb;
+    args->database = strdup(request->database);
+    args->kind = strdup(request->kind_name);
+    args->statement.statement_val = malloc(request->statement_size + 1);
+    if (args->statement.statement_val == NULL) {
+        abort();
+    }
+    if (request->statement_size > 0) {
+        memcpy(args->statement.statement_val, request->statement,
+               request->statement_size);
+    }
+    args->statement.statement_len = (u_int)request->statement_size;
+    args->key = strdup(request->key);
+    args->token = strdup(request->token);
+    args->trace = strdup(request->trace);
+    args->age = request->age;
+    args->remaining = remaining > 0 ? remaining : 0;
+    args->transaction = request->transaction;
+    args->maybe_sent = request->maybe_sent;
+}
+
+static void
+forward(job_t *job, const cbw_member_t *owner, cbw_time_t now)
+{
+    outbound_t *outbound = Outbound_New(PEER_STATEMENT, owner->public.address);
+    cbw_time_t until = job->request.deadline + Cbw_OWNER_SETTLE_GRACE;
+
+    memcpy(job->host, owner->public.name, Cbw_NAME_MAX);
+    job->forwarded = true;
+    encode_statement(&outbound->args.statement, &job->request, now);
+    outbound->timeout = until + ANSWER_MARGIN - now;
+    outbound->reply_to = TASK_ROUTER;
+    outbound->context = job;
+    CbwCounter_Add(&self.daemon->counters, CBW_COUNTER_FORWARDED, 1);
+    Task_Post(TASK_ROUTER, TASK_PEER, MESSAGE_OUTBOUND, &outbound->message);
+}
+
+static void
+route(job_t *job)
+{
+    cbw_time_t now = CbwNet_Now();
+    const cbw_database_t *database;
+    const cbw_member_t *owner;
+
+    if (now >= last_moment(&job->request)) {
+        give_up(job);
+        return;
+    }
+    database =
+        CbwInventory_Database(&self.config->inventory, job->request.database);
+    if (database == NULL) {
+        end(job, CBW_OUTCOME_NOTRUN, "unknown database");
+        return;
+    }
+    /* A transaction stays where it began. */
+    if (job->request.transaction != 0 && job->host[0] != '\0' &&
+        job->request.verb != CBW_VERB_SETTLE) {
+        owner = CbwMembership_Find(&self.view->membership, job->host);
+    }
+    else {
+        owner = find_owner(database, now);
+    }
+    if (owner == NULL) {
+        end(job, CBW_OUTCOME_NOTRUN, "the transaction's owner is gone");
+        return;
+    }
+    memcpy(job->host, owner->public.name, Cbw_NAME_MAX);
+    if (owner == &self.view->membership.members[0]) {
+        job->forwarded = false;
+        job->reply_to = TASK_ROUTER;
+        Task_Post(TASK_ROUTER, TASK_OWNER, MESSAGE_JOB, &job->message);
+        return;
+    }
+    forward(job, owner, now);
+}
+
+static void
+retry_later(job_t *job)
+{
+    CbwCounter_Add(&self.daemon->counters, CBW_COUNTER_FORWARD_RETRIES, 1);
+    job->tries++;
+    job->request.answered_at = CbwNet_Now() + RETRY_PAUSE;
+    CbwList_Append(&self.waiting, &job->message.link);
+}
+
+/* The answer of the peer was lost: the request may have run. */
+static void
+on_forward_lost(job_t *job)
+{
+    cbw_request_t *request = &job->request;
+
+    avoid(job->host);
+    request->maybe_sent = true;
+    if (request->transaction != 0 && request->verb == CBW_VERB_COMMIT) {
+        request->verb = CBW_VERB_SETTLE;
+    }
+    else if (request->transaction != 0 && request->verb != CBW_VERB_SETTLE) {
+        /* Nothing of it is ever committed. */
+        end(job, CBW_OUTCOME_NOTRUN, "the transaction's owner is lost");
+        return;
+    }
+    if (!CbwRetry_Take(&self.retries)) {
+        CbwCounter_Add(&self.daemon->counters, CBW_COUNTER_RETRIES_DENIED, 1);
+        give_up(job);
+        return;
+    }
+    retry_later(job);
+}
+
+static void
+note_moved(const job_t *job)
+{
+    const cbw_database_t *database =
+        CbwInventory_Database(&self.config->inventory, job->request.database);
+    route_t *known;
+
+    if (database == NULL) {
+        return;
+    }
+    known = &self.routes[database - self.config->inventory.databases];
+    memcpy(known->moved_to, job->moved_to, sizeof(known->moved_to));
+    known->moved_at = CbwNet_Now();
+}
+
+/* The owner answered: the job is done, or ownership moved. */
+static void
+on_answer(job_t *job)
+{
+    if (job->moved_to[0] != '\0') {
+        note_moved(job);
+        job->moved_to[0] = '\0';
+    }
+    if (job->request.answer.outcome == CBW_OUTCOME_PENDING) {
+        retry_later(job);
+        return;
+    }
+    finish(job);
+}
+
+static void
+decode_answer(job_t *job, const peer_statement_result *result)
+{
+    cbw_answer_t *answer = &job->request.answer;
+
+    answer->outcome = result->outcome <= CBW_OUTCOME_UNKNOWN
+                          ? (cbw_outcome_t)result->outcome
+                          : CBW_OUTCOME_UNKNOWN;
+    CbwRequest_SetResult(&job->request, result->result.result_val,
+                         result->result.result_len);
+    snprintf(answer->token, sizeof(answer->token), "%s", result->token);
+    snprintf(answer->reason, sizeof(answer->reason), "%s", result->reason);
+    snprintf(job->moved_to, sizeof(job->moved_to), "%s", result->moved_to);
+    answer->retry_after = result->retry_after;
+    job->admission_count = (int)result->admission.admission_len;
+    for (int i = 0; i < job->admission_count; i++) {
+        job->admission[i] = result->admission.admission_val[i];
+    }
+}
+
+static void
+on_outbound_done(outbound_t *outbound)
+{
+    job_t *job = outbound->context;
+
+    if (outbound->answered) {
+        decode_answer(job, &outbound->result.statement);
+        on_answer(job);
+    }
+    else {
+        on_forward_lost(job);
+    }
+    Outbound_Free(outbound);
+}
+
+static void
+on_config(config_message_t *message)
+{
+    size_t count = message->config->inventory.database_count;
+
+    Config_Unref(self.config);
+    self.config = message->config;
+    free(self.routes);
+    self.routes = calloc(count + 1, sizeof(*self.routes));
+    if (self.routes == NULL) {
+        abort();
+    }
+    free(message);
+}
+
+static void
+on_view(view_message_t *message)
+{
+    size_t count = self.config ? self.config->inventory.database_count : 0;
+
+    View_Unref(self.view);
+    self.view = message->view;
+    for (size_t i = 0; i < count; i++) {
+        self.routes[i].owner = NULL; /* points into the former view */
+    }
+    free(message);
+}
+
+static void
+start(job_t *job)
+{
+    if (self.config == NULL || self.view == NULL) {
+        end(job, CBW_OUTCOME_NOTRUN, "this host has no configuration yet");
+        return;
+    }
+    CbwRetry_OnRequest(&self.retries);
+    route(job);
+}
+
+static void
+handle(void *state, message_t *message)
+{
+    (void)state;
+    switch (message->type) {
+    case MESSAGE_JOB:
+        start(Cbw_LIST_ITEM(message, job_t, message));
+        break;
+    case MESSAGE_JOB_DONE:
+        on_answer(Cbw_LIST_ITEM(message, job_t, message));
+        break;
+    case MESSAGE_OUTBOUND_DONE:
+        on_outbound_done(Cbw_LIST_ITEM(message, outbound_t, message));
+        break;
+    case MESSAGE_CONFIG:
+        on_config(Cbw_LIST_ITEM(message, config_message_t, message));
+        break;
+    case MESSAGE_VIEW:
+        on_view(Cbw_LIST_ITEM(message, view_message_t, message));
+        break;
+    default:
+        break;
+    }
+}
+
+static void
+on_tick(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+    cbw_time_t now = CbwNet_Now();
+    cbw_link_t *link;
+    cbw_link_t *safe;
+
+    (void)loop;
+    (void)watcher;
+    (void)events;
+    Cbw_LIST_FOREACH (&self.waiting, link, safe) {
+        job_t *job = Cbw_LIST_ITEM(link, job_t, message.link);
+        if (now >= job->request.answered_at) {
+            CbwList_Remove(link);
+            route(job);
+        }
+    }
+}
+
+void
+RouterTask_Start(daemon_t *daemon)
+{
+    self.daemon = daemon;
+    CbwList_Init(&self.waiting);
+    CbwRetry_Init(&self.retries);
+    Task_Register(daemon->loop, TASK_ROUTER, handle, NULL);
+    ev_timer_init(&self.timer, on_tick, TICK_SECONDS, TICK_SECONDS);
+    ev_timer_start(daemon->loop, &self.timer);
+}
--- /dev/null
+++ b/src/carobwindd/settings.c
@@ -0,0 +1,138 @@
+#include "settings.h"
+
+#include <string.h>
+
+#include "carobwind/log.h"
+#include "carobwind/plugin.h"
+#include "share/net.h"
+#include "share/options.h"
+
+static settings_t values = {
+    .name = "",
+    .data_centre = "",
+    .callers = "127.0.0.1:7000",
+    .peers = "127.0.0.1:7100",
+    .platform = "127.0.0.1:7300",
+    .join = "",
+    .log_level = "info",
+    .queue_policy = "ranked",
+    .limit_policy = "adaptive",
+    .route_policy = "replica",
+    .endpoint_driver = "resp",
+    .store_driver = "resp",
+    .owner_policy = "owner",
+    .drain_seconds = 15,
+};
+
+static const cbw_option_t options[] = {
+    {CBW_OPTION_STRING, "name", "NAME", "name of this host, unique",
+     &values.name, 0, 0},
+    {CBW_OPTION_STRING, "data-centre", "NAME", "data centre of this host",
+     &values.data_centre, 0, 0},
+    {CBW_OPTION_STRING, "callers", "IP:PORT", "address for callers",
+     &values.callers, 0, 0},
+    {CBW_OPTION_STRING, "peers", "IP:PORT", "address for the other daemons",
+     &values.peers, 0, 0},
+    {CBW_OPTION_STRING, "platform", "IP:PORT", "the platform's service",
+     &values.platform, 0, 0},
+    {CBW_OPTION_STRING, "join", "IP:PORT,...", "peers to ask first",
+     &values.join, 0, 0},
+    {CBW_OPTION_STRING, "log-level", "LEVEL", "debug, info, warning or error",
+     &values.log_level, 0, 0},
+    {CBW_OPTION_STRING, "queue-policy", "NAME", "ranked or fifo",
+     &values.queue_policy, 0, 0},
+    {CBW_OPTION_STRING, "limit-policy", "NAME", "adaptive or fixed",
+     &values.limit_policy, 0, 0},
+    {CBW_OPTION_STRING, "route-policy", "NAME", "replica or primary",
+     &values.route_policy, 0, 0},
+    {CBW_OPTION_STRING, "endpoint-driver", "NAME", "resp",
+     &values.endpoint_driver, 0, 0},
+    {CBW_OPTION_STRING, "store-driver", "NAME", "resp", &values.store_driver,
+     0, 0},
+    {CBW_OPTION_STRING, "owner-policy", "NAME",
+     "owner, or direct (a baseline: each entry serves by itself)",
+     &values.owner_policy, 0, 0},
+    {CBW_OPTION_INTEGER, "drain-seconds", "N", "longest graceful shutdown",
+     &values.drain_seconds, 1, 3600},
+    {CBW_OPTION_FLAG, "test-faults", NULL, "allow the FAULT command",
+     &values.test_faults, 0, 0},
+};
+
+static const cbw_program_t program = {
+    .program = "carobwindd",
+    .summary = "The daemon of an entry host: takes in callers and owns a part "
+               "of the databases.",
+    .options = options,
+    .option_count = sizeof(options) / sizeof(options[0]),
+};
+
+static void
+check_name(const char *flag, const char *value, cbw_findings_t *findings)
+{
+    size_t length = strlen(value);
+
+    if (length == 0 || length >= Cbw_NAME_MAX) {
+        CbwFindings_Add(findings, flag, 0,
+                        "must be set, with at most %d characters",
+                        Cbw_NAME_MAX - 1);
+    }
+}
+
+static void
+check_address(const char *flag, const char *value, cbw_findings_t *findings)
+{
+    struct sockaddr_in address;
+    cbw_error_t error;
+
+    if (CbwNet_ParseAddress(value, &address, &error) != 0) {
+        CbwFindings_Add(findings, flag, 0, "%s", error.text);
+    }
+}
+
+static void
+check_plugin(const char *flag, cbw_plugin_type_t type, const char *value,
+             cbw_findings_t *findings)
+{
+    if (CbwPlugin_Find(type, value) == NULL) {
+        CbwFindings_Add(findings, flag, 0, "there is no %s plug-in \"%s\"",
+                        CbwPlugin_TypeString[type], value);
+    }
+}
+
+int
+Settings_Parse(settings_t *settings, int argc, char **argv,
+               cbw_findings_t *findings)
+{
+    const char *words[CbwOptions_WORDS_MAX];
+
+    if (CbwOptions_Parse(&program, argc, argv, words, findings) < 0) {
+        return -1;
+    }
+    check_name("--name", values.name, findings);
+    check_name("--data-centre", values.data_centre, findings);
+    check_address("--callers", values.callers, findings);
+    check_address("--peers", values.peers, findings);
+    check_address("--platform", values.platform, findings);
+    check_plugin("--queue-policy", CBW_PLUGIN_QUEUE, values.queue_policy,
+                 findings);
+    check_plugin("--limit-policy", CBW_PLUGIN_LIMIT, values.limit_policy,
+                 findings);
+    check_plugin("--route-policy", CBW_PLUGIN_ROUTE, values.route_policy,
+                 findings);
+    check_plugin("--endpoint-driver", CBW_PLUGIN_ENDPOINT_DRIVER,
+                 values.endpoint_driver, findings);
+    check_plugin("--store-driver", CBW_PLUGIN_STORE_DRIVER,
+                 values.store_driver, findings);
+    if (CbwLog_LevelFromString(values.log_level) < 0) {
+        CbwFindings_Add(findings, "--log-level", 0,
+                        "\"%s\" is not debug, info, warning or error",
+                        values.log_level);
+    }
+    if (strcmp(values.owner_policy, "owner") != 0 &&
+        strcmp(values.owner_policy, "direct") != 0) {
+        CbwFindings_Add(findings, "--owner-policy", 0,
+                        "\"%s\" is not owner or direct", values.owner_policy);
+    }
+    *settings = values;
+    return findings->count > 0 ? -1 : 0;
+}
--- /dev/null
+++ b/src/carobwindd/store_resp.c
@@ -0,0 +1,240 @@
+/* The store driver for the platform's service over RESP. A connection on
+ * which a call was lost is opened anew. */
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "carobwind/plugin.h"
+#include "drivers.h"
+#include "share/reaper.h"
+#include "share/resp.h"
+
+#define CALLS_MAX 256
+
+/* Watches have a connection of their own, so that a silent one is found. */
+typedef enum { CHANNEL_CALLS, CHANNEL_WATCH, CHANNEL_COUNT_ } channel_t;
+
+typedef struct {
+    cbw_resp_t resp;
+    channel_t channel;
+} connection_t;
+
+static daemon_t *daemon_;
+static const store_events_t *events_;
+static connection_t *connections[CHANNEL_COUNT_];
+static store_call_t *calls[CALLS_MAX];
+
+static channel_t
+channel_of(const store_call_t *call)
+{
+    return call->verb == STORE_WATCH ? CHANNEL_WATCH : CHANNEL_CALLS;
+}
+
+static void
+release_connection(void *object)
+{
+    connection_t *connection = object;
+
+    CbwResp_Finish(&connection->resp);
+    free(connection);
+}
+
+static void
+finish(int index, cbw_store_status_t status)
+{
+    store_call_t *call = calls[index];
+
+    calls[index] = NULL;
+    call->status = status;
+    events_->on_done(call);
+}
+
+/* Drops the channel's connection; its calls are lost. */
+static void
+drop_connection(channel_t channel)
+{
+    connection_t *connection = connections[channel];
+
+    if (connection == NULL) {
+        return;
+    }
+    connections[channel] = NULL;
+    CbwResp_Close(&connection->resp);
+    CbwReaper_Later(release_connection, connection);
+    for (int i = 0; i < CALLS_MAX; i++) {
+        if (calls[i] != NULL && channel_of(calls[i]) == channel) {
+            finish(i, CBW_STORE_LOST);
+        }
+    }
+}
+
+static int
+find_call(uint64_t id)
+{
+    for (int i = 0; i < CALLS_MAX; i++) {
+        if (calls[i] != NULL && calls[i]->id == id) {
+            return i;
+        }
+    }
+    return -1;
+}
+
+static cbw_store_status_t
+parse_status(const char *text)
+{
+    if (strcmp(text, "ok") == 0) {
+        return CBW_STORE_OK;
+    }
+    if (strcmp(text, "missing") == 0) {
+        return CBW_STORE_MISSING;
+    }
+    return strcmp(text, "conflict") == 0 ? CBW_STORE_CONFLICT : CBW_STORE_LOST;
+}
+
+static void
+take_hosts(store_call_t *call, const cbw_resp_message_t *message)
+{
+    call->word_count = message->count - 2;
+    call->words = calloc((size_t)call->word_count + 1, sizeof(char *));
+    if (call->words == NULL) {
+        abort();
+    }
+    for (int i = 0; i < call->word_count; i++) {
+        call->words[i] = strdup(message->words[i + 2]);
+    }
+}
+
+static void
+on_message(cbw_resp_t *resp, const cbw_resp_message_t *message)
+{
+    connection_t *connection = resp->context;
+    int index;
+
+    if (message->is_error || message->count < 2) {
+        drop_connection(connection->channel);
+        return;
+    }
+    index = find_call(strtoull(message->words[0], NULL, 10));
+    if (index < 0) {
+        return; /* given up before */
+    }
+    if (strcmp(message->words[1], "hosts") == 0) {
+        take_hosts(calls[index], message);
+        finish(index, CBW_STORE_OK);
+        return;
+    }
+    if (message->count < 4) {
+        finish(index, CBW_STORE_LOST);
+        return;
+    }
+    calls[index]->version = strtoull(message->words[2], NULL, 10);
+    if (calls[index]->verb != STORE_SWAP) {
+        free(calls[index]->value);
+        calls[index]->value = strdup(message->words[3]);
+    }
+    finish(index, parse_status(message->words[1]));
+}
+
+static void
+on_close(cbw_resp_t *resp, const char *reason)
+{
+    connection_t *connection = resp->context;
+
+    (void)reason;
+    if (connections[connection->channel] == connection) {
+        drop_connection(connection->channel);
+    }
+}
+
+static const cbw_resp_ops_t resp_ops = {
+    .on_message = on_message,
+    .on_close = on_close,
+};
+
+static connection_t *
+open_connection(channel_t channel)
+{
+    connection_t *connection = calloc(1, sizeof(*connection));
+
+    if (connection == NULL) {
+        return NULL;
+    }
+    connection->channel = channel;
+    if (CbwResp_Connect(&connection->resp, daemon_->loop, daemon_->local_ip,
+                        daemon_->settings.platform, &CbwResp_ClientLimits,
+                        &resp_ops, connection, NULL) != 0) {
+        free(connection);
+        return NULL;
+    }
+    connections[channel] = connection;
+    return connection;
+}
+
+static void
+send_call(connection_t *connection, const store_call_t *call)
+{
+    static const char *const verbs[] = {"GET", "SWAP", "WATCH", "HOSTS"};
+    static const int word_counts[] = {3, 5, 5, 2};
+    char id[24];
+    char version[24];
+    char wait[24];
+    const char *words[5] = {verbs[call->verb], id, call->key, version, wait};
+
+    snprintf(id, sizeof(id), "%" PRIu64, call->id);
+    snprintf(version, sizeof(version), "%" PRIu64, call->version);
+    snprintf(wait, sizeof(wait), "%" PRId64, call->wait / Cbw_MSEC);
+    if (call->verb == STORE_SWAP) {
+        words[4] = call->value;
+    }
+    CbwResp_Send(&connection->resp, word_counts[call->verb], words, NULL);
+}
+
+static void
+driver_call(store_call_t *call)
+{
+    channel_t channel = channel_of(call);
+    connection_t *connection = connections[channel];
+    int index = 0;
+
+    if (connection == NULL) {
+        connection = open_connection(channel);
+    }
+    while (index < CALLS_MAX && calls[index] != NULL) {
+        index++;
+    }
+    if (connection == NULL || index == CALLS_MAX) {
+        call->status = CBW_STORE_LOST;
+        events_->on_done(call);
+        return;
+    }
+    calls[index] = call;
+    send_call(connection, call);
+}
+
+static void
+driver_forget(store_call_t *call)
+{
+    int index = find_call(call->id);
+
+    if (index >= 0) {
+        calls[index] = NULL;
+    }
+    /* The connection may be silent: the next call tries a new one. */
+    drop_connection(channel_of(call));
+}
+
+static void
+driver_open(daemon_t *daemon, const store_events_t *events)
+{
+    daemon_ = daemon;
+    events_ = events;
+}
+
+static const store_driver_t driver = {
+    .open = driver_open,
+    .call = driver_call,
+    .forget = driver_forget,
+};
+
+Cbw_PLUGIN_REGISTER(store_resp, CBW_PLUGIN_STORE_DRIVER, "resp", &driver)
--- a/src/libcarobwind/include/private/owner.h
+++ b/src/libcarobwind/include/private/owner.h
@@ -40,7 +40,7 @@
 void CbwOwner_Dispatch_(cbw_owner_t *owner, cbw_time_t now);
 cbw_transaction_t *CbwOwner_Transaction_(cbw_owner_t *owner, uint64_t id);
 void CbwOwner_DropTransaction_(cbw_owner_t *owner,
-                               cbw_transaction_t *transaction);
+                               cbw_transaction_t *transaction, bool clean);
 
 /* Health, confirmation rounds, promotion and switch-over. */
 
--- a/src/libcarobwind/inventory.c
+++ b/src/libcarobwind/inventory.c
@@ -587,6 +587,13 @@
     return NULL;
 }
 
+static int
+compare_databases(const void *left, const void *right)
+{
+    return strcmp(((const cbw_database_t *)left)->name,
+                  ((const cbw_database_t *)right)->name);
+}
+
 int
 CbwInventory_Parse(cbw_inventory_t *inventory, const char *text,
                    const char *place, cbw_findings_t *findings)
@@ -621,6 +628,8 @@
         CbwInventory_Finish(inventory);
         return -1;
     }
+    qsort(inventory->databases, inventory->database_count,
+          sizeof(*inventory->databases), compare_databases);
     return 0;
 }
 
@@ -633,15 +642,20 @@
     memset(inventory, 0, sizeof(*inventory));
 }
 
+static int
+compare_name(const void *name, const void *database)
+{
+    return strcmp(name, ((const cbw_database_t *)database)->name);
+}
+
 const cbw_database_t *
 CbwInventory_Database(const cbw_inventory_t *inventory, const char *name)
 {
-    for (size_t i = 0; i < inventory->database_count; i++) {
-        if (strcmp(inventory->databases[i].name, name) == 0) {
-            return &inventory->databases[i];
-        }
+    if (inventory->database_count == 0) {
+        return NULL;
     }
-    return NULL;
+    return bsearch(name, inventory->databases, inventory->database_count,
+                   sizeof(*inventory->databases), compare_name);
 }
 
 const cbw_kind_t *
--- a/src/libcarobwind/inventory_diff.c
+++ b/src/libcarobwind/inventory_diff.c
@@ -138,7 +138,7 @@
     for (size_t i = 0; i < after->kind_count; i++) {
         const cbw_kind_t *b = &after->kinds[i];
         const cbw_kind_t *a = CbwInventory_Kind(before, b->name);
-        char item[64];
+        char item[80];
         if (a == NULL) {
             report_item('+', "kind", b->name, report, context);
             continue;
--- a/src/libcarobwind/membership.c
+++ b/src/libcarobwind/membership.c
@@ -19,11 +19,17 @@
 
 /* Members asked to probe in this host's place. */
 #define INDIRECT_PROBES 3
+/* Listed members that are probed in one tick before they were ever heard. */
+#define UNHEARD_PROBES 4
 /* A dead member is probed this often, so that healed partitions are found. */
 #define DEAD_PROBE_INTERVAL (3 * Cbw_SEC)
 /* A change is sent this many times, for each power of two of the fleet. */
 #define TRANSMISSIONS_FACTOR 3
 
+/* First character of the names of endpoints, which are listed beside the
+ * members while they leave. */
+#define ENDPOINT_MARK '@'
+
 /* Finds a member's index by name; -1 when unknown. */
 static long
 find_index(const cbw_membership_t *membership, const char *name)
@@ -131,6 +137,10 @@
 {
     cbw_member_t *self = &membership->members[0];
 
+    if (change->state == CBW_MEMBER_LEAVING) {
+        CbwMembership_Leave(membership, now);
+        return;
+    }
     if (change->incarnation < self->public.incarnation ||
         change->state == self->public.state) {
         return;
@@ -269,20 +279,89 @@
 {
     cbw_member_t *self = &membership->members[0];
 
+    if (self->public.state == CBW_MEMBER_LEAVING) {
+        return;
+    }
     set_state(membership, now, self, CBW_MEMBER_LEAVING,
               self->public.incarnation + 1);
 }
 
+void
+CbwMembership_HearEndpoint(cbw_membership_t *membership, cbw_time_t now,
+                           const char *address, bool leaving)
+{
+    cbw_member_change_t change = {.incarnation = 1};
+    long index;
+
+    change.state = leaving ? CBW_MEMBER_LEAVING : CBW_MEMBER_ALIVE;
+    snprintf(change.name, sizeof(change.name), "%c%s", ENDPOINT_MARK, address);
+    snprintf(change.address, sizeof(change.address), "%s", address);
+    index = find_index(membership, change.name);
+    if (index < 0) {
+        if (leaving) {
+            add_heard(membership, now, &change);
+        }
+        return;
+    }
+    if (membership->members[index].public.state != change.state) {
+        set_state(membership, now, &membership->members[index], change.state,
+                  membership->members[index].public.incarnation + 1);
+    }
+}
+
+bool
+CbwMembership_IsEndpointLeaving(const cbw_membership_t *membership,
+                                const char *address)
+{
+    char name[Cbw_NAME_MAX];
+    long index;
+
+    snprintf(name, sizeof(name), "%c%s", ENDPOINT_MARK, address);
+    index = find_index(membership, name);
+    return index >= 0 &&
+           membership->members[index].public.state == CBW_MEMBER_LEAVING;
+}
+
+bool
+CbwMembership_IsEndpoint(const cbw_member_change_t *member)
+{
+    return member->name[0] == ENDPOINT_MARK;
+}
+
 static bool
 can_probe(const cbw_member_t *member, cbw_time_t now)
 {
-    if (member->probed_at != 0) {
+    if (member->probed_at != 0 || CbwMembership_IsEndpoint(&member->public)) {
         return false;
     }
     return member->public.state != CBW_MEMBER_DEAD ||
            now - member->tried_at >= DEAD_PROBE_INTERVAL;
 }
 
+static void
+probe(cbw_membership_t *membership, cbw_time_t now, cbw_member_t *member)
+{
+    member->probed_at = now;
+    member->tried_at = now;
+    member->indirect_sent = false;
+    membership->ops->probe(membership->context, &member->public, NULL);
+}
+
+/* Probes some of the listed members that were never heard of. */
+static void
+probe_unheard(cbw_membership_t *membership, cbw_time_t now)
+{
+    int probed = 0;
+
+    for (size_t i = 1; i < membership->count && probed < UNHEARD_PROBES; i++) {
+        cbw_member_t *member = &membership->members[i];
+        if (member->tried_at == 0 && member->public.incarnation == 0) {
+            probe(membership, now, member);
+            probed++;
+        }
+    }
+}
+
 /* Round robin from a random start, which bounds the time until each member
  * has been probed. */
 static void
@@ -299,10 +378,7 @@
         }
         member = &membership->members[membership->next_probe];
         if (can_probe(member, now)) {
-            member->probed_at = now;
-            member->tried_at = now;
-            member->indirect_sent = false;
-            membership->ops->probe(membership->context, &member->public, NULL);
+            probe(membership, now, member);
             return;
         }
     }
@@ -317,7 +393,8 @@
         size_t index = 1 + (size_t)CbwRandom_Below(&membership->random,
                                                    membership->count - 1);
         const cbw_member_t *via = &membership->members[index];
-        if (via == target || via->public.state != CBW_MEMBER_ALIVE) {
+        if (via == target || CbwMembership_IsEndpoint(&via->public) ||
+            via->public.state != CBW_MEMBER_ALIVE) {
             continue;
         }
         membership->ops->probe(membership->context, &target->public,
@@ -380,6 +457,7 @@
 CbwMembership_Tick(cbw_membership_t *membership, cbw_time_t now)
 {
     check_members(membership, now);
+    probe_unheard(membership, now);
     if (now >= membership->next_probe_at) {
         membership->next_probe_at = now + membership->settings.probe_interval;
         probe_next(membership, now);
@@ -394,6 +472,24 @@
     return index < 0 ? NULL : &membership->members[index];
 }
 
+int
+CbwMembership_Rank(const cbw_membership_t *membership, const char *role)
+{
+    uint64_t own =
+        CbwRendezvous_Weight(role, membership->members[0].public.name);
+    int rank = 0;
+
+    for (size_t i = 1; i < membership->count; i++) {
+        const cbw_member_change_t *member = &membership->members[i].public;
+        if (member->state <= CBW_MEMBER_SUSPECT &&
+            !CbwMembership_IsEndpoint(member) &&
+            CbwRendezvous_Weight(role, member->name) > own) {
+            rank++;
+        }
+    }
+    return rank;
+}
+
 const cbw_member_t *
 CbwMembership_Owner(const cbw_membership_t *membership, const char *database,
                     const char *data_centre, const char *skip)
@@ -407,6 +503,7 @@
         bool near = strcmp(member->public.data_centre, data_centre) == 0;
         uint64_t weight;
         if (member->public.state > CBW_MEMBER_SUSPECT ||
+            CbwMembership_IsEndpoint(&member->public) ||
             (skip != NULL && strcmp(member->public.name, skip) == 0)) {
             continue;
         }
--- a/src/libcarobwind/owner.c
+++ b/src/libcarobwind/owner.c
@@ -96,6 +96,36 @@
     }
 }
 
+static void
+evict_queue(cbw_owner_t *owner, cbw_queue_t *queue, cbw_link_t *list)
+{
+    cbw_link_t *link;
+    cbw_link_t *safe;
+
+    Cbw_LIST_FOREACH (list, link, safe) {
+        cbw_request_t *request = Cbw_LIST_ITEM(link, cbw_request_t, link);
+        if (request->maybe_sent) {
+            continue; /* only this owner knows that it may have run */
+        }
+        CbwQueue_Remove(queue, request);
+        request->answer.outcome = CBW_OUTCOME_PENDING;
+        owner->ops->answer(owner->context, request);
+    }
+}
+
+void
+CbwOwner_Evict(cbw_owner_t *owner)
+{
+    cbw_queue_t *queues[] = {&owner->primary_queue, &owner->replica_queue};
+
+    for (size_t i = 0; i < 2; i++) {
+        evict_queue(owner, queues[i], &queues[i]->arrivals);
+        for (size_t rank = 0; rank < queues[i]->rank_count; rank++) {
+            evict_queue(owner, queues[i], &queues[i]->ranks[rank].requests);
+        }
+    }
+}
+
 void
 CbwOwner_SetInventory(cbw_owner_t *owner, const cbw_inventory_t *inventory,
                       const cbw_database_t *database)
@@ -222,10 +252,11 @@
 }
 
 void
-CbwOwner_DropTransaction_(cbw_owner_t *owner, cbw_transaction_t *transaction)
+CbwOwner_DropTransaction_(cbw_owner_t *owner, cbw_transaction_t *transaction,
+                          bool clean)
 {
     owner->ops->end_transaction(owner->context, transaction->endpoint,
-                                transaction->id);
+                                transaction->id, clean);
     CbwList_Remove(&transaction->link);
     free(transaction);
 }
@@ -236,7 +267,7 @@
     cbw_transaction_t *transaction = CbwOwner_Transaction_(owner, id);
 
     if (transaction != NULL && !transaction->busy) {
-        CbwOwner_DropTransaction_(owner, transaction);
+        CbwOwner_DropTransaction_(owner, transaction, false);
     }
 }
 
@@ -251,7 +282,7 @@
             Cbw_LIST_ITEM(link, cbw_transaction_t, link);
         if (!transaction->busy &&
             now - transaction->used_at > Cbw_OWNER_TRANSACTION_IDLE) {
-            CbwOwner_DropTransaction_(owner, transaction);
+            CbwOwner_DropTransaction_(owner, transaction, false);
         }
     }
 }
--- a/src/libcarobwind/owner_dispatch.c
+++ b/src/libcarobwind/owner_dispatch.c
@@ -83,7 +83,7 @@
     transaction->busy = true;
     transaction->used_at = now;
     if (!send_request(owner, now, transaction->endpoint, request)) {
-        CbwOwner_DropTransaction_(owner, transaction);
+        CbwOwner_DropTransaction_(owner, transaction, false);
         CbwOwner_Answer_(owner, now, request, CBW_OUTCOME_NOTRUN,
                          "the transaction's connection is lost");
     }
@@ -148,7 +148,7 @@
         if (request->transaction != 0) {
             cbw_transaction_t *transaction =
                 CbwOwner_Transaction_(owner, request->transaction);
-            CbwOwner_DropTransaction_(owner, transaction);
+            CbwOwner_DropTransaction_(owner, transaction, false);
             CbwOwner_Answer_(owner, now, request, CBW_OUTCOME_NOTRUN,
                              "no connection for the transaction");
             return true;
--- a/src/libcarobwind/owner_reply.c
+++ b/src/libcarobwind/owner_reply.c
@@ -216,7 +216,8 @@
                    const cbw_request_t *request, cbw_reply_status_t status)
 {
     cbw_transaction_t *transaction;
-    bool over;
+    bool answered = status == CBW_REPLY_OK || status == CBW_REPLY_FAILED;
+    bool ends;
 
     if (request->transaction == 0 || request->state == CBW_REQUEST_SETTLING) {
         return;
@@ -227,11 +228,10 @@
     }
     transaction->busy = false;
     transaction->used_at = now;
-    over = request->verb == CBW_VERB_COMMIT ||
-           request->verb == CBW_VERB_ROLLBACK ||
-           (status != CBW_REPLY_OK && status != CBW_REPLY_FAILED);
-    if (over) {
-        CbwOwner_DropTransaction_(owner, transaction);
+    ends =
+        request->verb == CBW_VERB_COMMIT || request->verb == CBW_VERB_ROLLBACK;
+    if (ends || !answered) {
+        CbwOwner_DropTransaction_(owner, transaction, ends && answered);
     }
 }
 
--- /dev/null
+++ b/test/demo.tcl
@@ -0,0 +1,63 @@
+# A fleet from examples/tadla.conf: work through all hosts, then the same while
+# a primary and a daemon are killed.
+
+source [file join [file dirname [info script]] lib fleet.tcl]
+
+proc show {name result} {
+    puts "\n$name"
+    puts [format "  %-10s %7s %7s %7s %8s %9s %9s %8s" kind sent done notrun \
+        unknown "p50 ms" "p99 ms" "gap ms"]
+    dict for {kind figures} [dict get $result kinds] {
+        dict with figures {
+            puts [format "  %-10s %7d %7d %7d %8d %9.2f %9.2f %8.1f" $kind \
+                $sent $done $notrun $unknown $p50_ms $p99_ms $gap_ms]
+        }
+    }
+}
+
+proc demo {} {
+    set mix "payment:write:30,reading:write:60,balance:read:200"
+    puts "starting 1 platform, 9 endpoints and 16 daemons on loopback"
+    fleet -conf [file join $fleet::root examples tadla.conf] -hosts 16 \
+        -centres {bm-centre fquih-bensalah kasba-tadla azilal} -service 5 \
+        -connect 12
+    puts [ctl status]
+
+    work calm -mix $mix -seconds 5 -warmup 1 -sessions 120
+    set calm [work_result calm]
+    show "undisturbed, callers change entry between requests:" $calm
+
+    work storm -mix $mix -seconds 8 -warmup 1 -sessions 120
+    after 2500
+    set primary [primary_of billing-1]
+    puts "\nkilling the primary $primary"
+    kill $primary
+    after 2000
+    set owner [owner_of customers]
+    puts "killing the daemon $owner, the owner of customers"
+    kill $owner
+    set storm [work_result storm]
+    show "with a primary and a daemon killed:" $storm
+
+    puts "\n[ctl explain billing-1]"
+    check_history
+    puts "\nchecked: each acknowledged write stands once in the surviving log,\
+        each answer is its request's own, each session read its own writes"
+    dict for {kind figures} [dict get $storm kinds] {
+        if {[dict get $figures done] == 0} {
+            error "no $kind was done"
+        }
+        if {[dict get $figures gap_ms] > 19000} {
+            error "service of $kind was gone for [dict get $figures gap_ms] ms"
+        }
+    }
+}
+
+set fleet::block 20
+set code [catch {demo} message]
+fleet::finish
+if {$code} {
+    puts "demo: failed: $message"
+    exit 1
+}
+puts "demo: ok"
