Send arrivals to a database's own sessions in the load generator

Cause: one list of idle sessions for all databases let arrivals flow around a database that was without a primary (coordinated omission). Ruled out: the histogram (its buckets were checked by hand at 500 ms).

--- a/src/carobwind-bench/caller.c
+++ b/src/carobwind-bench/caller.c
@@ -70,8 +70,10 @@
     for (size_t i = 0; i < pool->entry_count; i++) {
         CbwList_Init(&pool->idle_connections[i]);
     }
-    CbwList_Init(&pool->idle_sessions);
-    CbwList_Init(&pool->backlog);
+    for (size_t i = 0; i < pool->database_count; i++) {
+        CbwList_Init(&pool->idle_sessions[i]);
+        CbwList_Init(&pool->backlog[i]);
+    }
     CbwList_Init(&busy_sessions);
 }
 
@@ -388,7 +390,7 @@
 }
 
 static session_t *
-new_session(caller_pool_t *pool)
+new_session(caller_pool_t *pool, size_t database)
 {
     session_t *session = calloc(1, sizeof(*session));
 
@@ -398,7 +400,8 @@
     CbwList_Init(&session->link);
     session->pool = pool;
     session->number = ++pool->session_count;
-    session->database = session->number % pool->database_count;
+    session->database = database;
+    pool->database_sessions[database]++;
     return session;
 }
 
@@ -406,11 +409,12 @@
 start_next(session_t *session)
 {
     caller_pool_t *pool = session->pool;
-    cbw_link_t *link = CbwList_TakeFirst(&pool->backlog);
+    cbw_link_t *link = CbwList_TakeFirst(&pool->backlog[session->database]);
     arrival_t *arrival;
 
     if (link == NULL) {
-        CbwList_Append(&pool->idle_sessions, &session->link);
+        CbwList_Append(&pool->idle_sessions[session->database],
+                       &session->link);
         return;
     }
     pool->backlog_count--;
@@ -422,15 +426,17 @@
 void
 Caller_Arrive(caller_pool_t *pool, load_kind_t *kind, cbw_time_t intended)
 {
-    cbw_link_t *link = CbwList_TakeFirst(&pool->idle_sessions);
+    size_t database =
+        (size_t)CbwRandom_Below(&pool->random, pool->database_count);
+    cbw_link_t *link = CbwList_TakeFirst(&pool->idle_sessions[database]);
     arrival_t *arrival;
 
     if (link != NULL) {
         start_request(Cbw_LIST_ITEM(link, session_t, link), kind, intended);
         return;
     }
-    if (pool->session_count < pool->session_limit) {
-        start_request(new_session(pool), kind, intended);
+    if (pool->database_sessions[database] < pool->session_limit) {
+        start_request(new_session(pool, database), kind, intended);
         return;
     }
     if (pool->backlog_count >= BACKLOG_MAX) {
@@ -443,7 +449,7 @@
     arrival->kind = kind;
     arrival->intended = intended;
     CbwList_Init(&arrival->link);
-    CbwList_Append(&pool->backlog, &arrival->link);
+    CbwList_Append(&pool->backlog[database], &arrival->link);
     pool->backlog_count++;
 }
 
--- a/src/carobwind-bench/caller.h
+++ b/src/carobwind-bench/caller.h
@@ -23,10 +23,13 @@
     char databases[CALLER_DATABASES_MAX][Cbw_NAME_MAX];
     size_t database_count;
     cbw_link_t idle_connections[CALLER_ENTRIES_MAX];
-    cbw_link_t idle_sessions;
-    cbw_link_t backlog; /* arrivals that wait for a session */
+    /* One list for each database, so that arrivals at one that is slow do not
+     * go to another. */
+    cbw_link_t idle_sessions[CALLER_DATABASES_MAX];
+    cbw_link_t backlog[CALLER_DATABASES_MAX]; /* wait for a session */
+    size_t database_sessions[CALLER_DATABASES_MAX];
     size_t backlog_count;
-    size_t session_limit;
+    size_t session_limit; /* for each database */
     size_t session_count;
     cbw_time_t start;
     cbw_time_t measure_from; /* from the start */
--- a/src/carobwind-bench/main.c
+++ b/src/carobwind-bench/main.c
@@ -170,7 +170,8 @@
         return CbwError_Set(error, CBW_ERROR_INVALID,
                             "entries and databases must not be empty");
     }
-    pool.session_limit = (size_t)sessions;
+    pool.session_limit =
+        ((size_t)sessions + pool.database_count - 1) / pool.database_count;
     pool.attempts_max = (int)attempts;
     pool.patience = patience_ms * Cbw_MSEC;
     pool.measure_from = (cbw_time_t)(warmup * Cbw_SEC);
