--- a/include/carobwind/membership.h
+++ b/include/carobwind/membership.h
@@ -37,6 +37,7 @@
     bool indirect_sent;
 } cbw_member_t;
 
+/* The functions must not call the membership. */
 typedef struct {
     /* Sends a probe; with `via`, asks that member to probe `target`.
      * The answer comes back as CbwMembership_OnAck. */
--- a/include/carobwind/queue.h
+++ b/include/carobwind/queue.h
@@ -18,7 +18,7 @@
     cbw_rank_queue_t ranks[Cbw_RANKS_MAX];
     cbw_link_t arrivals; /* of the first-come-first-served policy */
     size_t length;
-    double dispatch_rate; /* of all ranks, a second, smoothed */
+    double capacity; /* statements a second that are served; 0: not known */
     cbw_time_t rate_since;
     size_t rate_count;
 } cbw_queue_t;
@@ -39,6 +39,8 @@
 const cbw_queue_ops_t *CbwQueue_Policy(const char *name);
 /* Removes a queued request. */
 void CbwQueue_Remove(cbw_queue_t *queue, cbw_request_t *request);
+/* Sets how many statements a second the endpoints serve. */
+void CbwQueue_SetCapacity(cbw_queue_t *queue, double capacity);
 /* Counts a dispatch for the estimate. */
 void CbwQueue_OnDispatch(cbw_queue_t *queue, cbw_time_t now, int rank);
 
--- a/src/carobwind-bench/caller.c
+++ b/src/carobwind-bench/caller.c
@@ -22,6 +22,8 @@
     size_t entry;
     cbw_resp_t resp;
     session_t *session; /* whose request it carries */
+    bool connected;
+    bool closing; /* the entry asked to use another connection */
     bool dropped;
 } connection_t;
 
@@ -123,13 +125,30 @@
 
     (void)reason;
     drop_connection(connection);
-    if (session != NULL) {
-        session->connection = NULL;
-        on_no_answer(session);
+    if (session == NULL) {
+        return;
     }
+    session->connection = NULL;
+    if (!connection->connected &&
+        elapsed(connection->pool) < session->deadline) {
+        /* Nothing was sent: another entry takes it, as behind a balancer. */
+        session->attempts--;
+        session->retry_at = elapsed(connection->pool) + RETRY_PAUSE;
+        return;
+    }
+    on_no_answer(session);
+}
+
+static void
+on_connected(cbw_resp_t *resp)
+{
+    connection_t *connection = resp->context;
+
+    connection->connected = true;
 }
 
 static const cbw_resp_ops_t resp_ops = {
+    .on_connected = on_connected,
     .on_message = on_message,
     .on_close = on_close,
 };
@@ -177,6 +196,10 @@
         return;
     }
     connection->session = NULL;
+    if (connection->closing) {
+        drop_connection(connection);
+        return;
+    }
     CbwList_Prepend(&session->pool->idle_connections[connection->entry],
                     &connection->link);
 }
@@ -192,17 +215,18 @@
 
     switch (session->kind->type) {
     case WORK_WRITE:
-        snprintf(text, STATEMENT_MAX, "put account.%" PRIu64 " %" PRIu64,
-                 session->number, session->sequence);
+        snprintf(text, STATEMENT_MAX, "put account.%s.%" PRIu64 " %" PRIu64,
+                 session->pool->label, session->number, session->sequence);
         break;
     case WORK_READ:
     case WORK_READ_ANY:
-        snprintf(text, STATEMENT_MAX, "get account.%" PRIu64, session->number);
+        snprintf(text, STATEMENT_MAX, "get account.%s.%" PRIu64,
+                 session->pool->label, session->number);
         break;
     case WORK_TRANSACTION:
-        snprintf(text, STATEMENT_MAX, "put pair.%" PRIu64 ".%s %" PRIu64,
-                 session->number, session->step == STEP_FIRST ? "a" : "b",
-                 session->sequence);
+        snprintf(text, STATEMENT_MAX, "put pair.%s.%" PRIu64 ".%s %" PRIu64,
+                 session->pool->label, session->number,
+                 session->step == STEP_FIRST ? "a" : "b", session->sequence);
         break;
     }
 }
@@ -343,11 +367,12 @@
 {
     cbw_outcome_t outcome;
 
-    if (message->is_error || message->count != 4) {
+    if (message->is_error || message->count < 4) {
         on_no_answer(session);
         return;
     }
     outcome = parse_outcome(message->words[0]);
+    session->connection->closing = message->count > 4;
     if (outcome == CBW_OUTCOME_UNKNOWN &&
         session->kind->type != WORK_TRANSACTION &&
         session->attempts < session->pool->attempts_max) {
--- a/src/carobwind-bench/caller.h
+++ b/src/carobwind-bench/caller.h
@@ -18,6 +18,7 @@
     struct ev_loop *loop;
     load_t *load;
     const char *local_ip;
+    const char *label; /* keeps the accounts of different runs apart */
     char entries[CALLER_ENTRIES_MAX][Cbw_ADDRESS_MAX];
     size_t entry_count;
     char databases[CALLER_DATABASES_MAX][Cbw_NAME_MAX];
--- a/src/carobwind-bench/main.c
+++ b/src/carobwind-bench/main.c
@@ -25,6 +25,7 @@
 static const char *journal_path = "";
 static const char *plot_path = "";
 static const char *local_ip = "";
+static const char *label = "bench";
 static double seconds = 10;
 static double warmup = 1;
 static long sessions = 200;
@@ -50,6 +51,8 @@
     {CBW_OPTION_STRING, "plot", "FILE", "writes an SVG", &plot_path, 0, 0},
     {CBW_OPTION_STRING, "local-ip", "IP", "address of the callers", &local_ip,
      0, 0},
+    {CBW_OPTION_STRING, "label", "NAME", "part of the accounts' names", &label,
+     0, 0},
     {CBW_OPTION_DOUBLE, "seconds", "S", "how long requests arrive", &seconds,
      0, 0},
     {CBW_OPTION_DOUBLE, "warmup", "S", "left out of the figures", &warmup, 0,
@@ -162,6 +165,7 @@
     }
     pool.load = &load;
     pool.local_ip = local_ip;
+    pool.label = label;
     pool.entry_count =
         split(entries, pool.entries[0], Cbw_ADDRESS_MAX, CALLER_ENTRIES_MAX);
     pool.database_count = split(databases, pool.databases[0], Cbw_NAME_MAX,
--- a/src/carobwindd/entry_task.c
+++ b/src/carobwindd/entry_task.c
@@ -97,15 +97,17 @@
     CbwReaper_Later(release_session, session);
 }
 
-/* Answers: outcome, result or reason, token, trace id. */
+/* Answers: outcome, result or reason, token, trace id; while this host drains
+ * also "closing", which asks the caller to use another connection. */
 static void
 send_answer(session_t *session, const cbw_request_t *request)
 {
     const cbw_answer_t *answer = &request->answer;
     char reason[160];
     const char *words[] = {CbwRequest_OutcomeString[answer->outcome], reason,
-                           answer->token, request->trace};
-    size_t sizes[4];
+                           answer->token, request->trace, "closing"};
+    size_t sizes[5];
+    int count = self.draining ? 5 : 4;
 
     if (answer->retry_after > 0) {
         snprintf(reason, sizeof(reason), "%s; retry after %" PRId64 " ms",
@@ -114,14 +116,14 @@
     else {
         snprintf(reason, sizeof(reason), "%s", answer->reason);
     }
-    for (int i = 0; i < 4; i++) {
+    for (int i = 0; i < count; i++) {
         sizes[i] = strlen(words[i]);
     }
     if (answer->outcome == CBW_OUTCOME_DONE) {
         words[1] = answer->result != NULL ? answer->result : "";
         sizes[1] = answer->result_size;
     }
-    CbwResp_Send(&session->resp, 4, words, sizes);
+    CbwResp_Send(&session->resp, count, words, sizes);
 }
 
 static void
@@ -196,10 +198,6 @@
     }
     send_answer(session, &job->request);
     Job_Free(job);
-    if (self.draining && session->transaction == 0) {
-        CbwStream_CloseWhenWritten(&session->resp.stream);
-        return;
-    }
     CbwResp_Resume(&session->resp);
 }
 
@@ -397,12 +395,11 @@
 };
 
 static void
-on_acceptable(struct ev_loop *loop, ev_io *watcher, int events)
+accept_all(const ev_io *watcher)
 {
     char ip[CbwNet_IP_MAX];
     int fd;
 
-    (void)events;
     while (self.session_count < SESSIONS_MAX &&
            (fd = CbwNet_Accept(watcher->fd, ip)) >= 0) {
         session_t *session = calloc(1, sizeof(*session));
@@ -413,12 +410,20 @@
         CbwList_Append(&self.sessions, &session->link);
         self.session_count++;
         CbwCounter_Add(&self.daemon->counters, CBW_COUNTER_SESSIONS, 1);
-        CbwResp_Accept(&session->resp, loop, fd, ip, &CbwResp_ServerLimits,
-                       &session_ops, session);
+        CbwResp_Accept(&session->resp, self.daemon->loop, fd, ip,
+                       &CbwResp_ServerLimits, &session_ops, session);
         session->answered_at = CbwNet_Now();
     }
 }
 
+static void
+on_acceptable(struct ev_loop *loop, ev_io *watcher, int events)
+{
+    (void)loop;
+    (void)events;
+    accept_all(watcher);
+}
+
 static void
 on_config(config_message_t *message)
 {
@@ -441,6 +446,7 @@
 {
     self.draining = true;
     self.drain_at = CbwNet_Now();
+    accept_all(&self.listener);
     ev_io_stop(self.daemon->loop, &self.listener);
     close(self.listener.fd);
 }
--- a/src/carobwindd/store_task.c
+++ b/src/carobwindd/store_task.c
@@ -84,23 +84,34 @@
     self.driver->call(call);
 }
 
+static store_call_t *
+find_expired(cbw_time_t now)
+{
+    cbw_link_t *link = self.calls.next;
+
+    for (; link != &self.calls; link = link->next) {
+        store_call_t *call = Cbw_LIST_ITEM(link, store_call_t, message.link);
+        if (now >= call->deadline) {
+            return call;
+        }
+    }
+    return NULL;
+}
+
 static void
 on_tick(struct ev_loop *loop, ev_timer *watcher, int events)
 {
     cbw_time_t now = CbwNet_Now();
-    cbw_link_t *link;
-    cbw_link_t *safe;
+    store_call_t *call;
 
     (void)loop;
     (void)watcher;
     (void)events;
-    Cbw_LIST_FOREACH (&self.calls, link, safe) {
-        store_call_t *call = Cbw_LIST_ITEM(link, store_call_t, message.link);
-        if (now >= call->deadline) {
-            self.driver->forget(call);
-            call->status = CBW_STORE_LOST;
-            finish(call);
-        }
+    /* Giving up one call can end others: the search starts anew. */
+    while ((call = find_expired(now)) != NULL) {
+        self.driver->forget(call);
+        call->status = CBW_STORE_LOST;
+        finish(call);
     }
 }
 
--- a/src/libcarobwind/group.c
+++ b/src/libcarobwind/group.c
@@ -78,10 +78,11 @@
 CbwGroup_OnState(cbw_group_t *group, int index, cbw_time_t sent,
                  cbw_time_t now, const cbw_endpoint_state_t *state)
 {
-    cbw_group_endpoint_t *endpoint = &group->endpoints[index];
+    cbw_group_endpoint_t *endpoint;
     bool changed;
 
     assert(index >= 0 && index < group->count);
+    endpoint = &group->endpoints[index];
     if (now > endpoint->heard_at) {
         endpoint->heard_at = now;
     }
--- a/src/libcarobwind/inventory.c
+++ b/src/libcarobwind/inventory.c
@@ -32,6 +32,10 @@
 
 static __thread parse_context_t *current;
 
+#define SECTION_FLAGS (CFGF_MULTI | CFGF_TITLE | CFGF_NO_TITLE_DUPES)
+/* How the parser's error for a second section of one name begins. */
+#define DUPLICATE_ERROR "found duplicate title"
+
 /* Longest text that is read, and most syntax errors that are reported. */
 #define TEXT_MAX (16 * 1024 * 1024)
 #define SYNTAX_ERRORS_MAX 50
@@ -215,12 +219,6 @@
         cfg_t *section = cfg_getnsec(root, "data-centre", (unsigned)i);
         cbw_data_centre_t *centre =
             &inventory->data_centres[inventory->data_centre_count];
-        const char *title = cfg_title(section);
-        if (title != NULL && CbwInventory_DataCentre(inventory, title)) {
-            find(context, section, "", "data-centre \"%s\" stands twice",
-                 title);
-            continue;
-        }
         copy_name(context, section, "data-centre", centre->name);
         snprintf(centre->region, sizeof(centre->region), "%s",
                  cfg_getstr(section, "region"));
@@ -257,11 +255,6 @@
                  Cbw_RANKS_MAX);
             break;
         }
-        if (rank_index(inventory, cfg_title(section)) >= 0) {
-            find(context, section, "", "rank \"%s\" stands twice",
-                 cfg_title(section));
-            continue;
-        }
         rank = &inventory->ranks[inventory->rank_count++];
         copy_name(context, section, "rank", rank->name);
         if (floor < 0 || floor > 100) {
@@ -327,11 +320,6 @@
     inventory->kinds = calloc(count + 1, sizeof(cbw_kind_t));
     for (size_t i = 0; i < count; i++) {
         cfg_t *section = cfg_getnsec(root, "kind", (unsigned)i);
-        if (CbwInventory_Kind(inventory, cfg_title(section)) != NULL) {
-            find(context, section, "", "kind \"%s\" stands twice",
-                 cfg_title(section));
-            continue;
-        }
         read_kind(context, section, inventory,
                   &inventory->kinds[inventory->kind_count]);
         inventory->kind_count++;
@@ -425,14 +413,12 @@
 {
     size_t databases = cfg_size(root, "database");
     size_t room = databases * Cbw_ENDPOINTS_MAX + 1;
-    unique_t *names = calloc(databases + 1, sizeof(unique_t));
     unique_t *endpoints = calloc(room, sizeof(unique_t));
     unique_t *addresses = calloc(room, sizeof(unique_t));
     size_t count = 0;
 
-    for (size_t i = 0; names && endpoints && addresses && i < databases; i++) {
+    for (size_t i = 0; endpoints && addresses && i < databases; i++) {
         cfg_t *section = cfg_getnsec(root, "database", (unsigned)i);
-        names[i] = (unique_t){cfg_title(section), section};
         for (size_t j = 0; j < cfg_size(section, "endpoint"); j++) {
             cfg_t *endpoint = cfg_getnsec(section, "endpoint", (unsigned)j);
             const char *address = cfg_getstr(endpoint, "address");
@@ -444,12 +430,10 @@
             }
         }
     }
-    if (names && endpoints && addresses) {
-        find_doubles(context, names, databases, "database", "");
+    if (endpoints && addresses) {
         find_doubles(context, endpoints, count, "endpoint", "");
         find_doubles(context, addresses, count, "address", "address");
     }
-    free(names);
     free(endpoints);
     free(addresses);
 }
@@ -484,7 +468,7 @@
         CFG_END(),
     };
     static cfg_opt_t database_options[] = {
-        CFG_SEC("endpoint", endpoint_options, CFGF_MULTI | CFGF_TITLE),
+        CFG_SEC("endpoint", endpoint_options, SECTION_FLAGS),
         CFG_END(),
     };
     static cfg_opt_t data_centre_options[] = {
@@ -504,10 +488,10 @@
         CFG_END(),
     };
     static cfg_opt_t options[] = {
-        CFG_SEC("data-centre", data_centre_options, CFGF_MULTI | CFGF_TITLE),
-        CFG_SEC("rank", rank_options, CFGF_MULTI | CFGF_TITLE),
-        CFG_SEC("kind", kind_options, CFGF_MULTI | CFGF_TITLE),
-        CFG_SEC("database", database_options, CFGF_MULTI | CFGF_TITLE),
+        CFG_SEC("data-centre", data_centre_options, SECTION_FLAGS),
+        CFG_SEC("rank", rank_options, SECTION_FLAGS),
+        CFG_SEC("kind", kind_options, SECTION_FLAGS),
+        CFG_SEC("database", database_options, SECTION_FLAGS),
         CFG_END(),
     };
     static const char *const noted[] = {
@@ -536,6 +520,31 @@
     return parser;
 }
 
+/* Gives the section that begins at a line a name of its own, so that the next
+ * parse gets past the duplicate. Returns the new text, or NULL. */
+static char *
+rename_section(char *text, int line, int number)
+{
+    char *start = text;
+    char *title;
+    char *renamed;
+    size_t title_length;
+
+    for (int i = 1; i < line; i++) {
+        start = strchr(start, '\n') + 1;
+    }
+    title = start + strspn(start, " \t");
+    title += strcspn(title, " \t\n");
+    title += strspn(title, " \t");
+    title_length = strcspn(title, " \t{\n");
+    if (title_length == 0 ||
+        asprintf(&renamed, "%.*sduplicate.%d%s", (int)(title - text), text,
+                 number, title + title_length) < 0) {
+        return NULL;
+    }
+    return renamed;
+}
+
 /* Blanks a line, so that the next parse gets past its error. */
 static bool
 blank_line(char *text, int line)
@@ -557,10 +566,30 @@
     return had_content;
 }
 
-/* Parses, and after a syntax error again without its line, so that all of
- * them are found. Returns the parser, or NULL. */
+/* Changes the text so that the next parse gets past the error just found.
+ * Returns whether it did. */
+static bool
+get_past_error(const parse_context_t *context, char **text, int number)
+{
+    char *renamed;
+
+    if (strncmp(context->error_text, DUPLICATE_ERROR,
+                strlen(DUPLICATE_ERROR)) != 0) {
+        return blank_line(*text, context->error_line);
+    }
+    renamed = rename_section(*text, context->error_line, number);
+    if (renamed == NULL) {
+        return false;
+    }
+    free(*text);
+    *text = renamed;
+    return true;
+}
+
+/* Parses, and after a syntax error again without it, so that all of them are
+ * found. Returns the parser, or NULL. */
 static cfg_t *
-parse_all(parse_context_t *context, char *text)
+parse_all(parse_context_t *context, char **text)
 {
     for (int tries = 0; tries < SYNTAX_ERRORS_MAX; tries++) {
         cfg_t *parser = new_parser();
@@ -569,7 +598,7 @@
         }
         context->line_count = 0;
         context->error_line = 0;
-        if (cfg_parse_buf(parser, text) == CFG_SUCCESS) {
+        if (cfg_parse_buf(parser, *text) == CFG_SUCCESS) {
             return parser;
         }
         cfg_free(parser);
@@ -580,7 +609,7 @@
         }
         CbwFindings_Add(context->findings, context->place, context->error_line,
                         "%s", context->error_text);
-        if (!blank_line(text, context->error_line)) {
+        if (!get_past_error(context, text, tries)) {
             return NULL;
         }
     }
@@ -612,7 +641,7 @@
     current = &context;
     copy = strdup(text);
     if (copy != NULL) {
-        root = parse_all(&context, copy);
+        root = parse_all(&context, &copy);
     }
     if (root != NULL) {
         read_data_centres(&context, root, inventory);
--- a/src/libcarobwind/limit.c
+++ b/src/libcarobwind/limit.c
@@ -5,10 +5,12 @@
 
 #include "carobwind/plugin.h"
 
-/* Replies in a window, at the least. */
-#define WINDOW_REPLIES 20
-/* Windows until the minimum latency is measured anew. */
-#define MINIMUM_WINDOWS 50
+/* Replies in a window. */
+#define WINDOW_REPLIES 40
+/* Windows from one measurement of the base latency to the next. */
+#define BASE_WINDOWS 40
+/* A reply counts for this part of the average latency. */
+#define SMOOTHING 16
 /* Requests estimated to queue inside the endpoint: grow below, shrink above.
  */
 #define QUEUE_LOW 1.0
@@ -21,14 +23,15 @@
     *limit = (cbw_limit_t){
         .limit = slots + 1 < maximum ? slots + 1 : maximum,
         .maximum = maximum,
-        .window_minimum = Cbw_NEVER,
     };
 }
 
 bool
 CbwLimit_HasRoom(const cbw_limit_t *limit)
 {
-    return limit->in_flight < limit->limit;
+    int allowed = limit->probing ? (limit->limit + 1) / 2 : limit->limit;
+
+    return limit->in_flight < allowed;
 }
 
 void
@@ -46,9 +49,23 @@
 {
     assert(limit->in_flight > 0);
     limit->in_flight--;
-    if (latency >= 0) {
-        ops->on_reply(limit, latency);
+    if (latency < 0) {
+        return;
+    }
+    if (limit->average_latency == 0) {
+        limit->average_latency = latency;
+    }
+    limit->average_latency += (latency - limit->average_latency) / SMOOTHING;
+    ops->on_reply(limit, latency);
+}
+
+double
+CbwLimit_Capacity(const cbw_limit_t *limit)
+{
+    if (limit->average_latency <= 0) {
+        return 0;
     }
+    return (double)limit->limit * Cbw_SEC / (double)limit->average_latency;
 }
 
 static void
@@ -58,19 +75,17 @@
     (void)latency;
 }
 
+/* Grows or shrinks the limit by what seems to queue inside the endpoint. */
 static void
-close_window(cbw_limit_t *limit)
+adjust(cbw_limit_t *limit, cbw_time_t average)
 {
-    double average = (double)limit->window_sum / limit->window_count;
     double queued;
 
-    if (limit->minimum_latency == 0 ||
-        limit->window_minimum < limit->minimum_latency ||
-        limit->windows >= MINIMUM_WINDOWS) {
-        limit->minimum_latency = limit->window_minimum;
-        limit->windows = 0;
+    if (average < limit->base_latency) {
+        limit->base_latency = average;
     }
-    queued = limit->limit * (1.0 - (double)limit->minimum_latency / average);
+    queued =
+        limit->limit * (1.0 - (double)limit->base_latency / (double)average);
     if (queued < QUEUE_LOW && limit->window_full &&
         limit->limit < limit->maximum) {
         limit->limit++;
@@ -78,8 +93,25 @@
     else if (queued > QUEUE_HIGH && limit->limit > 1) {
         limit->limit--;
     }
+}
+
+static void
+close_window(cbw_limit_t *limit)
+{
+    cbw_time_t average = limit->window_sum / limit->window_count;
+
+    if (limit->probing) {
+        limit->base_latency = average;
+        limit->probing = false;
+        limit->windows = 0;
+    }
+    else if (limit->base_latency == 0 || limit->windows >= BASE_WINDOWS) {
+        limit->probing = true;
+    }
+    else {
+        adjust(limit, average);
+    }
     limit->windows++;
-    limit->window_minimum = Cbw_NEVER;
     limit->window_sum = 0;
     limit->window_count = 0;
     limit->window_full = false;
@@ -88,12 +120,8 @@
 static void
 adaptive_on_reply(cbw_limit_t *limit, cbw_time_t latency)
 {
-    latency = latency > 0 ? latency : 1;
-    limit->window_sum += latency;
+    limit->window_sum += latency > 0 ? latency : 1;
     limit->window_count++;
-    if (latency < limit->window_minimum) {
-        limit->window_minimum = latency;
-    }
     if (limit->window_count >= WINDOW_REPLIES) {
         close_window(limit);
     }
--- a/src/libcarobwind/membership.c
+++ b/src/libcarobwind/membership.c
@@ -57,6 +57,7 @@
 add_member(cbw_membership_t *membership, const cbw_member_change_t *change)
 {
     cbw_member_t *member;
+    size_t place;
 
     if (membership->count == membership->capacity) {
         size_t capacity = membership->capacity ? 2 * membership->capacity : 16;
@@ -68,7 +69,14 @@
         membership->members = members;
         membership->capacity = capacity;
     }
-    member = &membership->members[membership->count++];
+    place = membership->count++;
+    if (place > 1) {
+        /* A random place: hosts must not probe in the same order. */
+        size_t other = 1 + (size_t)CbwRandom_Below(&membership->random, place);
+        membership->members[place] = membership->members[other];
+        place = other;
+    }
+    member = &membership->members[place];
     memset(member, 0, sizeof(*member));
     member->public = *change;
     return member;
--- a/src/libcarobwind/owner.c
+++ b/src/libcarobwind/owner.c
@@ -468,6 +468,28 @@
     }
 }
 
+/* What the primary serves, and what the replicas serve that are in use. */
+static void
+update_capacity(cbw_owner_t *owner, cbw_time_t now)
+{
+    const cbw_group_t *group = &owner->group;
+    double replicas = 0;
+
+    for (int i = 0; i < group->count; i++) {
+        const cbw_group_endpoint_t *endpoint = &group->endpoints[i];
+        if (i != group->primary && !endpoint->leaving &&
+            CbwGroup_IsHealthy(group, i, now)) {
+            replicas += CbwLimit_Capacity(&endpoint->limit);
+        }
+    }
+    CbwQueue_SetCapacity(&owner->replica_queue, replicas);
+    if (group->primary >= 0) {
+        CbwQueue_SetCapacity(
+            &owner->primary_queue,
+            CbwLimit_Capacity(&group->endpoints[group->primary].limit));
+    }
+}
+
 /* Admission: entries let through less of a rank while its wait is long. */
 static void
 adapt_admission(cbw_owner_t *owner, cbw_time_t now)
@@ -476,6 +498,7 @@
         return;
     }
     owner->admission_at = now + Cbw_OWNER_ADMISSION_INTERVAL;
+    update_capacity(owner, now);
     for (size_t i = 0; i < owner->inventory->rank_count; i++) {
         const cbw_queue_ops_t *policy = owner->policies.queue;
         cbw_time_t wait = policy->estimate(&owner->primary_queue, (int)i);
--- a/src/libcarobwind/queue.c
+++ b/src/libcarobwind/queue.c
@@ -41,11 +41,16 @@
     queue->length++;
 }
 
+void
+CbwQueue_SetCapacity(cbw_queue_t *queue, double capacity)
+{
+    queue->capacity = capacity;
+}
+
 void
 CbwQueue_OnDispatch(cbw_queue_t *queue, cbw_time_t now, int rank)
 {
     double seconds;
-    double rate;
 
     queue->ranks[rank].served++;
     queue->rate_count++;
@@ -58,12 +63,6 @@
         return;
     }
     seconds = (double)(now - queue->rate_since + 1) / Cbw_SEC;
-    rate = (double)queue->rate_count / seconds;
-    queue->dispatch_rate =
-        queue->dispatch_rate == 0
-            ? rate
-            : queue->dispatch_rate +
-                  RATE_WEIGHT * (rate - queue->dispatch_rate);
     for (size_t i = 0; i < queue->rank_count; i++) {
         cbw_rank_queue_t *r = &queue->ranks[i];
         r->rate += RATE_WEIGHT * ((double)r->served / seconds - r->rate);
@@ -73,15 +72,14 @@
     queue->rate_count = 0;
 }
 
-/* Requests that a new one of `rank` waits for, over the rate at which the
- * queue is served. */
+/* The time in which `ahead` requests are served at `rate` a second. */
 static cbw_time_t
-wait_for(const cbw_queue_t *queue, size_t ahead, double rate)
+wait_for(size_t ahead, double rate)
 {
-    if (ahead == 0 || queue->dispatch_rate <= 0) {
+    if (ahead == 0 || rate <= 0) {
         return 0;
     }
-    return (cbw_time_t)((double)ahead * Cbw_SEC / (rate > 1 ? rate : 1));
+    return (cbw_time_t)((double)ahead * Cbw_SEC / rate);
 }
 
 /* Ranked policy: urgent first, but each lower rank earns a share of the
@@ -163,18 +161,20 @@
 static cbw_time_t
 ranked_estimate(const cbw_queue_t *queue, int rank)
 {
-    size_t ahead = queue->ranks[rank].length;
-    double rate = queue->ranks[rank].rate;
-    double share = queue->dispatch_rate;
+    double least = queue->capacity * queue->ranks[rank].floor;
+    double share = queue->capacity;
 
-    /* What is left for this rank after the more urgent ones. */
+    /* What the more urgent ranks leave, but at least the floor. */
     for (int i = 0; i < rank; i++) {
         share -= queue->ranks[i].rate;
     }
-    if (share < queue->dispatch_rate * queue->ranks[rank].floor) {
-        share = queue->dispatch_rate * queue->ranks[rank].floor;
+    if (share < least) {
+        share = least;
+    }
+    if (queue->capacity > 0 && share < 1) {
+        share = 1;
     }
-    return wait_for(queue, ahead, share > rate ? share : rate);
+    return wait_for(queue->ranks[rank].length, share);
 }
 
 /* First-come-first-served policy, the baseline. */
@@ -210,7 +210,7 @@
 fifo_estimate(const cbw_queue_t *queue, int rank)
 {
     (void)rank;
-    return wait_for(queue, queue->length, queue->dispatch_rate);
+    return wait_for(queue->length, queue->capacity);
 }
 
 static const cbw_queue_ops_t ranked_ops = {
--- a/src/share/reaper.c
+++ b/src/share/reaper.c
@@ -14,12 +14,15 @@
 static void
 reap(struct ev_loop *loop, ev_prepare *watcher, int events)
 {
+    entry_t *present = entries;
+
     (void)loop;
     (void)watcher;
     (void)events;
-    while (entries != NULL) {
-        entry_t *entry = entries;
-        entries = entry->next;
+    entries = NULL; /* what is added now waits for the next round */
+    while (present != NULL) {
+        entry_t *entry = present;
+        present = entry->next;
         entry->release(entry->object);
         free(entry);
     }
--- /dev/null
+++ b/src/test_libcarobwind/suites.h
@@ -0,0 +1,13 @@
+/* The suites of the kernel's tests; each adds its cases to GLib's test. */
+#ifndef TEST_LIBCAROBWIND_SUITES_H
+#define TEST_LIBCAROBWIND_SUITES_H
+
+void Suite_AddBasics(void);
+void Suite_AddExplorer(void);
+void Suite_AddFuzz(void);
+void Suite_AddInventory(void);
+void Suite_AddMembership(void);
+void Suite_AddOwner(void);
+void Suite_AddPolicies(void);
+
+#endif
--- /dev/null
+++ b/src/test_libcarobwind/test_basics.c
@@ -0,0 +1,241 @@
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "carobwind/admission.h"
+#include "carobwind/confirm.h"
+#include "carobwind/delta.h"
+#include "carobwind/group.h"
+#include "carobwind/histogram.h"
+#include "carobwind/retry.h"
+#include "carobwind/token.h"
+#include "suites.h"
+
+static void
+test_token_text(void)
+{
+    static const struct {
+        const char *text;
+        int result;
+    } cases[] = {
+        {"billing-1:3:17", 0},
+        {"a:0:0", 0},
+        {"", -1},
+        {":1:2", -1},
+        {"billing-1", -1},
+        {"billing-1:3", -1},
+        {"billing-1:3:", -1},
+        {"billing-1:x:1", -1},
+        {"billing-1:3:17x", -1},
+        {"billing-1:-3:17", -1},
+        {"billing-1: 3:17", -1},
+        {"billing-1:3:17:4", -1},
+        {"a-name-that-is-longer-than-any-name-may-be-here-x:1:2", -1},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        cbw_token_t token;
+        char text[Cbw_TOKEN_MAX];
+        g_assert_cmpint(CbwToken_Parse(&token, cases[i].text), ==,
+                        cases[i].result);
+        if (cases[i].result == 0) {
+            CbwToken_Format(&token, text);
+            g_assert_cmpstr(text, ==, cases[i].text);
+        }
+    }
+}
+
+/* A log of terms 1 (from 1), 2 (from 10) and 4 (from 20), 30 entries long. */
+static const cbw_endpoint_state_t three_terms = {
+    .term = 4,
+    .last_term = 4,
+    .position = 30,
+    .begin_count = 3,
+    .begins = {{4, 20}, {2, 10}, {1, 1}},
+};
+
+static void
+test_token_check(void)
+{
+    static const struct {
+        uint64_t term;
+        uint64_t position;
+        cbw_token_check_t result;
+    } cases[] = {
+        {4, 30, CBW_TOKEN_HELD},  {4, 31, CBW_TOKEN_BEHIND},
+        {5, 1, CBW_TOKEN_BEHIND}, {1, 9, CBW_TOKEN_HELD},
+        {1, 10, CBW_TOKEN_LOST},  {2, 19, CBW_TOKEN_HELD},
+        {2, 20, CBW_TOKEN_LOST},  {3, 19, CBW_TOKEN_HELD},
+        {3, 25, CBW_TOKEN_LOST},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        cbw_token_t token = {.term = cases[i].term,
+                             .position = cases[i].position};
+        g_assert_cmpint(CbwGroup_CheckToken(&three_terms, &token), ==,
+                        cases[i].result);
+    }
+}
+
+static void
+test_confirm_levels(void)
+{
+    cbw_endpoint_state_t held = {.term = 2, .last_term = 2, .position = 5};
+    cbw_endpoint_state_t foreign = {.term = 2, .last_term = 1, .position = 9};
+    cbw_endpoint_state_t fenced = {.term = 3, .last_term = 2, .position = 5};
+    cbw_confirm_t confirm;
+    uint64_t early;
+    uint64_t ticket;
+
+    CbwConfirm_Init(&confirm, 3);
+    CbwConfirm_SetTerm(&confirm, 2);
+    early = CbwConfirm_Question(&confirm);
+    ticket = CbwConfirm_Ticket(&confirm);
+    CbwConfirm_OnState(&confirm, 0, early, &held);
+    CbwConfirm_OnState(&confirm, 1, early, &held);
+    g_assert_false(CbwConfirm_IsTermProved(&confirm, ticket));
+    CbwConfirm_OnState(&confirm, 0, CbwConfirm_Question(&confirm), &held);
+    CbwConfirm_OnState(&confirm, 2, CbwConfirm_Question(&confirm), &fenced);
+    g_assert_false(CbwConfirm_IsTermProved(&confirm, ticket));
+    CbwConfirm_OnState(&confirm, 1, CbwConfirm_Question(&confirm), &foreign);
+    g_assert_true(CbwConfirm_IsTermProved(&confirm, ticket));
+    g_assert_cmpuint(CbwConfirm_Position(&confirm), ==, 5);
+    g_assert_false(
+        CbwConfirm_IsProved(&confirm, CBW_CONFIRM_POSITION, ticket, 6));
+    CbwConfirm_SetTerm(&confirm, 3);
+    g_assert_cmpuint(CbwConfirm_Position(&confirm), ==, 0);
+}
+
+static void
+test_retry_budget(void)
+{
+    cbw_retry_budget_t budget;
+    int taken = 0;
+
+    CbwRetry_Init(&budget);
+    while (CbwRetry_Take(&budget)) {
+        taken++;
+    }
+    g_assert_cmpint(taken, ==, (int)Cbw_RETRY_BURST);
+    for (int i = 0; i < 100; i++) {
+        CbwRetry_OnRequest(&budget);
+    }
+    taken = 0;
+    while (CbwRetry_Take(&budget)) {
+        taken++;
+    }
+    /* The share is earned in fractions, which round down. */
+    g_assert_cmpint(taken, >=, (int)(100 * Cbw_RETRY_SHARE) - 1);
+    g_assert_cmpint(taken, <=, (int)(100 * Cbw_RETRY_SHARE));
+}
+
+static void
+test_admission_share(void)
+{
+    static const int shares[] = {1000, 250, 0};
+    cbw_admission_t admission = {0};
+    int admitted[3] = {0};
+
+    g_assert_true(CbwAdmission_Admit(&admission, 1, 2));
+    CbwAdmission_Hear(&admission, 1, shares, 3);
+    for (int i = 0; i < 1000; i++) {
+        for (int rank = 0; rank < 3; rank++) {
+            admitted[rank] += CbwAdmission_Admit(&admission, 2, rank);
+        }
+    }
+    g_assert_cmpint(admitted[0], ==, 1000);
+    g_assert_cmpint(admitted[1], ==, 250);
+    g_assert_cmpint(admitted[2], ==, 0);
+    g_assert_true(
+        CbwAdmission_Admit(&admission, 2 + Cbw_ADMISSION_VALID_FOR, 2));
+}
+
+static void
+test_delta(void)
+{
+    static const struct {
+        const char *base;
+        const char *text;
+    } cases[] = {
+        {"", ""},        {"", "abc"},
+        {"abc", ""},     {"abc", "abc"},
+        {"abc", "abXc"}, {"aaaa", "aa"},
+        {"aa", "aaaa"},  {"abab", "abXab"},
+        {"abc", "xyz"},  {"line\n", "line\nline\n"},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        cbw_delta_t delta;
+        char *text;
+        CbwDelta_Make(&delta, cases[i].base, cases[i].text);
+        text = CbwDelta_Apply(&delta, cases[i].base);
+        g_assert_cmpstr(text, ==, cases[i].text);
+        free(text);
+    }
+}
+
+static void
+test_delta_misfit(void)
+{
+    cbw_delta_t delta = {.prefix = 2, .suffix = 2, .text = "x", .size = 1};
+
+    g_assert_null(CbwDelta_Apply(&delta, "abc"));
+    delta.prefix = SIZE_MAX;
+    g_assert_null(CbwDelta_Apply(&delta, "abcdef"));
+}
+
+static void
+test_histogram_error(void)
+{
+    for (cbw_time_t value = 1; value < 100 * Cbw_SEC; value += value / 7 + 1) {
+        cbw_histogram_t histogram;
+        cbw_time_t found;
+        CbwHistogram_Init(&histogram);
+        CbwHistogram_Add(&histogram, value);
+        found = CbwHistogram_Percentile(&histogram, 50);
+        g_assert_cmpint(llabs(found - value), <=, value / 32 + 1);
+    }
+}
+
+static void
+test_age_history(void)
+{
+    cbw_database_t database = {.endpoint_count = 3};
+    cbw_endpoint_state_t state = {.term = 1, .primary = true, .last_term = 1};
+    cbw_group_t group;
+    cbw_time_t now = 0;
+
+    for (int i = 0; i < 3; i++) {
+        database.endpoints[i].slots = 3;
+        database.endpoints[i].connections = 50;
+    }
+    CbwGroup_Init(&group, &database);
+    for (int i = 1; i <= 100; i++) {
+        now = i * 10 * Cbw_MSEC;
+        state.position = (uint64_t)i;
+        CbwGroup_OnState(&group, 0, now, now, &state);
+    }
+    /* Without a proof that the primary was not superseded, nothing is known.
+     */
+    g_assert_cmpint(CbwGroup_Age(&group, now, 100), ==, Cbw_NEVER);
+    group.proved_at = now;
+    g_assert_cmpint(CbwGroup_Age(&group, now, 100), ==, 0);
+    g_assert_cmpint(CbwGroup_Age(&group, now, 90), ==, 100 * Cbw_MSEC);
+    g_assert_cmpint(CbwGroup_Age(&group, now, 0), ==, Cbw_NEVER);
+    group.proved_at = now - 300 * Cbw_MSEC;
+    g_assert_cmpint(CbwGroup_Age(&group, now, 100), ==, 300 * Cbw_MSEC);
+}
+
+void
+Suite_AddBasics(void)
+{
+    g_test_add_func("/token/text", test_token_text);
+    g_test_add_func("/token/check", test_token_check);
+    g_test_add_func("/confirm/levels", test_confirm_levels);
+    g_test_add_func("/retry/budget", test_retry_budget);
+    g_test_add_func("/admission/share", test_admission_share);
+    g_test_add_func("/delta/round-trip", test_delta);
+    g_test_add_func("/delta/misfit", test_delta_misfit);
+    g_test_add_func("/histogram/error", test_histogram_error);
+    g_test_add_func("/group/age", test_age_history);
+}
--- /dev/null
+++ b/src/test_libcarobwind/test_inventory.c
@@ -0,0 +1,192 @@
+#include <glib.h>
+#include <string.h>
+
+#include "carobwind/inventory.h"
+#include "suites.h"
+
+#define HEAD                                                                  \
+    "data-centre north { region = \"r\" }\n"                                  \
+    "rank urgent { floor = 0 }\n"                                             \
+    "kind pay { rank = \"urgent\" writes = true }\n"
+
+#define ENDPOINT(name, address)                                               \
+    "endpoint " name " { data-centre = \"north\" address = \"" address        \
+    "\" connections = 50 slots = 3 }\n"
+
+#define DATABASE "database d {\n" ENDPOINT("d-a", "127.0.0.1:7400") "}\n"
+
+typedef struct {
+    const char *name;
+    const char *text;
+    /* "line: part of the finding", in order of line; NULL ends. */
+    const char *findings[6];
+} inventory_case_t;
+
+static const inventory_case_t cases[] = {
+    {"sound", HEAD DATABASE, {NULL}},
+    {"empty",
+     "",
+     {"0: no data-centre", "0: no database", "0: no kind", "0: no rank"}},
+    {"unknown-key",
+     HEAD "colour = 3\n" DATABASE "shape = 4\n",
+     {"4: no such option 'colour'", "8: no such option 'shape'"}},
+    {"unknown-key-inside",
+     HEAD "database d {\nendpoint d-a { data-centre = \"north\"\n"
+          "weight = 3\naddress = \"127.0.0.1:7400\"\nconnections = 50\n"
+          "slots = 3 }\n}\n",
+     {"6: no such option 'weight'"}},
+    {"no-data-centre",
+     HEAD "database d {\nendpoint d-a { data-centre = \"south\" address = "
+          "\"127.0.0.1:7400\" connections = 50 slots = 3 }\n}\n",
+     {"5: no known data-centre"}},
+    {"allowance-0",
+     HEAD "database d {\nendpoint d-a {\ndata-centre = \"north\"\naddress = "
+          "\"127.0.0.1:7400\"\nconnections = 0\nslots = 0 }\n}\n",
+     {"8: connections is 0", "9: slots is 0"}},
+    {"unknown-rank",
+     HEAD "kind read { rank = \"slow\" }\n" DATABASE,
+     {"4: rank \"slow\""}},
+    {"bad-age",
+     HEAD "kind read {\nrank = \"urgent\"\nage = \"soon\"\ndeadline = "
+          "\"0s\"\n}\n" DATABASE,
+     {"6: age \"soon\"", "7: deadline"}},
+    {"bad-confirm",
+     HEAD "kind k { rank = \"urgent\" confirm = \"maybe\" }\n" DATABASE,
+     {"4: confirm \"maybe\""}},
+    {"duplicates",
+     HEAD "kind pay { rank = \"urgent\" }\nrank urgent { floor = 1 }\n"
+          "data-centre north { region = \"r\" }\n" DATABASE DATABASE,
+     {"4: title 'pay'", "5: title 'urgent'", "6: title 'north'", "11: address",
+      "10: title 'd'", "11: endpoint \"d-a\""}},
+    {"floors",
+     HEAD "rank a { floor = 60 }\nrank b { floor = 50 }\n"
+          "rank c { floor = 101 }\n" DATABASE,
+     {"5: over 100%", "6: not 0 to 100"}},
+    {"bad-address",
+     HEAD "database d {\n" ENDPOINT("d-a", "localhost:7400")
+         ENDPOINT("d-b", "127.0.0.1") ENDPOINT("d-c", "127.0.0.256:1") "}\n",
+     {"5: \"localhost:7400\"", "6: \"127.0.0.1\"", "7: \"127.0.0.256:1\""}},
+    {"no-endpoint", HEAD "database d {\n}\n", {"5: has 0 endpoints"}},
+    {"bad-name",
+     HEAD "database \"a b\" {\n" ENDPOINT("d-a", "127.0.0.1:7400") "}\n",
+     {"6: database name \"a b\""}},
+    {"unclosed", HEAD "database d {\n", {"0: "}},
+};
+
+static void
+assert_finding(const cbw_findings_t *findings, const char *expected)
+{
+    int line = (int)g_ascii_strtoll(expected, NULL, 10);
+    const char *part = strchr(expected, ' ') + 1;
+
+    for (size_t i = 0; i < findings->count; i++) {
+        if ((line == 0 || findings->items[i].line == line) &&
+            strstr(findings->items[i].text, part) != NULL) {
+            return;
+        }
+    }
+    for (size_t i = 0; i < findings->count; i++) {
+        g_test_message("found %d: %s", findings->items[i].line,
+                       findings->items[i].text);
+    }
+    g_test_message("missing: %s", expected);
+    g_test_fail();
+}
+
+static void
+test_case(gconstpointer data)
+{
+    const inventory_case_t *this = data;
+    cbw_inventory_t inventory;
+    cbw_findings_t findings;
+    int result;
+
+    CbwFindings_Init(&findings);
+    result = CbwInventory_Parse(&inventory, this->text, "test", &findings);
+    g_assert_cmpint(result, ==, this->findings[0] == NULL ? 0 : -1);
+    for (int i = 0; i < 6 && this->findings[i] != NULL; i++) {
+        assert_finding(&findings, this->findings[i]);
+    }
+    CbwInventory_Finish(&inventory);
+    CbwFindings_Finish(&findings);
+}
+
+static void
+test_durations(void)
+{
+    static const struct {
+        const char *text;
+        cbw_time_t value;
+    } durations[] = {
+        {"250ms", 250 * Cbw_MSEC},
+        {"2s", 2 * Cbw_SEC},
+        {"1.5s", 1500 * Cbw_MSEC},
+        {"5m", 300 * Cbw_SEC},
+        {"any", Cbw_NEVER},
+        {"", -1},
+        {"5", -1},
+        {"-5s", -1},
+        {"5 s", -1},
+        {"5h", -1},
+        {"s", -1},
+        {"nan", -1},
+        {"99999999s", -1},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(durations); i++) {
+        g_assert_cmpint(CbwInventory_ParseDuration(durations[i].text), ==,
+                        durations[i].value);
+    }
+}
+
+static void
+append_line(void *context, const char *line)
+{
+    g_string_append_printf(context, "%s\n", line);
+}
+
+static void
+test_diff(void)
+{
+    cbw_inventory_t before;
+    cbw_inventory_t after;
+    cbw_findings_t findings;
+    GString *lines = g_string_new("");
+
+    CbwFindings_Init(&findings);
+    CbwInventory_Parse(&before, HEAD DATABASE, "before", &findings);
+    CbwInventory_Parse(
+        &after,
+        "data-centre north { region = \"r\" }\n"
+        "rank urgent { floor = 5 }\n"
+        "kind pay { rank = \"urgent\" writes = true deadline = 1s }\n"
+        "kind look { rank = \"urgent\" }\n"
+        "database d {\nendpoint d-a { data-centre = \"north\" address = "
+        "\"127.0.0.1:7400\" connections = 50 slots = 3 leaving = true "
+        "}\n" ENDPOINT("d-b", "127.0.0.2:7400") "}\n",
+        "after", &findings);
+    g_assert_cmpuint(findings.count, ==, 0);
+    CbwInventory_Diff(&before, &after, append_line, lines);
+    g_assert_cmpstr(lines->str, ==,
+                    "~ rank number 1: floor 0 -> 5\n"
+                    "~ kind pay: deadline us 2000000 -> 1000000\n"
+                    "+ kind look\n"
+                    "~ endpoint d-a: leaving false -> true\n"
+                    "+ endpoint d-b\n");
+    g_string_free(lines, TRUE);
+    CbwInventory_Finish(&before);
+    CbwInventory_Finish(&after);
+    CbwFindings_Finish(&findings);
+}
+
+void
+Suite_AddInventory(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        char *path = g_strdup_printf("/inventory/%s", cases[i].name);
+        g_test_add_data_func(path, &cases[i], test_case);
+        g_free(path);
+    }
+    g_test_add_func("/inventory/durations", test_durations);
+    g_test_add_func("/inventory/diff", test_diff);
+}
--- /dev/null
+++ b/src/test_libcarobwind/test_main.c
@@ -0,0 +1,18 @@
+#include <glib.h>
+
+#include "suites.h"
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_set_nonfatal_assertions();
+    Suite_AddBasics();
+    Suite_AddExplorer();
+    Suite_AddFuzz();
+    Suite_AddInventory();
+    Suite_AddMembership();
+    Suite_AddOwner();
+    Suite_AddPolicies();
+    return g_test_run();
+}
--- /dev/null
+++ b/src/test_libcarobwind/test_owner.c
@@ -0,0 +1,351 @@
+#include <glib.h>
+#include <string.h>
+
+#include "fake_group.h"
+#include "suites.h"
+
+static fake_group_t group;
+
+static void
+submit_write(const char *kind, const char *key)
+{
+    FakeGroup_Submit(&group, CBW_VERB_STATEMENT, kind, key, "", 0);
+}
+
+static void
+submit_read(const char *kind, const char *token)
+{
+    FakeGroup_Submit(&group, CBW_VERB_STATEMENT, kind, "", token, 0);
+}
+
+static void
+run_for(cbw_time_t length)
+{
+    FakeGroup_Run(&group, group.now + length);
+}
+
+static void
+start(void)
+{
+    FakeGroup_Init(&group, &FakeGroup_Defaults);
+}
+
+static void
+assert_outcomes(uint64_t done, uint64_t notrun, uint64_t unknown)
+{
+    g_test_message("last reason: %s", group.last.reason);
+    g_assert_cmpuint(group.outcomes[CBW_OUTCOME_DONE], ==, done);
+    g_assert_cmpuint(group.outcomes[CBW_OUTCOME_NOTRUN], ==, notrun);
+    g_assert_cmpuint(group.outcomes[CBW_OUTCOME_UNKNOWN], ==, unknown);
+}
+
+static void
+test_write_is_done(void)
+{
+    start();
+    submit_write("payment", "k1");
+    run_for(100 * Cbw_MSEC);
+    assert_outcomes(1, 0, 0);
+    g_assert_cmpint(FakeGroup_CountKey(&group, 0, "k1"), ==, 1);
+    g_assert_cmpstr(group.last.token, ==, "db:1:2");
+    FakeGroup_Finish(&group);
+}
+
+static void
+test_same_key_runs_once(void)
+{
+    start();
+    submit_write("payment", "k1");
+    submit_write("payment", "k1");
+    run_for(100 * Cbw_MSEC);
+    submit_write("payment", "k1");
+    run_for(100 * Cbw_MSEC);
+    assert_outcomes(3, 0, 0);
+    g_assert_cmpint(FakeGroup_CountKey(&group, 0, "k1"), ==, 1);
+    FakeGroup_Finish(&group);
+}
+
+static void
+test_no_majority_no_acknowledgement(void)
+{
+    start();
+    group.endpoints[1].down = true;
+    group.endpoints[2].down = true;
+    submit_write("payment", "k1");
+    submit_write("quick", "k2");
+    run_for(5 * Cbw_SEC);
+    assert_outcomes(0, 0, 2);
+    FakeGroup_Finish(&group);
+}
+
+static void
+test_lagging_majority(void)
+{
+    fake_settings_t settings = FakeGroup_Defaults;
+
+    settings.lag = 30 * Cbw_SEC;
+    FakeGroup_Init(&group, &settings);
+    submit_write("payment", "k1");
+    submit_write("quick", "k2");
+    run_for(5 * Cbw_SEC);
+    /* Only the one that needs no position is proved. */
+    assert_outcomes(1, 0, 1);
+    FakeGroup_Finish(&group);
+}
+
+static void
+test_failover(void)
+{
+    cbw_time_t begin;
+
+    start();
+    submit_write("payment", "k1");
+    run_for(100 * Cbw_MSEC);
+    group.endpoints[0].down = true;
+    begin = group.now;
+    submit_write("payment", "k2");
+    while (group.outcomes[CBW_OUTCOME_DONE] < 2 &&
+           group.now < begin + 5 * Cbw_SEC) {
+        run_for(10 * Cbw_MSEC);
+    }
+    assert_outcomes(2, 0, 0);
+    g_test_message("gap %d ms", (int)((group.now - begin) / Cbw_MSEC));
+    g_assert_cmpint(group.now - begin, <=, 1 * Cbw_SEC);
+    g_assert_cmpint(FakeGroup_Primary(&group), !=, 0);
+    g_assert_cmpint(
+        FakeGroup_CountKey(&group, FakeGroup_Primary(&group), "k1"), ==, 1);
+    g_assert_cmpint(
+        FakeGroup_CountKey(&group, FakeGroup_Primary(&group), "k2"), ==, 1);
+    FakeGroup_Finish(&group);
+}
+
+static void
+test_failover_settles_lost_swap(void)
+{
+    start();
+    group.store_loses = true;
+    group.endpoints[0].down = true;
+    submit_write("payment", "k1");
+    run_for(3 * Cbw_SEC);
+    assert_outcomes(1, 0, 0);
+    FakeGroup_Finish(&group);
+}
+
+static void
+test_failover_waits_for_store(void)
+{
+    start();
+    group.store_down = true;
+    group.endpoints[0].down = true;
+    run_for(5 * Cbw_SEC);
+    g_assert_cmpint(FakeGroup_Primary(&group), ==, -1);
+    group.store_down = false;
+    run_for(4 * Cbw_SEC);
+    g_assert_cmpint(FakeGroup_Primary(&group), >, 0);
+    FakeGroup_Finish(&group);
+}
+
+static void
+test_peers_that_reach_take_over(void)
+{
+    start();
+    group.peers_reach = true;
+    group.endpoints[0].down = true;
+    run_for(3 * Cbw_SEC);
+    g_assert_cmpint(group.moves, >=, 1);
+    g_assert_cmpuint(group.counters.values[CBW_COUNTER_PROMOTIONS_STARTED], ==,
+                     0);
+    FakeGroup_Finish(&group);
+}
+
+static void
+test_unsent_is_notrun(void)
+{
+    start();
+    for (int i = 0; i < FAKE_ENDPOINTS; i++) {
+        group.endpoints[i].down = true;
+    }
+    run_for(1 * Cbw_SEC); /* until the primary is known to be silent */
+    submit_write("payment", "k1");
+    run_for(5 * Cbw_SEC);
+    assert_outcomes(0, 1, 0);
+    FakeGroup_Finish(&group);
+}
+
+/* A statement that was sent and never answered is settled by a tombstone. */
+static void
+test_unanswered_is_settled(void)
+{
+    start();
+    group.endpoints[0].silent = true;
+    submit_write("payment", "k1");
+    run_for(5 * Cbw_SEC);
+    assert_outcomes(0, 1, 0);
+    group.endpoints[0].silent = false;
+    submit_write("payment", "k1");
+    run_for(1 * Cbw_SEC);
+    assert_outcomes(0, 2, 0);
+    g_assert_cmpint(FakeGroup_CountKey(&group, 0, "k1"), ==, 0);
+    FakeGroup_Finish(&group);
+}
+
+static void
+test_reads_use_replicas(void)
+{
+    start();
+    submit_write("payment", "k1");
+    run_for(100 * Cbw_MSEC);
+    for (int i = 0; i < 10; i++) {
+        submit_read("account", "db:1:2");
+        submit_read("balance", "db:1:2");
+        run_for(20 * Cbw_MSEC);
+    }
+    submit_read("latest", "db:1:2");
+    run_for(50 * Cbw_MSEC);
+    assert_outcomes(22, 0, 0);
+    g_assert_cmpuint(group.counters.values[CBW_COUNTER_READS_REPLICA], ==, 20);
+    g_assert_cmpuint(group.counters.values[CBW_COUNTER_READS_PRIMARY], ==, 1);
+    FakeGroup_Finish(&group);
+}
+
+static void
+test_reads_behind_go_to_primary(void)
+{
+    fake_settings_t settings = FakeGroup_Defaults;
+
+    settings.lag = 10 * Cbw_SEC;
+    FakeGroup_Init(&group, &settings);
+    submit_write("quick", "k1");
+    run_for(100 * Cbw_MSEC);
+    submit_read("account", "db:1:2");
+    run_for(100 * Cbw_MSEC);
+    assert_outcomes(2, 0, 0);
+    g_assert_cmpuint(group.counters.values[CBW_COUNTER_READS_PRIMARY], ==, 1);
+    FakeGroup_Finish(&group);
+}
+
+static void
+test_lost_token_is_told(void)
+{
+    start();
+    submit_read("account", "db:0:9");
+    run_for(100 * Cbw_MSEC);
+    assert_outcomes(0, 1, 0);
+    g_assert_nonnull(strstr(group.last.reason, "lost in a failover"));
+    FakeGroup_Finish(&group);
+}
+
+/* A cut-off owner may not serve reads that are younger than its proof. */
+static void
+test_age_needs_proof(void)
+{
+    start();
+    group.endpoints[1].down = true;
+    group.endpoints[2].down = true;
+    run_for(4 * Cbw_SEC);
+    submit_read("balance", "");
+    submit_read("latest", "");
+    run_for(4 * Cbw_SEC);
+    g_assert_cmpuint(group.outcomes[CBW_OUTCOME_DONE], ==, 0);
+    FakeGroup_Finish(&group);
+}
+
+static void
+test_transaction(void)
+{
+    start();
+    FakeGroup_Submit(&group, CBW_VERB_BEGIN, "payment", "", "", 77);
+    run_for(50 * Cbw_MSEC);
+    FakeGroup_Submit(&group, CBW_VERB_STATEMENT, "payment", "", "", 77);
+    run_for(50 * Cbw_MSEC);
+    FakeGroup_Submit(&group, CBW_VERB_COMMIT, "payment", "t1", "", 77);
+    run_for(50 * Cbw_MSEC);
+    assert_outcomes(3, 0, 0);
+    g_assert_cmpint(FakeGroup_CountKey(&group, 0, "t1"), ==, 1);
+    FakeGroup_Finish(&group);
+}
+
+static void
+test_transaction_lost_before_commit(void)
+{
+    start();
+    FakeGroup_Submit(&group, CBW_VERB_BEGIN, "payment", "", "", 77);
+    run_for(50 * Cbw_MSEC);
+    group.endpoints[0].down = true;
+    run_for(3 * Cbw_SEC);
+    FakeGroup_Submit(&group, CBW_VERB_COMMIT, "payment", "t1", "", 77);
+    run_for(1 * Cbw_SEC);
+    assert_outcomes(1, 1, 0);
+    FakeGroup_Finish(&group);
+}
+
+static void
+test_leaving_primary_hands_over(void)
+{
+    uint64_t before;
+
+    start();
+    submit_write("payment", "k1");
+    run_for(100 * Cbw_MSEC);
+    CbwOwner_SetLeaving(&group.owner, 0, true);
+    run_for(2 * Cbw_SEC);
+    g_assert_cmpint(FakeGroup_Primary(&group), >, 0);
+    before = group.endpoints[0].statements;
+    submit_write("payment", "k2");
+    submit_read("account", "");
+    run_for(200 * Cbw_MSEC);
+    assert_outcomes(3, 0, 0);
+    g_assert_cmpuint(group.endpoints[0].statements, ==, before);
+    FakeGroup_Finish(&group);
+}
+
+static void
+test_expired_in_queue_is_notrun(void)
+{
+    start();
+    for (int i = 0; i < 2000; i++) {
+        submit_write("reading", "");
+    }
+    run_for(5 * Cbw_SEC);
+    g_assert_cmpuint(group.outcomes[CBW_OUTCOME_DONE] +
+                         group.outcomes[CBW_OUTCOME_NOTRUN],
+                     ==, 2000);
+    g_assert_cmpuint(group.outcomes[CBW_OUTCOME_NOTRUN], >, 0);
+    /* None ran that was told notrun: begin entry apart, the log has those
+     * that were done. */
+    g_assert_cmpuint(group.endpoints[0].log->len - 1, ==,
+                     group.outcomes[CBW_OUTCOME_DONE]);
+    FakeGroup_Finish(&group);
+}
+
+void
+Suite_AddOwner(void)
+{
+    static const struct {
+        const char *path;
+        void (*test)(void);
+    } tests[] = {
+        {"/owner/write", test_write_is_done},
+        {"/owner/same-key", test_same_key_runs_once},
+        {"/owner/no-majority", test_no_majority_no_acknowledgement},
+        {"/owner/lagging-majority", test_lagging_majority},
+        {"/owner/failover", test_failover},
+        {"/owner/failover-lost-swap", test_failover_settles_lost_swap},
+        {"/owner/failover-store-down", test_failover_waits_for_store},
+        {"/owner/peers-reach", test_peers_that_reach_take_over},
+        {"/owner/unsent", test_unsent_is_notrun},
+        {"/owner/unanswered", test_unanswered_is_settled},
+        {"/owner/reads-replica", test_reads_use_replicas},
+        {"/owner/reads-behind", test_reads_behind_go_to_primary},
+        {"/owner/lost-token", test_lost_token_is_told},
+        {"/owner/age-needs-proof", test_age_needs_proof},
+        {"/owner/transaction", test_transaction},
+        {"/owner/transaction-lost", test_transaction_lost_before_commit},
+        {"/owner/leaving-primary", test_leaving_primary_hands_over},
+        {"/owner/expired", test_expired_in_queue_is_notrun},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(tests); i++) {
+        g_test_add_func(tests[i].path, tests[i].test);
+    }
+}
--- a/test/lib/checker.tcl
+++ b/test/lib/checker.tcl
@@ -87,7 +87,7 @@
             }
             set parts [split $statement |]
             if {[llength $parts] != 2 ||
-                ![regexp {^put pair\.(\d+)\.a (\d+)$} [lindex $parts 0] -> s v] ||
+                ![regexp {^put pair\.(\w+\.\d+)\.a (\d+)$} [lindex $parts 0] -> s v] ||
                 [lindex $parts 1] ne "put pair.$s.b $v"} {
                 lappend violations "mixed transaction: $statement"
             }
@@ -106,7 +106,7 @@
         lassign [split [dict get $row statement]] verb name value
         lassign [split [dict get $row result] =] answered stored
         if {[dict get $row type] eq "transaction"} {
-            regexp {pair\.(\d+)\.} $name -> session
+            regexp {pair\.(\w+\.\d+)\.} $name -> session
             set expected "pair.$session.a=$value;pair.$session.b=$value"
             if {[dict get $row result] ne $expected} {
                 lappend violations "another's answer:\
--- a/test/lib/fleet.tcl
+++ b/test/lib/fleet.tcl
@@ -383,10 +383,15 @@
     }
 }
 
-# Makes the open connections of a process silent for good; new ones work.
-proc silence {name {from all}} {
-    set ip [expr {$from eq "all" ? "all" : [fleet::ip $from]}]
-    fleet::fault $name [list silence $ip]
+# Makes the open connections between a process and others silent for good; new
+# ones work.
+proc silence {name {others ""}} {
+    if {$others eq ""} {
+        set others $fleet::hosts
+    }
+    foreach other $others {
+        fleet::fault $name [list silence [fleet::ip $other]]
+    }
 }
 
 # Sets a property of an endpoint: lag_ms, service_ms, slots or delay_ms.
@@ -434,7 +439,7 @@
         --attempts=[dict get $options -attempts] \
         --patience-ms=[dict get $options -patience] \
         --local-ip=[dict get $options -from] \
-        --seed=$fleet::seed --journal=$base.journal --plot=$base.svg \
+        --seed=$fleet::seed --label=$name --journal=$base.journal --plot=$base.svg \
         --json --quiet > $base.json 2> $base.err &]
     dict set fleet::pids work-$name $pid
     dict set works $name $base
--- /dev/null
+++ b/test/scenarios/connections.tcl
@@ -0,0 +1,128 @@
+# Connections that go silent for good, leaving hosts and graceful shutdown.
+
+scenario silent-to-endpoint "connections to the primary go silent" {
+    fleet
+    storm 7 {
+        silence [primary_of db1]
+    }
+    expect {[dict get [endpoint_state [primary_of db1]] term] == 1}
+}
+
+scenario silent-between-daemons "connections between daemons go silent" {
+    fleet -hosts 5
+    storm 7 {
+        set owner [owner_of db1]
+        foreach host $fleet::hosts {
+            if {$host ne $owner} {
+                silence $owner $host
+            }
+        }
+    }
+}
+
+scenario silent-to-callers "connections of callers to an entry go silent" {
+    fleet -hosts 4
+    storm 12 {
+        foreach host $fleet::hosts {
+            fleet::fault $host [list silence 127.$fleet::block.3.1]
+        }
+    } -patience 2500
+}
+
+# The statements that an endpoint ran until now.
+proc statements {name} {
+    return [dict get [resp::ask [dict get $fleet::settings $name address] \
+        STATS] statements]
+}
+
+# An endpoint that leaves receives nothing new after a few seconds.
+proc expect_left {name} {
+    after 4000
+    set before [statements $name]
+    after 1500
+    set after [statements $name]
+    if {$after != $before} {
+        error "$name received [expr {$after - $before}] statements after 4 s"
+    }
+}
+
+scenario replica-leaves-by-inventory "a replica is marked as leaving" {
+    fleet
+    storm 9 {
+        write_conf [regsub {(db1-b \{[^\}]*slots = \d+)} [read_conf] \
+            {\1 leaving = true}]
+        ctl --yes apply $fleet::conf
+        expect_left db1-b
+    }
+    expect {[statements db1-b] > 0}
+}
+
+scenario primary-leaves-by-inventory "the primary is marked as leaving" {
+    fleet
+    set result [storm 9 {
+        write_conf [regsub {(db1-a \{[^\}]*slots = \d+)} [read_conf] \
+            {\1 leaving = true}]
+        ctl --yes apply $fleet::conf
+        expect_left db1-a
+    }]
+    expect {[primary_of db1] ne "db1-a"}
+    expect {[dict get $result payment notrun] == 0} $result
+    expect {[dict get $result payment unknown] == 0} $result
+}
+
+scenario primary-leaves-by-list "the platform's list says that it leaves" {
+    fleet
+    storm 9 {
+        list_host db1-a leaving
+        expect_left db1-a
+    }
+    expect {[primary_of db1] ne "db1-a"}
+}
+
+# No request was cut: each was answered at the first attempt.
+proc expect_none_cut {name} {
+    set file [open [dict get $fleet::works $name].journal]
+    set rows [checker::parse_journal [read $file]]
+    close $file
+    foreach row $rows {
+        if {[dict get $row attempts] != 1 ||
+            [dict get $row outcome] in {noanswer unknown}} {
+            error "cut: $row"
+        }
+    }
+}
+
+scenario graceful-stop "SIGTERM to a daemon under load cuts no request" {
+    fleet -hosts 5
+    storm 8 {
+        set took [stop [owner_of db1]]
+    } -mix "payment:write:60,balance:read:120,reading:transaction:20"
+    expect_none_cut storm
+    expect {$took < 10000} $took
+}
+
+scenario drained-by-tool "carobwindctl drain stops a daemon gracefully" {
+    fleet -hosts 5
+    storm 8 {
+        set owner [owner_of db1]
+        ctl drain $owner
+        eventually {![fleet::is_running $owner]}
+    }
+    expect_none_cut storm
+}
+
+scenario rolling-restart "all daemons are restarted one after the other" {
+    fleet -hosts 5
+    storm 26 {
+        foreach host $fleet::hosts {
+            stop $host
+            start $host
+            after 1200
+        }
+    }
+    expect_none_cut storm
+    foreach name $fleet::endpoints {
+        set stats [resp::ask [dict get $fleet::settings $name address] STATS]
+        expect {[dict get $stats connections_highest] <= 50} $stats
+    }
+}
--- /dev/null
+++ b/test/scenarios/failover.tcl
@@ -0,0 +1,146 @@
+# Changes of primary: each must be over within 19 s (the users' target), lose
+# nothing that was acknowledged and run nothing twice.
+
+set gap_limit_ms 19000
+
+# Work of all kinds while `body` puts failures on the fleet; the history is
+# checked afterwards. Returns the figures by kind.
+proc storm {seconds body args} {
+    work storm -seconds $seconds {*}$args
+    after 1500
+    uplevel 1 $body
+    set result [dict get [work_result storm] kinds]
+    check_history
+    dict for {kind figures} $result {
+        if {[dict get $figures done] == 0} {
+            error "no $kind was done"
+        }
+        if {[dict get $figures gap_ms] > $::gap_limit_ms} {
+            error "service of $kind was gone for [dict get $figures gap_ms] ms"
+        }
+    }
+    return $result
+}
+
+scenario primary-killed "the primary is killed under load" {
+    fleet
+    storm 6 {
+        set old [primary_of db1]
+        kill $old
+    }
+    expect {[primary_of db1] ne $old}
+}
+
+scenario primary-killed-returns "the killed primary returns with its own log" {
+    fleet
+    storm 7 {
+        set old [primary_of db1]
+        kill $old
+        eventually {[primary_of db1] ni [list "" $old]}
+        start $old
+    }
+    eventually {[dict get [endpoint_state $old] follows] ==
+        [dict get [endpoint_state [primary_of db1]] term]}
+    eventually {[dict get [endpoint_state $old] position] ==
+        [dict get [endpoint_state [primary_of db1]] position]}
+}
+
+scenario primary-frozen "the primary is frozen, superseded and thawed" {
+    fleet
+    storm 8 {
+        set old [primary_of db1]
+        freeze $old
+        after 3000
+        expect {[dict get [endpoint_state db1-b] primary] ||
+            [dict get [endpoint_state db1-c] primary]}
+        thaw $old
+    }
+    expect {[primary_of db1] ne $old}
+    eventually {[dict get [endpoint_state $old] primary] == 0}
+}
+
+scenario primary-cut-off \
+    "the primary, a daemon and its callers are cut off and go on writing" {
+    fleet -hosts 6
+    set old [primary_of db1]
+    set inside host1
+    set outside {host2 host3 host4 host5 host6}
+    set others [lsearch -all -inline -not -exact $fleet::endpoints $old]
+    work inner -hosts $inside -seconds 6 -from 127.$fleet::block.3.2 \
+        -mix "payment:write:60,quick:write:40,balance:read:60"
+    work outer -hosts $outside -seconds 8 \
+        -mix "payment:write:60,balance:read:60"
+    after 1500
+    cut [list $old $inside] [concat $outside $others platform]
+    eventually {[dict get [endpoint_state db1-b] primary] ||
+        [dict get [endpoint_state db1-c] primary]}
+    after 2500
+    heal
+    work_result inner
+    set outer [work_result outer]
+    check_history
+    expect {[dict get $outer kinds payment gap_ms] < $::gap_limit_ms}
+}
+
+scenario replicas-behind "the primary is killed while replicas lag by 0.8 s" {
+    fleet -lag 800
+    storm 9 {
+        kill [primary_of db1]
+    } -mix "payment:write:40,balance:read:60"
+}
+
+scenario two-promotions "two daemons that do not see each other promote" {
+    fleet -hosts 4 -centres {north south}
+    storm 8 {
+        cut {host1 host3} {host2 host4}
+        after 1500
+        kill [primary_of db1]
+        after 3000
+        heal
+    }
+    expect {[counter_sum promotions_started_total] >= 1}
+}
+
+scenario promoter-killed "the promoting daemon is killed at each step" {
+    fleet -hosts 6 -endpoints 5 -centres {north south west}
+    work storm -seconds 14 -mix "payment:write:60,balance:read:60"
+    after 1500
+    foreach wait {450 560 640} {
+        set owner [owner_of db1]
+        set old [primary_of db1]
+        kill $old
+        after $wait
+        kill $owner
+        eventually {[primary_of db1] ni [list "" $old]}
+        start $old
+        start $owner
+        after 1500
+    }
+    set result [work_result storm]
+    check_history
+    expect {[dict get $result kinds payment gap_ms] < $::gap_limit_ms}
+}
+
+scenario primary-and-owner-killed "the primary and its owner die together" {
+    fleet -hosts 6
+    storm 8 {
+        set owner [owner_of db1]
+        kill [primary_of db1]
+        kill $owner
+    }
+}
+
+scenario failover-term-moves \
+    "promotions one after the other, back and forth" {
+    fleet
+    storm 14 {
+        for {set i 0} {$i < 3} {incr i} {
+            set old [primary_of db1]
+            kill $old
+            eventually {[primary_of db1] ni [list "" $old]}
+            start $old
+            after 1500
+        }
+    }
+    expect {[dict get [endpoint_state [primary_of db1]] term] >= 4}
+}
