Let a host wait for its peers before it takes itself for an owner

Cause: a daemon that has just started knows no peer and took itself for the owner of every database. At a cold start 16 owners held 2 control connections and more at each endpoint, 32 to 48 of 50, so that the true owner was refused connections and tried again at once. Ruled out: the queue policy (first come first served did as badly once started cold), the limits (they read 6 and 7), the load generator (its arrivals were on time). Now a view of the members is published once a peer has sent its own and 300 ms have passed, or after 1.5 s alone; requests wait meanwhile; a refused connection holds back others for 50 ms.

--- a/Makefile
+++ b/Makefile
@@ -85,6 +85,37 @@
 	@$(MAKE) --no-print-directory asan
 	@tclsh test/check.tcl $(CHECK_FLAGS)
 
+# The measures with their bounds: the kernel in virtual time, then the path.
+bench: setup
+	@$(MAKE) --no-print-directory all $(BUILD)/bin/bench_decisions
+	@$(BUILD)/bin/bench_decisions; first=$$?; \
+		tclsh bench/bench.tcl && exit $$first
+
+# Slopes of the control cost, for docs/CAPACITY.md.
+capacity: setup
+	@$(MAKE) --no-print-directory all
+	@tclsh bench/capacity.tcl
+
+# Each mechanism taken out: its scenario must fail.
+mutants: setup
+	@tclsh test/mutants.tcl $(NAME)
+
+# The explorer with more states than make check takes time for.
+explore: setup
+	@$(MAKE) --no-print-directory $(BUILD)/bin/test_libcarobwind
+	@EXPLORER_STATES=$(or $(STATES),2500000) \
+		$(BUILD)/bin/test_libcarobwind -p /explorer
+
+# Generated code, after a change of peer.x.
+generate:
+	cd src/share && rpcgen -N -h -o peer_rpc.new peer.x && \
+		rpcgen -N -c -o peer_xdr.new peer.x && \
+		rpcgen -N -l -o peer_clnt.new peer.x && \
+		sed -i 's|"peer.h"|"share/peer_rpc.h"|' peer_xdr.new peer_clnt.new && \
+		mv peer_rpc.new peer_rpc.h && mv peer_xdr.new peer_xdr.c && \
+		mv peer_clnt.new peer_clnt.c && clang-format -i peer_rpc.h \
+		peer_xdr.c peer_clnt.c
+
 # make scenario NAME=primary-killed SEED=1
 scenario: setup
 	@$(MAKE) --no-print-directory all
@@ -93,4 +124,5 @@
 clean:
 	rm -rf build build-*
 
-.PHONY: all setup demo lint asan check scenario clean
+.PHONY: all setup demo lint asan check bench capacity \
+	mutants explore generate scenario clean
--- /dev/null
+++ b/bench/capacity.tcl
@@ -0,0 +1,130 @@
+# Control cost of an idle fleet against its size and its databases: slopes for
+# docs/CAPACITY.md. tclsh bench/capacity.tcl ?SECONDS?
+
+source [file join [file dirname [file dirname [file normalize [info script]]]] \
+    test lib fleet.tcl]
+
+set window [expr {[llength $argv] > 0 ? [lindex $argv 0] : 8}]
+set fleet::block 230
+
+# An inventory of `count` databases whose endpoints are three processes, each
+# on all addresses of the block.
+proc write_inventory {path count} {
+    set file [open $path w]
+    foreach centre {north south west east} {
+        puts $file "data-centre $centre { region = \"r\" }"
+    }
+    puts $file {
+rank urgent { floor = 0 }
+rank lookup { floor = 10 }
+kind payment { rank = "urgent" writes = true }
+kind balance { rank = "lookup" age = "2s" }}
+    for {set d 1} {$d <= $count} {incr d} {
+        puts $file "database db$d {"
+        foreach e {1 2 3} centre {north south west} {
+            set where 127.$fleet::block.[expr {4 + $d / 250}].[expr {1 + $d % 250}]
+            puts $file "    endpoint db$d-$e { data-centre = \"$centre\"\
+                address = \"$where:740$e\" connections = 50 slots = 3 }"
+        }
+        puts $file "}"
+    }
+    close $file
+}
+
+# Starts a fleet of `hosts` daemons before `databases` databases, and returns
+# per daemon and second: messages, bytes, processor share, memory, and calls.
+proc measure {hosts databases} {
+    variable fleet::settings
+    incr fleet::block
+    fleet -start 0 -hosts $hosts -centres {north south west east} -databases 1
+    set fleet::endpoints {}
+    foreach e {1 2 3} {
+        set name shared-$e
+        set arguments [list --listen=0.0.0.0:740$e --connections=100000 \
+            --service-ms=1 --connect-ms=0]
+        if {$e == 1} {
+            lappend arguments --primary
+        }
+        dict set settings $name [dict create program carobwind-endpoint \
+            address 127.$fleet::block.4.1:740$e arguments $arguments]
+        start $name
+    }
+    start platform
+    set conf [file join $fleet::dir capacity.conf]
+    write_inventory $conf $databases
+    ctl --yes apply $conf
+    foreach name $fleet::hosts {
+        list_host $name live
+        start $name
+    }
+    after [expr {4000 + 20 * $databases}]
+    set before [sample]
+    after [expr {$::window * 1000}]
+    set after [sample]
+    set row {}
+    foreach a $after b $before {
+        lappend row [expr {double($a - $b) / $::window / $hosts}]
+    }
+    set memory [memory_sum]
+    set spread [measure_spread $conf]
+    fleet::finish
+    after 300
+    return [concat $row [expr {$memory / 1024.0 / $hosts}] $spread]
+}
+
+proc sample {} {
+    set ticks 0
+    foreach host $fleet::hosts {
+        set file [open /proc/[fleet::pid $host]/stat]
+        set fields [lrange [split [regsub {^.*\) } [read $file] ""]] 11 12]
+        close $file
+        incr ticks [expr {[lindex $fields 0] + [lindex $fields 1]}]
+    }
+    return [list [counter_sum peer_control_messages_total] \
+        [counter_sum peer_control_bytes_total] \
+        [counter_sum state_calls_total] [counter_sum store_calls_total] $ticks]
+}
+
+proc memory_sum {} {
+    set sum 0
+    foreach host $fleet::hosts {
+        set file [open /proc/[fleet::pid $host]/status]
+        regexp {VmRSS:\s+(\d+)} [read $file] -> size
+        close $file
+        incr sum $size
+    }
+    return $sum
+}
+
+# Time until a change is in force on all hosts, and the bytes it took each.
+proc measure_spread {conf} {
+    set before [counter_sum peer_control_bytes_total]
+    set applied [counter_sum configurations_applied_total]
+    set file [open $conf a]
+    puts $file "# touched"
+    close $file
+    ctl --yes apply $conf
+    set begin [clock milliseconds]
+    set wanted [expr {$applied + [llength $fleet::hosts]}]
+    while {[counter_sum configurations_applied_total] < $wanted} {
+        if {[clock milliseconds] - $begin > 15000} {
+            error "the change is not in force everywhere"
+        }
+    }
+    return [expr {[clock milliseconds] - $begin}]
+}
+
+proc print_row {hosts databases row} {
+    lassign $row messages bytes states stores ticks memory spread
+    puts [format "%6d %10d %11.2f %9.0f %9.2f %9.3f %9.3f %8.2f %9d" $hosts \
+        $databases $messages $bytes $states $stores $ticks $memory $spread]
+    flush stdout
+}
+
+puts "per daemon and second, idle; state calls to endpoints; CPU in percent"
+puts [format "%6s %10s %11s %9s %9s %9s %9s %8s %9s" hosts databases \
+    "peer msgs" "bytes" "states" "store" "CPU %" "RSS MB" "spread ms"]
+foreach {hosts databases} {2 3  4 3  8 3  16 3  32 3  64 3  96 3
+        4 30  4 100  4 300} {
+    print_row $hosts $databases [measure $hosts $databases]
+}
--- a/include/carobwind/membership.h
+++ b/include/carobwind/membership.h
@@ -110,6 +110,9 @@
 /* Runs what is due. Call it every few tens of milliseconds. */
 void CbwMembership_Tick(cbw_membership_t *membership, cbw_time_t now);
 
+/* Whether the data centre has a member that work may go to. */
+bool CbwMembership_HasUsable(const cbw_membership_t *membership,
+                             const char *data_centre);
 /* How many usable members come before this host in rendezvous order for
  * `role`: a few roles are kept by the first members only. */
 int CbwMembership_Rank(const cbw_membership_t *membership, const char *role);
--- a/src/bench_decisions/main.c
+++ b/src/bench_decisions/main.c
@@ -9,6 +9,7 @@
 
 #include "carobwind/admission.h"
 #include "carobwind/histogram.h"
+#include "size.h"
 #include "test_libcarobwind/fake_group.h"
 
 #define RANKS 3
@@ -431,6 +432,10 @@
 int
 main(int argc, char **argv)
 {
+    if (argc > 1 && strcmp(argv[1], "size") == 0) {
+        Size_Report();
+        return 0;
+    }
     quiet = argc > 1 && strcmp(argv[1], "--quiet") == 0;
     measure_replica_share();
     measure_floods();
--- a/src/carobwind-bench/caller.c
+++ b/src/carobwind-bench/caller.c
@@ -453,17 +453,19 @@
 {
     size_t database =
         (size_t)CbwRandom_Below(&pool->random, pool->database_count);
-    cbw_link_t *link = CbwList_TakeFirst(&pool->idle_sessions[database]);
+    cbw_link_t *link;
     arrival_t *arrival;
 
-    if (link != NULL) {
-        start_request(Cbw_LIST_ITEM(link, session_t, link), kind, intended);
-        return;
-    }
+    /* All sessions take part before one is used again. */
     if (pool->database_sessions[database] < pool->session_limit) {
         start_request(new_session(pool, database), kind, intended);
         return;
     }
+    link = CbwList_TakeFirst(&pool->idle_sessions[database]);
+    if (link != NULL) {
+        start_request(Cbw_LIST_ITEM(link, session_t, link), kind, intended);
+        return;
+    }
     if (pool->backlog_count >= BACKLOG_MAX) {
         return;
     }
--- a/src/carobwindd/endpoint_resp.c
+++ b/src/carobwindd/endpoint_resp.c
@@ -13,6 +13,8 @@
 
 /* An unused connection is closed after this time. */
 #define IDLE_CLOSE (20 * Cbw_SEC)
+/* After the endpoint refused a connection, none is opened for so long. */
+#define FULL_PAUSE (50 * Cbw_MSEC)
 #define REPLY_WORDS 11
 #define CALL_WORDS_MAX 6
 
@@ -47,6 +49,7 @@
     void *context;
     cbw_link_t connections;
     int statement_connections;
+    cbw_time_t full_at; /* when a connection was last refused */
     bool closed;
 };
 
@@ -205,6 +208,9 @@
     }
     if (message->is_error) {
         bool full = strstr(message->words[0], "FULL") != NULL;
+        if (full) {
+            owner->full_at = CbwNet_Now();
+        }
         drop_connection(connection, full ? CBW_REPLY_FULL : CBW_REPLY_LOST);
         return;
     }
@@ -338,7 +344,8 @@
     close_unused(owner, CbwNet_Now());
     connection = find_idle(owner);
     if (connection == NULL &&
-        owner->statement_connections < owner->connections_max) {
+        owner->statement_connections < owner->connections_max &&
+        CbwNet_Now() - owner->full_at > FULL_PAUSE) {
         connection = open_connection(owner, ROLE_STATEMENTS);
     }
     if (connection != NULL && call->verb == CBW_CALL_BEGIN) {
--- a/src/carobwindd/member_task.c
+++ b/src/carobwindd/member_task.c
@@ -18,6 +18,11 @@
 /* Wait for an answer of a peer that is asked for its members. */
 #define JOIN_INTERVAL (1 * Cbw_SEC)
 #define JOIN_TIMEOUT (500 * Cbw_MSEC)
+/* A view is published once a peer has sent its members and a little time has
+ * passed, or when this time has passed without one: a host that does not know
+ * the others would take itself for the owner of all. */
+#define SETTLE_JOINED (300 * Cbw_MSEC)
+#define SETTLE_ALONE (1500 * Cbw_MSEC)
 #define STATUS_TEXT_MAX 262144
 
 typedef struct {
@@ -29,6 +34,7 @@
     bool list_asked;
     cbw_time_t join_at;
     bool joined; /* a peer sent its members */
+    cbw_time_t started_at;
     ev_timer timer;
 } member_task_t;
 
@@ -403,13 +409,22 @@
     return view;
 }
 
+static bool
+is_settled(cbw_time_t now)
+{
+    cbw_time_t needed = self.joined ? SETTLE_JOINED : SETTLE_ALONE;
+
+    return now - self.started_at >= needed;
+}
+
 static void
 publish(void)
 {
     static const task_id_t readers[] = {TASK_ROUTER, TASK_OWNER, TASK_CONFIG};
     view_t *view;
 
-    if (self.published_epoch == self.membership.epoch) {
+    if (self.published_epoch == self.membership.epoch ||
+        !is_settled(CbwNet_Now())) {
         return;
     }
     self.published_epoch = self.membership.epoch;
@@ -519,6 +534,7 @@
     const settings_t *settings = &daemon->settings;
 
     self.daemon = daemon;
+    self.started_at = CbwNet_Now();
     if (CbwMembership_Init(&self.membership, &CbwMembership_DefaultSettings,
                            &membership_ops, NULL, settings->name,
                            settings->data_centre, settings->peers,
--- a/src/carobwindd/messages.h
+++ b/src/carobwindd/messages.h
@@ -68,12 +68,10 @@
 typedef struct {
     message_t message;
     cbw_request_t request;
-    task_id_t reply_to; /* gets MESSAGE_JOB_DONE */
-    void *origin;       /* of the task that made it */
-    int tries;
-    bool forwarded;
-    char host[Cbw_NAME_MAX];  /* that it was last sent to */
-    char avoid[Cbw_NAME_MAX]; /* that just failed; "" for none */
+    task_id_t reply_to;      /* gets MESSAGE_JOB_DONE */
+    void *origin;            /* of the task that made it */
+    cbw_time_t route_at;     /* when the router tries again */
+    char host[Cbw_NAME_MAX]; /* that it was last sent to */
     char moved_to[Cbw_NAME_MAX];
     int admission[Cbw_RANKS_MAX];
     int admission_count;
--- a/src/carobwindd/owner_task.c
+++ b/src/carobwindd/owner_task.c
@@ -15,7 +15,7 @@
 
 #define TICK_SECONDS 0.005
 /* An owner of a database that is owned elsewhere goes after this time. */
-#define UNUSED_LIMIT (3 * Cbw_SEC)
+#define UNUSED_LIMIT (1500 * Cbw_MSEC)
 /* Requests are sent on for so long after ownership moved by reach. */
 #define MOVED_FOR (3 * Cbw_SEC)
 /* Peers that are asked whether they reach a primary. */
@@ -400,23 +400,55 @@
     update_leaving(instance);
 }
 
+/* Which data centres have members, in the order of the inventory. Most
+ * databases belong to another one: for them no order needs to be worked out.
+ */
+static bool *
+find_served_centres(const cbw_inventory_t *inventory)
+{
+    bool *served = calloc(inventory->data_centre_count + 1, sizeof(*served));
+
+    if (served == NULL) {
+        abort();
+    }
+    for (size_t i = 0; i < inventory->data_centre_count; i++) {
+        served[i] = CbwMembership_HasUsable(&self.view->membership,
+                                            inventory->data_centres[i].name);
+    }
+    return served;
+}
+
+static bool
+is_ours(const cbw_database_t *database, const bool *served)
+{
+    const cbw_inventory_t *inventory = &self.config->inventory;
+    const char *home = database->endpoints[0].data_centre;
+    const cbw_data_centre_t *centre = CbwInventory_DataCentre(inventory, home);
+
+    if (strcmp(home, self.daemon->settings.data_centre) != 0 &&
+        served[centre - inventory->data_centres]) {
+        return false;
+    }
+    return CbwMembership_Owner(&self.view->membership, database->name, home,
+                               NULL) == &self.view->membership.members[0];
+}
+
 /* Starts owners for what this host owns by rendezvous order, so that their
  * connections and states are there when requests come. */
 static void
 claim_databases(void)
 {
     const cbw_inventory_t *inventory;
+    bool *served;
 
     if (self.config == NULL || self.view == NULL) {
         return;
     }
     inventory = &self.config->inventory;
+    served = find_served_centres(inventory);
     for (size_t i = 0; i < inventory->database_count; i++) {
         const cbw_database_t *database = &inventory->databases[i];
-        const cbw_member_t *owner =
-            CbwMembership_Owner(&self.view->membership, database->name,
-                                database->endpoints[0].data_centre, NULL);
-        bool ours = owner == &self.view->membership.members[0];
+        bool ours = is_ours(database, served);
         instance_t *instance = find_by_name(database->name);
         if (ours && instance == NULL) {
             instance = new_instance(database);
@@ -425,6 +457,7 @@
             instance->owned = ours;
         }
     }
+    free(served);
 }
 
 static void
@@ -469,6 +502,14 @@
     Task_Post(TASK_OWNER, job->reply_to, MESSAGE_JOB_DONE, &job->message);
 }
 
+/* Hands the job back to be routed again. */
+static void
+send_back(job_t *job)
+{
+    job->request.answer.outcome = CBW_OUTCOME_PENDING;
+    Task_Post(TASK_OWNER, job->reply_to, MESSAGE_JOB_DONE, &job->message);
+}
+
 static bool
 has_moved(const instance_t *instance, const job_t *job, cbw_time_t now)
 {
@@ -485,7 +526,7 @@
     instance_t *instance;
 
     if (self.config == NULL || self.view == NULL) {
-        refuse(job, "this host has no configuration yet");
+        send_back(job); /* not ready: another try will find an owner */
         return;
     }
     instance = find_by_name(job->request.database);
@@ -500,9 +541,8 @@
     }
     instance->used_at = now;
     if (has_moved(instance, job, now)) {
-        job->request.answer.outcome = CBW_OUTCOME_PENDING;
         memcpy(job->moved_to, instance->moved_to, sizeof(job->moved_to));
-        Task_Post(TASK_OWNER, job->reply_to, MESSAGE_JOB_DONE, &job->message);
+        send_back(job);
         return;
     }
     CbwOwner_Submit(&instance->owner, now, &job->request);
--- a/src/carobwindd/router_task.c
+++ b/src/carobwindd/router_task.c
@@ -40,7 +40,7 @@
     view_t *view;
     route_t *routes; /* one for each database of the configuration */
     avoided_t avoided[AVOIDED_MAX];
-    cbw_link_t waiting; /* jobs that are tried again at `due` */
+    cbw_link_t waiting; /* jobs that are routed at their time */
     cbw_retry_budget_t retries;
     ev_timer timer;
 } router_task_t;
@@ -192,7 +192,6 @@
     cbw_time_t until = job->request.deadline + Cbw_OWNER_SETTLE_GRACE;
 
     memcpy(job->host, owner->public.name, Cbw_NAME_MAX);
-    job->forwarded = true;
     encode_statement(&outbound->args.statement, &job->request, now);
     outbound->timeout = until + ANSWER_MARGIN - now;
     outbound->reply_to = TASK_ROUTER;
@@ -201,6 +200,14 @@
     Task_Post(TASK_ROUTER, TASK_PEER, MESSAGE_OUTBOUND, &outbound->message);
 }
 
+/* Routes the job again after a pause. */
+static void
+wait_and_route(job_t *job)
+{
+    job->route_at = CbwNet_Now() + RETRY_PAUSE;
+    CbwList_Append(&self.waiting, &job->message.link);
+}
+
 static void
 route(job_t *job)
 {
@@ -212,6 +219,10 @@
         give_up(job);
         return;
     }
+    if (self.config == NULL || self.view == NULL) {
+        wait_and_route(job); /* this host has just started */
+        return;
+    }
     database =
         CbwInventory_Database(&self.config->inventory, job->request.database);
     if (database == NULL) {
@@ -232,7 +243,6 @@
     }
     memcpy(job->host, owner->public.name, Cbw_NAME_MAX);
     if (owner == &self.view->membership.members[0]) {
-        job->forwarded = false;
         job->reply_to = TASK_ROUTER;
         Task_Post(TASK_ROUTER, TASK_OWNER, MESSAGE_JOB, &job->message);
         return;
@@ -244,9 +254,7 @@
 retry_later(job_t *job)
 {
     CbwCounter_Add(&self.daemon->counters, CBW_COUNTER_FORWARD_RETRIES, 1);
-    job->tries++;
-    job->request.answered_at = CbwNet_Now() + RETRY_PAUSE;
-    CbwList_Append(&self.waiting, &job->message.link);
+    wait_and_route(job);
 }
 
 /* The answer of the peer was lost: the request may have run. */
@@ -369,10 +377,6 @@
 static void
 start(job_t *job)
 {
-    if (self.config == NULL || self.view == NULL) {
-        end(job, CBW_OUTCOME_NOTRUN, "this host has no configuration yet");
-        return;
-    }
     CbwRetry_OnRequest(&self.retries);
     route(job);
 }
@@ -414,7 +418,7 @@
     (void)events;
     Cbw_LIST_FOREACH (&self.waiting, link, safe) {
         job_t *job = Cbw_LIST_ITEM(link, job_t, message.link);
-        if (now >= job->request.answered_at) {
+        if (now >= job->route_at) {
             CbwList_Remove(link);
             route(job);
         }
--- a/src/libcarobwind/membership.c
+++ b/src/libcarobwind/membership.c
@@ -480,6 +480,14 @@
     return index < 0 ? NULL : &membership->members[index];
 }
 
+/* Whether work may go to the member. */
+static bool
+is_usable(const cbw_member_change_t *member)
+{
+    return member->state <= CBW_MEMBER_SUSPECT &&
+           !CbwMembership_IsEndpoint(member);
+}
+
 int
 CbwMembership_Rank(const cbw_membership_t *membership, const char *role)
 {
@@ -489,8 +497,7 @@
 
     for (size_t i = 1; i < membership->count; i++) {
         const cbw_member_change_t *member = &membership->members[i].public;
-        if (member->state <= CBW_MEMBER_SUSPECT &&
-            !CbwMembership_IsEndpoint(member) &&
+        if (is_usable(member) &&
             CbwRendezvous_Weight(role, member->name) > own) {
             rank++;
         }
@@ -498,30 +505,53 @@
     return rank;
 }
 
-const cbw_member_t *
-CbwMembership_Owner(const cbw_membership_t *membership, const char *database,
-                    const char *data_centre, const char *skip)
+bool
+CbwMembership_HasUsable(const cbw_membership_t *membership,
+                        const char *data_centre)
+{
+    for (size_t i = 0; i < membership->count; i++) {
+        const cbw_member_change_t *member = &membership->members[i].public;
+        if (is_usable(member) &&
+            strcmp(member->data_centre, data_centre) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* The first in rendezvous order; `data_centre` is NULL for all of them. */
+static const cbw_member_t *
+first_in_order(const cbw_membership_t *membership, const char *database,
+               const char *data_centre, const char *skip)
 {
     const cbw_member_t *best = NULL;
     uint64_t best_weight = 0;
-    bool best_near = false;
 
     for (size_t i = 0; i < membership->count; i++) {
         const cbw_member_t *member = &membership->members[i];
-        bool near = strcmp(member->public.data_centre, data_centre) == 0;
         uint64_t weight;
-        if (member->public.state > CBW_MEMBER_SUSPECT ||
-            CbwMembership_IsEndpoint(&member->public) ||
+        if (!is_usable(&member->public) ||
+            (data_centre != NULL &&
+             strcmp(member->public.data_centre, data_centre) != 0) ||
             (skip != NULL && strcmp(member->public.name, skip) == 0)) {
             continue;
         }
         weight = CbwRendezvous_Weight(database, member->public.name);
-        if (best == NULL || near > best_near ||
-            (near == best_near && weight > best_weight)) {
+        if (best == NULL || weight > best_weight) {
             best = member;
             best_weight = weight;
-            best_near = near;
         }
     }
     return best;
 }
+
+const cbw_member_t *
+CbwMembership_Owner(const cbw_membership_t *membership, const char *database,
+                    const char *data_centre, const char *skip)
+{
+    const cbw_member_t *near =
+        first_in_order(membership, database, data_centre, skip);
+
+    return near != NULL ? near
+                        : first_in_order(membership, database, NULL, skip);
+}
--- /dev/null
+++ b/test/mutants.tcl
@@ -0,0 +1,147 @@
+# Takes out one mechanism at a time and runs the scenario that must then fail:
+# tclsh test/mutants.tcl ?NAME...?. Each mutant is a copy of the source with a
+# few lines changed, built in a folder of its own.
+
+set root [file dirname [file dirname [file normalize [info script]]]]
+set mutants [dict create]
+
+# A mutant: the scenario, and a list of file, text, text instead.
+proc mutant {name scenario edits} {
+    dict set ::mutants $name [dict create scenario $scenario edits $edits]
+}
+
+mutant no-token-check read-your-writes {
+    src/libcarobwind/route.c
+    "CbwGroup_CheckToken(state, token) == CBW_TOKEN_BEHIND"
+    "token->term == UINT64_MAX"
+    src/libcarobwind/owner_reply.c
+    "check == CBW_TOKEN_HELD" "check != CBW_TOKEN_LOST"
+}
+mutant no-age-proof cut-off-reads {
+    src/libcarobwind/group.c
+    "return known == 0 ? Cbw_NEVER : now - known;" "return known * 0;"
+    src/libcarobwind/owner_reply.c
+    "if (from_primary && request->age != Cbw_NEVER" "if (false"
+}
+mutant no-confirmation primary-cut-off {
+    src/libcarobwind/confirm.c
+    "if (level == CBW_CONFIRM_NONE)" "if (level <= CBW_CONFIRM_POSITION)"
+}
+mutant unpinned-transactions transactions-apart {
+    src/carobwindd/endpoint_resp.c
+    "            connection->transaction == 0 &&\n            CbwList_IsEmpty(&connection->calls) &&\n            (best"
+    "            CbwList_IsEmpty(&connection->calls) &&\n            (best"
+}
+mutant answers-by-order answers-out-of-order {
+    src/carobwindd/peer_task.c
+    "if (call->xid == xid)" "if (xid != 0)"
+}
+mutant no-tombstone statement-outlives-deadline {
+    src/libcarobwind/owner_dispatch.c
+    "    request->state = CBW_REQUEST_SETTLING;\n"
+    "    CbwOwner_Answer_(owner, now, request, CBW_OUTCOME_NOTRUN, \"\");\n    return;\n    request->state = CBW_REQUEST_SETTLING;\n"
+}
+mutant no-request-key same-payment-twice {
+    src/carobwindd/endpoint_resp.c
+    "words\[4\] = call->key;" "words\[4\] = \"\";"
+}
+mutant ignores-leaving replica-leaves-by-inventory {
+    src/libcarobwind/owner.c
+    "owner->group.endpoints\[endpoint\].leaving = leaving;" "(void)leaving;"
+}
+mutant no-hand-over primary-leaves-by-list {
+    src/libcarobwind/owner_health.c
+    "if (primary < 0 || !owner->group.endpoints\[primary\].leaving)"
+    "if (primary < 0 || now > 0)"
+}
+mutant stops-at-once graceful-stop {
+    src/carobwindd/main.c
+    "#define DRAIN_LEAST (1200 * Cbw_MSEC)" "#define DRAIN_LEAST (0 - Cbw_SEC)"
+    src/carobwindd/main.c
+    "now - self.busy_at > DRAIN_QUIET" "now > 0"
+}
+mutant takes-any-version old-configuration-returns {
+    src/carobwindd/member_task.c
+    "if (version <= self.config_version)" "if (version == self.config_version)"
+    src/carobwindd/config_task.c
+    "if (version <= present_version() ||" "if (version == present_version() ||"
+    src/carobwindd/config_task.c
+    "message->version > present_version()" "message->version != present_version()"
+    src/carobwindd/config_task.c
+    "result->text_version > present_version()" "result->text_version != 0"
+}
+mutant blind-apply operators-race {
+    src/carobwindctl/main.c
+    "base_version >= 0 && version" "base_version >= 999999 && version"
+    src/carobwind-platform/store.c
+    ") != expected)" ") != expected && expected == 999999)"
+}
+mutant no-attempt-timeout silent-to-endpoint {
+    include/carobwind/owner.h
+    "#define Cbw_OWNER_ATTEMPT_TIMEOUT (400 * Cbw_MSEC)"
+    "#define Cbw_OWNER_ATTEMPT_TIMEOUT (400 * Cbw_SEC)"
+}
+mutant no-silence-probe silent-between-daemons {
+    src/carobwindd/peer_task.c
+    "#define SILENCE_DROP (300 * Cbw_MSEC)" "#define SILENCE_DROP (300 * Cbw_SEC)"
+}
+mutant no-swap-settling swap-answer-lost {
+    src/libcarobwind/promotion.c
+    "        enter(promotion, now, CBW_PROMOTION_SETTLING);\n        ops->read_record(context);\n        break;\n    case CBW_STORE_MISSING:"
+    "        break;\n    case CBW_STORE_MISSING:"
+    src/libcarobwind/promotion.c
+    "    case CBW_PROMOTION_SWAPPING:\n    case CBW_PROMOTION_SETTLING:\n        enter(promotion, now, CBW_PROMOTION_SETTLING);\n        ops->read_record(context);\n        break;"
+    "    case CBW_PROMOTION_SWAPPING:\n    case CBW_PROMOTION_SETTLING:\n        break;"
+}
+
+proc edit {path from to} {
+    set file [open $path]
+    set text [read $file]
+    close $file
+    set from [subst -nocommands -novariables $from]
+    set to [subst -nocommands -novariables $to]
+    if {[string first $from $text] < 0} {
+        error "$path no longer holds: $from"
+    }
+    set file [open $path w]
+    puts -nonewline $file [string map [list $from $to] $text]
+    close $file
+}
+
+proc build {name} {
+    set dir [file join $::root build-mutants $name]
+    file delete -force $dir
+    file mkdir $dir
+    foreach part {src include Makefile} {
+        file copy [file join $::root $part] [file join $dir $part]
+    }
+    foreach {path from to} [dict get $::mutants $name edits] {
+        edit [file join $dir $path] $from $to
+    }
+    exec make -C $dir -j4 all >& [file join $dir build.log]
+    return [file join $dir build bin]
+}
+
+# Returns whether the scenario failed without the mechanism.
+proc run_mutant {name block} {
+    set ::env(CAROBWIND_BIN) [build $name]
+    set scenario [dict get $::mutants $name scenario]
+    catch {exec tclsh [file join $::root test scenarios.tcl] -block $block \
+        $scenario 2>@1} output
+    set last [lindex [regexp -all -inline -line {^(?:FAILED|passed) .*$} \
+        $output] end]
+    set killed [string match "FAILED*" $last]
+    puts "[expr {$killed ? "found" : "MISSED"}] $name: \
+        [string range $last 0 230]"
+    flush stdout
+    return $killed
+}
+
+set names [expr {[llength $argv] > 0 ? $argv : [dict keys $mutants]}]
+set found 0
+set block 150
+foreach name $names {
+    incr found [run_mutant $name [incr block]]
+}
+puts "$found of [llength $names] missing mechanisms were found"
+exit [expr {$found < [llength $names]}]
--- a/test/scenarios/connections.tcl
+++ b/test/scenarios/connections.tcl
@@ -2,22 +2,28 @@
 
 scenario silent-to-endpoint "connections to the primary go silent" {
     fleet
-    storm 7 {
+    set result [storm 7 {
         silence [primary_of db1]
-    }
+    }]
+    # What was on its way is tried again on new connections, in time.
+    expect {[dict get $result payment notrun] == 0} $result
+    expect {[dict get $result payment unknown] == 0} $result
+    expect {[dict get $result payment gap_ms] < 1000} $result
     expect {[dict get [endpoint_state [primary_of db1]] term] == 1}
 }
 
 scenario silent-between-daemons "connections between daemons go silent" {
     fleet -hosts 5
-    storm 7 {
+    set result [storm 7 {
         set owner [owner_of db1]
         foreach host $fleet::hosts {
             if {$host ne $owner} {
                 silence $owner $host
             }
         }
-    }
+    }]
+    expect {[dict get $result payment unknown] == 0} $result
+    expect {[dict get $result payment p99_ms] < 2000} $result
 }
 
 scenario silent-to-callers "connections of callers to an entry go silent" {
--- a/test/scenarios/owners.tcl
+++ b/test/scenarios/owners.tcl
@@ -112,3 +112,74 @@
     check_history
     expect {[dict get $result kinds account done] > 100} $result
 }
+
+scenario statement-outlives-deadline \
+    "statements that run past the deadline are cancelled, or told as unknown" {
+    fleet
+    set_endpoint [primary_of db1] service_ms 3000
+    work storm -seconds 6 -sessions 30 -attempts 1 -mix "payment:write:6"
+    set result [work_result storm]
+    after 5000
+    check_history
+    set payment [dict get $result kinds payment]
+    expect {[dict get $payment notrun] > 0} $payment
+}
+
+scenario bad-input "random bytes to each port harm nobody else" {
+    fleet -hosts 2 -centres {north}
+    work storm -seconds 6 -mix "payment:write:40,balance:read:60"
+    set targets {}
+    foreach name {host1 platform db1-a db1-b} {
+        lappend targets [dict get $fleet::settings $name address]
+    }
+    lappend targets [dict get $fleet::settings host1 peers]
+    expr {srand($fleet::seed)}
+    for {set i 0} {$i < 150} {incr i} {
+        foreach target $targets {
+            send_nonsense $target $i
+        }
+    }
+    set result [work_result storm]
+    check_history
+    foreach name {host1 host2 platform db1-a db1-b db1-c} {
+        expect {[fleet::is_running $name]} $name
+    }
+    expect {[dict get $result kinds payment unknown] == 0} $result
+    expect {[dict get $result kinds payment done] > 100} $result
+    expect {[memory_kb host1] < 64000} [memory_kb host1]
+}
+
+# Bytes of many shapes: random, cut off, too long, too deep, wrong types.
+proc send_nonsense {address number} {
+    set shapes [list \
+        "*3\r\n\$4\r\nSTMT\r\n" "*2000000000\r\n" "\$-1\r\n" ":5\r\n" \
+        "*1\r\n*1\r\n*1\r\n\$1\r\na\r\n" "*1\r\n\$2000000000\r\n" \
+        "*4\r\n\$4\r\nSTMT\r\n\$3\r\ndb1\r\n\$1\r\nx\r\n\$1\r\ny\r\n" \
+        "GET / HTTP/1.0\r\n\r\n" "\x80\x00\x00\x28[random_bytes 40]" \
+        "\x7f\xff\xff\xff[random_bytes 300]" [random_bytes 500] \
+        "*1\r\n\$70000\r\n[string repeat x 70000]\r\n"]
+    if {[catch {resp::open $address} channel]} {
+        error "$address takes no connection after $number rounds"
+    }
+    catch {
+        puts -nonewline $channel [lindex $shapes \
+            [expr {$number % [llength $shapes]}]]
+        flush $channel
+    }
+    catch {close $channel}
+}
+
+proc random_bytes {count} {
+    set bytes ""
+    for {set i 0} {$i < $count} {incr i} {
+        append bytes [format %c [expr {int(rand() * 256)}]]
+    }
+    return $bytes
+}
+
+proc memory_kb {name} {
+    set file [open /proc/[fleet::pid $name]/status]
+    regexp {VmRSS:\s+(\d+)} [read $file] -> size
+    close $file
+    return $size
+}
