Tick less while there is nothing to do; find peers by hash

Cause: an idle daemon's processor time was its timers: the owner's at 200 and the router's at 100 a second. Ruled out: probes (10 messages a second at any size) and state calls (the same at 2 and 96 hosts while the share of a core grew). Peers are found by hash of their address: a forwarded statement compared its address with each of the peers.

--- a/bench/capacity.tcl
+++ b/bench/capacity.tcl
@@ -125,6 +125,27 @@
     flush stdout
 }
 
+# Memory of one caller's connection, from a few thousand that have each sent a
+# request.
+proc measure_sessions {count} {
+    fleet -hosts 1 -centres {north}
+    set before [memory_sum]
+    set channels {}
+    for {set i 0} {$i < $count} {incr i} {
+        set channel [resp::open [dict get $fleet::settings host1 address]]
+        resp::send $channel {STMT db1 account "get x"}
+        resp::receive $channel
+        lappend channels $channel
+    }
+    set after [memory_sum]
+    foreach channel $channels {
+        close $channel
+    }
+    fleet::finish
+    return [expr {double($after - $before) / $count}]
+}
+
+puts [format "memory of a caller's connection: %.2f KB" [measure_sessions 4000]]
 puts "per daemon and second, idle; state calls to endpoints; CPU in percent"
 puts [format "%6s %10s %11s %9s %9s %9s %9s %8s %9s" hosts databases \
     "peer msgs" "bytes" "states" "store" "CPU %" "RSS MB" "spread ms"]
--- a/src/carobwindd/owner_task.c
+++ b/src/carobwindd/owner_task.c
@@ -13,7 +13,9 @@
 #include "reach.h"
 #include "share/net.h"
 
-#define TICK_SECONDS 0.005
+/* Time between ticks while there is work, and while there is none. */
+#define BUSY_TICK_SECONDS 0.005
+#define IDLE_TICK_SECONDS 0.025
 /* An owner of a database that is owned elsewhere goes after this time. */
 #define UNUSED_LIMIT (1500 * Cbw_MSEC)
 /* Requests are sent on for so long after ownership moved by reach. */
@@ -492,6 +494,15 @@
 
 /* Requests. */
 
+static void
+set_tick(double seconds)
+{
+    if (self.timer.repeat != seconds) {
+        self.timer.repeat = seconds;
+        ev_timer_again(self.daemon->loop, &self.timer);
+    }
+}
+
 static void
 refuse(job_t *job, const char *reason)
 {
@@ -546,6 +557,7 @@
         return;
     }
     CbwOwner_Submit(&instance->owner, now, &job->request);
+    set_tick(BUSY_TICK_SECONDS);
 }
 
 /* Peers and operators. */
@@ -632,10 +644,29 @@
     }
 }
 
+/* Returns whether the instance has work to do. */
+static bool
+tick_instance(instance_t *instance, cbw_time_t now)
+{
+    bool unused = instance->retiring ||
+                  (!instance->owned && now - instance->used_at > UNUSED_LIMIT);
+
+    CbwOwner_Tick(&instance->owner, now);
+    if (!CbwOwner_IsIdle(&instance->owner)) {
+        return true;
+    }
+    if (unused) {
+        free_instance(instance);
+        return false;
+    }
+    return CbwPromotion_IsActive(&instance->owner.promotion);
+}
+
 static void
 on_tick(struct ev_loop *loop, ev_timer *watcher, int events)
 {
     cbw_time_t now = CbwNet_Now();
+    bool busy = false;
     cbw_link_t *link;
     cbw_link_t *safe;
 
@@ -643,15 +674,9 @@
     (void)watcher;
     (void)events;
     Cbw_LIST_FOREACH (&self.instances, link, safe) {
-        instance_t *instance = Cbw_LIST_ITEM(link, instance_t, link);
-        bool unused =
-            instance->retiring ||
-            (!instance->owned && now - instance->used_at > UNUSED_LIMIT);
-        CbwOwner_Tick(&instance->owner, now);
-        if (unused && CbwOwner_IsIdle(&instance->owner)) {
-            free_instance(instance);
-        }
+        busy |= tick_instance(Cbw_LIST_ITEM(link, instance_t, link), now);
     }
+    set_tick(busy ? BUSY_TICK_SECONDS : IDLE_TICK_SECONDS);
 }
 
 void
@@ -671,6 +696,6 @@
     };
     CbwList_Init(&self.instances);
     Task_Register(daemon->loop, TASK_OWNER, handle, NULL);
-    ev_timer_init(&self.timer, on_tick, TICK_SECONDS, TICK_SECONDS);
+    ev_timer_init(&self.timer, on_tick, BUSY_TICK_SECONDS, BUSY_TICK_SECONDS);
     ev_timer_start(daemon->loop, &self.timer);
 }
--- a/src/carobwindd/peer_task.c
+++ b/src/carobwindd/peer_task.c
@@ -2,6 +2,7 @@
  * peers opened. Calls that get no answer in time are lost; a connection that
  * is silent while calls wait is probed, and dropped when it stays silent. */
 
+#include <glib.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -41,6 +42,7 @@
 
 static daemon_t *daemon_;
 static cbw_link_t clients;
+static GHashTable *clients_by_address; /* the same; owns nothing */
 static ev_io listener;
 static ev_timer timer;
 static size_t server_count;
@@ -74,6 +76,7 @@
                  client->address, reason);
     CbwRpc_Close(&client->rpc);
     CbwList_Remove(&client->link);
+    g_hash_table_remove(clients_by_address, client->address);
     while ((link = client->calls.next) != &client->calls) {
         finish_call(Cbw_LIST_ITEM(link, outbound_t, message.link), false);
     }
@@ -143,20 +146,6 @@
 
 /* Calls to peers. */
 
-static client_t *
-find_client(const char *address)
-{
-    cbw_link_t *link = clients.next;
-
-    for (; link != &clients; link = link->next) {
-        client_t *client = Cbw_LIST_ITEM(link, client_t, link);
-        if (strcmp(client->address, address) == 0) {
-            return client;
-        }
-    }
-    return NULL;
-}
-
 static client_t *
 open_client(const char *address)
 {
@@ -174,6 +163,7 @@
     CbwList_Init(&client->link);
     CbwList_Init(&client->calls);
     CbwList_Append(&clients, &client->link);
+    g_hash_table_insert(clients_by_address, client->address, client);
     return client;
 }
 
@@ -200,7 +190,7 @@
 send_call(outbound_t *call)
 {
     cbw_time_t now = CbwNet_Now();
-    client_t *client = find_client(call->address);
+    client_t *client = g_hash_table_lookup(clients_by_address, call->address);
     size_t bytes;
 
     if (client == NULL) {
@@ -587,6 +577,7 @@
     }
     daemon_ = daemon;
     CbwList_Init(&clients);
+    clients_by_address = g_hash_table_new(g_str_hash, g_str_equal);
     ev_io_init(&listener, on_acceptable, fd, EV_READ);
     ev_io_start(daemon->loop, &listener);
     ev_timer_init(&timer, on_tick, TICK_SECONDS, TICK_SECONDS);
--- a/src/carobwindd/router_task.c
+++ b/src/carobwindd/router_task.c
@@ -206,6 +206,9 @@
 {
     job->route_at = CbwNet_Now() + RETRY_PAUSE;
     CbwList_Append(&self.waiting, &job->message.link);
+    if (!ev_is_active(&self.timer)) {
+        ev_timer_again(self.daemon->loop, &self.timer);
+    }
 }
 
 static void
@@ -423,6 +426,9 @@
             route(job);
         }
     }
+    if (CbwList_IsEmpty(&self.waiting)) {
+        ev_timer_stop(self.daemon->loop, &self.timer);
+    }
 }
 
 void
@@ -432,6 +438,5 @@
     CbwList_Init(&self.waiting);
     CbwRetry_Init(&self.retries);
     Task_Register(daemon->loop, TASK_ROUTER, handle, NULL);
-    ev_timer_init(&self.timer, on_tick, TICK_SECONDS, TICK_SECONDS);
-    ev_timer_start(daemon->loop, &self.timer);
+    ev_timer_init(&self.timer, on_tick, 0, TICK_SECONDS);
 }
