Take each host's rates over its own times in make capacity

Cause: all hosts were asked one after the other and the growth was divided by one window, which is too short by the seconds that asking 96 hosts takes; and each counter was asked for alone, so that the answers (3 KB each) counted as control. Ruled out: probes and ticks, which do not grow with the fleet (read in the code and seen in the new figures).

--- a/bench/capacity.tcl
+++ b/bench/capacity.tcl
@@ -62,10 +62,7 @@
     set before [sample]
     after [expr {$::window * 1000}]
     set after [sample]
-    set row {}
-    foreach a $after b $before {
-        lappend row [expr {double($a - $b) / $::window / $hosts}]
-    }
+    set row [mean_rates $before $after]
     set memory [memory_sum]
     set spread [measure_spread $conf]
     fleet::finish
@@ -73,17 +70,41 @@
     return [concat $row [expr {$memory / 1024.0 / $hosts}] $spread]
 }
 
+# Of each host: time, then counters and processor time until then.
 proc sample {} {
-    set ticks 0
+    set samples [dict create]
     foreach host $fleet::hosts {
+        set text [exec [file join $fleet::bin carobwindctl] \
+            --host=[dict get $fleet::settings $host peers] counters]
+        set row [list [expr {[clock microseconds] / 1e6}]]
+        foreach name {peer_control_messages_total peer_control_bytes_total
+                state_calls_total store_calls_total} {
+            regexp -line "^carobwind_$name (\\d+)" $text -> value
+            lappend row $value
+        }
         set file [open /proc/[fleet::pid $host]/stat]
         set fields [lrange [split [regsub {^.*\) } [read $file] ""]] 11 12]
         close $file
-        incr ticks [expr {[lindex $fields 0] + [lindex $fields 1]}]
+        dict set samples $host [concat $row \
+            [expr {[lindex $fields 0] + [lindex $fields 1]}]]
+    }
+    return $samples
+}
+
+# The mean over the hosts of each figure's growth a second. Each host has its
+# own times, since asking all of them takes a while.
+proc mean_rates {before after} {
+    set sums {0 0 0 0 0}
+    dict for {host row} $after {
+        set first [dict get $before $host]
+        set seconds [expr {[lindex $row 0] - [lindex $first 0]}]
+        set next {}
+        foreach sum $sums a [lrange $row 1 end] b [lrange $first 1 end] {
+            lappend next [expr {$sum + ($a - $b) / $seconds}]
+        }
+        set sums $next
     }
-    return [list [counter_sum peer_control_messages_total] \
-        [counter_sum peer_control_bytes_total] \
-        [counter_sum state_calls_total] [counter_sum store_calls_total] $ticks]
+    return [lmap sum $sums {expr {$sum / [dict size $after]}}]
 }
 
 proc memory_sum {} {
