--- a/Makefile
+++ b/Makefile
@@ -4,14 +4,16 @@
 CC ?= gcc
 CFLAGS ?= -O2 -g
 PACKAGES = libev-dev libhiredis-dev libtirpc-dev libargtable2-dev \
-	libconfuse-dev libxxhash-dev libglib2.0-dev tcl make gcc
+	libconfuse-dev libxxhash-dev libglib2.0-dev libhttp-parser-dev \
+	libjansson-dev tcl make gcc
 
 PKG_CFLAGS := $(shell pkg-config --cflags glib-2.0 libtirpc 2>/dev/null)
 PKG_LIBS := $(shell pkg-config --libs glib-2.0 libtirpc 2>/dev/null)
 ALL_CFLAGS = -std=gnu11 -D_GNU_SOURCE -Wall -Wextra -Wshadow \
-	-Wmissing-prototypes -Iinclude -Isrc -Isrc/libcarobwind/include \
+	-Wmissing-prototypes -I. -Iinclude -Isrc -Isrc/libcarobwind/include \
 	$(PKG_CFLAGS) $(CFLAGS)
-LIBS = -lev -lhiredis -largtable2 -lconfuse -lxxhash $(PKG_LIBS) -lm
+LIBS = -lev -lhiredis -largtable2 -lconfuse -lxxhash $(PKG_LIBS) -lhttp_parser \
+	-ljansson -lm
 
 PROGRAMS = carobwindd carobwindctl carobwind-endpoint carobwind-platform \
 	carobwind-bench
@@ -33,6 +35,15 @@
 endef
 $(foreach p,$(PROGRAMS) test_libcarobwind bench_decisions,$(eval $(call program_rule,$(p))))
 
+# The platform's names, formats and calls, as plug-ins of the daemon.
+PLATFORM_OBJECTS = $(patsubst platform/%.c,$(BUILD)/platform/%.o,\
+	$(wildcard platform/*.c))
+$(BUILD)/bin/carobwindd: $(PLATFORM_OBJECTS)
+
+$(BUILD)/platform/%.o: platform/%.c
+	@mkdir -p $(@D)
+	$(CC) $(ALL_CFLAGS) -MMD -MP -c -o $@ $<
+
 $(BUILD)/bin/test_libcarobwind: $(BUILD)/carobwindd/caller_protocol.o
 $(BUILD)/bin/bench_decisions: $(BUILD)/test_libcarobwind/fake_group.o
 
--- a/include/carobwind/endpoint.h
+++ b/include/carobwind/endpoint.h
@@ -10,11 +10,12 @@
     CBW_CALL_BEGIN,
     CBW_CALL_COMMIT,
     CBW_CALL_ROLLBACK,
-    CBW_CALL_CANCEL,  /* tombstones a request key */
-    CBW_CALL_STATE,   /* asks for term and position */
-    CBW_CALL_FENCE,   /* refuse lower terms from now on */
-    CBW_CALL_PROMOTE, /* become primary of the fenced term */
-    CBW_CALL_FOLLOW,  /* replicate from `target` */
+    CBW_CALL_CANCEL,    /* tombstones a request key */
+    CBW_CALL_STATE,     /* asks for term and position */
+    CBW_CALL_FENCE,     /* refuse lower terms from now on */
+    CBW_CALL_PROMOTE,   /* become primary of the fenced term */
+    CBW_CALL_FOLLOW,    /* replicate from `target` */
+    CBW_CALL_STEP_DOWN, /* a primary of a lower term becomes a replica */
 } cbw_call_verb_t;
 
 /* Names of the members of cbw_call_verb_t, in their order. */
@@ -29,6 +30,9 @@
     CBW_REPLY_FULL,        /* no connection to be had: not sent */
     CBW_REPLY_FAILED,      /* the statement itself is wrong */
     CBW_REPLY_LOST,        /* sent, connection lost before an answer */
+    CBW_REPLY_BUSY,        /* no room at the endpoint: not run */
+    CBW_REPLY_BEHIND,      /* its log lacks the asked position: not run */
+    CBW_REPLY_TIMEOUT,     /* it ran, and did not end in time */
 } cbw_reply_status_t;
 
 /* Names of the members of cbw_reply_status_t, in their order. */
@@ -62,8 +66,17 @@
     const char *key; /* "" when there is none */
     const char *statement;
     size_t statement_size;
-    uint64_t transaction;   /* 0: any idle connection */
-    const char *target;     /* FOLLOW: address of the primary */
+    uint64_t transaction; /* 0: any idle connection */
+    const char *target;   /* FOLLOW: address of the primary */
+    /* Of endpoints without request keys: */
+    const char *trace;   /* the statement's id, passed on unchanged */
+    const char *values;  /* session values, "name value" a line; "": none */
+    const char *shape;   /* of a prepared statement; "": not one */
+    bool fresh;          /* on a new connection: others may be silent */
+    bool begins;         /* RUN: opens the transaction first */
+    bool reads_only;     /* begins: the transaction only reads */
+    uint64_t after_term; /* the log must hold this position; 0: any */
+    uint64_t after_position;
     uint64_t wait_position; /* STATE: answer once this is held, ... */
     cbw_time_t wait_limit;  /* ... or after this time; 0: at once */
 } cbw_call_t;
--- a/include/carobwind/inventory.h
+++ b/include/carobwind/inventory.h
@@ -13,6 +13,16 @@
     CBW_CONFIRM_POSITION, /* a majority holds the write */
 } cbw_confirm_level_t;
 
+/* Which commits a read must see. */
+typedef enum {
+    CBW_READ_SESSION, /* the session's own, others up to the allowed age */
+    CBW_READ_BOUNDED, /* those older than the allowed age */
+    CBW_READ_LATEST,  /* all that were acknowledged before it */
+} cbw_read_rule_t;
+
+/* Names of the members of cbw_read_rule_t, in their order. */
+extern const char *const CbwInventory_RuleString[];
+
 /* Names of the members of cbw_confirm_level_t, in their order. */
 extern const char *const CbwInventory_ConfirmString[];
 
@@ -28,10 +38,13 @@
     int connections;               /* allowance of the whole fleet */
     int slots;                     /* statements it runs at once */
     bool leaving;                  /* receives no new work */
+    bool reports_primary;          /* registered itself as the primary */
+    int64_t born; /* start of this incarnation, in its own time; 0: unknown */
 } cbw_endpoint_t;
 
 typedef struct {
     char name[Cbw_NAME_MAX];
+    int connections; /* allowance at each endpoint; 0: they name their own */
     int endpoint_count;
     cbw_endpoint_t endpoints[Cbw_ENDPOINTS_MAX];
 } cbw_database_t;
@@ -49,6 +62,9 @@
     cbw_confirm_level_t confirm;
     cbw_time_t age;      /* oldest data a read accepts; Cbw_NEVER: any */
     cbw_time_t deadline; /* when the caller names none */
+    char database[Cbw_NAME_MAX]; /* the only one it is for; "": any */
+    cbw_read_rule_t rule;
+    cbw_time_t target; /* aim of the whole operation; 0: none */
 } cbw_kind_t;
 
 /* Owns its arrays. Databases are sorted by name. */
@@ -62,6 +78,7 @@
     size_t rank_count;
     cbw_kind_t *kinds;
     size_t kind_count;
+    cbw_time_t transaction_idle; /* then it may be rolled back; 0: default */
 } cbw_inventory_t;
 
 /* Parses `text`. Every finding is added to `findings` under `place` with its
--- a/include/carobwind/membership.h
+++ b/include/carobwind/membership.h
@@ -72,7 +72,8 @@
 extern const cbw_membership_settings_t CbwMembership_DefaultSettings;
 
 /* Inits with the host itself as only member. `incarnation` must grow with each
- * start of the same name; wall-clock seconds do. Returns 0, -1: no memory. */
+ * start of the same name; wall-clock milliseconds do. Returns 0, -1: no
+ * memory. */
 int CbwMembership_Init(cbw_membership_t *membership,
                        const cbw_membership_settings_t *settings,
                        const cbw_membership_ops_t *ops, void *context,
@@ -120,10 +121,12 @@
                                        const char *name);
 /* The owner of `database`: the first usable member in rendezvous order among
  * those of `data_centre` (of the primary), then among all others; NULL when
- * there is none. `skip` (may be NULL) names a member to pass over. */
+ * there is none. `skip` (may be NULL) says which members to pass over. */
+typedef bool (*cbw_member_filter_t)(void *context, const char *name);
 const cbw_member_t *CbwMembership_Owner(const cbw_membership_t *membership,
                                         const char *database,
                                         const char *data_centre,
-                                        const char *skip);
+                                        cbw_member_filter_t skip,
+                                        void *context);
 
 #endif
--- a/include/carobwind/plugin.h
+++ b/include/carobwind/plugin.h
@@ -7,8 +7,11 @@
     CBW_PLUGIN_QUEUE,           /* cbw_queue_ops_t */
     CBW_PLUGIN_LIMIT,           /* cbw_limit_ops_t */
     CBW_PLUGIN_ROUTE,           /* cbw_route_ops_t */
-    CBW_PLUGIN_ENDPOINT_DRIVER, /* cbwd_endpoint_driver_t */
-    CBW_PLUGIN_STORE_DRIVER,    /* cbwd_store_driver_t */
+    CBW_PLUGIN_ENDPOINT_DRIVER, /* endpoint_driver_t */
+    CBW_PLUGIN_STORE_DRIVER,    /* store_driver_t */
+    CBW_PLUGIN_CALLER_DRIVER,   /* caller_driver_t */
+    CBW_PLUGIN_REGISTRY_DRIVER, /* registry_driver_t */
+    CBW_PLUGIN_ORDER_DRIVER,    /* order_driver_t */
 } cbw_plugin_type_t;
 
 /* Names of the members of cbw_plugin_type_t, in their order. */
--- a/include/carobwind/request.h
+++ b/include/carobwind/request.h
@@ -37,8 +37,27 @@
     CBW_REQUEST_FINISHED,
 } cbw_request_state_t;
 
+/* Why a request was not done, for callers whose protocol tells these apart. */
+typedef enum {
+    CBW_CAUSE_NONE,
+    CBW_CAUSE_BUSY,      /* no room, or no primary in time: never sent */
+    CBW_CAUSE_ABORTED,   /* its transaction is lost and rolled back */
+    CBW_CAUSE_BEHIND,    /* no endpoint holds what it must see */
+    CBW_CAUSE_READ_ONLY, /* its endpoint is no primary any more */
+    CBW_CAUSE_FAILED,    /* the endpoint ran it, and it failed */
+    CBW_CAUSE_TIMEOUT,   /* sent, and no answer in the time allowed */
+    CBW_CAUSE_IN_DOUBT,  /* sent, and the answer is lost */
+    CBW_CAUSE_NO_DATABASE,
+    CBW_CAUSE_NO_STATEMENT,
+    CBW_CAUSE_MALFORMED,
+} cbw_cause_t;
+
+/* Names of the members of cbw_cause_t, in their order. */
+extern const char *const CbwRequest_CauseString[];
+
 typedef struct {
     cbw_outcome_t outcome;
+    cbw_cause_t cause;
     char *result; /* owned by the request; NULL: empty */
     size_t result_size;
     char token[Cbw_TOKEN_MAX];
@@ -46,7 +65,7 @@
     cbw_time_t retry_after;
 } cbw_answer_t;
 
-/* Owns `statement` and the answer's result. */
+/* Owns `statement`, `values`, `shape` and the answer's result. */
 typedef struct {
     cbw_link_t link;
     cbw_verb_t verb;
@@ -62,6 +81,14 @@
     cbw_time_t deadline;
     uint64_t transaction; /* 0: none */
     bool maybe_sent;      /* an endpoint may have received it */
+    /* Of endpoints without request keys, see cbw_call_t: */
+    char *values; /* NULL: none */
+    char *shape;  /* NULL: not a prepared statement */
+    bool begins;
+    bool reads_only;
+    cbw_read_rule_t rule;
+    cbw_time_t target;      /* aim of the whole operation; 0: none */
+    int64_t config_version; /* that routed it */
 
     /* The owner's part. */
     int rank;
--- /dev/null
+++ b/include/carobwind/tenure.h
@@ -0,0 +1,121 @@
+/* The right to acknowledge what a database's primary did.  One record a
+ * database in the store names the owner that holds it; whoever orders a
+ * promotion first swaps the record, then waits until the former holder's right
+ * has ended.  Pure: store calls go out through a table of functions. */
+#ifndef CAROBWIND_TENURE_H
+#define CAROBWIND_TENURE_H
+
+#include "carobwind/promotion.h"
+#include "carobwind/types.h"
+
+/* How long a right lasts, from the sending of the call that proved it: longer
+ * than the outages of the store that the users' sheets name (4.5 s), so that
+ * service outlives them; a promoter that was not the holder waits for it. */
+#define Cbw_TENURE_VALID_FOR (6 * Cbw_SEC)
+/* How often it is proved anew; a fifth of a second more than the least at
+ * which three owners cost 0.002 of the users' worth. */
+#define Cbw_TENURE_RENEW_INTERVAL (1200 * Cbw_MSEC)
+/* Pause after a call that got no answer. */
+#define Cbw_TENURE_RETRY_INTERVAL (250 * Cbw_MSEC)
+/* Least time between two take-overs by one owner, so that two that contend do
+ * not flood the store. */
+#define Cbw_TENURE_TAKE_OVER_INTERVAL (1500 * Cbw_MSEC)
+
+/* A promotion is left to its owner for so long, unless the record changes:
+ * longer than a promotion takes with all its waits. */
+#define Cbw_TENURE_PROMOTION_PATIENCE (Cbw_TENURE_VALID_FOR + 3 * Cbw_SEC)
+
+/* Former holders that a record names; with more, all must be waited for. */
+#define Cbw_TENURE_FORMERS_MAX 6
+/* How often a former holder is asked to give its right up. */
+#define Cbw_TENURE_ASK_INTERVAL (300 * Cbw_MSEC)
+
+typedef struct {
+    uint64_t nonce; /* of the owner */
+    char host[Cbw_NAME_MAX];
+} cbw_tenure_holder_t;
+
+/* The record in the store. */
+typedef struct {
+    uint64_t epoch;             /* grows with each promotion */
+    cbw_tenure_holder_t holder; /* nonce 0: given back */
+    bool promoting;             /* the holder may have ordered a promotion */
+    char primary[Cbw_NAME_MAX]; /* or, while promoting, the former one */
+    /* Holders whose right may not have ended when the present one took over;
+     * -1: more than can be named. */
+    int former_count;
+    cbw_tenure_holder_t formers[Cbw_TENURE_FORMERS_MAX];
+} cbw_tenure_record_t;
+
+/* Writes the record's text to `text` of Cbw_TENURE_TEXT_MAX bytes. */
+#define Cbw_TENURE_TEXT_MAX 1024
+void CbwTenure_FormatRecord(const cbw_tenure_record_t *record, char *text);
+/* Returns 0, or -1 when the text is no record. */
+int CbwTenure_ParseRecord(cbw_tenure_record_t *record, const char *text);
+
+typedef struct {
+    void (*read_record)(void *context);
+    void (*swap_record)(void *context, uint64_t version,
+                        const cbw_tenure_record_t *record);
+    /* Asks a former holder to give up its right; CbwTenure_OnGivenUp. */
+    void (*ask_former)(void *context, const cbw_tenure_holder_t *former);
+} cbw_tenure_ops_t;
+
+typedef struct {
+    const cbw_tenure_ops_t *ops;
+    void *context;
+    cbw_tenure_holder_t self;
+    bool known; /* `record` and `version` are as last read */
+    cbw_tenure_record_t record;
+    uint64_t version; /* 0: there is no record yet */
+    bool asking;      /* a call is on its way */
+    bool swapping;    /* it is a swap, of `wanted` */
+    cbw_tenure_record_t wanted;
+    cbw_time_t asked_at;
+    cbw_time_t ask_again_at;
+    cbw_time_t valid_until; /* 0: not held */
+    bool held;              /* without a break since `sole_since` was set */
+    bool inherited; /* a promotion that another ordered may still happen */
+    cbw_time_t took_over_at;
+    cbw_time_t seen_at; /* when `version` was first seen */
+    unsigned given_up;  /* mask of the record's formers */
+    cbw_time_t formers_asked_at;
+    cbw_time_t given_up_at; /* answers to earlier calls do not count */
+    cbw_time_t sole_since;  /* other holders' rights have ended by then */
+} cbw_tenure_t;
+
+void CbwTenure_Init(cbw_tenure_t *tenure, const cbw_tenure_ops_t *ops,
+                    void *context, uint64_t nonce, const char *host);
+/* No promotion that this owner did not order has taken effect before `now`. */
+bool CbwTenure_IsValid(const cbw_tenure_t *tenure, cbw_time_t now);
+/* Besides, no other owner has the right any more. */
+bool CbwTenure_IsSole(const cbw_tenure_t *tenure, cbw_time_t now);
+/* Proves, takes over or takes back the right where that is due. `primary` is
+ * for a record that does not exist yet; "" when it is not known. */
+void CbwTenure_Tick(cbw_tenure_t *tenure, cbw_time_t now, const char *primary);
+/* Asks for a proof at once, unless a call is on its way. */
+void CbwTenure_Hasten(cbw_tenure_t *tenure, cbw_time_t now);
+/* Swaps the record: `promoting` with the next epoch, or the end of a promotion
+ * with its `primary`. Returns false when a call is on its way or the right is
+ * not held. */
+bool CbwTenure_BeginPromotion(cbw_tenure_t *tenure, cbw_time_t now);
+bool CbwTenure_EndPromotion(cbw_tenure_t *tenure, cbw_time_t now,
+                            const char *primary);
+/* Asks former holders to give up their rights, where a promotion would have to
+ * wait for their end; call it until the owner is the only one. */
+void CbwTenure_AskFormers(cbw_tenure_t *tenure, cbw_time_t now);
+/* Another owner asks for the right of the one with `nonce`, which is this one:
+ * it ends now. */
+void CbwTenure_GiveUp(cbw_tenure_t *tenure, cbw_time_t now);
+/* The owner with `nonce` has no right any more. */
+void CbwTenure_OnGivenUp(cbw_tenure_t *tenure, cbw_time_t now, uint64_t nonce);
+/* Gives the right back, so that the next owner need not wait. */
+void CbwTenure_Release(cbw_tenure_t *tenure, cbw_time_t now);
+
+void CbwTenure_OnRecord(cbw_tenure_t *tenure, cbw_time_t now,
+                        cbw_store_status_t status, uint64_t version,
+                        const cbw_tenure_record_t *record);
+void CbwTenure_OnSwap(cbw_tenure_t *tenure, cbw_time_t now,
+                      cbw_store_status_t status, uint64_t version);
+
+#endif
--- a/include/carobwind/types.h
+++ b/include/carobwind/types.h
@@ -7,7 +7,8 @@
 #include <stdint.h>
 
 /* A point in time or a duration, in microseconds.  Points in time come from
- * the monotonic clock of the host and are passed in by the caller. */
+ * the host's clock that also counts while it is suspended, and are passed in
+ * by the caller. */
 typedef int64_t cbw_time_t;
 
 #define Cbw_MSEC ((cbw_time_t)1000)
@@ -25,10 +26,12 @@
 /* Longest "address:port", with its NUL. */
 #define Cbw_ADDRESS_MAX 32
 /* Most endpoints of one database. */
-#define Cbw_ENDPOINTS_MAX 5
+#define Cbw_ENDPOINTS_MAX 8
 /* Most ranks of work. */
 #define Cbw_RANKS_MAX 6
 /* Longest statement or result, in bytes. */
 #define Cbw_STATEMENT_MAX ((size_t)65536)
+/* The same of a caller on the platform. */
+#define Cbw_PLATFORM_STATEMENT_MAX ((size_t)1048576)
 
 #endif
--- a/src/bench_decisions/size.c
+++ b/src/bench_decisions/size.c
@@ -179,7 +179,7 @@
         const cbw_database_t *database = &inventory->databases[i];
         if (strcmp(database->endpoints[0].data_centre, "centre-00") == 0) {
             owned += CbwMembership_Owner(members, database->name, "centre-00",
-                                         NULL) == &members->members[0];
+                                         NULL, NULL) == &members->members[0];
         }
     }
     row("owners, all of one data centre", milliseconds_since(begin), "ms");
@@ -188,7 +188,7 @@
     for (size_t i = 0; i < inventory->database_count; i++) {
         const cbw_database_t *database = &inventory->databases[i];
         CbwMembership_Owner(members, database->name,
-                            database->endpoints[0].data_centre, NULL);
+                            database->endpoints[0].data_centre, NULL, NULL);
     }
     row("owners, all databases (entry, after a change)",
         milliseconds_since(begin), "ms");
--- a/src/carobwindd/endpoint_resp.c
+++ b/src/carobwindd/endpoint_resp.c
@@ -412,6 +412,8 @@
         words[3] = call->target;
         count = 4;
         break;
+    case CBW_CALL_STEP_DOWN:
+        break; /* of endpoints that are not fenced; never sent here */
     }
     for (int i = 0; i < count; i++) {
         sizes[i] = strlen(words[i]);
@@ -443,7 +445,7 @@
     return true;
 }
 
-static void
+static bool
 driver_abort(endpoint_link_t *owner, uint64_t id)
 {
     cbw_link_t *link;
@@ -458,8 +460,9 @@
         CbwList_Remove(&sent->link);
         free(sent);
         drop_connection(connection, CBW_REPLY_LOST);
-        return;
+        return true;
     }
+    return true;
 }
 
 static void
@@ -478,7 +481,8 @@
 }
 
 static endpoint_link_t *
-driver_open(daemon_t *daemon, const char *address, int connections_max,
+driver_open(daemon_t *daemon, const char *database,
+            const cbw_endpoint_t *endpoint, int connections_max,
             const endpoint_events_t *events, void *context)
 {
     endpoint_link_t *owner = calloc(1, sizeof(*owner));
@@ -486,11 +490,12 @@
     if (owner == NULL) {
         abort();
     }
+    (void)database;
     owner->daemon = daemon;
     owner->connections_max = connections_max;
     owner->events = events;
     owner->context = context;
-    snprintf(owner->address, sizeof(owner->address), "%s", address);
+    snprintf(owner->address, sizeof(owner->address), "%s", endpoint->address);
     CbwList_Init(&owner->connections);
     return owner;
 }
@@ -523,6 +528,7 @@
 }
 
 static const endpoint_driver_t driver = {
+    .keeps_keys = true,
     .open = driver_open,
     .close = driver_close,
     .call = driver_call,
--- a/src/carobwindd/main.c
+++ b/src/carobwindd/main.c
@@ -8,7 +8,10 @@
 #include <sysexits.h>
 
 #include "carobwind/log.h"
+#include "carobwind/plugin.h"
+#include "drivers.h"
 #include "messages.h"
+#include "platform/probe.h"
 #include "share/fault.h"
 #include "share/net.h"
 #include "share/reaper.h"
@@ -72,12 +75,14 @@
         return;
     }
     self.draining = true;
+    self.daemon->draining = true;
     self.drain_at = CbwNet_Now();
     self.busy_at = self.drain_at;
     CbwLog_Write(CBW_LOG_INFO, "main", "draining", "host=%s",
                  self.daemon->settings.name);
     post_to(TASK_MEMBER, MESSAGE_DRAIN);
     post_to(TASK_ENTRY, MESSAGE_DRAIN);
+    post_to(TASK_OWNER, MESSAGE_DRAIN);
     ev_timer_init(&self.timer, ask_reports, DRAIN_TICK_SECONDS,
                   DRAIN_TICK_SECONDS);
     ev_timer_start(self.daemon->loop, &self.timer);
@@ -92,6 +97,16 @@
     begin_drain();
 }
 
+static void
+on_reload(struct ev_loop *loop, ev_signal *watcher, int events)
+{
+    (void)loop;
+    (void)watcher;
+    (void)events;
+    CbwLog_Write(CBW_LOG_INFO, "main", "reload", "host=%s",
+                 self.daemon->settings.name);
+}
+
 static void
 handle(void *state, message_t *message)
 {
@@ -135,16 +150,35 @@
 static int
 start_tasks(daemon_t *daemon, cbw_error_t *error)
 {
+    const settings_t *settings = &daemon->settings;
+    const endpoint_driver_t *endpoints =
+        CbwPlugin_Find(CBW_PLUGIN_ENDPOINT_DRIVER, settings->endpoint_driver);
+
     Task_Register(daemon->loop, TASK_MAIN, handle, NULL);
     StoreTask_Start(daemon);
-    ConfigTask_Start(daemon);
+    if (settings->registry_driver[0] != '\0') {
+        RegistryTask_Start(daemon);
+    }
+    else {
+        ConfigTask_Start(daemon);
+    }
     RouterTask_Start(daemon);
-    OwnerTask_Start(daemon);
+    if (endpoints->keeps_keys) {
+        OwnerTask_Start(daemon);
+    }
+    else {
+        PoolTask_Start(daemon);
+    }
     if (MemberTask_Start(daemon, error) != 0 ||
         PeerTask_Start(daemon, error) != 0) {
         return -1;
     }
-    return EntryTask_Start(daemon, error);
+    if (Probe_Start(daemon, error) != 0) {
+        return -1;
+    }
+    return strcmp(settings->caller_driver, "resp") == 0
+               ? EntryTask_Start(daemon, error)
+               : SessionTask_Start(daemon, error);
 }
 
 int
@@ -153,7 +187,7 @@
     struct ev_loop *loop = ev_default_loop(EVFLAG_AUTO);
     cbw_findings_t findings;
     cbw_error_t error = {0};
-    ev_signal signals[2];
+    ev_signal signals[3];
 
     CbwFindings_Init(&findings);
     if (Settings_Parse(&the_daemon.settings, argc, argv, &findings) != 0) {
@@ -172,6 +206,8 @@
     ev_signal_init(&signals[1], on_signal, SIGINT);
     ev_signal_start(loop, &signals[0]);
     ev_signal_start(loop, &signals[1]);
+    ev_signal_init(&signals[2], on_reload, SIGHUP);
+    ev_signal_start(loop, &signals[2]);
     CbwLog_Write(CBW_LOG_INFO, "main", "started",
                  "host=%s data-centre=%s callers=%s peers=%s",
                  the_daemon.settings.name, the_daemon.settings.data_centre,
--- a/src/carobwindd/member_task.c
+++ b/src/carobwindd/member_task.c
@@ -420,7 +420,8 @@
 static void
 publish(void)
 {
-    static const task_id_t readers[] = {TASK_ROUTER, TASK_OWNER, TASK_CONFIG};
+    static const task_id_t readers[] = {TASK_ROUTER, TASK_OWNER, TASK_CONFIG,
+                                        TASK_STORE};
     view_t *view;
 
     if (self.published_epoch == self.membership.epoch ||
@@ -428,6 +429,7 @@
         return;
     }
     self.published_epoch = self.membership.epoch;
+    self.daemon->joined = true;
     view = copy_view();
     for (size_t i = 0; i < sizeof(readers) / sizeof(readers[0]); i++) {
         view_message_t *message = calloc(1, sizeof(*message));
@@ -528,6 +530,17 @@
     publish();
 }
 
+/* Of the time of day, which may have been set back since an earlier process of
+ * this name: then the membership raises it. */
+static uint64_t
+now_in_milliseconds(void)
+{
+    struct timespec now;
+
+    clock_gettime(CLOCK_REALTIME, &now);
+    return (uint64_t)now.tv_sec * 1000 + (uint64_t)now.tv_nsec / 1000000;
+}
+
 int
 MemberTask_Start(daemon_t *daemon, cbw_error_t *error)
 {
@@ -538,7 +551,7 @@
     if (CbwMembership_Init(&self.membership, &CbwMembership_DefaultSettings,
                            &membership_ops, NULL, settings->name,
                            settings->data_centre, settings->peers,
-                           (uint64_t)time(NULL), daemon->nonce) != 0) {
+                           now_in_milliseconds(), daemon->nonce) != 0) {
         return CbwError_Set(error, CBW_ERROR_MEMORY, "out of memory");
     }
     Task_Register(daemon->loop, TASK_MEMBER, handle, NULL);
--- a/src/carobwindd/messages.c
+++ b/src/carobwindd/messages.c
@@ -25,6 +25,8 @@
     [PEER_STATUS] = {no_arguments, CODEC(xdr_peer_text_result)},
     [PEER_COUNTERS] = {no_arguments, CODEC(xdr_peer_text_result)},
     [PEER_DRAIN] = {no_arguments, CODEC(xdr_bool)},
+    [PEER_GIVE_UP] = {CODEC(xdr_peer_give_up_args), CODEC(xdr_bool)},
+    [PEER_STORE] = {CODEC(xdr_peer_store_args), CODEC(xdr_peer_store_result)},
 };
 
 config_t *
@@ -102,6 +104,11 @@
     for (int i = 0; i < call->word_count; i++) {
         free(call->words[i]);
     }
+    for (size_t i = 0; i < call->item_count; i++) {
+        free(call->items[i].key);
+        free(call->items[i].value);
+    }
+    free(call->items);
     free(call->words);
     free(call->value);
     free(call);
--- a/src/carobwindd/messages.h
+++ b/src/carobwindd/messages.h
@@ -21,6 +21,10 @@
     uint64_t nonce;    /* unique to this start */
     cbw_counters_t counters;
     cbw_trace_ring_t traces;
+    /* Whether the balancer may send callers here. */
+    bool configured; /* a configuration is in force */
+    bool joined;     /* the members are known */
+    bool draining;
 } daemon_t;
 
 /* A configuration in force, shared by reference. */
@@ -80,13 +84,26 @@
 job_t *Job_New(void);
 void Job_Free(job_t *job);
 
+typedef struct inbound inbound_t;
+
 typedef enum {
     STORE_GET,
     STORE_SWAP,
     STORE_WATCH, /* waits for another version */
     STORE_HOSTS,
+    STORE_RANGE,   /* all records whose keys begin with `key` */
+    STORE_CHANGES, /* waits for changes of these after `version` */
+    STORE_DELETE,
 } store_verb_t;
 
+/* A record of the store, or its removal. */
+typedef struct {
+    char *key;
+    char *value; /* NULL: removed */
+    size_t value_size;
+    uint64_t version;
+} store_item_t;
+
 /* A call to the store. Freed by the task that made it. */
 typedef struct {
     message_t message;
@@ -98,10 +115,18 @@
     cbw_store_status_t status;
     char **words; /* HOSTS: four a host; owned */
     int word_count;
+    store_item_t *items; /* RANGE, CHANGES; owned */
+    size_t item_count;
+    bool unconditional; /* SWAP: whatever the version */
+    bool may_be_stale; /* a cheap answer that lags will do */
     task_id_t reply_to;
     void *context;
 
-    /* The store task's part. */
+    /* The store task's and its driver's part. */
+    void *driver_state;
+    bool through_peer; /* this host could not make it itself */
+    int peers_asked;
+    inbound_t *inbound; /* made for a peer; NULL: for a task */
     uint64_t id;
     cbw_time_t deadline;
 } store_call_t;
@@ -115,6 +140,8 @@
     peer_config_args config;
     peer_reach_args reach;
     peer_text_args text;
+    peer_store_args store;
+    peer_give_up_args give_up;
 } peer_args_t;
 
 typedef union {
@@ -124,6 +151,7 @@
     bool_t flag;
     peer_members_result members;
     peer_text_result text;
+    peer_store_result store;
 } peer_result_t;
 
 /* A call to a peer. The strings in `args` are freed with it. */
@@ -149,14 +177,14 @@
 void Outbound_Free(outbound_t *outbound);
 
 /* A peer's call, for the task that answers it. */
-typedef struct {
+struct inbound {
     message_t message;
     uint32_t procedure;
     peer_args_t args;
     peer_result_t result;
     void *connection; /* of the peer task */
     uint32_t xid;
-} inbound_t;
+};
 
 /* Sets the text of a text result. */
 void Inbound_SetText(inbound_t *inbound, bool found, const char *text);
@@ -167,13 +195,18 @@
     xdrproc_t result;
 } peer_codec_t;
 
-/* Indexed by procedure, up to PEER_DRAIN. */
+/* Indexed by procedure, up to PEER_GIVE_UP. */
 extern const peer_codec_t Peer_Codecs[];
 
 /* Tasks. Each is created once and lives as long as the process. */
 int EntryTask_Start(daemon_t *daemon, cbw_error_t *error);
 void RouterTask_Start(daemon_t *daemon);
 void OwnerTask_Start(daemon_t *daemon);
+/* In place of the entry, owner and config tasks, for drivers with sessions,
+ * without request keys, and with registrations. */
+int SessionTask_Start(daemon_t *daemon, cbw_error_t *error);
+void PoolTask_Start(daemon_t *daemon);
+void RegistryTask_Start(daemon_t *daemon);
 int PeerTask_Start(daemon_t *daemon, cbw_error_t *error);
 int MemberTask_Start(daemon_t *daemon, cbw_error_t *error);
 void ConfigTask_Start(daemon_t *daemon);
--- a/src/carobwindd/owner_instance.c
+++ b/src/carobwindd/owner_instance.c
@@ -170,6 +170,8 @@
     outbound_t *outbound = Outbound_New(PEER_REACH, peer->address);
 
     outbound->args.reach.address = strdup(address);
+    outbound->args.reach.database = strdup("");
+    outbound->args.reach.endpoint = strdup("");
     memcpy(outbound->name, peer->name, sizeof(outbound->name));
     outbound->timeout = REACH_CALL_TIMEOUT;
     outbound->reply_to = TASK_OWNER;
@@ -293,7 +295,7 @@
     for (int i = 0; i < database->endpoint_count; i++) {
         instance->bindings[i] = (binding_t){instance, i};
         instance->links[i] = OwnerTask_State.driver->open(
-            OwnerTask_State.daemon, database->endpoints[i].address,
+            OwnerTask_State.daemon, database->name, &database->endpoints[i],
             instance->owner.group.endpoints[i].limit.maximum, &endpoint_events,
             &instance->bindings[i]);
     }
--- a/src/carobwindd/owner_task.c
+++ b/src/carobwindd/owner_task.c
@@ -92,7 +92,7 @@
         return false;
     }
     return CbwMembership_Owner(&OwnerTask_State.view->membership,
-                               database->name, home, NULL) ==
+                               database->name, home, NULL, NULL) ==
            &OwnerTask_State.view->membership.members[0];
 }
 
@@ -301,6 +301,9 @@
     case MESSAGE_REPORT:
         report_busy(message);
         break;
+    case MESSAGE_DRAIN:
+        free(message); /* the members' view says who owns what */
+        break;
     default:
         break;
     }
--- a/src/carobwindd/peer_task.c
+++ b/src/carobwindd/peer_task.c
@@ -340,6 +340,19 @@
     request->deadline = now + args->remaining;
     request->transaction = args->transaction;
     request->maybe_sent = args->maybe_sent;
+    if (args->values[0] != '\0') {
+        request->values = strdup(args->values);
+    }
+    if (args->shape[0] != '\0') {
+        request->shape = strdup(args->shape);
+    }
+    request->begins = args->begins;
+    request->reads_only = args->reads_only;
+    request->rule = (cbw_read_rule_t)args->rule;
+    request->rank = (int)args->rank;
+    request->writes = args->writes;
+    request->target = args->target;
+    request->config_version = args->config_version;
     return job;
 }
 
@@ -347,7 +360,8 @@
 is_valid_statement(const peer_statement_args *args)
 {
     return args->verb <= CBW_VERB_SETTLE && args->remaining >= 0 &&
-           args->remaining <= 3600 * Cbw_SEC && args->age >= 0;
+           args->remaining <= 3600 * Cbw_SEC && args->age >= 0 &&
+           args->rule <= CBW_READ_LATEST && args->rank < Cbw_RANKS_MAX;
 }
 
 static task_id_t
@@ -356,9 +370,12 @@
     switch (procedure) {
     case PEER_EXPLAIN:
     case PEER_REACH:
+    case PEER_GIVE_UP:
         return TASK_OWNER;
     case PEER_CONFIG:
         return TASK_CONFIG;
+    case PEER_STORE:
+        return TASK_STORE;
     case PEER_DRAIN:
         return TASK_MAIN;
     default:
@@ -496,6 +513,7 @@
     const cbw_answer_t *answer = &job->request.answer;
     peer_statement_result result = {
         .outcome = answer->outcome,
+        .cause = answer->cause,
         .token = (char *)answer->token,
         .reason = (char *)answer->reason,
         .retry_after = answer->retry_after,
--- /dev/null
+++ b/src/carobwindd/registry_task.c
@@ -0,0 +1,458 @@
+/* The configuration task for a platform on which endpoints register
+ * themselves: the operators' record and the registrations, both watched in the
+ * store, make up one inventory. A version never goes back. */
+
+#include <glib.h>
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "carobwind/log.h"
+#include "carobwind/plugin.h"
+#include "carobwind/random.h"
+#include "drivers.h"
+#include "share/net.h"
+
+#define TICK_SECONDS 0.1
+/* Longest wait of a watch: a silent one is found by its deadline well within
+ * the time in which a change must be in force. */
+#define WATCH_WAIT (9 * Cbw_SEC)
+#define RETRY_INTERVAL (150 * Cbw_MSEC)
+/* How often changes are asked for through a peer. */
+#define THROUGH_PEER_INTERVAL (700 * Cbw_MSEC)
+/* Registrations that lapsed while the store was away come back within 2 s of
+ * its return; from the platform's page on service discovery. */
+#define LAPSED_WAIT (2200 * Cbw_MSEC)
+
+typedef enum { WATCH_CONFIG, WATCH_ENDPOINTS, WATCH_COUNT_ } watch_id_t;
+
+typedef struct {
+    const char *key;
+    bool listed; /* read once */
+    bool asked;
+    uint64_t version; /* of the store, up to which it is known */
+    cbw_time_t ask_at;
+} watch_t;
+
+typedef struct {
+    char key[Cbw_NAME_MAX + 16];
+    cbw_endpoint_t endpoint;
+    char database[Cbw_NAME_MAX];
+    uint64_t version;
+    bool seen;          /* in the list that is being read */
+    cbw_time_t gone_at; /* removed, and kept until then; 0: registered */
+} registration_t;
+
+typedef struct {
+    daemon_t *daemon;
+    const registry_driver_t *driver;
+    watch_t watches[WATCH_COUNT_];
+    GHashTable *registrations; /* key to registration_t, which it owns */
+    cbw_inventory_t routes;    /* without endpoints */
+    bool configured;
+    bool changed;          /* since the last publication */
+    int64_t heard_version; /* that a peer runs */
+    cbw_random_t random;
+    ev_timer timer;
+} registry_task_t;
+
+static registry_task_t self;
+
+/* The inventory. */
+
+static int
+compare_endpoints(const void *a, const void *b)
+{
+    return strcmp(((const cbw_endpoint_t *)a)->name,
+                  ((const cbw_endpoint_t *)b)->name);
+}
+
+static void
+add_endpoints(cbw_database_t *database)
+{
+    GHashTableIter iterator;
+    gpointer value;
+
+    g_hash_table_iter_init(&iterator, self.registrations);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const registration_t *registration = value;
+        cbw_endpoint_t *endpoint =
+            &database->endpoints[database->endpoint_count];
+        if (strcmp(registration->database, database->name) != 0) {
+            continue;
+        }
+        if (database->endpoint_count == Cbw_ENDPOINTS_MAX) {
+            CbwLog_Write(CBW_LOG_ERROR, "config", "too-many-endpoints",
+                         "database=%s", database->name);
+            break;
+        }
+        *endpoint = registration->endpoint;
+        endpoint->connections = database->connections;
+        database->endpoint_count++;
+    }
+    qsort(database->endpoints, (size_t)database->endpoint_count,
+          sizeof(cbw_endpoint_t), compare_endpoints);
+}
+
+static void *
+copy_array(const void *array, size_t count, size_t size)
+{
+    void *copy = calloc(count + 1, size);
+
+    if (copy == NULL) {
+        abort();
+    }
+    if (count > 0) {
+        memcpy(copy, array, count * size);
+    }
+    return copy;
+}
+
+static config_t *
+make_config(void)
+{
+    config_t *config = calloc(1, sizeof(*config));
+    cbw_inventory_t *inventory;
+
+    if (config == NULL) {
+        abort();
+    }
+    config->references = 1;
+    inventory = &config->inventory;
+    *inventory = self.routes;
+    inventory->kinds = copy_array(self.routes.kinds, self.routes.kind_count,
+                                  sizeof(cbw_kind_t));
+    inventory->databases =
+        copy_array(self.routes.databases, self.routes.database_count,
+                   sizeof(cbw_database_t));
+    for (size_t i = 0; i < inventory->database_count; i++) {
+        add_endpoints(&inventory->databases[i]);
+    }
+    return config;
+}
+
+static void
+publish(void)
+{
+    static const task_id_t readers[] = {TASK_ENTRY, TASK_ROUTER, TASK_OWNER,
+                                        TASK_MEMBER};
+    config_t *config;
+
+    if (!self.changed || !self.configured ||
+        !self.watches[WATCH_ENDPOINTS].listed) {
+        return;
+    }
+    self.changed = false;
+    config = make_config();
+    for (size_t i = 0; i < sizeof(readers) / sizeof(readers[0]); i++) {
+        config_message_t *message = calloc(1, sizeof(*message));
+        if (message == NULL) {
+            abort();
+        }
+        CbwList_Init(&message->message.link);
+        message->config = Config_Ref(config);
+        Task_Post(TASK_CONFIG, readers[i], MESSAGE_CONFIG, &message->message);
+    }
+    Config_Unref(config);
+    self.daemon->configured = true;
+}
+
+/* The operators' record. */
+
+static void
+take_config(const char *text)
+{
+    cbw_inventory_t inventory;
+    cbw_findings_t findings;
+
+    CbwFindings_Init(&findings);
+    if (self.driver->parse_config(text, &inventory, &findings) != 0) {
+        CbwLog_Write(CBW_LOG_ERROR, "config", "refused",
+                     "findings=%zu first=\"%s: %s\"", findings.count,
+                     findings.items[0].place, findings.items[0].text);
+    }
+    /* What can be used of a record is used, but for an older one. */
+    if (inventory.version > self.routes.version) {
+        CbwInventory_Finish(&self.routes);
+        self.routes = inventory;
+        self.configured = true;
+        self.changed = true;
+        CbwCounter_Add(&self.daemon->counters, CBW_COUNTER_CONFIG_APPLIED, 1);
+        CbwLog_Write(CBW_LOG_INFO, "config", "in-force",
+                     "version=%" PRId64 " routes=%zu databases=%zu",
+                     inventory.version, inventory.kind_count,
+                     inventory.database_count);
+    }
+    else {
+        CbwInventory_Finish(&inventory);
+    }
+    CbwFindings_Finish(&findings);
+}
+
+/* Registrations. */
+
+static void
+take_registration(const store_item_t *item)
+{
+    registration_t *known = g_hash_table_lookup(self.registrations, item->key);
+    registration_t fresh;
+    cbw_error_t error = {0};
+    const char *name = item->key + strlen(self.watches[WATCH_ENDPOINTS].key);
+
+    memset(&fresh, 0, sizeof(fresh));
+    if (strlen(item->key) >= sizeof(fresh.key) ||
+        memchr(item->value, '\0', item->value_size) != NULL ||
+        self.driver->parse_endpoint(name, item->value, &fresh.endpoint,
+                                    fresh.database, &error) != 0) {
+        CbwLog_Write(CBW_LOG_WARNING, "config", "unusable-registration",
+                     "key=%.64s revision=%" PRIu64 " reason=\"%s\"", item->key,
+                     item->version, error.text);
+        if (known != NULL) {
+            g_hash_table_remove(self.registrations, item->key);
+            self.changed = true;
+        }
+        return;
+    }
+    strcpy(fresh.key, item->key);
+    fresh.version = item->version;
+    fresh.seen = true;
+    if (known != NULL && known->gone_at == 0 &&
+        memcmp(&known->endpoint, &fresh.endpoint, sizeof(fresh.endpoint)) ==
+            0) {
+        known->seen = true;
+        known->version = item->version;
+        return;
+    }
+    if (known == NULL) {
+        known = calloc(1, sizeof(*known));
+        if (known == NULL) {
+            abort();
+        }
+        strcpy(known->key, fresh.key);
+        g_hash_table_insert(self.registrations, known->key, known);
+    }
+    *known = fresh;
+    self.changed = true;
+    CbwLog_Write(CBW_LOG_INFO, "config", "registration",
+                 "endpoint=%s database=%s address=%s leaving=%d primary=%d "
+                 "born=%" PRId64 " revision=%" PRIu64,
+                 fresh.endpoint.name, fresh.database, fresh.endpoint.address,
+                 fresh.endpoint.leaving, fresh.endpoint.reports_primary,
+                 fresh.endpoint.born, fresh.version);
+}
+
+static void
+remove_registration(registration_t *registration, cbw_time_t now)
+{
+    if (registration->gone_at != 0) {
+        return;
+    }
+    /* One that said that it leaves has left; any other may have lapsed while
+     * the store was away. */
+    registration->gone_at =
+        now + (registration->endpoint.leaving ? 0 : LAPSED_WAIT);
+    CbwLog_Write(CBW_LOG_INFO, "config", "registration-removed",
+                 "endpoint=%s leaving=%d", registration->endpoint.name,
+                 registration->endpoint.leaving);
+}
+
+static void
+forget_gone(cbw_time_t now)
+{
+    GHashTableIter iterator;
+    gpointer value;
+
+    g_hash_table_iter_init(&iterator, self.registrations);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const registration_t *registration = value;
+        if (registration->gone_at != 0 && now >= registration->gone_at) {
+            g_hash_table_iter_remove(&iterator);
+            self.changed = true;
+        }
+    }
+}
+
+static void
+mark_unseen(void)
+{
+    GHashTableIter iterator;
+    gpointer value;
+
+    g_hash_table_iter_init(&iterator, self.registrations);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        ((registration_t *)value)->seen = false;
+    }
+}
+
+static void
+remove_unseen(cbw_time_t now)
+{
+    GHashTableIter iterator;
+    gpointer value;
+
+    g_hash_table_iter_init(&iterator, self.registrations);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        registration_t *registration = value;
+        if (!registration->seen) {
+            remove_registration(registration, now);
+        }
+    }
+}
+
+/* Watches. */
+
+static void
+take_item(watch_id_t id, const store_item_t *item, cbw_time_t now)
+{
+    registration_t *known;
+
+    if (id == WATCH_CONFIG) {
+        if (item->value != NULL &&
+            strcmp(item->key, self.driver->config_key) == 0) {
+            take_config(item->value);
+        }
+        return;
+    }
+    if (item->value != NULL) {
+        take_registration(item);
+        return;
+    }
+    known = g_hash_table_lookup(self.registrations, item->key);
+    if (known != NULL) {
+        remove_registration(known, now);
+    }
+}
+
+static void
+ask(watch_id_t id, cbw_time_t now)
+{
+    watch_t *watch = &self.watches[id];
+    store_call_t *call;
+
+    if (watch->asked || now < watch->ask_at) {
+        return;
+    }
+    watch->asked = true;
+    call =
+        StoreCall_New(watch->listed ? STORE_CHANGES : STORE_RANGE, watch->key);
+    call->version = watch->listed ? watch->version : 0;
+    call->wait = watch->listed ? WATCH_WAIT : 0;
+    call->reply_to = TASK_CONFIG;
+    call->context = (void *)(uintptr_t)id;
+    Task_Post(TASK_CONFIG, TASK_STORE, MESSAGE_STORE, &call->message);
+}
+
+static void
+on_store_done(store_call_t *call)
+{
+    watch_id_t id = (watch_id_t)(uintptr_t)call->context;
+    watch_t *watch = &self.watches[id];
+    cbw_time_t now = CbwNet_Now();
+
+    watch->asked = false;
+    watch->ask_at = now;
+    if (call->status == CBW_STORE_CONFLICT) {
+        watch->listed = false; /* the history is gone: reads it all anew */
+    }
+    else if (call->status != CBW_STORE_OK) {
+        watch->ask_at =
+            now + RETRY_INTERVAL +
+            (cbw_time_t)CbwRandom_Below(&self.random, RETRY_INTERVAL);
+    }
+    else {
+        if (call->verb == STORE_RANGE && id == WATCH_ENDPOINTS) {
+            mark_unseen();
+        }
+        for (size_t i = 0; i < call->item_count; i++) {
+            take_item(id, &call->items[i], now);
+        }
+        if (call->verb == STORE_RANGE && id == WATCH_ENDPOINTS) {
+            remove_unseen(now);
+        }
+        watch->listed = true;
+        watch->version = call->version;
+        if (call->through_peer) {
+            watch->ask_at = now + THROUGH_PEER_INTERVAL; /* it does not wait */
+        }
+    }
+    StoreCall_Free(call);
+    publish();
+    ask(id, now);
+}
+
+static void
+on_peer_version(version_message_t *message)
+{
+    watch_t *watch = &self.watches[WATCH_CONFIG];
+
+    /* The watch missed it: reads the record itself. */
+    if (message->version > self.routes.version && !watch->asked) {
+        watch->listed = false;
+        watch->ask_at = 0;
+    }
+    free(message);
+}
+
+static void
+answer_config(inbound_t *inbound)
+{
+    inbound->result.config.text.text_val = NULL;
+    inbound->result.config.text.text_len = 0;
+    Task_Post(TASK_CONFIG, TASK_PEER, MESSAGE_INBOUND_DONE, &inbound->message);
+}
+
+static void
+handle(void *state, message_t *message)
+{
+    (void)state;
+    switch (message->type) {
+    case MESSAGE_STORE_DONE:
+        on_store_done(Cbw_LIST_ITEM(message, store_call_t, message));
+        break;
+    case MESSAGE_PEER_VERSION:
+        on_peer_version(Cbw_LIST_ITEM(message, version_message_t, message));
+        break;
+    case MESSAGE_INBOUND:
+        answer_config(Cbw_LIST_ITEM(message, inbound_t, message));
+        break;
+    case MESSAGE_VIEW: {
+        view_message_t *view = Cbw_LIST_ITEM(message, view_message_t, message);
+        View_Unref(view->view);
+        free(view);
+        break;
+    }
+    default:
+        break;
+    }
+}
+
+static void
+on_tick(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+    cbw_time_t now = CbwNet_Now();
+
+    (void)loop;
+    (void)watcher;
+    (void)events;
+    forget_gone(now);
+    publish();
+    for (int i = 0; i < WATCH_COUNT_; i++) {
+        ask((watch_id_t)i, now);
+    }
+}
+
+void
+RegistryTask_Start(daemon_t *daemon)
+{
+    self.daemon = daemon;
+    self.driver = CbwPlugin_Find(CBW_PLUGIN_REGISTRY_DRIVER,
+                                 daemon->settings.registry_driver);
+    self.watches[WATCH_CONFIG].key = self.driver->config_key;
+    self.watches[WATCH_ENDPOINTS].key = self.driver->endpoints_prefix;
+    self.registrations =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free);
+    CbwRandom_Init(&self.random, daemon->nonce);
+    Task_Register(daemon->loop, TASK_CONFIG, handle, NULL);
+    ev_timer_init(&self.timer, on_tick, TICK_SECONDS, TICK_SECONDS);
+    ev_timer_start(daemon->loop, &self.timer);
+}
--- a/src/carobwindd/router_task.c
+++ b/src/carobwindd/router_task.c
@@ -72,6 +72,8 @@
 static void
 give_up(job_t *job)
 {
+    job->request.answer.cause =
+        job->request.maybe_sent ? CBW_CAUSE_TIMEOUT : CBW_CAUSE_BUSY;
     end(job,
         job->request.maybe_sent ? CBW_OUTCOME_UNKNOWN : CBW_OUTCOME_NOTRUN,
         "no owner answered within the deadline");
@@ -99,8 +101,10 @@
 }
 
 static bool
-is_avoided(const char *name, cbw_time_t now)
+is_avoided(void *context, const char *name)
 {
+    cbw_time_t now = *(const cbw_time_t *)context;
+
     for (int i = 0; i < AVOIDED_MAX; i++) {
         if (self.avoided[i].until > now &&
             strcmp(self.avoided[i].name, name) == 0) {
@@ -143,14 +147,14 @@
     if (owner == NULL) {
         if (route->owner == NULL || route->epoch != members->epoch) {
             route->owner = CbwMembership_Owner(members, database->name,
-                                               data_centre, NULL);
+                                               data_centre, NULL, NULL);
             route->epoch = members->epoch;
         }
         owner = route->owner;
     }
-    if (owner != NULL && is_avoided(owner->public.name, now)) {
+    if (owner != NULL && is_avoided(&now, owner->public.name)) {
         const cbw_member_t *next = CbwMembership_Owner(
-            members, database->name, data_centre, owner->public.name);
+            members, database->name, data_centre, is_avoided, &now);
         return next != NULL ? next : owner;
     }
     return owner;
@@ -183,6 +187,15 @@
     args->remaining = remaining > 0 ? remaining : 0;
     args->transaction = request->transaction;
     args->maybe_sent = request->maybe_sent;
+    args->values = strdup(request->values != NULL ? request->values : "");
+    args->shape = strdup(request->shape != NULL ? request->shape : "");
+    args->begins = request->begins;
+    args->reads_only = request->reads_only;
+    args->rule = request->rule;
+    args->rank = (u_int)request->rank;
+    args->writes = request->writes;
+    args->target = request->target;
+    args->config_version = request->config_version;
 }
 
 static void
@@ -229,18 +242,21 @@
     database =
         CbwInventory_Database(&self.config->inventory, job->request.database);
     if (database == NULL) {
+        job->request.answer.cause = CBW_CAUSE_NO_DATABASE;
         end(job, CBW_OUTCOME_NOTRUN, "unknown database");
         return;
     }
     /* A transaction stays where it began. */
     if (job->request.transaction != 0 && job->host[0] != '\0' &&
-        job->request.verb != CBW_VERB_SETTLE) {
+        job->request.verb != CBW_VERB_SETTLE &&
+        job->request.verb != CBW_VERB_BEGIN && !job->request.begins) {
         owner = CbwMembership_Find(&self.view->membership, job->host);
     }
     else {
         owner = find_owner(database, now);
     }
     if (owner == NULL) {
+        job->request.answer.cause = CBW_CAUSE_ABORTED;
         end(job, CBW_OUTCOME_NOTRUN, "the transaction's owner is gone");
         return;
     }
@@ -268,11 +284,20 @@
 
     avoid(job->host);
     request->maybe_sent = true;
+    if (request->key[0] == '\0' &&
+        (request->writes || request->verb == CBW_VERB_COMMIT) &&
+        (request->transaction == 0 || request->verb == CBW_VERB_COMMIT)) {
+        request->answer.cause = CBW_CAUSE_IN_DOUBT; /* nothing settles it */
+        end(job, CBW_OUTCOME_UNKNOWN, "the owner is lost");
+        return;
+    }
     if (request->transaction != 0 && request->verb == CBW_VERB_COMMIT) {
         request->verb = CBW_VERB_SETTLE;
     }
-    else if (request->transaction != 0 && request->verb != CBW_VERB_SETTLE) {
+    else if (request->transaction != 0 && request->verb != CBW_VERB_SETTLE &&
+             !request->begins) {
         /* Nothing of it is ever committed. */
+        request->answer.cause = CBW_CAUSE_ABORTED;
         end(job, CBW_OUTCOME_NOTRUN, "the transaction's owner is lost");
         return;
     }
@@ -324,6 +349,9 @@
                           : CBW_OUTCOME_UNKNOWN;
     CbwRequest_SetResult(&job->request, result->result.result_val,
                          result->result.result_len);
+    answer->cause = result->cause <= CBW_CAUSE_MALFORMED
+                        ? (cbw_cause_t)result->cause
+                        : CBW_CAUSE_IN_DOUBT;
     snprintf(answer->token, sizeof(answer->token), "%s", result->token);
     snprintf(answer->reason, sizeof(answer->reason), "%s", result->reason);
     snprintf(job->moved_to, sizeof(job->moved_to), "%s", result->moved_to);
--- a/src/carobwindd/settings.c
+++ b/src/carobwindd/settings.c
@@ -20,6 +20,12 @@
     .route_policy = "replica",
     .endpoint_driver = "resp",
     .store_driver = "resp",
+    .caller_driver = "resp",
+    .registry_driver = "",
+    .order_driver = "",
+    .orders = "",
+    .readiness = "",
+    .metrics = "",
     .owner_policy = "owner",
     .drain_seconds = 15,
 };
@@ -45,10 +51,24 @@
      &values.limit_policy, 0, 0},
     {CBW_OPTION_STRING, "route-policy", "NAME", "replica or primary",
      &values.route_policy, 0, 0},
-    {CBW_OPTION_STRING, "endpoint-driver", "NAME", "resp",
+    {CBW_OPTION_STRING, "endpoint-driver", "NAME", "resp or wire",
      &values.endpoint_driver, 0, 0},
-    {CBW_OPTION_STRING, "store-driver", "NAME", "resp", &values.store_driver,
-     0, 0},
+    {CBW_OPTION_STRING, "store-driver", "NAME", "resp or kv",
+     &values.store_driver, 0, 0},
+    {CBW_OPTION_STRING, "caller-driver", "NAME", "resp or wire",
+     &values.caller_driver, 0, 0},
+    {CBW_OPTION_STRING, "registry-driver", "NAME",
+     "platform: endpoints register themselves; none: one text lists them",
+     &values.registry_driver, 0, 0},
+    {CBW_OPTION_STRING, "order-driver", "NAME",
+     "duty: the platform replaces primaries; none: endpoints are told",
+     &values.order_driver, 0, 0},
+    {CBW_OPTION_STRING, "orders", "IP:PORT", "where primaries are replaced",
+     &values.orders, 0, 0},
+    {CBW_OPTION_STRING, "readiness", "IP:PORT", "address for the balancer",
+     &values.readiness, 0, 0},
+    {CBW_OPTION_STRING, "metrics", "IP:PORT", "address for the counters",
+     &values.metrics, 0, 0},
     {CBW_OPTION_STRING, "owner-policy", "NAME",
      "owner, or direct (a baseline: each entry serves by itself)",
      &values.owner_policy, 0, 0},
@@ -122,6 +142,25 @@
                  values.endpoint_driver, findings);
     check_plugin("--store-driver", CBW_PLUGIN_STORE_DRIVER,
                  values.store_driver, findings);
+    if (strcmp(values.caller_driver, "resp") != 0) {
+        check_plugin("--caller-driver", CBW_PLUGIN_CALLER_DRIVER,
+                     values.caller_driver, findings);
+    }
+    if (values.registry_driver[0] != '\0') {
+        check_plugin("--registry-driver", CBW_PLUGIN_REGISTRY_DRIVER,
+                     values.registry_driver, findings);
+    }
+    if (values.order_driver[0] != '\0') {
+        check_plugin("--order-driver", CBW_PLUGIN_ORDER_DRIVER,
+                     values.order_driver, findings);
+        check_address("--orders", values.orders, findings);
+    }
+    if (values.readiness[0] != '\0') {
+        check_address("--readiness", values.readiness, findings);
+    }
+    if (values.metrics[0] != '\0') {
+        check_address("--metrics", values.metrics, findings);
+    }
     if (CbwLog_LevelFromString(values.log_level) < 0) {
         CbwFindings_Add(findings, "--log-level", 0,
                         "\"%s\" is not debug, info, warning or error",
--- a/src/carobwindd/settings.h
+++ b/src/carobwindd/settings.h
@@ -18,6 +18,12 @@
     const char *route_policy;
     const char *endpoint_driver;
     const char *store_driver;
+    const char *caller_driver;   /* "resp", or a plug-in with sessions */
+    const char *registry_driver; /* "": the operators' text in the store */
+    const char *order_driver;    /* "": endpoints are told themselves */
+    const char *orders;          /* address for orders of promotions */
+    const char *readiness;       /* address for the balancer; "": none */
+    const char *metrics;         /* address for counters; "": none */
     const char *owner_policy; /* "owner", or "direct": the baseline */
     long drain_seconds;
     bool test_faults;
--- a/src/libcarobwind/counter.c
+++ b/src/libcarobwind/counter.c
@@ -31,6 +31,7 @@
     "endpoint_connections_lost_total",
     "store_calls_total",
     "store_failures_total",
+    "store_through_peers_total",
     "peer_control_messages_total",
     "peer_control_bytes_total",
     "probes_total",
--- /dev/null
+++ b/src/libcarobwind/include/private/pool.h
@@ -0,0 +1,73 @@
+/* What the files of the pool share. */
+#ifndef CAROBWIND_PRIVATE_POOL_H
+#define CAROBWIND_PRIVATE_POOL_H
+
+#include "carobwind/pool.h"
+
+/* One call on its way. */
+typedef struct {
+    cbw_link_t link;
+    uint64_t id;
+    int endpoint;
+    cbw_call_verb_t verb;
+    cbw_time_t sent_at;
+    cbw_time_t deadline;
+    bool was_valid;         /* the tenure was, when it was sent */
+    cbw_request_t *request; /* NULL: a control call */
+} cbw_pool_call_t;
+
+typedef struct {
+    cbw_link_t link;
+    uint64_t id;
+    int endpoint;
+    bool reads_only;
+    bool wrote;
+    bool busy;
+    cbw_time_t used_at;
+} cbw_pool_transaction_t;
+
+void CbwPool_Decide_(cbw_pool_t *pool, cbw_time_t now, const char *format, ...)
+    __attribute__((format(printf, 3, 4)));
+void CbwPool_Answer_(cbw_pool_t *pool, cbw_request_t *request,
+                     cbw_outcome_t outcome, cbw_cause_t cause,
+                     const char *reason);
+bool CbwPool_Send_(cbw_pool_t *pool, cbw_time_t now, int endpoint,
+                   cbw_call_t *call, cbw_request_t *request,
+                   cbw_time_t timeout);
+/* Forgets a call; its request, if any, is linked to nothing. */
+void CbwPool_Forget_(cbw_pool_t *pool, cbw_pool_call_t *call);
+void CbwPool_Dispatch_(cbw_pool_t *pool, cbw_time_t now);
+/* Queues a request that has not run, or ends it. */
+void CbwPool_Requeue_(cbw_pool_t *pool, cbw_time_t now, cbw_request_t *request,
+                      cbw_cause_t cause);
+/* Ends a request whose answer is lost, or tries it elsewhere. */
+void CbwPool_OnLost_(cbw_pool_t *pool, cbw_time_t now, cbw_request_t *request,
+                     cbw_cause_t cause);
+/* A request did not run: tries it again, or ends it. */
+void CbwPool_OnNotRun_(cbw_pool_t *pool, cbw_time_t now,
+                       cbw_request_t *request, cbw_cause_t cause);
+cbw_pool_transaction_t *CbwPool_Transaction_(cbw_pool_t *pool, uint64_t id);
+void CbwPool_DropTransaction_(cbw_pool_t *pool,
+                              cbw_pool_transaction_t *transaction, bool clean);
+/* Takes back all that is on its way to the endpoint. */
+void CbwPool_Abandon_(cbw_pool_t *pool, cbw_time_t now, int endpoint);
+/* The primary, if statements may go to it now; else -1. */
+int CbwPool_UsablePrimary_(const cbw_pool_t *pool, cbw_time_t now);
+bool CbwPool_HasRoom_(const cbw_pool_t *pool, int endpoint);
+/* Releases answered commits whose proof has come, or ends them. */
+void CbwPool_Prove_(cbw_pool_t *pool, cbw_time_t now);
+/* Notes where the primary's log ends, by what was asked at `sent`. */
+void CbwPool_NotePosition_(cbw_pool_t *pool, cbw_time_t sent,
+                           cbw_position_t position);
+/* The position that a read which arrived at `arrived` must see, by age.
+ * Returns false when that is not known. */
+bool CbwPool_RequiredAt_(const cbw_pool_t *pool, cbw_time_t now,
+                         cbw_time_t time, cbw_position_t *position);
+void CbwPool_TickHealth_(cbw_pool_t *pool, cbw_time_t now);
+void CbwPool_OnControlReply_(cbw_pool_t *pool, cbw_time_t now,
+                             const cbw_pool_call_t *call,
+                             const cbw_reply_t *reply);
+/* The endpoint's connection failed, or a call to it timed out. */
+void CbwPool_OnFailure_(cbw_pool_t *pool, cbw_time_t now, int endpoint);
+
+#endif
--- a/src/libcarobwind/inventory.c
+++ b/src/libcarobwind/inventory.c
@@ -9,6 +9,7 @@
 #include "private/inventory_parser.h"
 
 const char *const CbwInventory_ConfirmString[] = {"none", "term", "position"};
+const char *const CbwInventory_RuleString[] = {"session", "bounded", "latest"};
 
 /* Longest text that is read. */
 #define TEXT_MAX ((size_t)16 * 1024 * 1024)
--- a/src/libcarobwind/membership.c
+++ b/src/libcarobwind/membership.c
@@ -145,7 +145,9 @@
 {
     cbw_member_t *self = &membership->members[0];
 
-    if (change->state == CBW_MEMBER_LEAVING) {
+    /* Of another incarnation: an earlier process of this name has left. */
+    if (change->state == CBW_MEMBER_LEAVING &&
+        change->incarnation == self->public.incarnation) {
         CbwMembership_Leave(membership, now);
         return;
     }
@@ -522,7 +524,8 @@
 /* The first in rendezvous order; `data_centre` is NULL for all of them. */
 static const cbw_member_t *
 first_in_order(const cbw_membership_t *membership, const char *database,
-               const char *data_centre, const char *skip)
+               const char *data_centre, cbw_member_filter_t skip,
+               void *context)
 {
     const cbw_member_t *best = NULL;
     uint64_t best_weight = 0;
@@ -533,7 +536,7 @@
         if (!is_usable(&member->public) ||
             (data_centre != NULL &&
              strcmp(member->public.data_centre, data_centre) != 0) ||
-            (skip != NULL && strcmp(member->public.name, skip) == 0)) {
+            (skip != NULL && skip(context, member->public.name))) {
             continue;
         }
         weight = CbwRendezvous_Weight(database, member->public.name);
@@ -547,11 +550,13 @@
 
 const cbw_member_t *
 CbwMembership_Owner(const cbw_membership_t *membership, const char *database,
-                    const char *data_centre, const char *skip)
+                    const char *data_centre, cbw_member_filter_t skip,
+                    void *context)
 {
     const cbw_member_t *near =
-        first_in_order(membership, database, data_centre, skip);
+        first_in_order(membership, database, data_centre, skip, context);
 
-    return near != NULL ? near
-                        : first_in_order(membership, database, NULL, skip);
+    return near != NULL
+               ? near
+               : first_in_order(membership, database, NULL, skip, context);
 }
--- a/src/libcarobwind/owner_reply.c
+++ b/src/libcarobwind/owner_reply.c
@@ -278,6 +278,9 @@
     case CBW_REPLY_NO_TX:
     case CBW_REPLY_FULL:
     case CBW_REPLY_LOST:
+    case CBW_REPLY_BUSY:
+    case CBW_REPLY_BEHIND:
+    case CBW_REPLY_TIMEOUT:
         on_not_done(owner, now, request, reply);
         break;
     }
--- a/src/libcarobwind/plugin.c
+++ b/src/libcarobwind/plugin.c
@@ -4,7 +4,8 @@
 #include <string.h>
 
 const char *const CbwPlugin_TypeString[] = {
-    "queue", "limit", "route", "endpoint-driver", "store-driver",
+    "queue",        "limit",         "route",           "endpoint-driver",
+    "store-driver", "caller-driver", "registry-driver", "order-driver",
 };
 
 static cbw_plugin_t *first_plugin;
--- /dev/null
+++ b/src/libcarobwind/pool.c
@@ -0,0 +1,724 @@
+#include "carobwind/pool.h"
+
+#include <assert.h>
+#include <inttypes.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "private/pool.h"
+
+/* A request is refused when its estimated wait exceeds this part of the time
+ * that it has left. */
+#define WAIT_PART 2
+#define ADMISSION_INTERVAL (20 * Cbw_MSEC)
+#define ADMISSION_FULL 1000
+
+const char *const CbwPool_OrderString[] = {"taken", "refused", "lost"};
+
+const char *const CbwPool_PhaseString[] = {
+    "serving", "asking-reach", "draining",  "claiming",
+    "waiting", "ordering",     "following", "publishing",
+};
+
+int
+CbwPosition_Compare(cbw_position_t a, cbw_position_t b)
+{
+    if (a.term != b.term) {
+        return a.term < b.term ? -1 : 1;
+    }
+    if (a.number != b.number) {
+        return a.number < b.number ? -1 : 1;
+    }
+    return 0;
+}
+
+static void
+op_read_record(void *context)
+{
+    cbw_pool_t *pool = context;
+
+    pool->ops->read_record(pool->context);
+}
+
+static void
+op_swap_record(void *context, uint64_t version,
+               const cbw_tenure_record_t *record)
+{
+    cbw_pool_t *pool = context;
+
+    pool->ops->swap_record(pool->context, version, record);
+}
+
+static void
+op_ask_former(void *context, const cbw_tenure_holder_t *former)
+{
+    cbw_pool_t *pool = context;
+
+    pool->ops->ask_former(pool->context, former);
+}
+
+static const cbw_tenure_ops_t tenure_ops = {
+    .ask_former = op_ask_former,
+    .read_record = op_read_record,
+    .swap_record = op_swap_record,
+};
+
+void
+CbwPool_Init(cbw_pool_t *pool, const char *database,
+             const cbw_queue_ops_t *queue_policy, const cbw_rank_t *ranks,
+             size_t rank_count, const cbw_pool_ops_t *ops, void *context,
+             uint64_t nonce, const char *host, cbw_counters_t *counters)
+{
+    memset(pool, 0, sizeof(*pool));
+    snprintf(pool->database, sizeof(pool->database), "%s", database);
+    pool->ops = ops;
+    pool->context = context;
+    pool->queue_policy = queue_policy;
+    pool->counters = counters;
+    pool->primary = -1;
+    pool->candidate = -1;
+    CbwTenure_Init(&pool->tenure, &tenure_ops, pool, nonce, host);
+    CbwQueue_Init(&pool->primary_queue, ranks, rank_count);
+    CbwQueue_Init(&pool->replica_queue, ranks, rank_count);
+    CbwList_Init(&pool->running);
+    CbwList_Init(&pool->proving);
+    CbwList_Init(&pool->outstanding);
+    CbwList_Init(&pool->transactions);
+    for (int i = 0; i < Cbw_RANKS_MAX; i++) {
+        pool->admission[i] = ADMISSION_FULL;
+    }
+}
+
+static void
+end_queue(cbw_pool_t *pool, cbw_queue_t *queue, cbw_outcome_t outcome)
+{
+    cbw_request_t *request;
+
+    while ((request = pool->queue_policy->pop(queue)) != NULL) {
+        CbwPool_Answer_(pool, request, outcome, CBW_CAUSE_BUSY,
+                        "the owner stopped");
+    }
+}
+
+void
+CbwPool_Finish(cbw_pool_t *pool, cbw_time_t now)
+{
+    cbw_link_t *link;
+
+    end_queue(pool, &pool->primary_queue, CBW_OUTCOME_NOTRUN);
+    end_queue(pool, &pool->replica_queue, CBW_OUTCOME_NOTRUN);
+    for (int i = 0; i < Cbw_POOL_ENDPOINTS_MAX; i++) {
+        if (pool->endpoints[i].used) {
+            CbwPool_Abandon_(pool, now, i);
+            pool->ops->detach(pool->context, i);
+        }
+    }
+    /* Reads that were taken back. */
+    end_queue(pool, &pool->primary_queue, CBW_OUTCOME_NOTRUN);
+    end_queue(pool, &pool->replica_queue, CBW_OUTCOME_NOTRUN);
+    while ((link = CbwList_TakeFirst(&pool->proving)) != NULL) {
+        CbwPool_Answer_(pool, Cbw_LIST_ITEM(link, cbw_request_t, link),
+                        CBW_OUTCOME_UNKNOWN, CBW_CAUSE_IN_DOUBT,
+                        "the owner stopped");
+    }
+    while ((link = CbwList_TakeFirst(&pool->outstanding)) != NULL) {
+        free(Cbw_LIST_ITEM(link, cbw_pool_call_t, link));
+    }
+}
+
+void
+CbwPool_Decide_(cbw_pool_t *pool, cbw_time_t now, const char *format, ...)
+{
+    cbw_pool_decision_t *decision =
+        &pool->decisions[pool->decision_count++ % Cbw_POOL_DECISIONS];
+    va_list arguments;
+
+    decision->time = now;
+    va_start(arguments, format);
+    vsnprintf(decision->text, sizeof(decision->text), format, arguments);
+    va_end(arguments);
+    pool->ops->decide(pool->context, decision->text);
+}
+
+void
+CbwPool_Answer_(cbw_pool_t *pool, cbw_request_t *request,
+                cbw_outcome_t outcome, cbw_cause_t cause, const char *reason)
+{
+    CbwList_Remove(&request->link);
+    request->answer.cause = cause;
+    CbwRequest_End(request, outcome, reason);
+    pool->ops->answer(pool->context, request);
+}
+
+/* Endpoints. */
+
+static int
+find_endpoint(const cbw_pool_t *pool, const char *name)
+{
+    for (int i = 0; i < Cbw_POOL_ENDPOINTS_MAX; i++) {
+        if (pool->endpoints[i].used &&
+            strcmp(pool->endpoints[i].info.name, name) == 0) {
+            return i;
+        }
+    }
+    return -1;
+}
+
+static void
+drop_endpoint(cbw_pool_t *pool, cbw_time_t now, int index)
+{
+    CbwPool_Decide_(pool, now, "endpoint %s is gone",
+                    pool->endpoints[index].info.name);
+    CbwPool_Abandon_(pool, now, index);
+    pool->ops->detach(pool->context, index);
+    memset(&pool->endpoints[index], 0, sizeof(pool->endpoints[index]));
+}
+
+static void
+add_endpoint(cbw_pool_t *pool, cbw_time_t now, const cbw_endpoint_t *info)
+{
+    for (int i = 0; i < Cbw_POOL_ENDPOINTS_MAX; i++) {
+        cbw_pool_endpoint_t *endpoint = &pool->endpoints[i];
+        if (endpoint->used) {
+            continue;
+        }
+        memset(endpoint, 0, sizeof(*endpoint));
+        endpoint->used = true;
+        endpoint->listed = true;
+        endpoint->info = *info;
+        endpoint->heard_at = now;
+        CbwPool_Decide_(pool, now, "endpoint %s at %s, %d slots%s", info->name,
+                        info->address, info->slots,
+                        info->leaving ? ", leaving" : "");
+        pool->ops->attach(pool->context, i, info);
+        return;
+    }
+    CbwPool_Decide_(pool, now, "endpoint %s: no place left", info->name);
+}
+
+/* The same endpoint, or a new incarnation of it that holds nothing. */
+static bool
+is_same(const cbw_endpoint_t *a, const cbw_endpoint_t *b)
+{
+    return strcmp(a->name, b->name) == 0 &&
+           strcmp(a->address, b->address) == 0 && a->born == b->born;
+}
+
+static const cbw_endpoint_t *
+find_listed(const cbw_endpoint_t *endpoints, int count,
+            const cbw_endpoint_t *wanted)
+{
+    for (int i = 0; i < count; i++) {
+        if (is_same(&endpoints[i], wanted)) {
+            return &endpoints[i];
+        }
+    }
+    return NULL;
+}
+
+void
+CbwPool_SetEndpoints(cbw_pool_t *pool, cbw_time_t now,
+                     const cbw_endpoint_t *endpoints, int count)
+{
+    for (int i = 0; i < Cbw_POOL_ENDPOINTS_MAX; i++) {
+        cbw_pool_endpoint_t *endpoint = &pool->endpoints[i];
+        const cbw_endpoint_t *listed;
+        if (!endpoint->used) {
+            continue;
+        }
+        listed = find_listed(endpoints, count, &endpoint->info);
+        if (listed == NULL) {
+            drop_endpoint(pool, now, i);
+            continue;
+        }
+        if (listed->leaving && !endpoint->info.leaving) {
+            CbwPool_Decide_(pool, now, "endpoint %s is leaving", listed->name);
+        }
+        endpoint->info = *listed;
+    }
+    for (int i = 0; i < count; i++) {
+        int place = find_endpoint(pool, endpoints[i].name);
+        if (place < 0) {
+            add_endpoint(pool, now, &endpoints[i]);
+        }
+    }
+    pool->primary = find_endpoint(pool, pool->tenure.record.primary);
+    CbwPool_Dispatch_(pool, now);
+}
+
+/* Connections are shared with another owner for a while, and one more than
+ * the slots keeps them busy while answers travel. */
+bool
+CbwPool_HasRoom_(const cbw_pool_t *pool, int endpoint)
+{
+    const cbw_pool_endpoint_t *e = &pool->endpoints[endpoint];
+    int allowance = e->info.connections * 9 / 20;
+
+    return e->in_flight < e->info.slots + 1 &&
+           e->in_flight + e->transactions < allowance;
+}
+
+/* Calls. */
+
+bool
+CbwPool_Send_(cbw_pool_t *pool, cbw_time_t now, int endpoint, cbw_call_t *call,
+              cbw_request_t *request, cbw_time_t timeout)
+{
+    cbw_pool_call_t *sent = calloc(1, sizeof(*sent));
+    cbw_pool_endpoint_t *e = &pool->endpoints[endpoint];
+
+    if (sent == NULL) {
+        return false;
+    }
+    CbwList_Init(&sent->link);
+    sent->id = ++pool->next_call;
+    sent->endpoint = endpoint;
+    sent->verb = call->verb;
+    sent->sent_at = now;
+    sent->deadline = now + timeout;
+    sent->was_valid = CbwTenure_IsValid(&pool->tenure, now);
+    sent->request = request;
+    call->id = sent->id;
+    if (e->waiting_since == 0) {
+        e->waiting_since = now;
+    }
+    CbwList_Append(&pool->outstanding, &sent->link);
+    if (request != NULL) {
+        e->in_flight++;
+        request->state = CBW_REQUEST_RUNNING;
+        request->call = sent->id;
+        request->endpoint = endpoint;
+        request->sent_at = now;
+        request->attempts++;
+        CbwList_Remove(&request->link);
+        CbwList_Append(&pool->running, &request->link);
+    }
+    if (pool->ops->call(pool->context, endpoint, call)) {
+        return true;
+    }
+    CbwPool_Forget_(pool, sent);
+    return false;
+}
+
+void
+CbwPool_Forget_(cbw_pool_t *pool, cbw_pool_call_t *call)
+{
+    cbw_pool_endpoint_t *e = &pool->endpoints[call->endpoint];
+    cbw_link_t *link;
+    cbw_time_t oldest = 0;
+
+    CbwList_Remove(&call->link);
+    if (call->request != NULL) {
+        e->in_flight--;
+        call->request->call = 0;
+        CbwList_Remove(&call->request->link);
+    }
+    if (e->status_call == call->id) {
+        e->status_call = 0;
+    }
+    for (link = pool->outstanding.next; link != &pool->outstanding;
+         link = link->next) {
+        cbw_pool_call_t *other = Cbw_LIST_ITEM(link, cbw_pool_call_t, link);
+        if (other->endpoint == call->endpoint) {
+            oldest = other->sent_at;
+            break;
+        }
+    }
+    e->waiting_since = oldest;
+    free(call);
+}
+
+void
+CbwPool_Abandon_(cbw_pool_t *pool, cbw_time_t now, int endpoint)
+{
+    cbw_link_t *link;
+    cbw_link_t *safe;
+    cbw_link_t taken;
+
+    CbwList_Init(&taken);
+    Cbw_LIST_FOREACH (&pool->outstanding, link, safe) {
+        cbw_pool_call_t *call = Cbw_LIST_ITEM(link, cbw_pool_call_t, link);
+        cbw_request_t *request = call->request;
+        if (call->endpoint != endpoint) {
+            continue;
+        }
+        if (request != NULL) {
+            request->maybe_sent =
+                pool->ops->abort(pool->context, endpoint, call->id);
+        }
+        else {
+            pool->ops->abort(pool->context, endpoint, call->id);
+        }
+        CbwPool_Forget_(pool, call);
+        if (request != NULL) {
+            CbwList_Append(&taken, &request->link);
+        }
+    }
+    Cbw_LIST_FOREACH (&pool->transactions, link, safe) {
+        cbw_pool_transaction_t *transaction =
+            Cbw_LIST_ITEM(link, cbw_pool_transaction_t, link);
+        if (transaction->endpoint == endpoint && !transaction->busy) {
+            CbwPool_DropTransaction_(pool, transaction, false);
+        }
+    }
+    while ((link = CbwList_TakeFirst(&taken)) != NULL) {
+        cbw_request_t *request = Cbw_LIST_ITEM(link, cbw_request_t, link);
+        if (request->maybe_sent) {
+            CbwPool_OnLost_(pool, now, request, CBW_CAUSE_IN_DOUBT);
+        }
+        else {
+            CbwPool_OnNotRun_(pool, now, request, CBW_CAUSE_BUSY);
+        }
+    }
+}
+
+/* Transactions. */
+
+cbw_pool_transaction_t *
+CbwPool_Transaction_(cbw_pool_t *pool, uint64_t id)
+{
+    cbw_link_t *link = pool->transactions.next;
+
+    for (; link != &pool->transactions; link = link->next) {
+        cbw_pool_transaction_t *transaction =
+            Cbw_LIST_ITEM(link, cbw_pool_transaction_t, link);
+        if (transaction->id == id) {
+            return transaction;
+        }
+    }
+    return NULL;
+}
+
+void
+CbwPool_DropTransaction_(cbw_pool_t *pool, cbw_pool_transaction_t *transaction,
+                         bool clean)
+{
+    pool->endpoints[transaction->endpoint].transactions--;
+    pool->ops->end_transaction(pool->context, transaction->endpoint,
+                               transaction->id, clean);
+    CbwList_Remove(&transaction->link);
+    free(transaction);
+}
+
+static void
+expire_transactions(cbw_pool_t *pool, cbw_time_t now)
+{
+    cbw_link_t *link;
+    cbw_link_t *safe;
+
+    Cbw_LIST_FOREACH (&pool->transactions, link, safe) {
+        cbw_pool_transaction_t *transaction =
+            Cbw_LIST_ITEM(link, cbw_pool_transaction_t, link);
+        if (!transaction->busy &&
+            now - transaction->used_at > Cbw_POOL_TRANSACTION_IDLE) {
+            CbwPool_DropTransaction_(pool, transaction, false);
+        }
+    }
+}
+
+/* Submission. */
+
+static cbw_queue_t *
+queue_of(cbw_pool_t *pool, const cbw_request_t *request)
+{
+    return request->needs_primary ? &pool->primary_queue
+                                  : &pool->replica_queue;
+}
+
+static bool
+refuse_when_late(cbw_pool_t *pool, cbw_time_t now, cbw_request_t *request)
+{
+    cbw_queue_t *queue = queue_of(pool, request);
+    cbw_time_t wait = pool->queue_policy->estimate(queue, request->rank);
+
+    cbw_time_t limit =
+        request->target > 0 ? request->target : request->deadline - now;
+
+    if (wait <= limit / WAIT_PART) {
+        return false;
+    }
+    CbwCounter_Add(pool->counters, CBW_COUNTER_REFUSED_BY_OWNER, 1);
+    request->answer.retry_after = wait;
+    CbwPool_Answer_(pool, request, CBW_OUTCOME_NOTRUN, CBW_CAUSE_BUSY,
+                    "the queue is too long for the deadline");
+    return true;
+}
+
+static void
+continue_transaction(cbw_pool_t *pool, cbw_time_t now, cbw_request_t *request)
+{
+    cbw_pool_transaction_t *transaction =
+        CbwPool_Transaction_(pool, request->transaction);
+    cbw_call_t call = {
+        .verb = request->verb == CBW_VERB_COMMIT     ? CBW_CALL_COMMIT
+                : request->verb == CBW_VERB_ROLLBACK ? CBW_CALL_ROLLBACK
+                                                     : CBW_CALL_RUN,
+        .writes = request->writes,
+        .key = "",
+        .trace = request->trace,
+        .statement = request->statement,
+        .statement_size = request->statement_size,
+        .transaction = request->transaction,
+        .values = request->values != NULL ? request->values : "",
+        .shape = request->shape != NULL ? request->shape : "",
+    };
+
+    if (transaction == NULL || transaction->busy) {
+        CbwPool_Answer_(pool, request, CBW_OUTCOME_NOTRUN, CBW_CAUSE_ABORTED,
+                        "the transaction is lost: nothing of it is kept");
+        return;
+    }
+    transaction->busy = true;
+    transaction->used_at = now;
+    transaction->wrote |= request->writes;
+    /* A commit that writes nothing changes nothing. */
+    request->writes |= request->verb == CBW_VERB_COMMIT && transaction->wrote;
+    if (!CbwPool_Send_(pool, now, transaction->endpoint, &call, request,
+                       request->deadline - now)) {
+        CbwPool_DropTransaction_(pool, transaction, false);
+        CbwPool_Answer_(pool, request, CBW_OUTCOME_NOTRUN, CBW_CAUSE_ABORTED,
+                        "the transaction's connection is lost");
+    }
+}
+
+void
+CbwPool_Submit(cbw_pool_t *pool, cbw_time_t now, cbw_request_t *request)
+{
+    request->needs_primary = request->rule == CBW_READ_LATEST ||
+                             (request->writes && !request->reads_only) ||
+                             (request->begins && !request->reads_only);
+    request->queued_at = now;
+    if (request->transaction != 0 && !request->begins) {
+        continue_transaction(pool, now, request);
+        return;
+    }
+    if (!refuse_when_late(pool, now, request)) {
+        pool->queue_policy->push(queue_of(pool, request), request);
+    }
+    CbwPool_Dispatch_(pool, now);
+}
+
+static void
+evict_queue(cbw_pool_t *pool, cbw_queue_t *queue)
+{
+    cbw_request_t *request;
+
+    while ((request = pool->queue_policy->pop(queue)) != NULL) {
+        CbwList_Remove(&request->link);
+        request->answer.outcome = CBW_OUTCOME_PENDING;
+        pool->ops->answer(pool->context, request);
+    }
+}
+
+void
+CbwPool_Evict(cbw_pool_t *pool)
+{
+    evict_queue(pool, &pool->primary_queue);
+    evict_queue(pool, &pool->replica_queue);
+}
+
+bool
+CbwPool_IsIdle(const cbw_pool_t *pool)
+{
+    return pool->primary_queue.length == 0 &&
+           pool->replica_queue.length == 0 &&
+           CbwList_IsEmpty(&pool->running) &&
+           CbwList_IsEmpty(&pool->proving) &&
+           CbwList_IsEmpty(&pool->transactions);
+}
+
+/* Time-outs. */
+
+static void
+expire_calls(cbw_pool_t *pool, cbw_time_t now)
+{
+    cbw_link_t *link;
+    cbw_link_t *safe;
+    cbw_link_t late;
+
+    CbwList_Init(&late);
+    Cbw_LIST_FOREACH (&pool->outstanding, link, safe) {
+        cbw_pool_call_t *call = Cbw_LIST_ITEM(link, cbw_pool_call_t, link);
+        if (now >= call->deadline) {
+            CbwList_Remove(link);
+            CbwList_Append(&late, link);
+        }
+    }
+    while (!CbwList_IsEmpty(&late)) {
+        cbw_pool_call_t *call =
+            Cbw_LIST_ITEM(late.next, cbw_pool_call_t, link);
+        cbw_reply_t lost = {.status = CBW_REPLY_LOST};
+        uint64_t id = call->id;
+        /* Back in the list, where the reply finds it. */
+        CbwList_Remove(&call->link);
+        CbwList_Append(&pool->outstanding, &call->link);
+        CbwCounter_Add(pool->counters, CBW_COUNTER_CALLS_TIMED_OUT, 1);
+        if (!pool->ops->abort(pool->context, call->endpoint, id)) {
+            lost.status = CBW_REPLY_FULL;
+        }
+        CbwPool_OnReply(pool, now, id, &lost);
+    }
+}
+
+/* When a request that still waits in the queue is told to come back. */
+static cbw_time_t
+last_wait(const cbw_request_t *request, bool blocked)
+{
+    cbw_time_t last = request->deadline;
+    cbw_time_t wait = blocked ? request->target / Cbw_POOL_BLOCKED_PART
+                              : request->target * Cbw_POOL_WAIT_PERCENT / 100;
+
+    if (request->target > 0 && request->arrived + wait < last) {
+        last = request->arrived + wait;
+    }
+    return last;
+}
+
+static void
+expire_queue(cbw_pool_t *pool, cbw_time_t now, cbw_queue_t *queue,
+             cbw_link_t *list, bool blocked)
+{
+    cbw_link_t *link;
+    cbw_link_t *safe;
+
+    Cbw_LIST_FOREACH (list, link, safe) {
+        cbw_request_t *request = Cbw_LIST_ITEM(link, cbw_request_t, link);
+        if (now < last_wait(request, blocked)) {
+            continue;
+        }
+        CbwQueue_Remove(queue, request);
+        CbwCounter_Add(pool->counters, CBW_COUNTER_EXPIRED_IN_QUEUE, 1);
+        request->answer.retry_after = Cbw_POOL_BLOCKED_RETRY;
+        CbwPool_Answer_(pool, request, CBW_OUTCOME_NOTRUN, CBW_CAUSE_BUSY,
+                        blocked ? "no endpoint may take it now"
+                                : "it waited too long in the queue");
+    }
+}
+
+static void
+expire_queues(cbw_pool_t *pool, cbw_time_t now)
+{
+    bool blocked[] = {CbwPool_UsablePrimary_(pool, now) < 0,
+                      !CbwTenure_IsValid(&pool->tenure, now)};
+    cbw_queue_t *queues[] = {&pool->primary_queue, &pool->replica_queue};
+
+    for (size_t i = 0; i < 2; i++) {
+        for (size_t rank = 0; rank < queues[i]->rank_count; rank++) {
+            expire_queue(pool, now, queues[i],
+                         &queues[i]->ranks[rank].requests, blocked[i]);
+        }
+    }
+}
+
+int
+CbwPool_Admission(const cbw_pool_t *pool, int rank)
+{
+    assert(rank >= 0 && rank < Cbw_RANKS_MAX);
+    return pool->admission[rank];
+}
+
+void
+CbwPool_Tick(cbw_pool_t *pool, cbw_time_t now, bool wanted)
+{
+    if (wanted && !pool->stopping && now >= pool->moved_until) {
+        const char *primary = "";
+        for (int i = 0; i < Cbw_POOL_ENDPOINTS_MAX; i++) {
+            if (pool->endpoints[i].used &&
+                pool->endpoints[i].info.reports_primary) {
+                primary = pool->endpoints[i].info.name;
+            }
+        }
+        CbwTenure_Tick(&pool->tenure, now, primary);
+    }
+    expire_calls(pool, now);
+    expire_queues(pool, now);
+    expire_transactions(pool, now);
+    CbwPool_TickHealth_(pool, now);
+    CbwPool_Prove_(pool, now);
+    CbwPool_Dispatch_(pool, now);
+}
+
+bool
+CbwPool_GiveUp(cbw_pool_t *pool, cbw_time_t now)
+{
+    if (pool->phase >= CBW_POOL_CLAIMING) {
+        return false;
+    }
+    CbwTenure_GiveUp(&pool->tenure, now);
+    CbwPool_Decide_(pool, now, "gives its right up to another owner");
+    return true;
+}
+
+void
+CbwPool_OnGivenUp(cbw_pool_t *pool, cbw_time_t now, uint64_t nonce)
+{
+    CbwTenure_OnGivenUp(&pool->tenure, now, nonce);
+}
+
+void
+CbwPool_Release(cbw_pool_t *pool, cbw_time_t now)
+{
+    CbwTenure_Release(&pool->tenure, now);
+    pool->phase = CBW_POOL_SERVING;
+    pool->stopping = true;
+}
+
+static size_t
+append(char *text, size_t size, size_t length, const char *format, ...)
+{
+    va_list arguments;
+    int written;
+
+    if (length >= size) {
+        return length;
+    }
+    va_start(arguments, format);
+    written = vsnprintf(text + length, size - length, format, arguments);
+    va_end(arguments);
+    return length + (size_t)written;
+}
+
+size_t
+CbwPool_Explain(const cbw_pool_t *pool, cbw_time_t now, char *text,
+                size_t size)
+{
+    size_t length =
+        append(text, size, 0,
+               "database\t%s\nphase\t%s\nprimary\t%s\nepoch\t%" PRIu64
+               "\ntenure_valid_ms\t%" PRId64 "\nposition\t%" PRIu64 ".%" PRIu64
+               "\nqueue.primary\t%zu\nqueue.replicas\t%zu\n",
+               pool->database, CbwPool_PhaseString[pool->phase],
+               pool->tenure.record.primary, pool->tenure.record.epoch,
+               CbwTenure_IsValid(&pool->tenure, now)
+                   ? (pool->tenure.valid_until - now) / Cbw_MSEC
+                   : 0,
+               pool->newest.term, pool->newest.number,
+               pool->primary_queue.length, pool->replica_queue.length);
+
+    for (int i = 0; i < Cbw_POOL_ENDPOINTS_MAX; i++) {
+        const cbw_pool_endpoint_t *e = &pool->endpoints[i];
+        if (e->used) {
+            length = append(
+                text, size, length,
+                "endpoint.%s\t%s%s%s position %" PRIu64 ".%" PRIu64
+                " in flight %d transactions %d\n",
+                e->info.name, i == pool->primary ? "primary" : "replica",
+                e->down ? " down" : "", e->info.leaving ? " leaving" : "",
+                e->position.term, e->position.number, e->in_flight,
+                e->transactions);
+        }
+    }
+    for (size_t i = pool->decision_count > Cbw_POOL_DECISIONS
+                        ? pool->decision_count - Cbw_POOL_DECISIONS
+                        : 0;
+         i < pool->decision_count; i++) {
+        const cbw_pool_decision_t *decision =
+            &pool->decisions[i % Cbw_POOL_DECISIONS];
+        length =
+            append(text, size, length, "decision\t%" PRId64 " ms ago: %s\n",
+                   (now - decision->time) / Cbw_MSEC, decision->text);
+    }
+    return length < size ? length : size - 1;
+}
--- /dev/null
+++ b/src/libcarobwind/pool_dispatch.c
@@ -0,0 +1,625 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "carobwind/pool.h"
+#include "carobwind/token.h"
+#include "private/pool.h"
+
+int
+CbwPool_UsablePrimary_(const cbw_pool_t *pool, cbw_time_t now)
+{
+    int primary = pool->primary;
+
+    if (primary < 0 || pool->endpoints[primary].down ||
+        pool->tenure.record.promoting || now < pool->moved_until ||
+        !CbwTenure_IsValid(&pool->tenure, now)) {
+        return -1;
+    }
+    return primary;
+}
+
+/* What reads must see. */
+
+bool
+CbwPool_RequiredAt_(const cbw_pool_t *pool, cbw_time_t now, cbw_time_t time,
+                    cbw_position_t *position)
+{
+    size_t count = pool->history_count;
+    size_t kept = count < Cbw_POOL_HISTORY ? count : Cbw_POOL_HISTORY;
+    bool found = false;
+
+    /* The oldest sample that is not older than `time`. */
+    for (size_t i = 0; i < kept; i++) {
+        const cbw_pool_sample_t *sample =
+            &pool->history[(count - 1 - i) % Cbw_POOL_HISTORY];
+        if (sample->time < time) {
+            break;
+        }
+        *position = sample->position;
+        found = true;
+    }
+    /* The only one that acknowledges knows all that it acknowledged. */
+    if (!found && count > 0 && CbwTenure_IsSole(&pool->tenure, now)) {
+        *position = pool->newest;
+        found = true;
+    }
+    if (found && CbwPosition_Compare(*position, pool->floor) < 0) {
+        *position = pool->floor;
+    }
+    return found;
+}
+
+void
+CbwPool_NotePosition_(cbw_pool_t *pool, cbw_time_t sent,
+                      cbw_position_t position)
+{
+    cbw_pool_sample_t *last =
+        &pool->history[(pool->history_count + Cbw_POOL_HISTORY - 1) %
+                       Cbw_POOL_HISTORY];
+
+    if (CbwPosition_Compare(position, pool->newest) > 0) {
+        pool->newest = position;
+    }
+    if (pool->history_count > 0 &&
+        sent - last->time < Cbw_POOL_SAMPLE_INTERVAL) {
+        return;
+    }
+    pool->history[pool->history_count++ % Cbw_POOL_HISTORY] =
+        (cbw_pool_sample_t){.time = sent, .position = pool->newest};
+}
+
+static bool
+parse_session(const cbw_pool_t *pool, const cbw_request_t *request,
+              cbw_position_t *position)
+{
+    cbw_token_t token;
+
+    if (request->token[0] == '\0' ||
+        CbwToken_Parse(&token, request->token) != 0 ||
+        strcmp(token.database, pool->database) != 0) {
+        return false;
+    }
+    *position = (cbw_position_t){token.term, token.position};
+    return true;
+}
+
+/* The position that a replica must hold for the request. Returns false when it
+ * is not known: then the primary is asked. */
+static bool
+required_position(const cbw_pool_t *pool, cbw_time_t now,
+                  const cbw_request_t *request, cbw_position_t *position)
+{
+    cbw_time_t time = request->arrived;
+    cbw_position_t session;
+
+    if (request->rule != CBW_READ_LATEST) {
+        time -= request->age;
+    }
+    if (!CbwPool_RequiredAt_(pool, now, time, position)) {
+        return false;
+    }
+    if (request->rule == CBW_READ_SESSION &&
+        parse_session(pool, request, &session)) {
+        /* What an older term held past the floor is lost. */
+        if (session.term < pool->lead_term &&
+            CbwPosition_Compare(session, pool->floor) > 0) {
+            session = pool->floor;
+        }
+        if (CbwPosition_Compare(session, *position) > 0) {
+            *position = session;
+        }
+    }
+    return true;
+}
+
+static bool
+is_eligible(const cbw_pool_t *pool, cbw_time_t now, int index,
+            cbw_position_t needed)
+{
+    const cbw_pool_endpoint_t *e = &pool->endpoints[index];
+
+    if (!e->used || e->down || e->info.leaving || now < e->passed_over_until) {
+        return false;
+    }
+    return CbwPosition_Compare(e->position, needed) >= 0 ||
+           now - e->heard_at >= Cbw_POOL_BEHIND_PAUSE;
+}
+
+typedef enum {
+    CHOICE_FOUND,
+    CHOICE_FULL, /* some fit, and have no room now */
+    CHOICE_NONE,
+} choice_t;
+
+/* The replica with the most room among those that hold `needed`. */
+static choice_t
+choose_replica(const cbw_pool_t *pool, cbw_time_t now, cbw_position_t needed,
+               int *endpoint)
+{
+    choice_t choice = CHOICE_NONE;
+    int best_room = 0;
+
+    for (int i = 0; i < Cbw_POOL_ENDPOINTS_MAX; i++) {
+        const cbw_pool_endpoint_t *e = &pool->endpoints[i];
+        int room = e->info.slots + 1 - e->in_flight;
+        if (i == pool->primary || !is_eligible(pool, now, i, needed)) {
+            continue;
+        }
+        if (!CbwPool_HasRoom_(pool, i)) {
+            choice = choice == CHOICE_NONE ? CHOICE_FULL : choice;
+            continue;
+        }
+        choice = CHOICE_FOUND;
+        if (room > best_room) {
+            best_room = room;
+            *endpoint = i;
+        }
+    }
+    return choice;
+}
+
+/* Dispatch. */
+
+static bool
+begin_transaction(cbw_pool_t *pool, cbw_time_t now, int endpoint,
+                  const cbw_request_t *request)
+{
+    cbw_pool_transaction_t *transaction = calloc(1, sizeof(*transaction));
+
+    if (transaction == NULL) {
+        return false;
+    }
+    CbwList_Init(&transaction->link);
+    transaction->id = request->transaction;
+    transaction->endpoint = endpoint;
+    transaction->reads_only = request->reads_only;
+    transaction->wrote = request->writes;
+    transaction->used_at = now;
+    transaction->busy = true;
+    CbwList_Append(&pool->transactions, &transaction->link);
+    pool->endpoints[endpoint].transactions++;
+    CbwCounter_Add(pool->counters, CBW_COUNTER_TRANSACTIONS, 1);
+    return true;
+}
+
+/* Sends a popped request. Returns whether to go on. */
+static bool
+send_request(cbw_pool_t *pool, cbw_time_t now, int endpoint,
+             cbw_request_t *request, cbw_queue_t *queue,
+             const cbw_position_t *after)
+{
+    cbw_call_t call = {
+        .verb = CBW_CALL_RUN,
+        .writes = request->writes,
+        .key = "",
+        .trace = request->trace,
+        .statement = request->statement,
+        .statement_size = request->statement_size,
+        .transaction = request->transaction,
+        .values = request->values != NULL ? request->values : "",
+        .shape = request->shape != NULL ? request->shape : "",
+        .begins = request->begins,
+        .reads_only = request->reads_only,
+        .after_term = after != NULL ? after->term : 0,
+        .after_position = after != NULL ? after->number : 0,
+    };
+
+    if (request->begins && !begin_transaction(pool, now, endpoint, request)) {
+        CbwPool_Answer_(pool, request, CBW_OUTCOME_NOTRUN, CBW_CAUSE_BUSY,
+                        "out of memory");
+        return true;
+    }
+    if (!CbwPool_Send_(pool, now, endpoint, &call, request,
+                       request->deadline - now)) {
+        if (request->begins) {
+            CbwPool_DropTransaction_(
+                pool, CbwPool_Transaction_(pool, request->transaction), false);
+        }
+        CbwPool_OnFailure_(pool, now, endpoint);
+        request->attempts--;
+        pool->queue_policy->push_front(queue, request);
+        return false;
+    }
+    CbwQueue_OnDispatch(queue, now, request->rank);
+    CbwCounter_Add(pool->counters,
+                   request->writes             ? CBW_COUNTER_WRITES
+                   : endpoint == pool->primary ? CBW_COUNTER_READS_PRIMARY
+                                               : CBW_COUNTER_READS_REPLICA,
+                   1);
+    return true;
+}
+
+static bool
+end_late(cbw_pool_t *pool, cbw_time_t now, cbw_request_t *request)
+{
+    if (now < request->deadline) {
+        return false;
+    }
+    CbwCounter_Add(pool->counters, CBW_COUNTER_EXPIRED_IN_QUEUE, 1);
+    CbwPool_Answer_(pool, request, CBW_OUTCOME_NOTRUN, CBW_CAUSE_BUSY,
+                    "the deadline passed in the queue");
+    return true;
+}
+
+/* A read of the latest that a replica can serve, while the primary cannot. */
+static bool
+try_latest_at_replica(cbw_pool_t *pool, cbw_time_t now, cbw_request_t *request,
+                      int *endpoint, cbw_position_t *after)
+{
+    bool plain = request->writes || (request->begins && !request->reads_only);
+
+    return !plain && CbwTenure_IsSole(&pool->tenure, now) &&
+           required_position(pool, now, request, after) &&
+           choose_replica(pool, now, *after, endpoint) == CHOICE_FOUND;
+}
+
+/* Sends from the primary's queue. Returns whether to go on. */
+static bool
+dispatch_primary(cbw_pool_t *pool, cbw_time_t now)
+{
+    int primary = CbwPool_UsablePrimary_(pool, now);
+    cbw_request_t *request;
+    cbw_position_t after;
+    int endpoint = primary;
+    bool plain;
+
+    if (pool->primary_queue.length == 0) {
+        return false;
+    }
+    request = pool->queue_policy->pop(&pool->primary_queue);
+    if (end_late(pool, now, request)) {
+        return true;
+    }
+    plain = request->writes || (request->begins && !request->reads_only);
+    if (primary >= 0 && CbwPool_HasRoom_(pool, primary) &&
+        now >= pool->endpoints[primary].passed_over_until &&
+        !(plain && pool->phase == CBW_POOL_DRAINING)) {
+        return send_request(pool, now, primary, request, &pool->primary_queue,
+                            NULL);
+    }
+    if (try_latest_at_replica(pool, now, request, &endpoint, &after)) {
+        return send_request(pool, now, endpoint, request, &pool->primary_queue,
+                            &after);
+    }
+    pool->queue_policy->push_front(&pool->primary_queue, request);
+    return false;
+}
+
+static bool
+primary_has_spare_room(const cbw_pool_t *pool, cbw_time_t now)
+{
+    int primary = CbwPool_UsablePrimary_(pool, now);
+
+    return primary >= 0 && pool->primary_queue.length == 0 &&
+           CbwPool_HasRoom_(pool, primary) &&
+           now >= pool->endpoints[primary].passed_over_until;
+}
+
+/* Sends from the replicas' queue. Returns whether to go on. */
+static bool
+dispatch_replica(cbw_pool_t *pool, cbw_time_t now)
+{
+    cbw_request_t *request;
+    cbw_position_t needed;
+    int endpoint = -1;
+    choice_t choice = CHOICE_NONE;
+
+    if (pool->replica_queue.length == 0 ||
+        !CbwTenure_IsValid(&pool->tenure, now)) {
+        return false;
+    }
+    request = pool->queue_policy->pop(&pool->replica_queue);
+    if (end_late(pool, now, request)) {
+        return true;
+    }
+    if (required_position(pool, now, request, &needed)) {
+        choice = choose_replica(pool, now, needed, &endpoint);
+    }
+    if (choice == CHOICE_FOUND) {
+        return send_request(pool, now, endpoint, request, &pool->replica_queue,
+                            &needed);
+    }
+    if (primary_has_spare_room(pool, now)) {
+        return send_request(pool, now, pool->primary, request,
+                            &pool->replica_queue, NULL);
+    }
+    pool->queue_policy->push_front(&pool->replica_queue, request);
+    return false;
+}
+
+void
+CbwPool_Dispatch_(cbw_pool_t *pool, cbw_time_t now)
+{
+    while (dispatch_primary(pool, now)) {
+    }
+    while (dispatch_replica(pool, now)) {
+    }
+}
+
+void
+CbwPool_Requeue_(cbw_pool_t *pool, cbw_time_t now, cbw_request_t *request,
+                 cbw_cause_t cause)
+{
+    if (request->attempts >= Cbw_POOL_ATTEMPTS_MAX ||
+        now >= request->deadline) {
+        CbwPool_Answer_(pool, request, CBW_OUTCOME_NOTRUN, cause,
+                        "it did not run, and there is no time to try again");
+        return;
+    }
+    CbwCounter_Add(pool->counters, CBW_COUNTER_RETRIES, 1);
+    pool->queue_policy->push_front(
+        request->needs_primary ? &pool->primary_queue : &pool->replica_queue,
+        request);
+}
+
+/* Replies. */
+
+void
+CbwPool_OnLost_(cbw_pool_t *pool, cbw_time_t now, cbw_request_t *request,
+                cbw_cause_t cause)
+{
+    cbw_pool_transaction_t *transaction =
+        CbwPool_Transaction_(pool, request->transaction);
+    bool commit = request->verb == CBW_VERB_COMMIT;
+
+    if (request->transaction != 0) {
+        if (transaction != NULL) {
+            CbwPool_DropTransaction_(pool, transaction, false);
+        }
+        if (commit && request->writes) {
+            CbwPool_Answer_(pool, request, CBW_OUTCOME_UNKNOWN, cause,
+                            "the commit was sent, and its answer is lost");
+        }
+        else if (request->begins) {
+            /* Nothing of it can be committed: its connection is dropped. */
+            CbwPool_Requeue_(pool, now, request, CBW_CAUSE_ABORTED);
+        }
+        else {
+            CbwPool_Answer_(pool, request, CBW_OUTCOME_NOTRUN,
+                            CBW_CAUSE_ABORTED,
+                            "the transaction's connection is lost");
+        }
+        return;
+    }
+    if (request->writes) {
+        CbwPool_Answer_(pool, request, CBW_OUTCOME_UNKNOWN, cause,
+                        "the write was sent, and its answer is lost");
+        return;
+    }
+    if (now >= request->deadline) {
+        CbwPool_Answer_(pool, request, CBW_OUTCOME_UNKNOWN, CBW_CAUSE_TIMEOUT,
+                        "no answer in the time allowed");
+        return;
+    }
+    CbwPool_Requeue_(pool, now, request, CBW_CAUSE_BUSY);
+}
+
+static void
+set_result(cbw_pool_t *pool, cbw_request_t *request, const cbw_reply_t *reply)
+{
+    cbw_token_t token = {.term = reply->state.last_term,
+                         .position = reply->state.position};
+
+    if (CbwRequest_SetResult(request, reply->result, reply->result_size) !=
+        0) {
+        abort();
+    }
+    if (token.term != 0) {
+        memcpy(token.database, pool->database, sizeof(token.database));
+        CbwToken_Format(&token, request->answer.token);
+    }
+}
+
+/* A commit may be acknowledged under a tenure that was valid after its answer
+ * came, with no promotion begun. */
+static void
+on_committed(cbw_pool_t *pool, cbw_time_t now, cbw_request_t *request,
+             int endpoint)
+{
+    if (endpoint != pool->primary || pool->tenure.record.promoting ||
+        pool->phase >= CBW_POOL_CLAIMING) {
+        CbwPool_Answer_(pool, request, CBW_OUTCOME_UNKNOWN, CBW_CAUSE_IN_DOUBT,
+                        "a promotion began before the answer came");
+        return;
+    }
+    if (CbwTenure_IsValid(&pool->tenure, now)) {
+        CbwPool_Answer_(pool, request, CBW_OUTCOME_DONE, CBW_CAUSE_NONE, "");
+        return;
+    }
+    request->state = CBW_REQUEST_CONFIRMING;
+    request->answered_at = now;
+    request->endpoint = endpoint;
+    CbwList_Append(&pool->proving, &request->link);
+    CbwTenure_Hasten(&pool->tenure, now);
+}
+
+void
+CbwPool_Prove_(cbw_pool_t *pool, cbw_time_t now)
+{
+    cbw_link_t *link;
+    cbw_link_t *safe;
+
+    Cbw_LIST_FOREACH (&pool->proving, link, safe) {
+        cbw_request_t *request = Cbw_LIST_ITEM(link, cbw_request_t, link);
+        bool superseded = request->endpoint != pool->primary ||
+                          pool->tenure.record.promoting ||
+                          pool->phase >= CBW_POOL_CLAIMING ||
+                          pool->tenure.inherited;
+        if (!superseded && CbwTenure_IsValid(&pool->tenure, now)) {
+            CbwPool_Answer_(pool, request, CBW_OUTCOME_DONE, CBW_CAUSE_NONE,
+                            "");
+        }
+        else if (superseded || now >= request->deadline) {
+            CbwPool_Answer_(pool, request, CBW_OUTCOME_UNKNOWN,
+                            CBW_CAUSE_IN_DOUBT,
+                            "no proof that the primary is still the one");
+        }
+    }
+}
+
+static void
+on_done(cbw_pool_t *pool, cbw_time_t now, cbw_request_t *request,
+        const cbw_reply_t *reply, int endpoint)
+{
+    bool commits = request->writes && (request->transaction == 0 ||
+                                       request->verb == CBW_VERB_COMMIT);
+
+    set_result(pool, request, reply);
+    if (commits) {
+        on_committed(pool, now, request, endpoint);
+        return;
+    }
+    CbwPool_Answer_(pool, request, CBW_OUTCOME_DONE, CBW_CAUSE_NONE, "");
+}
+
+void
+CbwPool_OnNotRun_(cbw_pool_t *pool, cbw_time_t now, cbw_request_t *request,
+                  cbw_cause_t cause)
+{
+    cbw_pool_transaction_t *transaction;
+
+    if (request->transaction == 0 || request->begins) {
+        transaction = CbwPool_Transaction_(pool, request->transaction);
+        if (transaction != NULL) {
+            CbwPool_DropTransaction_(pool, transaction, false);
+        }
+        CbwPool_Requeue_(pool, now, request, cause);
+        return;
+    }
+    CbwPool_Answer_(pool, request, CBW_OUTCOME_NOTRUN, CBW_CAUSE_ABORTED,
+                    "a statement of the transaction did not run");
+}
+
+static void
+update_transaction(cbw_pool_t *pool, cbw_time_t now,
+                   const cbw_request_t *request, cbw_reply_status_t status)
+{
+    cbw_pool_transaction_t *transaction;
+    bool answered = status == CBW_REPLY_OK;
+    bool ends;
+
+    if (request->transaction == 0) {
+        return;
+    }
+    transaction = CbwPool_Transaction_(pool, request->transaction);
+    if (transaction == NULL) {
+        return;
+    }
+    transaction->busy = false;
+    transaction->used_at = now;
+    ends =
+        request->verb == CBW_VERB_COMMIT || request->verb == CBW_VERB_ROLLBACK;
+    if (ends || !answered) {
+        /* After an error the connection is dropped, which rolls back. */
+        CbwPool_DropTransaction_(pool, transaction, ends && answered);
+    }
+}
+
+static void
+on_request_reply(cbw_pool_t *pool, cbw_time_t now, cbw_request_t *request,
+                 const cbw_reply_t *reply, int endpoint)
+{
+    cbw_pool_endpoint_t *e = &pool->endpoints[endpoint];
+
+    if (reply->status != CBW_REPLY_LOST) {
+        update_transaction(pool, now, request, reply->status);
+    }
+    switch (reply->status) {
+    case CBW_REPLY_OK:
+        on_done(pool, now, request, reply, endpoint);
+        break;
+    case CBW_REPLY_BUSY:
+    case CBW_REPLY_FULL:
+        e->passed_over_until = now + Cbw_POOL_BUSY_PAUSE;
+        CbwPool_OnNotRun_(pool, now, request, CBW_CAUSE_BUSY);
+        break;
+    case CBW_REPLY_BEHIND:
+        e->passed_over_until = now + Cbw_POOL_BEHIND_PAUSE;
+        request->needs_primary |=
+            CbwPool_UsablePrimary_(pool, now) >= 0 && !request->reads_only;
+        CbwPool_OnNotRun_(pool, now, request, CBW_CAUSE_BEHIND);
+        break;
+    case CBW_REPLY_SUPERSEDED:
+    case CBW_REPLY_NOT_PRIMARY:
+        e->passed_over_until = now + Cbw_POOL_BEHIND_PAUSE;
+        CbwTenure_Hasten(&pool->tenure, now);
+        CbwPool_OnNotRun_(pool, now, request, CBW_CAUSE_BUSY);
+        break;
+    case CBW_REPLY_FAILED:
+        set_result(pool, request, reply);
+        CbwPool_Answer_(pool, request, CBW_OUTCOME_UNKNOWN, CBW_CAUSE_FAILED,
+                        "the endpoint ran it, and it failed");
+        break;
+    case CBW_REPLY_TIMEOUT:
+        CbwPool_Answer_(pool, request, CBW_OUTCOME_UNKNOWN, CBW_CAUSE_TIMEOUT,
+                        "the endpoint gave it up");
+        break;
+    default:
+        CbwPool_OnLost_(pool, now, request,
+                        now >= request->deadline ? CBW_CAUSE_TIMEOUT
+                                                 : CBW_CAUSE_IN_DOUBT);
+        break;
+    }
+}
+
+static void
+note_reply(cbw_pool_t *pool, cbw_time_t now, const cbw_pool_call_t *call,
+           const cbw_reply_t *reply)
+{
+    cbw_pool_endpoint_t *e = &pool->endpoints[call->endpoint];
+    cbw_position_t position = {reply->state.last_term, reply->state.position};
+
+    if (reply->status == CBW_REPLY_LOST && call->request != NULL) {
+        e->suspect = true;
+        return;
+    }
+    if (reply->status == CBW_REPLY_LOST || reply->status == CBW_REPLY_FULL) {
+        CbwPool_OnFailure_(pool, now, call->endpoint);
+        return;
+    }
+    e->heard_at = now;
+    e->failures = 0;
+    e->suspect = false;
+    if (e->down) {
+        e->down = false;
+        CbwPool_Decide_(pool, now, "endpoint %s answers again", e->info.name);
+    }
+    if (position.term == 0) {
+        return;
+    }
+    e->position = position;
+    if (call->endpoint == pool->primary && call->was_valid &&
+        !pool->tenure.record.promoting) {
+        CbwPool_NotePosition_(pool, call->sent_at, position);
+    }
+}
+
+void
+CbwPool_OnReply(cbw_pool_t *pool, cbw_time_t now, uint64_t id,
+                const cbw_reply_t *reply)
+{
+    cbw_link_t *link = pool->outstanding.next;
+    cbw_pool_call_t *found = NULL;
+    cbw_pool_call_t call;
+
+    for (; link != &pool->outstanding && found == NULL; link = link->next) {
+        cbw_pool_call_t *candidate =
+            Cbw_LIST_ITEM(link, cbw_pool_call_t, link);
+        if (candidate->id == id) {
+            found = candidate;
+        }
+    }
+    if (found == NULL) {
+        return; /* late: given up before */
+    }
+    call = *found;
+    CbwPool_Forget_(pool, found);
+    note_reply(pool, now, &call, reply);
+    if (call.request != NULL) {
+        on_request_reply(pool, now, call.request, reply, call.endpoint);
+    }
+    else {
+        CbwPool_OnControlReply_(pool, now, &call, reply);
+    }
+    CbwPool_Dispatch_(pool, now);
+}
--- a/src/libcarobwind/request.c
+++ b/src/libcarobwind/request.c
@@ -15,6 +15,11 @@
     "unknown",
 };
 
+const char *const CbwRequest_CauseString[] = {
+    "none",    "busy",    "aborted",    "behind",      "readonly",  "failed",
+    "timeout", "indoubt", "nodatabase", "nostatement", "malformed",
+};
+
 void
 CbwRequest_Init(cbw_request_t *request)
 {
@@ -28,6 +33,10 @@
 {
     free(request->statement);
     free(request->answer.result);
+    free(request->values);
+    free(request->shape);
+    request->values = NULL;
+    request->shape = NULL;
     request->statement = NULL;
     request->answer.result = NULL;
 }
--- /dev/null
+++ b/src/libcarobwind/session.c
@@ -0,0 +1,347 @@
+#include "carobwind/session.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+const char *const CbwStatement_KindString[] = {
+    "other",        "read",          "write",    "begin",
+    "begin-read",   "commit",        "rollback", "set",
+    "prepare-read", "prepare-write", "execute",  "deallocate",
+};
+
+const char *const CbwSession_StateString[] = {"idle", "transaction", "failed"};
+
+void
+CbwSession_Init(cbw_session_t *session)
+{
+    memset(session, 0, sizeof(*session));
+}
+
+void
+CbwSession_Finish(cbw_session_t *session)
+{
+    for (size_t i = 0; i < session->value_count; i++) {
+        free(session->values[i].name);
+        free(session->values[i].value);
+    }
+    for (size_t i = 0; i < session->prepared_count; i++) {
+        free(session->prepared[i].name);
+        free(session->prepared[i].shape);
+    }
+    free(session->values);
+    free(session->prepared);
+    free(session->encoded);
+    memset(session, 0, sizeof(*session));
+}
+
+/* An array with room for one more item, or NULL. */
+static void *
+grow(void *array, size_t count, size_t item_size)
+{
+    /* Grows at powers of two. */
+    if ((count & (count - 1)) != 0) {
+        return array;
+    }
+    return realloc(array, (count == 0 ? 1 : count * 2) * item_size);
+}
+
+static bool
+set_value(cbw_session_t *session, const char *name, const char *value)
+{
+    cbw_session_value_t *values;
+
+    free(session->encoded);
+    session->encoded = NULL;
+    for (size_t i = 0; i < session->value_count; i++) {
+        if (strcmp(session->values[i].name, name) == 0) {
+            free(session->values[i].value);
+            session->values[i].value = strdup(value);
+            return true;
+        }
+    }
+    if (session->value_count == Cbw_SESSION_VALUES_MAX) {
+        return false;
+    }
+    values = grow(session->values, session->value_count, sizeof(*values));
+    if (values == NULL) {
+        return false;
+    }
+    session->values = values;
+    values[session->value_count++] =
+        (cbw_session_value_t){strdup(name), strdup(value)};
+    return true;
+}
+
+static cbw_prepared_t *
+find_prepared(cbw_session_t *session, const char *name)
+{
+    for (size_t i = 0; i < session->prepared_count; i++) {
+        if (strcmp(session->prepared[i].name, name) == 0) {
+            return &session->prepared[i];
+        }
+    }
+    return NULL;
+}
+
+static char *
+make_shape(const char *shape, bool writes)
+{
+    char *text;
+
+    if (asprintf(&text, "%s %s", writes ? "WRITE" : "READ", shape) < 0) {
+        abort();
+    }
+    return text;
+}
+
+static bool
+prepare(cbw_session_t *session, const char *name, const char *shape,
+        bool writes)
+{
+    cbw_prepared_t *known = find_prepared(session, name);
+    cbw_prepared_t *prepared;
+
+    if (known != NULL) {
+        free(known->shape);
+        known->shape = make_shape(shape, writes);
+        known->writes = writes;
+        return true;
+    }
+    if (session->prepared_count == Cbw_SESSION_PREPARED_MAX) {
+        return false;
+    }
+    prepared =
+        grow(session->prepared, session->prepared_count, sizeof(*prepared));
+    if (prepared == NULL) {
+        return false;
+    }
+    session->prepared = prepared;
+    prepared[session->prepared_count++] =
+        (cbw_prepared_t){strdup(name), make_shape(shape, writes), writes};
+    return true;
+}
+
+static bool
+deallocate(cbw_session_t *session, const char *name)
+{
+    cbw_prepared_t *known = find_prepared(session, name);
+
+    if (known == NULL) {
+        return false;
+    }
+    free(known->name);
+    free(known->shape);
+    *known = session->prepared[--session->prepared_count];
+    return true;
+}
+
+static const char *
+encode_values(cbw_session_t *session)
+{
+    size_t size = 1;
+    size_t length = 0;
+
+    if (session->encoded != NULL) {
+        return session->encoded;
+    }
+    for (size_t i = 0; i < session->value_count; i++) {
+        size += strlen(session->values[i].name) +
+                strlen(session->values[i].value) + 2;
+    }
+    session->encoded = malloc(size);
+    if (session->encoded == NULL) {
+        abort();
+    }
+    session->encoded[0] = '\0';
+    for (size_t i = 0; i < session->value_count; i++) {
+        length += (size_t)snprintf(session->encoded + length, size - length,
+                                   "%s %s\n", session->values[i].name,
+                                   session->values[i].value);
+    }
+    return session->encoded;
+}
+
+/* Plans. */
+
+static void
+fail(cbw_session_t *session, cbw_plan_t *plan, cbw_cause_t cause,
+     const char *reason)
+{
+    if (session->state == CBW_SESSION_IN_TRANSACTION) {
+        session->state = CBW_SESSION_FAILED;
+    }
+    *plan = (cbw_plan_t){CBW_PLAN_ERROR, cause, reason};
+}
+
+static void
+end_transaction(cbw_session_t *session)
+{
+    session->state = CBW_SESSION_IDLE;
+    session->transaction = 0;
+    session->begun = false;
+    session->reads_only = false;
+}
+
+static void
+plan_forward(cbw_session_t *session, const cbw_statement_t *statement,
+             uint64_t transaction, cbw_request_t *request, cbw_plan_t *plan)
+{
+    const char *text = statement->text;
+
+    if (statement->kind == CBW_STATEMENT_EXECUTE) {
+        const cbw_prepared_t *prepared =
+            find_prepared(session, statement->name);
+        if (prepared == NULL) {
+            fail(session, plan, CBW_CAUSE_NO_STATEMENT,
+                 "no prepared statement has this name");
+            return;
+        }
+        request->shape = strdup(prepared->shape);
+        request->writes = prepared->writes;
+        text = statement->rest;
+    }
+    else {
+        request->writes = statement->kind == CBW_STATEMENT_WRITE;
+    }
+    request->verb = statement->kind == CBW_STATEMENT_COMMIT
+                        ? CBW_VERB_COMMIT
+                        : CBW_VERB_STATEMENT;
+    if (session->state == CBW_SESSION_IN_TRANSACTION) {
+        if (session->reads_only && request->writes) {
+            fail(session, plan, CBW_CAUSE_READ_ONLY,
+                 "the transaction only reads");
+            return;
+        }
+        request->begins = !session->begun;
+        request->reads_only = session->reads_only;
+        if (session->transaction == 0) {
+            session->transaction = transaction;
+        }
+        request->transaction = session->transaction;
+    }
+    if (CbwRequest_SetStatement(request, text, strlen(text)) != 0) {
+        abort();
+    }
+    if (session->value_count > 0) {
+        request->values = strdup(encode_values(session));
+    }
+    *plan = (cbw_plan_t){CBW_PLAN_FORWARD, CBW_CAUSE_NONE, ""};
+}
+
+static void
+plan_end(cbw_session_t *session, const cbw_statement_t *statement,
+         uint64_t transaction, cbw_request_t *request, cbw_plan_t *plan)
+{
+    bool commits = statement->kind == CBW_STATEMENT_COMMIT;
+
+    if (session->state == CBW_SESSION_IDLE) {
+        fail(session, plan, CBW_CAUSE_MALFORMED, "no transaction is open");
+        return;
+    }
+    if (session->state == CBW_SESSION_FAILED) {
+        /* The endpoint has rolled back already. */
+        end_transaction(session);
+        *plan = commits ? (cbw_plan_t){CBW_PLAN_ERROR, CBW_CAUSE_ABORTED,
+                                       "the transaction had failed"}
+                        : (cbw_plan_t){CBW_PLAN_DONE, CBW_CAUSE_NONE, ""};
+        return;
+    }
+    if (commits) {
+        plan_forward(session, statement, transaction, request, plan);
+        return;
+    }
+    request->transaction = session->transaction;
+    *plan = (cbw_plan_t){session->begun ? CBW_PLAN_ROLLBACK : CBW_PLAN_DONE,
+                         CBW_CAUSE_NONE, ""};
+    end_transaction(session);
+}
+
+static void
+plan_local(cbw_session_t *session, const cbw_statement_t *statement,
+           cbw_plan_t *plan)
+{
+    bool done = false;
+    cbw_cause_t cause = CBW_CAUSE_MALFORMED;
+
+    *plan = (cbw_plan_t){CBW_PLAN_DONE, CBW_CAUSE_NONE, ""};
+    switch (statement->kind) {
+    case CBW_STATEMENT_BEGIN:
+    case CBW_STATEMENT_BEGIN_READ:
+        done = session->state == CBW_SESSION_IDLE;
+        if (done) {
+            session->state = CBW_SESSION_IN_TRANSACTION;
+            session->reads_only = statement->kind == CBW_STATEMENT_BEGIN_READ;
+        }
+        break;
+    case CBW_STATEMENT_SET:
+        done = set_value(session, statement->name, statement->rest);
+        break;
+    case CBW_STATEMENT_PREPARE_READ:
+    case CBW_STATEMENT_PREPARE_WRITE:
+        done = prepare(session, statement->name, statement->rest,
+                       statement->kind == CBW_STATEMENT_PREPARE_WRITE);
+        break;
+    case CBW_STATEMENT_DEALLOCATE:
+        done = deallocate(session, statement->name);
+        cause = CBW_CAUSE_NO_STATEMENT;
+        break;
+    default:
+        break;
+    }
+    if (!done) {
+        fail(session, plan, cause, "the statement does not fit the session");
+    }
+}
+
+void
+CbwSession_Plan(cbw_session_t *session, const cbw_statement_t *statement,
+                uint64_t transaction, cbw_request_t *request, cbw_plan_t *plan)
+{
+    bool ends = statement->kind == CBW_STATEMENT_COMMIT ||
+                statement->kind == CBW_STATEMENT_ROLLBACK;
+
+    if (session->state == CBW_SESSION_FAILED && !ends) {
+        *plan = (cbw_plan_t){CBW_PLAN_ERROR, CBW_CAUSE_MALFORMED,
+                             "the transaction has failed: end it"};
+        return;
+    }
+    switch (statement->kind) {
+    case CBW_STATEMENT_READ:
+    case CBW_STATEMENT_WRITE:
+    case CBW_STATEMENT_EXECUTE:
+        plan_forward(session, statement, transaction, request, plan);
+        break;
+    case CBW_STATEMENT_COMMIT:
+    case CBW_STATEMENT_ROLLBACK:
+        plan_end(session, statement, transaction, request, plan);
+        break;
+    default:
+        plan_local(session, statement, plan);
+        break;
+    }
+}
+
+void
+CbwSession_OnAnswer(cbw_session_t *session, const cbw_request_t *request)
+{
+    bool done = request->answer.outcome == CBW_OUTCOME_DONE;
+
+    /* Only the session's own commits bind its reads; they only go forward. */
+    if (done && request->answer.token[0] != '\0' &&
+        (request->writes || request->verb == CBW_VERB_COMMIT)) {
+        memcpy(session->token, request->answer.token, sizeof(session->token));
+    }
+    if (request->transaction == 0) {
+        return;
+    }
+    if (request->verb == CBW_VERB_COMMIT) {
+        end_transaction(session);
+    }
+    else if (done) {
+        session->begun = true;
+    }
+    else {
+        session->state = CBW_SESSION_FAILED;
+    }
+}
--- /dev/null
+++ b/src/libcarobwind/tenure.c
@@ -0,0 +1,356 @@
+#include "carobwind/tenure.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+void
+CbwTenure_FormatRecord(const cbw_tenure_record_t *record, char *text)
+{
+    int length = snprintf(
+        text, Cbw_TENURE_TEXT_MAX, "%" PRIu64 " %" PRIu64 " %s %d %s %d",
+        record->epoch, record->holder.nonce,
+        record->holder.host[0] != '\0' ? record->holder.host : "-",
+        record->promoting, record->primary, record->former_count);
+
+    for (int i = 0; i < record->former_count; i++) {
+        length +=
+            snprintf(text + length, (size_t)(Cbw_TENURE_TEXT_MAX - length),
+                     " %" PRIu64 " %s", record->formers[i].nonce,
+                     record->formers[i].host);
+    }
+}
+
+int
+CbwTenure_ParseRecord(cbw_tenure_record_t *record, const char *text)
+{
+    int promoting;
+    int used = 0;
+
+    memset(record, 0, sizeof(*record));
+    if (sscanf(text, "%" SCNu64 " %" SCNu64 " %47s %d %47s %d%n",
+               &record->epoch, &record->holder.nonce, record->holder.host,
+               &promoting, record->primary, &record->former_count,
+               &used) != 6 ||
+        promoting < 0 || promoting > 1 || record->former_count < -1 ||
+        record->former_count > Cbw_TENURE_FORMERS_MAX) {
+        return -1;
+    }
+    record->promoting = promoting == 1;
+    for (int i = 0; i < record->former_count; i++) {
+        text += used;
+        if (sscanf(text, "%" SCNu64 " %47s%n", &record->formers[i].nonce,
+                   record->formers[i].host, &used) != 2) {
+            return -1;
+        }
+    }
+    return 0;
+}
+
+void
+CbwTenure_Init(cbw_tenure_t *tenure, const cbw_tenure_ops_t *ops,
+               void *context, uint64_t nonce, const char *host)
+{
+    memset(tenure, 0, sizeof(*tenure));
+    tenure->ops = ops;
+    tenure->context = context;
+    tenure->self.nonce = nonce;
+    snprintf(tenure->self.host, sizeof(tenure->self.host), "%s", host);
+}
+
+bool
+CbwTenure_IsValid(const cbw_tenure_t *tenure, cbw_time_t now)
+{
+    return now < tenure->valid_until && !tenure->inherited;
+}
+
+bool
+CbwTenure_IsSole(const cbw_tenure_t *tenure, cbw_time_t now)
+{
+    return CbwTenure_IsValid(tenure, now) && now >= tenure->sole_since;
+}
+
+static void
+ask_record(cbw_tenure_t *tenure, cbw_time_t now)
+{
+    tenure->asking = true;
+    tenure->swapping = false;
+    tenure->asked_at = now;
+    tenure->ask_again_at = now + Cbw_TENURE_RENEW_INTERVAL;
+    tenure->ops->read_record(tenure->context);
+}
+
+static void
+swap_record(cbw_tenure_t *tenure, cbw_time_t now,
+            const cbw_tenure_record_t *wanted)
+{
+    tenure->asking = true;
+    tenure->swapping = true;
+    tenure->wanted = *wanted;
+    tenure->asked_at = now;
+    tenure->ask_again_at = now + Cbw_TENURE_RENEW_INTERVAL;
+    tenure->ops->swap_record(tenure->context, tenure->version, wanted);
+}
+
+static bool
+is_ours(const cbw_tenure_t *tenure)
+{
+    return tenure->known && tenure->version != 0 &&
+           tenure->record.holder.nonce == tenure->self.nonce;
+}
+
+static bool
+is_former(const cbw_tenure_record_t *record, uint64_t nonce)
+{
+    for (int i = 0; i < record->former_count; i++) {
+        if (record->formers[i].nonce == nonce) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* The present holder of `record` becomes a former one. */
+static void
+add_former(cbw_tenure_record_t *record)
+{
+    if (record->holder.nonce == 0 || record->former_count < 0 ||
+        is_former(record, record->holder.nonce)) {
+        return;
+    }
+    if (record->former_count == Cbw_TENURE_FORMERS_MAX) {
+        record->former_count = -1;
+        return;
+    }
+    record->formers[record->former_count++] = record->holder;
+}
+
+static void
+take_over(cbw_tenure_t *tenure, cbw_time_t now, const char *primary)
+{
+    cbw_tenure_record_t wanted = tenure->record;
+
+    if (tenure->version == 0) {
+        memset(&wanted, 0, sizeof(wanted));
+        snprintf(wanted.primary, sizeof(wanted.primary), "%s", primary);
+    }
+    add_former(&wanted);
+    wanted.holder = tenure->self;
+    swap_record(tenure, now, &wanted);
+}
+
+void
+CbwTenure_AskFormers(cbw_tenure_t *tenure, cbw_time_t now)
+{
+    if (!is_ours(tenure) || now >= tenure->sole_since ||
+        now < tenure->formers_asked_at + Cbw_TENURE_ASK_INTERVAL) {
+        return;
+    }
+    tenure->formers_asked_at = now;
+    for (int i = 0; i < tenure->record.former_count; i++) {
+        if ((tenure->given_up & (1U << i)) == 0) {
+            tenure->ops->ask_former(tenure->context,
+                                    &tenure->record.formers[i]);
+        }
+    }
+}
+
+void
+CbwTenure_Tick(cbw_tenure_t *tenure, cbw_time_t now, const char *primary)
+{
+    if (tenure->asking || now < tenure->ask_again_at) {
+        return;
+    }
+    if (!tenure->known || is_ours(tenure) ||
+        (tenure->version == 0 && primary[0] == '\0')) {
+        ask_record(tenure, now);
+        return;
+    }
+    take_over(tenure, now, primary);
+}
+
+/* The record became this owner's; others' rights end in time, or when they are
+ * given up. */
+static void
+begin_holding(cbw_tenure_t *tenure, cbw_time_t now)
+{
+    tenure->held = true;
+    tenure->given_up = 0;
+    tenure->formers_asked_at = 0;
+    tenure->took_over_at = now;
+    tenure->sole_since = now + Cbw_TENURE_VALID_FOR;
+    if (tenure->record.former_count == 0) {
+        tenure->sole_since = now;
+    }
+}
+
+void
+CbwTenure_OnGivenUp(cbw_tenure_t *tenure, cbw_time_t now, uint64_t nonce)
+{
+    if (!is_ours(tenure)) {
+        /* The holder of a promotion is gone: takes it over at once. */
+        if (tenure->record.holder.nonce == nonce) {
+            tenure->seen_at = now - Cbw_TENURE_PROMOTION_PATIENCE;
+        }
+        return;
+    }
+    for (int i = 0; i < tenure->record.former_count; i++) {
+        if (tenure->record.formers[i].nonce == nonce) {
+            tenure->given_up |= 1U << i;
+        }
+    }
+    if (tenure->record.former_count >= 0 && now < tenure->sole_since &&
+        tenure->given_up == (1U << tenure->record.former_count) - 1) {
+        tenure->sole_since = now;
+    }
+}
+
+void
+CbwTenure_GiveUp(cbw_tenure_t *tenure, cbw_time_t now)
+{
+    tenure->valid_until = 0;
+    tenure->held = false;
+    tenure->known = false;
+    tenure->given_up_at = now;
+    tenure->took_over_at = now; /* leaves it to the other for a while */
+    tenure->ask_again_at = now + Cbw_TENURE_RETRY_INTERVAL;
+}
+
+void
+CbwTenure_Hasten(cbw_tenure_t *tenure, cbw_time_t now)
+{
+    if (!tenure->asking &&
+        now >= tenure->asked_at + Cbw_TENURE_RETRY_INTERVAL) {
+        tenure->ask_again_at = now;
+    }
+}
+
+bool
+CbwTenure_BeginPromotion(cbw_tenure_t *tenure, cbw_time_t now)
+{
+    cbw_tenure_record_t wanted = tenure->record;
+
+    if (tenure->asking || !is_ours(tenure)) {
+        return false;
+    }
+    wanted.epoch++;
+    wanted.promoting = true;
+    if (now >= tenure->sole_since) {
+        wanted.former_count = 0;
+    }
+    swap_record(tenure, now, &wanted);
+    return true;
+}
+
+bool
+CbwTenure_EndPromotion(cbw_tenure_t *tenure, cbw_time_t now,
+                       const char *primary)
+{
+    cbw_tenure_record_t wanted = tenure->record;
+
+    if (tenure->asking || !is_ours(tenure)) {
+        return false;
+    }
+    wanted.promoting = false;
+    snprintf(wanted.primary, sizeof(wanted.primary), "%s", primary);
+    swap_record(tenure, now, &wanted);
+    return true;
+}
+
+void
+CbwTenure_Release(cbw_tenure_t *tenure, cbw_time_t now)
+{
+    cbw_tenure_record_t wanted = tenure->record;
+
+    tenure->valid_until = 0;
+    if (tenure->asking || !is_ours(tenure)) {
+        return;
+    }
+    if (now >= tenure->sole_since) {
+        wanted.former_count = 0;
+    }
+    memset(&wanted.holder, 0, sizeof(wanted.holder));
+    swap_record(tenure, now, &wanted);
+}
+
+void
+CbwTenure_OnRecord(cbw_tenure_t *tenure, cbw_time_t now,
+                   cbw_store_status_t status, uint64_t version,
+                   const cbw_tenure_record_t *record)
+{
+    tenure->asking = false;
+    if (tenure->given_up_at >= tenure->asked_at) {
+        return; /* it may be older than the giving up */
+    }
+    if (status == CBW_STORE_MISSING) {
+        tenure->known = true;
+        tenure->version = 0;
+        tenure->valid_until = 0;
+        tenure->ask_again_at = now + Cbw_TENURE_RETRY_INTERVAL;
+        return;
+    }
+    if (status != CBW_STORE_OK) {
+        tenure->ask_again_at = now + Cbw_TENURE_RETRY_INTERVAL;
+        return;
+    }
+    if (tenure->version != version) {
+        tenure->seen_at = now;
+    }
+    tenure->known = true;
+    tenure->version = version;
+    tenure->record = *record;
+    if (is_ours(tenure)) {
+        if (!tenure->held) {
+            begin_holding(tenure, now); /* by a swap whose answer was lost */
+            tenure->inherited = record->promoting;
+        }
+        tenure->valid_until = tenure->asked_at + Cbw_TENURE_VALID_FOR;
+        return;
+    }
+    tenure->held = false;
+    if (record->promoting && record->holder.nonce != 0) {
+        tenure->valid_until = 0;
+        tenure->ops->ask_former(tenure->context, &record->holder);
+        if (now < tenure->seen_at + Cbw_TENURE_PROMOTION_PATIENCE) {
+            /* Hears of its end soon, without disturbing it. */
+            tenure->known = false;
+            tenure->ask_again_at = now + Cbw_TENURE_RETRY_INTERVAL;
+            return;
+        }
+    }
+    tenure->ask_again_at =
+        tenure->took_over_at == 0
+            ? now
+            : tenure->took_over_at + Cbw_TENURE_TAKE_OVER_INTERVAL;
+}
+
+void
+CbwTenure_OnSwap(cbw_tenure_t *tenure, cbw_time_t now,
+                 cbw_store_status_t status, uint64_t version)
+{
+    bool took_over = !is_ours(tenure);
+
+    tenure->asking = false;
+    if (tenure->given_up_at >= tenure->asked_at) {
+        return; /* reads it back */
+    }
+    if (status != CBW_STORE_OK) {
+        /* Another was first, or the answer is lost: reads it back. */
+        tenure->known = false;
+        tenure->ask_again_at = status == CBW_STORE_CONFLICT
+                                   ? now
+                                   : now + Cbw_TENURE_RETRY_INTERVAL;
+        return;
+    }
+    if (!took_over && tenure->wanted.epoch != tenure->record.epoch) {
+        tenure->inherited = false; /* this owner orders one of its own */
+    }
+    tenure->version = version;
+    tenure->record = tenure->wanted;
+    if (took_over) {
+        begin_holding(tenure, now);
+        tenure->inherited = tenure->record.promoting;
+    }
+    tenure->valid_until =
+        is_ours(tenure) ? tenure->asked_at + Cbw_TENURE_VALID_FOR : 0;
+}
--- a/src/share/net.c
+++ b/src/share/net.c
@@ -16,7 +16,8 @@
 {
     struct timespec now;
 
-    clock_gettime(CLOCK_MONOTONIC, &now);
+    /* Counts while the host is suspended: permissions must end then. */
+    clock_gettime(CLOCK_BOOTTIME, &now);
     return (cbw_time_t)now.tv_sec * Cbw_SEC + now.tv_nsec / 1000;
 }
 
--- a/src/share/net.h
+++ b/src/share/net.h
@@ -10,7 +10,7 @@
 /* Longest dotted IPv4 address, with its NUL. */
 #define CbwNet_IP_MAX 16
 
-/* The present time of the monotonic clock. */
+/* The present time of the clock that counts suspensions too. */
 cbw_time_t CbwNet_Now(void);
 /* Parses "ip:port". Returns 0 or -1 with `error` set. */
 int CbwNet_ParseAddress(const char *text, struct sockaddr_in *address,
--- a/src/share/peer.x
+++ b/src/share/peer.x
@@ -6,11 +6,14 @@
 const PEER_TOKEN_MAX = 96;
 const PEER_TRACE_MAX = 40;
 const PEER_REASON_MAX = 64;
-const PEER_STATEMENT_MAX = 65536;
+const PEER_STATEMENT_MAX = 1048576;
+const PEER_SHAPE_MAX = 4096;
+const PEER_VALUES_MAX = 262144;
 const PEER_CHANGES_MAX = 16;
 const PEER_MEMBERS_MAX = 4096;
 const PEER_RANKS_MAX = 6;
 const PEER_TEXT_MAX = 4194304;
+const PEER_STORE_KEY_MAX = 256;
 
 struct peer_member {
     string name<PEER_NAME_MAX>;
@@ -47,10 +50,20 @@
     hyper remaining; /* microseconds until the deadline */
     unsigned hyper transaction;
     bool maybe_sent;
+    string values<PEER_VALUES_MAX>; /* of the session */
+    string shape<PEER_SHAPE_MAX>;   /* of a prepared statement */
+    bool begins;
+    bool reads_only;
+    unsigned int rule;
+    unsigned int rank;
+    bool writes;
+    hyper target; /* microseconds */
+    hyper config_version;
 };
 
 struct peer_statement_result {
     unsigned int outcome;
+    unsigned int cause;
     opaque result<PEER_STATEMENT_MAX>;
     string token<PEER_TOKEN_MAX>;
     string reason<PEER_REASON_MAX>;
@@ -75,6 +88,8 @@
 
 struct peer_reach_args {
     string address<PEER_ADDRESS_MAX>;
+    string database<PEER_NAME_MAX>;
+    string endpoint<PEER_NAME_MAX>;
 };
 
 struct peer_members_result {
@@ -90,6 +105,35 @@
     string text<PEER_TEXT_MAX>;
 };
 
+/* Asks the owner with `nonce` to give up its right in `database`. */
+struct peer_give_up_args {
+    string database<PEER_NAME_MAX>;
+    unsigned hyper nonce;
+};
+
+/* A call to the store that the asker cannot make itself. */
+struct peer_store_args {
+    unsigned int verb;
+    string key<PEER_KEY_MAX>;
+    unsigned hyper record_version;
+    string value<PEER_STATEMENT_MAX>;
+    bool unconditional;
+};
+
+struct peer_store_item {
+    string key<PEER_STORE_KEY_MAX>;
+    opaque value<PEER_TEXT_MAX>;
+    bool removed;
+    unsigned hyper record_version;
+};
+
+struct peer_store_result {
+    unsigned int status;
+    unsigned hyper record_version;
+    string value<PEER_TEXT_MAX>;
+    peer_store_item items<PEER_MEMBERS_MAX>;
+};
+
 program CAROBWIND_PEER {
     version CAROBWIND_PEER_V1 {
         peer_probe_result PEER_PROBE(peer_probe_args) = 1;
@@ -102,5 +146,7 @@
         peer_text_result PEER_STATUS(void) = 8;
         peer_text_result PEER_COUNTERS(void) = 9;
         bool PEER_DRAIN(void) = 10;
+        peer_store_result PEER_STORE(peer_store_args) = 11;
+        bool PEER_GIVE_UP(peer_give_up_args) = 12;
     } = 1;
 } = 0x20ca0b01;
--- a/src/share/peer_clnt.c
+++ b/src/share/peer_clnt.c
@@ -148,3 +148,31 @@
     }
     return (&clnt_res);
 }
+
+peer_store_result *
+peer_store_1(peer_store_args arg1, CLIENT *clnt)
+{
+    static peer_store_result clnt_res;
+
+    memset((char *)&clnt_res, 0, sizeof(clnt_res));
+    if (clnt_call(clnt, PEER_STORE, (xdrproc_t)xdr_peer_store_args,
+                  (caddr_t)&arg1, (xdrproc_t)xdr_peer_store_result,
+                  (caddr_t)&clnt_res, TIMEOUT) != RPC_SUCCESS) {
+        return (NULL);
+    }
+    return (&clnt_res);
+}
+
+bool_t *
+peer_give_up_1(peer_give_up_args arg1, CLIENT *clnt)
+{
+    static bool_t clnt_res;
+
+    memset((char *)&clnt_res, 0, sizeof(clnt_res));
+    if (clnt_call(clnt, PEER_GIVE_UP, (xdrproc_t)xdr_peer_give_up_args,
+                  (caddr_t)&arg1, (xdrproc_t)xdr_bool, (caddr_t)&clnt_res,
+                  TIMEOUT) != RPC_SUCCESS) {
+        return (NULL);
+    }
+    return (&clnt_res);
+}
--- a/src/share/peer_rpc.h
+++ b/src/share/peer_rpc.h
@@ -18,11 +18,14 @@
 #define PEER_TOKEN_MAX 96
 #define PEER_TRACE_MAX 40
 #define PEER_REASON_MAX 64
-#define PEER_STATEMENT_MAX 65536
+#define PEER_STATEMENT_MAX 1048576
+#define PEER_SHAPE_MAX 4096
+#define PEER_VALUES_MAX 262144
 #define PEER_CHANGES_MAX 16
 #define PEER_MEMBERS_MAX 4096
 #define PEER_RANKS_MAX 6
 #define PEER_TEXT_MAX 4194304
+#define PEER_STORE_KEY_MAX 256
 
 struct peer_member {
     char *name;
@@ -69,11 +72,21 @@
     quad_t remaining;
     u_quad_t transaction;
     bool_t maybe_sent;
+    char *values;
+    char *shape;
+    bool_t begins;
+    bool_t reads_only;
+    u_int rule;
+    u_int rank;
+    bool_t writes;
+    quad_t target;
+    quad_t config_version;
 };
 typedef struct peer_statement_args peer_statement_args;
 
 struct peer_statement_result {
     u_int outcome;
+    u_int cause;
     struct {
         u_int result_len;
         char *result_val;
@@ -108,6 +121,8 @@
 
 struct peer_reach_args {
     char *address;
+    char *database;
+    char *endpoint;
 };
 typedef struct peer_reach_args peer_reach_args;
 
@@ -130,6 +145,43 @@
 };
 typedef struct peer_text_result peer_text_result;
 
+struct peer_give_up_args {
+    char *database;
+    u_quad_t nonce;
+};
+typedef struct peer_give_up_args peer_give_up_args;
+
+struct peer_store_args {
+    u_int verb;
+    char *key;
+    u_quad_t record_version;
+    char *value;
+    bool_t unconditional;
+};
+typedef struct peer_store_args peer_store_args;
+
+struct peer_store_item {
+    char *key;
+    struct {
+        u_int value_len;
+        char *value_val;
+    } value;
+    bool_t removed;
+    u_quad_t record_version;
+};
+typedef struct peer_store_item peer_store_item;
+
+struct peer_store_result {
+    u_int status;
+    u_quad_t record_version;
+    char *value;
+    struct {
+        u_int items_len;
+        peer_store_item *items_val;
+    } items;
+};
+typedef struct peer_store_result peer_store_result;
+
 #define CAROBWIND_PEER 0x20ca0b01
 #define CAROBWIND_PEER_V1 1
 
@@ -166,6 +218,12 @@
 #define PEER_DRAIN 10
 extern bool_t *peer_drain_1(CLIENT *);
 extern bool_t *peer_drain_1_svc(struct svc_req *);
+#define PEER_STORE 11
+extern peer_store_result *peer_store_1(peer_store_args, CLIENT *);
+extern peer_store_result *peer_store_1_svc(peer_store_args, struct svc_req *);
+#define PEER_GIVE_UP 12
+extern bool_t *peer_give_up_1(peer_give_up_args, CLIENT *);
+extern bool_t *peer_give_up_1_svc(peer_give_up_args, struct svc_req *);
 extern int carobwind_peer_1_freeresult(SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -199,6 +257,12 @@
 #define PEER_DRAIN 10
 extern bool_t *peer_drain_1();
 extern bool_t *peer_drain_1_svc();
+#define PEER_STORE 11
+extern peer_store_result *peer_store_1();
+extern peer_store_result *peer_store_1_svc();
+#define PEER_GIVE_UP 12
+extern bool_t *peer_give_up_1();
+extern bool_t *peer_give_up_1_svc();
 extern int carobwind_peer_1_freeresult();
 #endif /* K&R C */
 
@@ -216,6 +280,10 @@
 extern bool_t xdr_peer_members_result(XDR *, peer_members_result *);
 extern bool_t xdr_peer_text_args(XDR *, peer_text_args *);
 extern bool_t xdr_peer_text_result(XDR *, peer_text_result *);
+extern bool_t xdr_peer_give_up_args(XDR *, peer_give_up_args *);
+extern bool_t xdr_peer_store_args(XDR *, peer_store_args *);
+extern bool_t xdr_peer_store_item(XDR *, peer_store_item *);
+extern bool_t xdr_peer_store_result(XDR *, peer_store_result *);
 
 #else /* K&R C */
 extern bool_t xdr_peer_member();
@@ -229,6 +297,10 @@
 extern bool_t xdr_peer_members_result();
 extern bool_t xdr_peer_text_args();
 extern bool_t xdr_peer_text_result();
+extern bool_t xdr_peer_give_up_args();
+extern bool_t xdr_peer_store_args();
+extern bool_t xdr_peer_store_item();
+extern bool_t xdr_peer_store_result();
 
 #endif /* K&R C */
 
--- a/src/share/peer_xdr.c
+++ b/src/share/peer_xdr.c
@@ -62,6 +62,117 @@
 {
     register int32_t *buf;
 
+    if (xdrs->x_op == XDR_ENCODE) {
+        if (!xdr_u_int(xdrs, &objp->verb))
+            return FALSE;
+        if (!xdr_string(xdrs, &objp->database, PEER_NAME_MAX))
+            return FALSE;
+        if (!xdr_string(xdrs, &objp->kind, PEER_NAME_MAX))
+            return FALSE;
+        if (!xdr_bytes(xdrs, (char **)&objp->statement.statement_val,
+                       (u_int *)&objp->statement.statement_len,
+                       PEER_STATEMENT_MAX))
+            return FALSE;
+        if (!xdr_string(xdrs, &objp->key, PEER_KEY_MAX))
+            return FALSE;
+        if (!xdr_string(xdrs, &objp->token, PEER_TOKEN_MAX))
+            return FALSE;
+        if (!xdr_string(xdrs, &objp->trace, PEER_TRACE_MAX))
+            return FALSE;
+        if (!xdr_quad_t(xdrs, &objp->age))
+            return FALSE;
+        if (!xdr_quad_t(xdrs, &objp->remaining))
+            return FALSE;
+        if (!xdr_u_quad_t(xdrs, &objp->transaction))
+            return FALSE;
+        if (!xdr_bool(xdrs, &objp->maybe_sent))
+            return FALSE;
+        if (!xdr_string(xdrs, &objp->values, PEER_VALUES_MAX))
+            return FALSE;
+        if (!xdr_string(xdrs, &objp->shape, PEER_SHAPE_MAX))
+            return FALSE;
+        buf = XDR_INLINE(xdrs, 5 * BYTES_PER_XDR_UNIT);
+        if (buf == NULL) {
+            if (!xdr_bool(xdrs, &objp->begins))
+                return FALSE;
+            if (!xdr_bool(xdrs, &objp->reads_only))
+                return FALSE;
+            if (!xdr_u_int(xdrs, &objp->rule))
+                return FALSE;
+            if (!xdr_u_int(xdrs, &objp->rank))
+                return FALSE;
+            if (!xdr_bool(xdrs, &objp->writes))
+                return FALSE;
+        }
+        else {
+            IXDR_PUT_BOOL(buf, objp->begins);
+            IXDR_PUT_BOOL(buf, objp->reads_only);
+            IXDR_PUT_U_LONG(buf, objp->rule);
+            IXDR_PUT_U_LONG(buf, objp->rank);
+            IXDR_PUT_BOOL(buf, objp->writes);
+        }
+        if (!xdr_quad_t(xdrs, &objp->target))
+            return FALSE;
+        if (!xdr_quad_t(xdrs, &objp->config_version))
+            return FALSE;
+        return TRUE;
+    }
+    else if (xdrs->x_op == XDR_DECODE) {
+        if (!xdr_u_int(xdrs, &objp->verb))
+            return FALSE;
+        if (!xdr_string(xdrs, &objp->database, PEER_NAME_MAX))
+            return FALSE;
+        if (!xdr_string(xdrs, &objp->kind, PEER_NAME_MAX))
+            return FALSE;
+        if (!xdr_bytes(xdrs, (char **)&objp->statement.statement_val,
+                       (u_int *)&objp->statement.statement_len,
+                       PEER_STATEMENT_MAX))
+            return FALSE;
+        if (!xdr_string(xdrs, &objp->key, PEER_KEY_MAX))
+            return FALSE;
+        if (!xdr_string(xdrs, &objp->token, PEER_TOKEN_MAX))
+            return FALSE;
+        if (!xdr_string(xdrs, &objp->trace, PEER_TRACE_MAX))
+            return FALSE;
+        if (!xdr_quad_t(xdrs, &objp->age))
+            return FALSE;
+        if (!xdr_quad_t(xdrs, &objp->remaining))
+            return FALSE;
+        if (!xdr_u_quad_t(xdrs, &objp->transaction))
+            return FALSE;
+        if (!xdr_bool(xdrs, &objp->maybe_sent))
+            return FALSE;
+        if (!xdr_string(xdrs, &objp->values, PEER_VALUES_MAX))
+            return FALSE;
+        if (!xdr_string(xdrs, &objp->shape, PEER_SHAPE_MAX))
+            return FALSE;
+        buf = XDR_INLINE(xdrs, 5 * BYTES_PER_XDR_UNIT);
+        if (buf == NULL) {
+            if (!xdr_bool(xdrs, &objp->begins))
+                return FALSE;
+            if (!xdr_bool(xdrs, &objp->reads_only))
+                return FALSE;
+            if (!xdr_u_int(xdrs, &objp->rule))
+                return FALSE;
+            if (!xdr_u_int(xdrs, &objp->rank))
+                return FALSE;
+            if (!xdr_bool(xdrs, &objp->writes))
+                return FALSE;
+        }
+        else {
+            objp->begins = IXDR_GET_BOOL(buf);
+            objp->reads_only = IXDR_GET_BOOL(buf);
+            objp->rule = IXDR_GET_U_LONG(buf);
+            objp->rank = IXDR_GET_U_LONG(buf);
+            objp->writes = IXDR_GET_BOOL(buf);
+        }
+        if (!xdr_quad_t(xdrs, &objp->target))
+            return FALSE;
+        if (!xdr_quad_t(xdrs, &objp->config_version))
+            return FALSE;
+        return TRUE;
+    }
+
     if (!xdr_u_int(xdrs, &objp->verb))
         return FALSE;
     if (!xdr_string(xdrs, &objp->database, PEER_NAME_MAX))
@@ -86,6 +197,24 @@
         return FALSE;
     if (!xdr_bool(xdrs, &objp->maybe_sent))
         return FALSE;
+    if (!xdr_string(xdrs, &objp->values, PEER_VALUES_MAX))
+        return FALSE;
+    if (!xdr_string(xdrs, &objp->shape, PEER_SHAPE_MAX))
+        return FALSE;
+    if (!xdr_bool(xdrs, &objp->begins))
+        return FALSE;
+    if (!xdr_bool(xdrs, &objp->reads_only))
+        return FALSE;
+    if (!xdr_u_int(xdrs, &objp->rule))
+        return FALSE;
+    if (!xdr_u_int(xdrs, &objp->rank))
+        return FALSE;
+    if (!xdr_bool(xdrs, &objp->writes))
+        return FALSE;
+    if (!xdr_quad_t(xdrs, &objp->target))
+        return FALSE;
+    if (!xdr_quad_t(xdrs, &objp->config_version))
+        return FALSE;
     return TRUE;
 }
 
@@ -96,6 +225,8 @@
 
     if (!xdr_u_int(xdrs, &objp->outcome))
         return FALSE;
+    if (!xdr_u_int(xdrs, &objp->cause))
+        return FALSE;
     if (!xdr_bytes(xdrs, (char **)&objp->result.result_val,
                    (u_int *)&objp->result.result_len, PEER_STATEMENT_MAX))
         return FALSE;
@@ -150,6 +281,10 @@
 
     if (!xdr_string(xdrs, &objp->address, PEER_ADDRESS_MAX))
         return FALSE;
+    if (!xdr_string(xdrs, &objp->database, PEER_NAME_MAX))
+        return FALSE;
+    if (!xdr_string(xdrs, &objp->endpoint, PEER_NAME_MAX))
+        return FALSE;
     return TRUE;
 }
 
@@ -186,3 +321,68 @@
         return FALSE;
     return TRUE;
 }
+
+bool_t
+xdr_peer_give_up_args(XDR *xdrs, peer_give_up_args *objp)
+{
+    register int32_t *buf;
+
+    if (!xdr_string(xdrs, &objp->database, PEER_NAME_MAX))
+        return FALSE;
+    if (!xdr_u_quad_t(xdrs, &objp->nonce))
+        return FALSE;
+    return TRUE;
+}
+
+bool_t
+xdr_peer_store_args(XDR *xdrs, peer_store_args *objp)
+{
+    register int32_t *buf;
+
+    if (!xdr_u_int(xdrs, &objp->verb))
+        return FALSE;
+    if (!xdr_string(xdrs, &objp->key, PEER_KEY_MAX))
+        return FALSE;
+    if (!xdr_u_quad_t(xdrs, &objp->record_version))
+        return FALSE;
+    if (!xdr_string(xdrs, &objp->value, PEER_STATEMENT_MAX))
+        return FALSE;
+    if (!xdr_bool(xdrs, &objp->unconditional))
+        return FALSE;
+    return TRUE;
+}
+
+bool_t
+xdr_peer_store_item(XDR *xdrs, peer_store_item *objp)
+{
+    register int32_t *buf;
+
+    if (!xdr_string(xdrs, &objp->key, PEER_STORE_KEY_MAX))
+        return FALSE;
+    if (!xdr_bytes(xdrs, (char **)&objp->value.value_val,
+                   (u_int *)&objp->value.value_len, PEER_TEXT_MAX))
+        return FALSE;
+    if (!xdr_bool(xdrs, &objp->removed))
+        return FALSE;
+    if (!xdr_u_quad_t(xdrs, &objp->record_version))
+        return FALSE;
+    return TRUE;
+}
+
+bool_t
+xdr_peer_store_result(XDR *xdrs, peer_store_result *objp)
+{
+    register int32_t *buf;
+
+    if (!xdr_u_int(xdrs, &objp->status))
+        return FALSE;
+    if (!xdr_u_quad_t(xdrs, &objp->record_version))
+        return FALSE;
+    if (!xdr_string(xdrs, &objp->value, PEER_TEXT_MAX))
+        return FALSE;
+    if (!xdr_array(xdrs, (char **)&objp->items.items_val,
+                   (u_int *)&objp->items.items_len, PEER_MEMBERS_MAX,
+                   sizeof(peer_store_item), (xdrproc_t)xdr_peer_store_item))
+        return FALSE;
+    return TRUE;
+}
--- a/src/test_libcarobwind/test_fuzz.c
+++ b/src/test_libcarobwind/test_fuzz.c
@@ -209,7 +209,9 @@
                                 .kind = (char *)"payment",
                                 .key = (char *)"k",
                                 .token = (char *)"db:1:2",
-                                .trace = (char *)"t"};
+                                .trace = (char *)"t",
+                                .values = (char *)"zone a\n",
+                                .shape = (char *)"READ q"};
     XDR xdr;
     size_t used;
 
--- a/src/test_libcarobwind/test_membership.c
+++ b/src/test_libcarobwind/test_membership.c
@@ -277,7 +277,7 @@
     g_assert_cmpint(count_seen(2, CBW_MEMBER_LEAVING), ==, 15);
     for (int i = 0; i < fleet.count; i++) {
         const cbw_member_t *owner =
-            CbwMembership_Owner(&fleet.members[i], "any", "north", NULL);
+            CbwMembership_Owner(&fleet.members[i], "any", "north", NULL, NULL);
         g_assert_cmpstr(owner->public.name, !=, "h2");
     }
     finish_fleet();
@@ -320,7 +320,7 @@
         g_snprintf(database, sizeof(database), "db%d", d);
         for (int i = 0; i < fleet.count; i++) {
             const cbw_member_t *owner = CbwMembership_Owner(
-                &fleet.members[i], database, "south", NULL);
+                &fleet.members[i], database, "south", NULL, NULL);
             g_assert_cmpstr(owner->public.data_centre, ==, "south");
             if (i == 0) {
                 before[d] = g_strdup(owner->public.name);
@@ -335,7 +335,7 @@
         const cbw_member_t *owner;
         g_snprintf(database, sizeof(database), "db%d", d);
         owner =
-            CbwMembership_Owner(&fleet.members[0], database, "south", NULL);
+            CbwMembership_Owner(&fleet.members[0], database, "south", NULL, NULL);
         g_assert_cmpstr(owner->public.name, !=, "h5");
         moved += strcmp(owner->public.name, before[d]) != 0 &&
                  strcmp(before[d], "h5") != 0;
