Hand databases over, arrive prepared, leave an isolated host

Change: PEER_PREPARE and a joining state; the listener closes before the process may end; a version heard of is read at once; an isolated host is not ready and lets idle sessions go; a dead promoter is not waited for; replicas near by first; back-off per replica that lacks positions; fewer watches.

--- a/include/carobwind/membership.h
+++ b/include/carobwind/membership.h
@@ -10,7 +10,7 @@
 typedef enum {
     CBW_MEMBER_ALIVE,
     CBW_MEMBER_SUSPECT,
-    CBW_MEMBER_LEAVING, /* answers, but receives no new work */
+    CBW_MEMBER_LEAVING, /* or joining: answers, but receives no new work */
     CBW_MEMBER_DEAD,
 } cbw_member_state_t;
 
@@ -106,6 +106,14 @@
 size_t CbwMembership_Piggyback(cbw_membership_t *membership,
                                const char *target,
                                cbw_member_change_t *changes, size_t limit);
+/* Declares, before the first message, that this host answers but takes no work
+ * yet; CbwMembership_Arrive ends that. */
+void CbwMembership_BeginJoining(cbw_membership_t *membership);
+void CbwMembership_Arrive(cbw_membership_t *membership, cbw_time_t now);
+/* Whether any other member takes work. */
+bool CbwMembership_HasOthers(const cbw_membership_t *membership);
+/* Whether at least half of the members answer, this host included. */
+bool CbwMembership_HasHalf(const cbw_membership_t *membership);
 /* Declares that this host leaves. */
 void CbwMembership_Leave(cbw_membership_t *membership, cbw_time_t now);
 /* Runs what is due. Call it every few tens of milliseconds. */
--- a/include/carobwind/pool.h
+++ b/include/carobwind/pool.h
@@ -29,8 +29,10 @@
 #define Cbw_POOL_RETRY_DOWN (300 * Cbw_MSEC)
 /* How often a primary without traffic is asked for its status. */
 #define Cbw_POOL_IDLE_INTERVAL (500 * Cbw_MSEC)
-/* A replica that lacked a position is passed over for so long. */
+/* A replica that lacked a position is passed over for so long; longer each
+ * time that it still does. */
 #define Cbw_POOL_BEHIND_PAUSE (30 * Cbw_MSEC)
+#define Cbw_POOL_BEHIND_PAUSE_MAX (480 * Cbw_MSEC)
 /* An endpoint that had no room is passed over for so long. */
 #define Cbw_POOL_BUSY_PAUSE (5 * Cbw_MSEC)
 /* Most tries of one request. */
@@ -86,8 +88,8 @@
     void (*order)(void *context, const char *endpoint, uint64_t fence);
     /* Asks peers whether they reach the endpoint; CbwPool_OnReach. */
     void (*ask_reach)(void *context, int endpoint);
-    /* The owner should be `host`. */
-    void (*move)(void *context, const char *host);
+    /* The owner should be `host`. Returns whether that host is there. */
+    bool (*move)(void *context, const char *host);
     /* A line for the log. */
     void (*decide)(void *context, const char *text);
 } cbw_pool_ops_t;
@@ -129,8 +131,11 @@
     cbw_time_t heard_at;
     cbw_time_t waiting_since; /* of the oldest call without an answer */
     cbw_time_t passed_over_until;
-    int failures; /* of new connections, in a row */
-    bool suspect; /* a call was lost: a new connection will tell */
+    cbw_time_t behind_until; /* it lacked a position; tried again then */
+    cbw_time_t behind_pause; /* the present one */
+    bool is_near;            /* in the data centre of the owner */
+    int failures;            /* of new connections, in a row */
+    bool suspect;            /* a call was lost: a new connection will tell */
     bool down;
     uint64_t status_call; /* 0: none is on its way */
     cbw_time_t status_due;
@@ -150,6 +155,7 @@
 
 typedef struct {
     char database[Cbw_NAME_MAX];
+    char data_centre[Cbw_NAME_MAX]; /* of the owner */
     const cbw_pool_ops_t *ops;
     void *context;
     const cbw_queue_ops_t *queue_policy;
@@ -189,7 +195,8 @@
 void CbwPool_Init(cbw_pool_t *pool, const char *database,
                   const cbw_queue_ops_t *queue_policy, const cbw_rank_t *ranks,
                   size_t rank_count, const cbw_pool_ops_t *ops, void *context,
-                  uint64_t nonce, const char *host, cbw_counters_t *counters);
+                  uint64_t nonce, const char *host, const char *data_centre,
+                  cbw_counters_t *counters);
 /* Answers every request that is still inside; frees all memory. */
 void CbwPool_Finish(cbw_pool_t *pool, cbw_time_t now);
 /* The endpoints of the present inventory. */
@@ -214,6 +221,7 @@
 void CbwPool_Tick(cbw_pool_t *pool, cbw_time_t now, bool wanted);
 /* Another owner asks for this one's right. Returns whether it has none now. */
 bool CbwPool_GiveUp(cbw_pool_t *pool, cbw_time_t now);
+void CbwPool_OnUnreachable(cbw_pool_t *pool, cbw_time_t now, uint64_t nonce);
 void CbwPool_OnGivenUp(cbw_pool_t *pool, cbw_time_t now, uint64_t nonce);
 /* Gives the tenure back: this host no longer owns the database. */
 void CbwPool_Release(cbw_pool_t *pool, cbw_time_t now);
--- a/include/carobwind/tenure.h
+++ b/include/carobwind/tenure.h
@@ -107,6 +107,10 @@
 /* Another owner asks for the right of the one with `nonce`, which is this one:
  * it ends now. */
 void CbwTenure_GiveUp(cbw_tenure_t *tenure, cbw_time_t now);
+/* The host of the owner with `nonce` is not there: its promotion need not be
+ * left to it, but its right lasts until it ends by itself. */
+void CbwTenure_OnUnreachable(cbw_tenure_t *tenure, cbw_time_t now,
+                             uint64_t nonce);
 /* The owner with `nonce` has no right any more. */
 void CbwTenure_OnGivenUp(cbw_tenure_t *tenure, cbw_time_t now, uint64_t nonce);
 /* Gives the right back, so that the next owner need not wait. */
--- a/src/carobwindd/main.c
+++ b/src/carobwindd/main.c
@@ -19,12 +19,15 @@
 #define DRAIN_TICK_SECONDS 0.05
 /* News of the leaving needs this time at the least to spread. */
 #define DRAIN_LEAST (1200 * Cbw_MSEC)
+/* The next owners are waited for so long before peers hear of the leaving. */
+#define HAND_OVER_LIMIT (1 * Cbw_SEC)
 /* All must have been idle for so long before the process ends. */
 #define DRAIN_QUIET (300 * Cbw_MSEC)
 
 typedef struct {
     daemon_t *daemon;
     bool draining;
+    bool leaving; /* peers are told */
     cbw_time_t drain_at;
     cbw_time_t busy_at; /* when a task last reported to be busy */
     ev_timer timer;
@@ -45,6 +48,15 @@
     Task_Post(TASK_MAIN, task, type, &message->message);
 }
 
+static void
+leave(void)
+{
+    if (!self.leaving) {
+        self.leaving = true;
+        post_to(TASK_MEMBER, MESSAGE_DRAIN);
+    }
+}
+
 static void
 ask_reports(struct ev_loop *loop, ev_timer *watcher, int events)
 {
@@ -59,6 +71,9 @@
         ev_break(loop, EVBREAK_ALL);
         return;
     }
+    if (now - self.drain_at > HAND_OVER_LIMIT) {
+        leave();
+    }
     if (now - self.drain_at > DRAIN_LEAST &&
         now - self.busy_at > DRAIN_QUIET) {
         ev_break(loop, EVBREAK_ALL);
@@ -80,7 +95,6 @@
     self.busy_at = self.drain_at;
     CbwLog_Write(CBW_LOG_INFO, "main", "draining", "host=%s",
                  self.daemon->settings.name);
-    post_to(TASK_MEMBER, MESSAGE_DRAIN);
     post_to(TASK_ENTRY, MESSAGE_DRAIN);
     post_to(TASK_OWNER, MESSAGE_DRAIN);
     ev_timer_init(&self.timer, ask_reports, DRAIN_TICK_SECONDS,
@@ -119,6 +133,10 @@
         }
         free(report);
     }
+    else if (message->type == MESSAGE_HANDED_OVER) {
+        leave();
+        free(message);
+    }
     else if (message->type == MESSAGE_INBOUND) {
         inbound_t *inbound = Cbw_LIST_ITEM(message, inbound_t, message);
         begin_drain();
--- a/src/carobwindd/member_task.c
+++ b/src/carobwindd/member_task.c
@@ -33,7 +33,8 @@
     cbw_time_t list_at;
     bool list_asked;
     cbw_time_t join_at;
-    bool joined; /* a peer sent its members */
+    bool joined;  /* a peer sent its members */
+    bool arrived; /* takes work */
     cbw_time_t started_at;
     ev_timer timer;
 } member_task_t;
@@ -417,6 +418,39 @@
     return now - self.started_at >= needed;
 }
 
+/* Tells a few members at once, without waiting for the next probe. */
+static void
+tell_some(void)
+{
+    size_t told = 0;
+
+    for (size_t i = 1; i < self.membership.count && told < 5; i++) {
+        size_t index = 1 + (size_t)CbwRandom_Below(&self.membership.random,
+                                                   self.membership.count - 1);
+        const cbw_member_change_t *member =
+            &self.membership.members[index].public;
+        if (member->state <= CBW_MEMBER_SUSPECT &&
+            !CbwMembership_IsEndpoint(member)) {
+            op_probe(NULL, member, NULL);
+            told++;
+        }
+    }
+}
+
+/* A host that joins others first makes ready what it will own; the present
+ * owners serve that meanwhile. */
+static void
+arrive(bool prepared)
+{
+    if (self.arrived ||
+        (!prepared && CbwMembership_HasOthers(&self.membership))) {
+        return;
+    }
+    self.arrived = true;
+    CbwMembership_Arrive(&self.membership, CbwNet_Now());
+    tell_some();
+}
+
 static void
 publish(void)
 {
@@ -428,6 +462,7 @@
         !is_settled(CbwNet_Now())) {
         return;
     }
+    arrive(false);
     self.published_epoch = self.membership.epoch;
     self.daemon->joined = true;
     view = copy_view();
@@ -443,25 +478,6 @@
     View_Unref(view);
 }
 
-/* Tells a few members at once, without waiting for the next probe. */
-static void
-tell_some(void)
-{
-    size_t told = 0;
-
-    for (size_t i = 1; i < self.membership.count && told < 5; i++) {
-        size_t index = 1 + (size_t)CbwRandom_Below(&self.membership.random,
-                                                   self.membership.count - 1);
-        const cbw_member_change_t *member =
-            &self.membership.members[index].public;
-        if (member->state <= CBW_MEMBER_SUSPECT &&
-            !CbwMembership_IsEndpoint(member)) {
-            op_probe(NULL, member, NULL);
-            told++;
-        }
-    }
-}
-
 static void
 on_config(config_message_t *message)
 {
@@ -474,6 +490,7 @@
 static void
 on_drain(void)
 {
+    self.arrived = true; /* it will not arrive any more */
     CbwMembership_Leave(&self.membership, CbwNet_Now());
     tell_some();
 }
@@ -506,6 +523,10 @@
     case MESSAGE_CONFIG:
         on_config(Cbw_LIST_ITEM(message, config_message_t, message));
         break;
+    case MESSAGE_PREPARED:
+        arrive(true);
+        free(message);
+        break;
     case MESSAGE_DRAIN:
         on_drain();
         free(message);
@@ -525,6 +546,7 @@
     (void)watcher;
     (void)events;
     CbwMembership_Tick(&self.membership, now);
+    self.daemon->few_peers = !CbwMembership_HasHalf(&self.membership);
     ask_list(now);
     join(now);
     publish();
@@ -554,6 +576,10 @@
                            now_in_milliseconds(), daemon->nonce) != 0) {
         return CbwError_Set(error, CBW_ERROR_MEMORY, "out of memory");
     }
+    self.arrived = !daemon->prepares;
+    if (daemon->prepares) {
+        CbwMembership_BeginJoining(&self.membership);
+    }
     Task_Register(daemon->loop, TASK_MEMBER, handle, NULL);
     ev_timer_init(&self.timer, on_tick, TICK_SECONDS, TICK_SECONDS);
     ev_timer_start(daemon->loop, &self.timer);
--- a/src/carobwindd/messages.c
+++ b/src/carobwindd/messages.c
@@ -26,9 +26,16 @@
     [PEER_COUNTERS] = {no_arguments, CODEC(xdr_peer_text_result)},
     [PEER_DRAIN] = {no_arguments, CODEC(xdr_bool)},
     [PEER_GIVE_UP] = {CODEC(xdr_peer_give_up_args), CODEC(xdr_bool)},
+    [PEER_PREPARE] = {CODEC(xdr_peer_prepare_args), CODEC(xdr_bool)},
     [PEER_STORE] = {CODEC(xdr_peer_store_args), CODEC(xdr_peer_store_result)},
 };
 
+bool
+Daemon_IsIsolated(const daemon_t *daemon)
+{
+    return !daemon->store_answers && daemon->few_peers;
+}
+
 config_t *
 Config_Ref(config_t *config)
 {
--- a/src/carobwindd/messages.h
+++ b/src/carobwindd/messages.h
@@ -24,9 +24,16 @@
     /* Whether the balancer may send callers here. */
     bool configured; /* a configuration is in force */
     bool joined;     /* the members are known */
+    bool prepares;   /* to own databases, before it takes work */
     bool draining;
+    bool store_answers;       /* itself, not through a peer */
+    bool few_peers;           /* most members are not reached */
 } daemon_t;
 
+/* Neither the store nor most of the members are reached: callers are served
+ * better by other hosts. */
+bool Daemon_IsIsolated(const daemon_t *daemon);
+
 /* A configuration in force, shared by reference. */
 typedef struct {
     int references;
@@ -142,6 +149,7 @@
     peer_text_args text;
     peer_store_args store;
     peer_give_up_args give_up;
+    peer_prepare_args prepare;
 } peer_args_t;
 
 typedef union {
@@ -195,7 +203,7 @@
     xdrproc_t result;
 } peer_codec_t;
 
-/* Indexed by procedure, up to PEER_GIVE_UP. */
+/* Indexed by procedure, up to PEER_PREPARE. */
 extern const peer_codec_t Peer_Codecs[];
 
 /* Tasks. Each is created once and lives as long as the process. */
--- a/src/carobwindd/owner_task.c
+++ b/src/carobwindd/owner_task.c
@@ -302,7 +302,8 @@
         report_busy(message);
         break;
     case MESSAGE_DRAIN:
-        free(message); /* the members' view says who owns what */
+        /* The members' view says who owns what. */
+        Task_Post(TASK_OWNER, TASK_MAIN, MESSAGE_HANDED_OVER, message);
         break;
     default:
         break;
--- a/src/carobwindd/peer_task.c
+++ b/src/carobwindd/peer_task.c
@@ -371,6 +371,7 @@
     case PEER_EXPLAIN:
     case PEER_REACH:
     case PEER_GIVE_UP:
+    case PEER_PREPARE:
         return TASK_OWNER;
     case PEER_CONFIG:
         return TASK_CONFIG;
--- a/src/carobwindd/pool_task.c
+++ b/src/carobwindd/pool_task.c
@@ -24,6 +24,8 @@
 #define REACH_PEERS 3
 #define REACH_CALL_TIMEOUT (250 * Cbw_MSEC)
 #define REACH_PROBE_SECONDS 0.2
+/* A peer that leaves waits so long for this host to be ready. */
+#define PREPARE_TIMEOUT (900 * Cbw_MSEC)
 /* Control calls have connections beside those for statements. */
 #define CONTROL_CONNECTIONS 3
 #define EXPLAIN_TEXT_MAX 32768
@@ -49,6 +51,8 @@
     char moved_to[Cbw_NAME_MAX];
     cbw_time_t moved_at;
     int reach_waiting;
+    inbound_t *preparing; /* a peer waits until this host can serve */
+    cbw_time_t prepared_by;
 };
 
 typedef struct {
@@ -60,6 +64,9 @@
     cbw_link_t instances;
     uint64_t next_id;
     bool draining;
+    bool arrived;         /* takes work as an owner */
+    cbw_time_t arrive_by; /* at the latest; 0: nothing is claimed yet */
+    int handing_over;     /* databases whose next owner is not ready yet */
     ev_timer timer;
 } pool_task_t;
 
@@ -312,7 +319,8 @@
         CbwMembership_Find(&self.view->membership, former->host);
     outbound_t *outbound;
 
-    if (member == NULL) {
+    if (member == NULL || member->public.state == CBW_MEMBER_DEAD) {
+        CbwPool_OnUnreachable(&instance->pool, CbwNet_Now(), former->nonce);
         return;
     }
     outbound = Outbound_New(PEER_GIVE_UP, member->public.address);
@@ -370,13 +378,19 @@
     Outbound_Free(outbound);
 }
 
-static void
+static bool
 op_move(void *context, const char *host)
 {
     instance_t *instance = context;
+    const cbw_member_t *member =
+        CbwMembership_Find(&self.view->membership, host);
 
+    if (member == NULL || member->public.state == CBW_MEMBER_DEAD) {
+        return false;
+    }
     snprintf(instance->moved_to, sizeof(instance->moved_to), "%s", host);
     instance->moved_at = CbwNet_Now();
+    return true;
 }
 
 static const cbw_pool_ops_t pool_ops = {
@@ -427,32 +441,79 @@
                  CbwQueue_Policy(self.daemon->settings.queue_policy),
                  inventory->ranks, inventory->rank_count, &pool_ops, instance,
                  self.daemon->nonce + instance->id, self.daemon->settings.name,
-                 &self.daemon->counters);
+                 self.daemon->settings.data_centre, &self.daemon->counters);
     update_endpoints(instance);
     CbwLog_Write(CBW_LOG_INFO, "owner", "started", "database=%s",
                  database->name);
     return instance;
 }
 
+static void finish_preparing(instance_t *instance);
+
 static void
 free_instance(instance_t *instance)
 {
     CbwLog_Write(CBW_LOG_INFO, "owner", "stopped", "database=%s",
                  instance->pool.database);
+    if (instance->preparing != NULL) {
+        finish_preparing(instance);
+    }
     CbwPool_Finish(&instance->pool, CbwNet_Now());
     CbwList_Remove(&instance->link);
     free(instance);
 }
 
+static const char *
+home_of(const cbw_database_t *database)
+{
+    return database->endpoint_count > 0 ? database->endpoints[0].data_centre
+                                        : "";
+}
+
+/* Whether this host owns the database, or will once it takes work. */
 static bool
 is_ours(const cbw_database_t *database)
 {
-    const char *home =
-        database->endpoint_count > 0 ? database->endpoints[0].data_centre : "";
+    cbw_member_t *own = &self.view->membership.members[0];
+    cbw_member_state_t state = own->public.state;
+    bool ours;
 
-    return CbwMembership_Owner(&self.view->membership, database->name, home,
-                               NULL,
-                               NULL) == &self.view->membership.members[0];
+    if (!self.arrived) {
+        own->public.state = CBW_MEMBER_ALIVE;
+    }
+    ours = CbwMembership_Owner(&self.view->membership, database->name,
+                               home_of(database), NULL, NULL) == own;
+    own->public.state = state;
+    return ours;
+}
+
+/* Tells the membership when all that this host will own can be served. */
+static void
+check_arrival(cbw_time_t now)
+{
+    cbw_link_t *link = self.instances.next;
+    message_t *message;
+
+    if (self.arrived || self.config == NULL || self.view == NULL) {
+        return;
+    }
+    if (self.arrive_by == 0) {
+        self.arrive_by = now + PREPARE_TIMEOUT;
+    }
+    for (; link != &self.instances; link = link->next) {
+        const instance_t *instance = Cbw_LIST_ITEM(link, instance_t, link);
+        if (instance->owned && now < self.arrive_by &&
+            !CbwTenure_IsValid(&instance->pool.tenure, now)) {
+            return;
+        }
+    }
+    self.arrived = true;
+    message = calloc(1, sizeof(*message));
+    if (message == NULL) {
+        abort();
+    }
+    CbwList_Init(&message->link);
+    Task_Post(TASK_OWNER, TASK_MEMBER, MESSAGE_PREPARED, message);
 }
 
 /* Starts pools for what this host owns by rendezvous order, so that they are
@@ -612,6 +673,43 @@
     }
 }
 
+static void
+finish_preparing(instance_t *instance)
+{
+    inbound_t *inbound = instance->preparing;
+
+    instance->preparing = NULL;
+    inbound->result.flag = TRUE;
+    Task_Post(TASK_OWNER, TASK_PEER, MESSAGE_INBOUND_DONE, &inbound->message);
+}
+
+/* Starts to own a database while its owner, which leaves, still serves. */
+static void
+start_preparing(inbound_t *inbound)
+{
+    const char *name = inbound->args.prepare.database;
+    instance_t *instance = find_instance(name);
+    const cbw_database_t *database =
+        self.config != NULL
+            ? CbwInventory_Database(&self.config->inventory, name)
+            : NULL;
+
+    if (instance == NULL && database != NULL && !self.draining &&
+        self.view != NULL) {
+        instance = new_instance(database);
+    }
+    if (instance == NULL || instance->preparing != NULL) {
+        inbound->result.flag = FALSE;
+        Task_Post(TASK_OWNER, TASK_PEER, MESSAGE_INBOUND_DONE,
+                  &inbound->message);
+        return;
+    }
+    instance->used_at = CbwNet_Now();
+    instance->preparing = inbound;
+    instance->prepared_by = CbwNet_Now() + PREPARE_TIMEOUT;
+    set_tick(BUSY_TICK_SECONDS);
+}
+
 static void
 answer_inbound(inbound_t *inbound)
 {
@@ -626,6 +724,10 @@
         answer_give_up(inbound);
         return;
     }
+    if (inbound->procedure == PEER_PREPARE) {
+        start_preparing(inbound);
+        return;
+    }
     instance = find_instance(inbound->args.text.subject);
     if (instance == NULL) {
         Inbound_SetText(inbound, false, "this host does not own it");
@@ -653,10 +755,34 @@
     Task_Post(TASK_OWNER, TASK_MAIN, MESSAGE_REPORT, request);
 }
 
+static void
+report_handed_over(void)
+{
+    message_t *message = calloc(1, sizeof(*message));
+
+    if (message == NULL) {
+        abort();
+    }
+    CbwList_Init(&message->link);
+    Task_Post(TASK_OWNER, TASK_MAIN, MESSAGE_HANDED_OVER, message);
+}
+
+static void
+on_prepared(outbound_t *outbound)
+{
+    Outbound_Free(outbound);
+    if (--self.handing_over == 0) {
+        report_handed_over();
+    }
+}
+
 static void
 on_outbound_done(outbound_t *outbound)
 {
-    if (outbound->procedure == PEER_GIVE_UP) {
+    if (outbound->procedure == PEER_PREPARE) {
+        on_prepared(outbound);
+    }
+    else if (outbound->procedure == PEER_GIVE_UP) {
         on_give_up_done(outbound);
     }
     else {
@@ -664,11 +790,52 @@
     }
 }
 
+static bool
+is_self(void *context, const char *name)
+{
+    (void)context;
+    return strcmp(name, self.daemon->settings.name) == 0;
+}
+
+/* The owner that comes after this host. */
+static void
+hand_over(const instance_t *instance)
+{
+    const cbw_database_t *database = CbwInventory_Database(
+        &self.config->inventory, instance->pool.database);
+    const cbw_member_t *next;
+    outbound_t *outbound;
+
+    if (!instance->owned || database == NULL) {
+        return;
+    }
+    next = CbwMembership_Owner(&self.view->membership, database->name,
+                               home_of(database), is_self, NULL);
+    if (next == NULL) {
+        return;
+    }
+    outbound = Outbound_New(PEER_PREPARE, next->public.address);
+    outbound->args.prepare.database = strdup(database->name);
+    outbound->timeout = PREPARE_TIMEOUT;
+    outbound->reply_to = TASK_OWNER;
+    self.handing_over++;
+    Task_Post(TASK_OWNER, TASK_PEER, MESSAGE_OUTBOUND, &outbound->message);
+}
+
+/* The databases are handed over before peers hear that this host leaves; it
+ * serves them until then. */
 static void
 on_drain(void)
 {
+    cbw_link_t *link = self.instances.next;
+
+    for (; link != &self.instances; link = link->next) {
+        hand_over(Cbw_LIST_ITEM(link, instance_t, link));
+    }
     self.draining = true;
-    claim_databases();
+    if (self.handing_over == 0) {
+        report_handed_over();
+    }
 }
 
 static void
@@ -713,7 +880,14 @@
     bool used = instance->owned || now - instance->used_at <= UNUSED_LIMIT;
     bool idle;
 
-    CbwPool_Tick(&instance->pool, now, used && !instance->retired);
+    /* A host that leaves serves on under the right that it has. */
+    CbwPool_Tick(&instance->pool, now,
+                 used && !instance->retired && !self.draining);
+    if (instance->preparing != NULL &&
+        (CbwTenure_IsValid(&instance->pool.tenure, now) ||
+         now >= instance->prepared_by)) {
+        finish_preparing(instance);
+    }
     idle = CbwPool_IsIdle(&instance->pool);
     if (idle && !used && !instance->released) {
         /* So that the next owner need not wait for the end of the right. */
@@ -729,7 +903,8 @@
         free_instance(instance);
         return false;
     }
-    return !idle || instance->pool.phase != CBW_POOL_SERVING;
+    return !idle || instance->pool.phase != CBW_POOL_SERVING ||
+           instance->preparing != NULL;
 }
 
 static void
@@ -746,6 +921,8 @@
     Cbw_LIST_FOREACH (&self.instances, link, safe) {
         busy |= tick_instance(Cbw_LIST_ITEM(link, instance_t, link), now);
     }
+    check_arrival(now);
+    busy |= !self.arrived;
     set_tick(busy ? BUSY_TICK_SECONDS : IDLE_TICK_SECONDS);
 }
 
@@ -755,6 +932,7 @@
     const settings_t *settings = &daemon->settings;
 
     self.daemon = daemon;
+    daemon->prepares = true;
     self.driver =
         CbwPlugin_Find(CBW_PLUGIN_ENDPOINT_DRIVER, settings->endpoint_driver);
     self.orders =
--- a/src/carobwindd/registry_task.c
+++ b/src/carobwindd/registry_task.c
@@ -17,6 +17,10 @@
 /* Longest wait of a watch: a silent one is found by its deadline well within
  * the time in which a change must be in force. */
 #define WATCH_WAIT (9 * Cbw_SEC)
+/* That of the operators' record may be longer: peers tell of its versions. */
+#define CONFIG_WATCH_WAIT (25 * Cbw_SEC)
+/* Pause after changes of registrations, which come in bunches. */
+#define CHANGES_PAUSE (250 * Cbw_MSEC)
 #define RETRY_INTERVAL (150 * Cbw_MSEC)
 /* How often changes are asked for through a peer. */
 #define THROUGH_PEER_INTERVAL (700 * Cbw_MSEC)
@@ -50,8 +54,8 @@
     GHashTable *registrations; /* key to registration_t, which it owns */
     cbw_inventory_t routes;    /* without endpoints */
     bool configured;
-    bool changed;          /* since the last publication */
-    int64_t heard_version; /* that a peer runs */
+    bool changed;  /* since the last publication */
+    bool fetching; /* the operators' record, besides the watch */
     cbw_random_t random;
     ev_timer timer;
 } registry_task_t;
@@ -336,7 +340,9 @@
     call =
         StoreCall_New(watch->listed ? STORE_CHANGES : STORE_RANGE, watch->key);
     call->version = watch->listed ? watch->version : 0;
-    call->wait = watch->listed ? WATCH_WAIT : 0;
+    if (watch->listed) {
+        call->wait = id == WATCH_CONFIG ? CONFIG_WATCH_WAIT : WATCH_WAIT;
+    }
     call->reply_to = TASK_CONFIG;
     call->context = (void *)(uintptr_t)id;
     Task_Post(TASK_CONFIG, TASK_STORE, MESSAGE_STORE, &call->message);
@@ -371,6 +377,9 @@
         }
         watch->listed = true;
         watch->version = call->version;
+        if (id == WATCH_ENDPOINTS && call->item_count > 0) {
+            watch->ask_at = now + CHANGES_PAUSE;
+        }
         if (call->through_peer) {
             watch->ask_at = now + THROUGH_PEER_INTERVAL; /* it does not wait */
         }
@@ -380,19 +389,34 @@
     ask(id, now);
 }
 
+/* A peer has a version that the watch has not brought: its connection may be
+ * silent. */
 static void
 on_peer_version(version_message_t *message)
 {
-    watch_t *watch = &self.watches[WATCH_CONFIG];
+    store_call_t *call;
 
-    /* The watch missed it: reads the record itself. */
-    if (message->version > self.routes.version && !watch->asked) {
-        watch->listed = false;
-        watch->ask_at = 0;
+    if (message->version > self.routes.version && !self.fetching) {
+        self.fetching = true;
+        call = StoreCall_New(STORE_GET, self.driver->config_key);
+        call->reply_to = TASK_CONFIG;
+        Task_Post(TASK_CONFIG, TASK_STORE, MESSAGE_STORE, &call->message);
     }
     free(message);
 }
 
+static void
+on_fetched(store_call_t *call)
+{
+    self.fetching = false;
+    if (call->status == CBW_STORE_OK) {
+        CbwCounter_Add(&self.daemon->counters, CBW_COUNTER_CONFIG_FETCHED, 1);
+        take_config(call->value);
+        publish();
+    }
+    StoreCall_Free(call);
+}
+
 static void
 answer_config(inbound_t *inbound)
 {
@@ -406,9 +430,16 @@
 {
     (void)state;
     switch (message->type) {
-    case MESSAGE_STORE_DONE:
-        on_store_done(Cbw_LIST_ITEM(message, store_call_t, message));
+    case MESSAGE_STORE_DONE: {
+        store_call_t *call = Cbw_LIST_ITEM(message, store_call_t, message);
+        if (call->verb == STORE_GET) {
+            on_fetched(call);
+        }
+        else {
+            on_store_done(call);
+        }
         break;
+    }
     case MESSAGE_PEER_VERSION:
         on_peer_version(Cbw_LIST_ITEM(message, version_message_t, message));
         break;
--- a/src/carobwindd/router_task.c
+++ b/src/carobwindd/router_task.c
@@ -20,6 +20,10 @@
 /* Answers may come a little after the owner's own deadline. */
 #define ANSWER_MARGIN (200 * Cbw_MSEC)
 #define AVOIDED_MAX 16
+/* A request that finds no owner is refused after this part of its aim, so that
+ * its caller may come back in time. */
+#define EARLY_PART 2
+#define EARLY_RETRY_AFTER (300 * Cbw_MSEC)
 
 /* The owner of a database, as far as known. */
 typedef struct {
@@ -60,11 +64,17 @@
     finish(job);
 }
 
-/* When the request is given up, with time to settle what was sent. */
+/* When the request is given up, with time to settle what was sent. One whose
+ * caller can be told that nothing is kept is given up early. */
 static cbw_time_t
 last_moment(const cbw_request_t *request)
 {
     bool settles = request->maybe_sent && request->key[0] != '\0';
+    bool kept = request->maybe_sent && request->writes;
+
+    if (request->target > 0 && request->key[0] == '\0' && !kept) {
+        return request->arrived + request->target / EARLY_PART;
+    }
 
     return request->deadline + (settles ? Cbw_OWNER_SETTLE_GRACE : 0);
 }
@@ -72,10 +82,13 @@
 static void
 give_up(job_t *job)
 {
-    job->request.answer.cause =
-        job->request.maybe_sent ? CBW_CAUSE_TIMEOUT : CBW_CAUSE_BUSY;
-    end(job,
-        job->request.maybe_sent ? CBW_OUTCOME_UNKNOWN : CBW_OUTCOME_NOTRUN,
+    /* A read that ran somewhere leaves nothing behind. */
+    bool in_doubt = job->request.maybe_sent &&
+                    (job->request.writes || job->request.key[0] != '\0');
+
+    job->request.answer.retry_after = in_doubt ? 0 : EARLY_RETRY_AFTER;
+    job->request.answer.cause = in_doubt ? CBW_CAUSE_TIMEOUT : CBW_CAUSE_BUSY;
+    end(job, in_doubt ? CBW_OUTCOME_UNKNOWN : CBW_OUTCOME_NOTRUN,
         "no owner answered within the deadline");
 }
 
--- a/src/carobwindd/session_task.c
+++ b/src/carobwindd/session_task.c
@@ -23,6 +23,9 @@
 /* Open transactions are cut off so long after a drain began: half of the
  * platform's grace. */
 #define DRAIN_TRANSACTIONS (3 * Cbw_SEC)
+/* The balancer sends callers for so long: it asks once a second, and two
+ * misses take a host out. */
+#define DRAIN_LISTEN (2200 * Cbw_MSEC)
 /* A database that is not known here is looked for so long: the configuration
  * may be on its way. */
 #define UNKNOWN_WAIT (1500 * Cbw_MSEC)
@@ -173,13 +176,17 @@
     CbwCounter_Add(&self.daemon->counters, counters[outcome], 1);
 }
 
-/* While this host drains, right after an answer: then the caller has not sent
- * the next statement yet. */
+/* While this host drains or is isolated, right after an answer: then the
+ * caller has not sent the next statement yet. */
 static bool
 may_close(const session_t *session)
 {
     cbw_time_t draining_for = CbwNet_Now() - self.drain_at;
 
+    if (session->session.state == CBW_SESSION_IDLE &&
+        Daemon_IsIsolated(self.daemon)) {
+        return true;
+    }
     return self.draining && ((session->session.state == CBW_SESSION_IDLE &&
                               draining_for > DRAIN_IDLE) ||
                              draining_for > DRAIN_TRANSACTIONS);
@@ -533,7 +540,7 @@
 static void
 close_idle_sessions(cbw_time_t now)
 {
-    bool late = now - self.drain_at > DRAIN_TRANSACTIONS;
+    bool late = self.draining && now - self.drain_at > DRAIN_TRANSACTIONS;
     cbw_link_t *link;
     cbw_link_t *safe;
 
@@ -558,7 +565,8 @@
     (void)watcher;
     (void)events;
     start_waiting(now);
-    if (self.draining && now - self.drain_at > DRAIN_IDLE) {
+    if ((self.draining && now - self.drain_at > DRAIN_IDLE) ||
+        Daemon_IsIsolated(self.daemon)) {
         close_idle_sessions(now);
     }
     if (self.draining && now - self.drain_at > DRAIN_TRANSACTIONS) {
@@ -572,7 +580,12 @@
     report_message_t *report =
         Cbw_LIST_ITEM(request, report_message_t, message);
 
-    report->busy = self.session_count + self.jobs;
+    if (self.draining && self.session_count == 0 &&
+        CbwNet_Now() - self.drain_at > DRAIN_LISTEN) {
+        stop_listening(); /* which takes in what still waits there */
+    }
+    report->busy = self.session_count + self.jobs +
+                   (ev_is_active(&self.listener) ? 1 : 0);
     Task_Post(TASK_ENTRY, TASK_MAIN, MESSAGE_REPORT, request);
 }
 
--- a/src/carobwindd/store_task.c
+++ b/src/carobwindd/store_task.c
@@ -46,6 +46,7 @@
 {
     if (answering != self.answering) {
         self.answering = answering;
+        self.daemon->store_answers = answering;
         self.own_try_at = CbwNet_Now() + OWN_TRY_INTERVAL;
         CbwLog_Write(answering ? CBW_LOG_INFO : CBW_LOG_WARNING, "store",
                      answering ? "answers" : "silent", "address=%s",
@@ -365,6 +366,7 @@
     self.tokens = CALLS_BURST;
     self.refilled_at = CbwNet_Now();
     self.answering = true;
+    daemon->store_answers = true;
     CbwList_Init(&self.calls);
     self.driver->open(daemon, &store_events);
     Task_Register(daemon->loop, TASK_STORE, handle, NULL);
--- a/src/carobwindd/task.h
+++ b/src/carobwindd/task.h
@@ -35,6 +35,8 @@
     MESSAGE_INBOUND_DONE,  /* inbound_t: the answer to it */
     MESSAGE_PEER_VERSION,  /* version_message_t: what a peer runs */
     MESSAGE_DRAIN,         /* stop gracefully */
+    MESSAGE_PREPARED,      /* message_t: what this host will own is ready */
+    MESSAGE_HANDED_OVER,   /* message_t: the next owners are ready */
     MESSAGE_REPORT,        /* report_message_t: how far a task has stopped */
 } message_type_t;
 
--- a/src/libcarobwind/membership.c
+++ b/src/libcarobwind/membership.c
@@ -296,6 +296,50 @@
               self->public.incarnation + 1);
 }
 
+void
+CbwMembership_BeginJoining(cbw_membership_t *membership)
+{
+    membership->members[0].public.state = CBW_MEMBER_LEAVING;
+}
+
+void
+CbwMembership_Arrive(cbw_membership_t *membership, cbw_time_t now)
+{
+    cbw_member_t *self = &membership->members[0];
+
+    set_state(membership, now, self, CBW_MEMBER_ALIVE,
+              self->public.incarnation + 1);
+}
+
+bool
+CbwMembership_HasOthers(const cbw_membership_t *membership)
+{
+    for (size_t i = 1; i < membership->count; i++) {
+        const cbw_member_change_t *member = &membership->members[i].public;
+        if (member->state == CBW_MEMBER_ALIVE &&
+            !CbwMembership_IsEndpoint(member)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool
+CbwMembership_HasHalf(const cbw_membership_t *membership)
+{
+    size_t known = 0;
+    size_t answering = 0;
+
+    for (size_t i = 0; i < membership->count; i++) {
+        const cbw_member_change_t *member = &membership->members[i].public;
+        if (!CbwMembership_IsEndpoint(member)) {
+            known++;
+            answering += member->state != CBW_MEMBER_DEAD;
+        }
+    }
+    return 2 * answering >= known;
+}
+
 void
 CbwMembership_HearEndpoint(cbw_membership_t *membership, cbw_time_t now,
                            const char *address, bool leaving)
--- a/src/libcarobwind/pool.c
+++ b/src/libcarobwind/pool.c
@@ -69,10 +69,12 @@
 CbwPool_Init(cbw_pool_t *pool, const char *database,
              const cbw_queue_ops_t *queue_policy, const cbw_rank_t *ranks,
              size_t rank_count, const cbw_pool_ops_t *ops, void *context,
-             uint64_t nonce, const char *host, cbw_counters_t *counters)
+             uint64_t nonce, const char *host, const char *data_centre,
+             cbw_counters_t *counters)
 {
     memset(pool, 0, sizeof(*pool));
     snprintf(pool->database, sizeof(pool->database), "%s", database);
+    snprintf(pool->data_centre, sizeof(pool->data_centre), "%s", data_centre);
     pool->ops = ops;
     pool->context = context;
     pool->queue_policy = queue_policy;
@@ -189,6 +191,7 @@
         endpoint->listed = true;
         endpoint->info = *info;
         endpoint->heard_at = now;
+        endpoint->is_near = strcmp(info->data_centre, pool->data_centre) == 0;
         CbwPool_Decide_(pool, now, "endpoint %s at %s, %d slots%s", info->name,
                         info->address, info->slots,
                         info->leaving ? ", leaving" : "");
@@ -651,6 +654,12 @@
     return true;
 }
 
+void
+CbwPool_OnUnreachable(cbw_pool_t *pool, cbw_time_t now, uint64_t nonce)
+{
+    CbwTenure_OnUnreachable(&pool->tenure, now, nonce);
+}
+
 void
 CbwPool_OnGivenUp(cbw_pool_t *pool, cbw_time_t now, uint64_t nonce)
 {
--- a/src/libcarobwind/pool_dispatch.c
+++ b/src/libcarobwind/pool_dispatch.c
@@ -122,7 +122,8 @@
         return false;
     }
     return CbwPosition_Compare(e->position, needed) >= 0 ||
-           now - e->heard_at >= Cbw_POOL_BEHIND_PAUSE;
+           (now - e->heard_at >= Cbw_POOL_BEHIND_PAUSE &&
+            now >= e->behind_until);
 }
 
 typedef enum {
@@ -131,17 +132,26 @@
     CHOICE_NONE,
 } choice_t;
 
-/* The replica with the most room among those that hold `needed`. */
+/* How well a replica suits: one near by with an idle slot, then the one with
+ * the most room. */
+static int
+suitability(const cbw_pool_endpoint_t *e)
+{
+    int room = e->info.slots + 1 - e->in_flight;
+
+    return e->is_near && room > 1 ? room + e->info.slots : room;
+}
+
+/* The most suitable replica among those that hold `needed`. */
 static choice_t
 choose_replica(const cbw_pool_t *pool, cbw_time_t now, cbw_position_t needed,
                int *endpoint)
 {
     choice_t choice = CHOICE_NONE;
-    int best_room = 0;
+    int best = 0;
 
     for (int i = 0; i < Cbw_POOL_ENDPOINTS_MAX; i++) {
         const cbw_pool_endpoint_t *e = &pool->endpoints[i];
-        int room = e->info.slots + 1 - e->in_flight;
         if (i == pool->primary || !is_eligible(pool, now, i, needed)) {
             continue;
         }
@@ -150,8 +160,8 @@
             continue;
         }
         choice = CHOICE_FOUND;
-        if (room > best_room) {
-            best_room = room;
+        if (suitability(e) > best) {
+            best = suitability(e);
             *endpoint = i;
         }
     }
@@ -515,6 +525,17 @@
     }
 }
 
+static void
+pause_behind(cbw_pool_endpoint_t *e, cbw_time_t now)
+{
+    e->behind_pause =
+        e->behind_pause == 0 ? Cbw_POOL_BEHIND_PAUSE : 2 * e->behind_pause;
+    if (e->behind_pause > Cbw_POOL_BEHIND_PAUSE_MAX) {
+        e->behind_pause = Cbw_POOL_BEHIND_PAUSE_MAX;
+    }
+    e->behind_until = now + e->behind_pause;
+}
+
 static void
 on_request_reply(cbw_pool_t *pool, cbw_time_t now, cbw_request_t *request,
                  const cbw_reply_t *reply, int endpoint)
@@ -526,6 +547,7 @@
     }
     switch (reply->status) {
     case CBW_REPLY_OK:
+        e->behind_pause = 0;
         on_done(pool, now, request, reply, endpoint);
         break;
     case CBW_REPLY_BUSY:
@@ -534,7 +556,7 @@
         CbwPool_OnNotRun_(pool, now, request, CBW_CAUSE_BUSY);
         break;
     case CBW_REPLY_BEHIND:
-        e->passed_over_until = now + Cbw_POOL_BEHIND_PAUSE;
+        pause_behind(e, now);
         request->needs_primary |=
             CbwPool_UsablePrimary_(pool, now) >= 0 && !request->reads_only;
         CbwPool_OnNotRun_(pool, now, request, CBW_CAUSE_BEHIND);
--- a/src/libcarobwind/pool_health.c
+++ b/src/libcarobwind/pool_health.c
@@ -429,9 +429,10 @@
         strcmp(tenure->record.holder.host, tenure->self.host) == 0) {
         return;
     }
-    pool->moved_until = now + Cbw_TENURE_RETRY_INTERVAL;
-    pool->ops->move(pool->context, tenure->record.holder.host);
-    CbwPool_Evict(pool);
+    if (pool->ops->move(pool->context, tenure->record.holder.host)) {
+        pool->moved_until = now + Cbw_TENURE_RETRY_INTERVAL;
+        CbwPool_Evict(pool);
+    }
 }
 
 static void
--- a/src/libcarobwind/tenure.c
+++ b/src/libcarobwind/tenure.c
@@ -184,14 +184,19 @@
     }
 }
 
+void
+CbwTenure_OnUnreachable(cbw_tenure_t *tenure, cbw_time_t now, uint64_t nonce)
+{
+    if (!is_ours(tenure) && tenure->record.holder.nonce == nonce) {
+        tenure->seen_at = now - Cbw_TENURE_PROMOTION_PATIENCE;
+    }
+}
+
 void
 CbwTenure_OnGivenUp(cbw_tenure_t *tenure, cbw_time_t now, uint64_t nonce)
 {
     if (!is_ours(tenure)) {
-        /* The holder of a promotion is gone: takes it over at once. */
-        if (tenure->record.holder.nonce == nonce) {
-            tenure->seen_at = now - Cbw_TENURE_PROMOTION_PATIENCE;
-        }
+        CbwTenure_OnUnreachable(tenure, now, nonce);
         return;
     }
     for (int i = 0; i < tenure->record.former_count; i++) {
--- a/src/share/peer.x
+++ b/src/share/peer.x
@@ -111,6 +111,11 @@
     unsigned hyper nonce;
 };
 
+/* The receiver will own `database`: it answers when it is ready. */
+struct peer_prepare_args {
+    string database<PEER_NAME_MAX>;
+};
+
 /* A call to the store that the asker cannot make itself. */
 struct peer_store_args {
     unsigned int verb;
@@ -148,5 +153,6 @@
         bool PEER_DRAIN(void) = 10;
         peer_store_result PEER_STORE(peer_store_args) = 11;
         bool PEER_GIVE_UP(peer_give_up_args) = 12;
+        bool PEER_PREPARE(peer_prepare_args) = 13;
     } = 1;
 } = 0x20ca0b01;
--- a/src/share/peer_clnt.c
+++ b/src/share/peer_clnt.c
@@ -176,3 +176,17 @@
     }
     return (&clnt_res);
 }
+
+bool_t *
+peer_prepare_1(peer_prepare_args arg1, CLIENT *clnt)
+{
+    static bool_t clnt_res;
+
+    memset((char *)&clnt_res, 0, sizeof(clnt_res));
+    if (clnt_call(clnt, PEER_PREPARE, (xdrproc_t)xdr_peer_prepare_args,
+                  (caddr_t)&arg1, (xdrproc_t)xdr_bool, (caddr_t)&clnt_res,
+                  TIMEOUT) != RPC_SUCCESS) {
+        return (NULL);
+    }
+    return (&clnt_res);
+}
--- a/src/share/peer_rpc.h
+++ b/src/share/peer_rpc.h
@@ -151,6 +151,11 @@
 };
 typedef struct peer_give_up_args peer_give_up_args;
 
+struct peer_prepare_args {
+    char *database;
+};
+typedef struct peer_prepare_args peer_prepare_args;
+
 struct peer_store_args {
     u_int verb;
     char *key;
@@ -224,6 +229,9 @@
 #define PEER_GIVE_UP 12
 extern bool_t *peer_give_up_1(peer_give_up_args, CLIENT *);
 extern bool_t *peer_give_up_1_svc(peer_give_up_args, struct svc_req *);
+#define PEER_PREPARE 13
+extern bool_t *peer_prepare_1(peer_prepare_args, CLIENT *);
+extern bool_t *peer_prepare_1_svc(peer_prepare_args, struct svc_req *);
 extern int carobwind_peer_1_freeresult(SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -263,6 +271,9 @@
 #define PEER_GIVE_UP 12
 extern bool_t *peer_give_up_1();
 extern bool_t *peer_give_up_1_svc();
+#define PEER_PREPARE 13
+extern bool_t *peer_prepare_1();
+extern bool_t *peer_prepare_1_svc();
 extern int carobwind_peer_1_freeresult();
 #endif /* K&R C */
 
@@ -281,6 +292,7 @@
 extern bool_t xdr_peer_text_args(XDR *, peer_text_args *);
 extern bool_t xdr_peer_text_result(XDR *, peer_text_result *);
 extern bool_t xdr_peer_give_up_args(XDR *, peer_give_up_args *);
+extern bool_t xdr_peer_prepare_args(XDR *, peer_prepare_args *);
 extern bool_t xdr_peer_store_args(XDR *, peer_store_args *);
 extern bool_t xdr_peer_store_item(XDR *, peer_store_item *);
 extern bool_t xdr_peer_store_result(XDR *, peer_store_result *);
@@ -298,6 +310,7 @@
 extern bool_t xdr_peer_text_args();
 extern bool_t xdr_peer_text_result();
 extern bool_t xdr_peer_give_up_args();
+extern bool_t xdr_peer_prepare_args();
 extern bool_t xdr_peer_store_args();
 extern bool_t xdr_peer_store_item();
 extern bool_t xdr_peer_store_result();
--- a/src/share/peer_xdr.c
+++ b/src/share/peer_xdr.c
@@ -334,6 +334,16 @@
     return TRUE;
 }
 
+bool_t
+xdr_peer_prepare_args(XDR *xdrs, peer_prepare_args *objp)
+{
+    register int32_t *buf;
+
+    if (!xdr_string(xdrs, &objp->database, PEER_NAME_MAX))
+        return FALSE;
+    return TRUE;
+}
+
 bool_t
 xdr_peer_store_args(XDR *xdrs, peer_store_args *objp)
 {
