--- a/src/libcarobwind/tenure.c
+++ b/src/libcarobwind/tenure.c
@@ -125,6 +125,18 @@
     record->formers[record->former_count++] = record->holder;
 }
 
+/* This owner holds again: it is not a former holder. */
+static void
+remove_former(cbw_tenure_record_t *record, uint64_t nonce)
+{
+    for (int i = 0; i < record->former_count; i++) {
+        if (record->formers[i].nonce == nonce) {
+            record->formers[i] = record->formers[--record->former_count];
+            return;
+        }
+    }
+}
+
 static void
 take_over(cbw_tenure_t *tenure, cbw_time_t now, const char *primary)
 {
@@ -135,10 +147,21 @@
         snprintf(wanted.primary, sizeof(wanted.primary), "%s", primary);
     }
     add_former(&wanted);
+    remove_former(&wanted, tenure->self.nonce);
     wanted.holder = tenure->self;
     swap_record(tenure, now, &wanted);
 }
 
+/* Their rights have ended: the record need not name them any more. */
+static void
+clear_formers(cbw_tenure_t *tenure, cbw_time_t now)
+{
+    cbw_tenure_record_t wanted = tenure->record;
+
+    wanted.former_count = 0;
+    swap_record(tenure, now, &wanted);
+}
+
 void
 CbwTenure_AskFormers(cbw_tenure_t *tenure, cbw_time_t now)
 {
@@ -161,6 +184,11 @@
     if (tenure->asking || now < tenure->ask_again_at) {
         return;
     }
+    if (is_ours(tenure) && tenure->record.former_count != 0 &&
+        now >= tenure->sole_since) {
+        clear_formers(tenure, now);
+        return;
+    }
     if (!tenure->known || is_ours(tenure) ||
         (tenure->version == 0 && primary[0] == '\0')) {
         ask_record(tenure, now);
--- a/src/test_libcarobwind/suites.h
+++ b/src/test_libcarobwind/suites.h
@@ -9,5 +9,9 @@
 void Suite_AddMembership(void);
 void Suite_AddOwner(void);
 void Suite_AddPolicies(void);
+void Suite_AddPool(void);
+void Suite_AddPlatform(void);
+void Suite_AddSession(void);
+void Suite_AddTenure(void);
 
 #endif
--- a/src/test_libcarobwind/test_main.c
+++ b/src/test_libcarobwind/test_main.c
@@ -14,5 +14,9 @@
     Suite_AddMembership();
     Suite_AddOwner();
     Suite_AddPolicies();
+    Suite_AddPool();
+    Suite_AddPlatform();
+    Suite_AddSession();
+    Suite_AddTenure();
     return g_test_run();
 }
--- a/src/test_libcarobwind/test_membership.c
+++ b/src/test_libcarobwind/test_membership.c
@@ -334,8 +334,8 @@
         char database[16];
         const cbw_member_t *owner;
         g_snprintf(database, sizeof(database), "db%d", d);
-        owner =
-            CbwMembership_Owner(&fleet.members[0], database, "south", NULL, NULL);
+        owner = CbwMembership_Owner(&fleet.members[0], database, "south", NULL,
+                                    NULL);
         g_assert_cmpstr(owner->public.name, !=, "h5");
         moved += strcmp(owner->public.name, before[d]) != 0 &&
                  strcmp(before[d], "h5") != 0;
--- /dev/null
+++ b/src/test_libcarobwind/test_platform.c
@@ -0,0 +1,266 @@
+#include <glib.h>
+#include <string.h>
+
+#include "carobwind/plugin.h"
+#include "carobwind/random.h"
+#include "carobwindd/drivers.h"
+#include "platform/wire.h"
+#include "suites.h"
+
+#define ROUNDS 40000
+#define INPUT_MAX 512
+
+static void
+mutate(cbw_random_t *random, char *bytes, size_t size)
+{
+    for (int i = 0; i < 4; i++) {
+        bytes[CbwRandom_Below(random, size)] =
+            (char)CbwRandom_Below(random, 256);
+    }
+}
+
+/* Messages of callers, and what they are taken for. */
+typedef struct {
+    const char *line;
+    caller_message_type_t type;
+    cbw_statement_kind_t kind;
+    const char *name;
+    const char *rest;
+} message_case_t;
+
+static const message_case_t message_cases[] = {
+    {"STARTUP db u1\r\n", CALLER_MESSAGE_START, 0, "", ""},
+    {"TERMINATE\r\n", CALLER_MESSAGE_END, 0, "", ""},
+    {"QUERY a READ k\r\n", CALLER_MESSAGE_STATEMENT, CBW_STATEMENT_READ, "",
+     "k"},
+    {"QUERY a WRITE k v w\r\n", CALLER_MESSAGE_STATEMENT, CBW_STATEMENT_WRITE,
+     "", "k v w"},
+    {"QUERY a BEGIN\r\n", CALLER_MESSAGE_STATEMENT, CBW_STATEMENT_BEGIN, "",
+     ""},
+    {"QUERY a BEGIN READ\r\n", CALLER_MESSAGE_STATEMENT,
+     CBW_STATEMENT_BEGIN_READ, "", "READ"},
+    {"QUERY a BEGIN WRITE\r\n", CALLER_MESSAGE_STATEMENT, CBW_STATEMENT_OTHER,
+     "", "WRITE"},
+    {"QUERY a COMMIT now\r\n", CALLER_MESSAGE_STATEMENT, CBW_STATEMENT_OTHER,
+     "", "now"},
+    {"QUERY a SET n v x\r\n", CALLER_MESSAGE_STATEMENT, CBW_STATEMENT_SET, "n",
+     "v x"},
+    {"QUERY a PREPARE s READ q\r\n", CALLER_MESSAGE_STATEMENT,
+     CBW_STATEMENT_PREPARE_READ, "s", "q"},
+    {"QUERY a PREPARE s WRITE q\r\n", CALLER_MESSAGE_STATEMENT,
+     CBW_STATEMENT_PREPARE_WRITE, "s", "q"},
+    {"QUERY a PREPARE s DROP q\r\n", CALLER_MESSAGE_STATEMENT,
+     CBW_STATEMENT_OTHER, "s", "q"},
+    {"QUERY a EXECUTE s k v\r\n", CALLER_MESSAGE_STATEMENT,
+     CBW_STATEMENT_EXECUTE, "s", "k v"},
+    {"QUERY a AFTER 3.1 READ k\r\n", CALLER_MESSAGE_STATEMENT,
+     CBW_STATEMENT_OTHER, "", ""},
+    {"QUERY a STATUS\r\n", CALLER_MESSAGE_STATEMENT, CBW_STATEMENT_OTHER, "",
+     ""},
+    {"QUERY a READ\r\n", CALLER_MESSAGE_STATEMENT, CBW_STATEMENT_OTHER, "",
+     ""},
+    {"QUERY a\r\n", CALLER_MESSAGE_UNKNOWN, 0, "", ""},
+    {"HELLO\r\n", CALLER_MESSAGE_UNKNOWN, 0, "", ""},
+    {"\r\n", CALLER_MESSAGE_UNKNOWN, 0, "", ""},
+};
+
+static void
+test_messages(void)
+{
+    const caller_driver_t *driver =
+        CbwPlugin_Find(CBW_PLUGIN_CALLER_DRIVER, "wire");
+
+    for (size_t i = 0; i < G_N_ELEMENTS(message_cases); i++) {
+        const message_case_t *c = &message_cases[i];
+        char bytes[INPUT_MAX];
+        char copy[INPUT_MAX];
+        caller_message_t message;
+        strcpy(bytes, c->line);
+        g_assert_cmpint(driver->measure(bytes, strlen(bytes)), ==,
+                        strlen(c->line));
+        driver->decode(bytes, strlen(c->line), copy, &message);
+        g_test_message("%s", c->line);
+        g_assert_cmpint(message.type, ==, c->type);
+        if (c->type == CALLER_MESSAGE_STATEMENT) {
+            g_assert_cmpint(message.statement.kind, ==, c->kind);
+            g_assert_cmpstr(message.statement.id, ==, "a");
+            g_assert_cmpstr(message.statement.name, ==, c->name);
+            if (c->kind != CBW_STATEMENT_OTHER) {
+                g_assert_cmpstr(message.statement.rest, ==, c->rest);
+            }
+        }
+    }
+}
+
+static void
+test_measure(void)
+{
+    char *large = g_malloc(Wire_MESSAGE_MAX + 2);
+
+    memset(large, 'x', Wire_MESSAGE_MAX + 2);
+    g_assert_cmpint(Wire_Measure("READ", 4), ==, 0);
+    g_assert_cmpint(Wire_Measure("a\nb", 3), ==, 2);
+    g_assert_cmpint(Wire_Measure("a\0\n", 3), ==, -1);
+    g_assert_cmpint(Wire_Measure(large, Wire_MESSAGE_MAX), ==, 0);
+    g_assert_cmpint(Wire_Measure(large, Wire_MESSAGE_MAX + 1), ==, -1);
+    g_free(large);
+}
+
+static void
+test_messages_random(void)
+{
+    const caller_driver_t *driver =
+        CbwPlugin_Find(CBW_PLUGIN_CALLER_DRIVER, "wire");
+    cbw_random_t random;
+
+    CbwRandom_Init(&random, 21);
+    for (int i = 0; i < ROUNDS; i++) {
+        const char *line =
+            message_cases[i % (int)G_N_ELEMENTS(message_cases)].line;
+        size_t size = strlen(line);
+        /* Of exact size, so that the sanitizer sees a step beyond it. */
+        char *bytes = g_malloc(size + 1);
+        char *copy = g_malloc(size + 1);
+        caller_message_t message;
+        ssize_t measured;
+        memcpy(bytes, line, size);
+        mutate(&random, bytes, size);
+        measured = driver->measure(bytes, size);
+        if (measured > 0) {
+            driver->decode(bytes, (size_t)measured, copy, &message);
+        }
+        g_free(bytes);
+        g_free(copy);
+    }
+}
+
+#define GOOD_ENDPOINT                                                         \
+    "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","          \
+    "\"version\":\"v1\",\"slots\":3,\"state\":\"ready\",\"coldLeftMs\":0,"    \
+    "\"dbRole\":\"replica\",\"sequence\":4,\"born\":1700000000000}"
+
+/* Registrations, those of other writers among them. */
+static const struct {
+    const char *text;
+    bool usable;
+} endpoint_cases[] = {
+    {GOOD_ENDPOINT, true},
+    {"", false},
+    {"null", false},
+    {"[]", false},
+    {"{}", false},
+    {"{\"service\":3}", false},
+    {"\xff\xfe", false},
+    {"{\"service\":\"s\",\"address\":\"10.0.0.1\",\"zone\":\"z\",\"slots\":3,"
+     "\"state\":\"ready\",\"dbRole\":\"primary\"}",
+     false},
+    {"{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+     "\"slots\":\"3\",\"state\":\"ready\",\"dbRole\":\"primary\"}",
+     false},
+    {"{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+     "\"slots\":0,\"state\":\"ready\",\"dbRole\":\"primary\"}",
+     false},
+    {"{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+     "\"slots\":3,\"state\":\"resting\",\"dbRole\":\"primary\"}",
+     false},
+    {"{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+     "\"slots\":3,\"state\":\"ready\",\"dbRole\":\"arbiter\"}",
+     false},
+    {"{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+     "\"slots\":3,\"state\":\"ready\",\"dbRole\":\"primary\",\"born\":1.5}",
+     false},
+    {"{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+     "\"slots\":3,\"state\":\"draining\",\"dbRole\":\"primary\"}",
+     true},
+};
+
+static void
+test_registrations(void)
+{
+    const registry_driver_t *driver =
+        CbwPlugin_Find(CBW_PLUGIN_REGISTRY_DRIVER, "platform");
+    char mutated[INPUT_MAX];
+    cbw_random_t random;
+    cbw_endpoint_t endpoint;
+    char database[Cbw_NAME_MAX];
+    cbw_error_t error;
+
+    for (size_t i = 0; i < G_N_ELEMENTS(endpoint_cases); i++) {
+        g_test_message("%s", endpoint_cases[i].text);
+        g_assert_cmpint(driver->parse_endpoint("i-1", endpoint_cases[i].text,
+                                               &endpoint, database, &error),
+                        ==, endpoint_cases[i].usable ? 0 : -1);
+    }
+    CbwRandom_Init(&random, 22);
+    for (int i = 0; i < ROUNDS; i++) {
+        strcpy(mutated, GOOD_ENDPOINT);
+        mutate(&random, mutated, strlen(GOOD_ENDPOINT));
+        driver->parse_endpoint("i-1", mutated, &endpoint, database, &error);
+    }
+}
+
+#define GOOD_CONFIG                                                           \
+    "{\"version\":7,\"routes\":[{\"name\":\"r\",\"database\":\"d\","          \
+    "\"routeType\":\"bounded_staleness\",\"timeoutMs\":800,"                  \
+    "\"targetLatencyMs\":150,\"priority\":2,\"service\":\"s\","               \
+    "\"maxStalenessMs\":1500}],\"services\":[{\"name\":\"s\","                \
+    "\"maxConns\":49}],\"limits\":{\"idleTxMs\":3000}}"
+
+static void
+test_configuration(void)
+{
+    static const char *const bad[] = {
+        "",
+        "{}",
+        "[1]",
+        "{\"version\":\"7\"}",
+        "{\"version\":7,",
+        "{\"version\":7,\"routes\":[{}],\"services\":[]}",
+    };
+    const registry_driver_t *driver =
+        CbwPlugin_Find(CBW_PLUGIN_REGISTRY_DRIVER, "platform");
+    cbw_inventory_t inventory;
+    cbw_findings_t findings;
+    const cbw_kind_t *kind;
+    char mutated[INPUT_MAX];
+    cbw_random_t random;
+
+    CbwFindings_Init(&findings);
+    g_assert_cmpint(driver->parse_config(GOOD_CONFIG, &inventory, &findings),
+                    ==, 0);
+    kind = CbwInventory_Kind(&inventory, "d");
+    g_assert_nonnull(kind);
+    g_assert_cmpstr(kind->database, ==, "s");
+    g_assert_cmpint(kind->rule, ==, CBW_READ_BOUNDED);
+    g_assert_cmpint(kind->age, ==, 1500 * Cbw_MSEC);
+    g_assert_cmpint(kind->rank, ==, 2);
+    CbwInventory_Finish(&inventory);
+    CbwFindings_Finish(&findings);
+    for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+        CbwFindings_Init(&findings);
+        g_assert_cmpint(driver->parse_config(bad[i], &inventory, &findings),
+                        ==, -1);
+        g_assert_cmpint(findings.count, >, 0);
+        CbwInventory_Finish(&inventory);
+        CbwFindings_Finish(&findings);
+    }
+    CbwRandom_Init(&random, 23);
+    for (int i = 0; i < ROUNDS / 4; i++) {
+        strcpy(mutated, GOOD_CONFIG);
+        mutate(&random, mutated, strlen(GOOD_CONFIG));
+        CbwFindings_Init(&findings);
+        driver->parse_config(mutated, &inventory, &findings);
+        CbwInventory_Finish(&inventory);
+        CbwFindings_Finish(&findings);
+    }
+}
+
+void
+Suite_AddPlatform(void)
+{
+    g_test_add_func("/platform/messages", test_messages);
+    g_test_add_func("/platform/measure", test_measure);
+    g_test_add_func("/platform/messages-random", test_messages_random);
+    g_test_add_func("/platform/registrations", test_registrations);
+    g_test_add_func("/platform/configuration", test_configuration);
+}
--- /dev/null
+++ b/test/scenarios/wire.tcl
@@ -0,0 +1,268 @@
+# The daemon on the platform's protocols, before a stand-in that speaks them:
+# sessions, transactions, a change of primary, a planned stop, a store away.
+
+namespace eval wire {
+    variable control ""
+    variable next 0
+}
+
+set wire::config {{"version":1,"routes":[{"name":"r1","database":"pay","routeType":"primary","timeoutMs":1500,"targetLatencyMs":0,"priority":0,"service":"svc1"},{"name":"r2","database":"own","routeType":"read_your_writes","timeoutMs":1500,"targetLatencyMs":0,"priority":1,"service":"svc1","maxStalenessMs":2000},{"name":"r3","database":"old","routeType":"bounded_staleness","timeoutMs":1500,"targetLatencyMs":0,"priority":2,"service":"svc1","maxStalenessMs":1500}],"services":[{"name":"svc1","maxConns":40,"syncReplicas":0}],"limits":{"idleTxMs":3000}}}
+
+proc wire::network {} {
+    return 127.$fleet::block
+}
+
+proc wire::tell {args} {
+    variable control
+    puts $control [join $args " "]
+    flush $control
+    return [gets $control]
+}
+
+# Starts the stand-in and `count` hosts.
+proc wire::fleet {{count 3}} {
+    variable control
+    variable config
+    set fleet::dir [file join $fleet::root build test-run-$fleet::block]
+    file delete -force $fleet::dir
+    file mkdir $fleet::dir
+    set pid [exec tclsh [file join $fleet::root test lib platform_standin.tcl] \
+        [network] >& [fleet::log_file standin] &]
+    dict set fleet::pids standin $pid
+    fleet::wait_port [network].9.1:7399 standin
+    set control [socket [network].9.1 7399]
+    tell config $config
+    set zones {north south west}
+    for {set i 1} {$i <= $count} {incr i} {
+        set ip [network].1.$i
+        dict set fleet::settings host$i [dict create program carobwindd \
+            address $ip:7000 arguments [list --name=host$i \
+            --data-centre=[lindex $zones [expr {($i - 1) % 3}]] \
+            --callers=$ip:7000 --peers=$ip:7100 --readiness=$ip:7200 \
+            --metrics=$ip:7201 --platform=[network].9.1:7300 \
+            --orders=[network].9.1:7300 --join=[network].1.1:7100 \
+            --caller-driver=wire --endpoint-driver=wire --store-driver=kv \
+            --registry-driver=platform --order-driver=duty --drain-seconds=5]]
+        start host$i
+    }
+    for {set i 1} {$i <= $count} {incr i} {
+        eventually {[wire::is_ready host$i]} 8000
+    }
+}
+
+proc wire::http {host port path} {
+    if {[catch {socket [fleet::ip $host] $port} channel]} {
+        return ""
+    }
+    fconfigure $channel -translation binary
+    puts -nonewline $channel "GET $path HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+    flush $channel
+    set text [read $channel]
+    close $channel
+    return $text
+}
+
+proc wire::is_ready {host} {
+    return [string match "HTTP/1.1 200*" [http $host 7200 /carobwind/ready]]
+}
+
+# A session. Returns its channel.
+proc wire::connect {host database} {
+    set channel [socket [fleet::ip $host] 7000]
+    fconfigure $channel -translation crlf -buffering line
+    puts $channel "STARTUP $database tester"
+    set line [gets $channel]
+    if {![string match "READY I *" $line]} {
+        error "no start: $line"
+    }
+    return $channel
+}
+
+# Runs one statement. Returns a list: done or an error's code, rows, state.
+proc wire::run {channel text} {
+    variable next
+    puts $channel "QUERY t[incr next] $text"
+    set rows {}
+    set outcome cut
+    while {[gets $channel line] >= 0} {
+        switch -- [lindex $line 0] {
+            DATAROW { lappend rows [lindex $line 1] }
+            COMPLETE { set outcome done }
+            ERROR { set outcome [lindex $line 1] }
+            READY { return [list $outcome $rows [lindex $line 1]] }
+        }
+    }
+    return [list cut $rows -]
+}
+
+proc wire::id {} {
+    variable next
+    return t$next
+}
+
+scenario wire-statements "sessions, prepared statements and transactions" {
+    wire::fleet
+    set a [wire::connect host1 pay]
+    set b [wire::connect host2 own]
+    set c [wire::connect host3 old]
+    expect {[wire::run $a "SET zone a b"] eq {done {} I}}
+    expect {[wire::run $a "PREPARE s1 WRITE q"] eq {done {} I}}
+    expect {[wire::run $b "PREPARE s1 READ q"] eq {done {} I}}
+    expect {[wire::run $a "EXECUTE s1 k1 v1"] eq {done {} I}}
+    set written [wire::id]
+    expect {[wire::run $a "READ k1"] eq {done v1 I}}
+    expect {[wire::run $b "WRITE k2 v2"] eq {done {} I}}
+    expect {[wire::run $b "EXECUTE s1 k2"] eq {done v2 I}}
+    expect {[lindex [wire::run $c "READ k1"] 0] eq "done"}
+    # A transaction, committed and rolled back.
+    foreach {end value} {COMMIT w1 ROLLBACK w2} {
+        expect {[wire::run $a "BEGIN"] eq {done {} T}}
+        expect {[wire::run $a "WRITE k3 $value"] eq {done {} T}}
+        expect {[wire::run $a "READ k3"] eq [list done [expr {$end eq "COMMIT" ? "none" : "w1"}] T]}
+        expect {[wire::run $a $end] eq {done {} I}}
+    }
+    expect {[wire::run $a "READ k3"] eq {done w1 I}}
+    expect {[wire::run $c "BEGIN READ"] eq {done {} T}}
+    expect {[lindex [wire::run $c "READ k1"] 0] eq "done"}
+    expect {[lindex [wire::run $c "WRITE k1 x"] 0] eq "READONLY"}
+    expect {[wire::run $c "READ k1"] eq {MALFORMED {} E}}
+    expect {[wire::run $c "COMMIT"] eq {ABORTED {} I}}
+    # What is not understood, and what does not exist.
+    foreach {text code} {
+        "DROP k" MALFORMED "EXECUTE s9 k" NOSTMT "COMMIT" MALFORMED
+        "AFTER 1.1 READ k" MALFORMED "STATUS" MALFORMED "READ" MALFORMED
+    } {
+        expect {[wire::run $b $text] eq [list $code {} I]} $text
+    }
+    expect {[catch {wire::connect host1 nowhere} why]}
+    expect {[string match "*NODB*" $why]} $why
+    # The values of a session go with its statements and with no others.
+    foreach run [wire::tell runs] {
+        lassign $run id kind - values
+        if {$id eq $written} {
+            expect {$values eq {zone {a b}}} $run
+        }
+        if {$kind eq "READ"} {
+            expect {$values eq {} || $values eq {zone {a b}}} $run
+        }
+    }
+    expect {[string match "*carobwind_requests_total*" \
+        [wire::http host1 7201 /metrics]]}
+}
+
+# Whether the other side has closed the session, which is idle.
+proc wire::is_closed {channel} {
+    fconfigure $channel -blocking 0
+    read $channel
+    set closed [eof $channel]
+    fconfigure $channel -blocking 1
+    return $closed
+}
+
+# Writes from all hosts for `seconds`; `body` runs after a second. Returns a
+# dictionary of key to outcome.
+proc wire::storm {seconds body} {
+    set channels {}
+    foreach host {host1 host2 host3} {
+        lappend channels $host ""
+    }
+    set outcomes [dict create]
+    set ids [dict create]
+    set begin [clock milliseconds]
+    set done 0
+    set number 0
+    while {[clock milliseconds] - $begin < $seconds * 1000} {
+        if {!$done && [clock milliseconds] - $begin > 1000} {
+            uplevel 1 $body
+            set done 1
+        }
+        foreach {host channel} $channels {
+            if {$channel ne "" && [is_closed $channel]} {
+                close $channel
+                set channel ""
+            }
+            if {$channel eq "" && (![is_ready $host] ||
+                [catch {connect $host pay} channel])} {
+                dict set channels $host ""
+                set channel ""
+                continue
+            }
+            set key s[incr number]
+            if {[catch {run $channel "WRITE $key $key"} answer] ||
+                [lindex $answer 0] eq "cut"} {
+                catch {close $channel}
+                set channel ""
+                dict set outcomes $key cut
+            } else {
+                dict set outcomes $key [lindex $answer 0]
+            }
+            dict set ids [id] $key
+            dict set channels $host $channel
+        }
+        after 5
+        update
+    }
+    return [list $outcomes $ids]
+}
+
+# What every storm must keep: done is kept, a refusal is not, nothing twice.
+proc wire::check {outcomes lost_allowed} {
+    set log [tell log [tell primary]]
+    set kept [dict create]
+    foreach entry $log {
+        dict incr kept [lindex $entry 1]
+    }
+    dict for {key outcome} $outcomes {
+        set count [expr {[dict exists $kept $key] ? [dict get $kept $key] : 0}]
+        expect {$count <= 1} "$key is kept $count times"
+        if {$outcome in {BUSY ABORTED LAGGING READONLY}} {
+            expect {$count == 0} "$key was refused, and is kept"
+        }
+        if {$outcome eq "done" && !$lost_allowed} {
+            expect {$count == 1} "$key was acknowledged, and is lost"
+        }
+    }
+}
+
+scenario wire-primary-killed "the primary dies; a replica is ordered to lead" {
+    wire::fleet
+    lassign [wire::storm 5 { wire::tell kill e-1 }] outcomes
+    expect {[wire::tell primary] in {e-2 e-3}}
+    # Replicas trail: what the dead primary alone held is gone.
+    wire::check $outcomes 1
+    set late [lrange [dict values $outcomes] end-20 end]
+    expect {[lsort -unique $late] eq "done"} $late
+}
+
+scenario wire-primary-leaves "a primary that leaves is replaced, nothing lost" {
+    wire::fleet
+    lassign [wire::storm 4 { wire::tell leave e-1 }] outcomes
+    eventually {[wire::tell primary] in {e-2 e-3}} 3000
+    wire::check $outcomes 0
+    expect {"cut" ni [dict values $outcomes]} [lsort -unique [dict values $outcomes]]
+}
+
+scenario wire-host-stops "a host stops gracefully under load" {
+    wire::fleet
+    lassign [wire::storm 6 { exec kill -TERM [dict get $fleet::pids host1] }] \
+        outcomes
+    wire::check $outcomes 0
+    foreach outcome [dict values $outcomes] {
+        expect {$outcome in {done cut}} $outcome
+    }
+    # Sessions end between statements: only a statement sent into the closing
+    # meets it.
+    expect {[llength [lsearch -all [dict values $outcomes] cut]] <= 2}
+}
+
+scenario wire-store-away "the store is down, then rejects; service goes on" {
+    wire::fleet
+    lassign [wire::storm 7 {
+        wire::tell store down
+        after 3000 { wire::tell store reject }
+        after 4000 { wire::tell store up }
+    }] outcomes
+    wire::check $outcomes 0
+    expect {[lsort -unique [dict values $outcomes]] eq "done"} \
+        [lsort -unique [dict values $outcomes]]
+}
