Serve the latest from replicas only during a promotion of one's own

Cause, found while mending /tenure/random-orders: IsSole said "nobody else may acknowledge" up to a renewal interval after another owner had taken the record over, and for owners that did not hold it any more; a read of the latest could then go to a replica that lacked the other's commits (STALE). Change: what nobody else acknowledged is known up to the last proof, and later only while the record is in this owner's promotion. The test's own faults (a second answer to a call given up; a wish to promote kept after the record was lost) are mended: it had objected to a sound run.

After: kernel suites pass, 3000 random orders.

--- a/include/carobwind/tenure.h
+++ b/include/carobwind/tenure.h
@@ -90,6 +90,11 @@
 bool CbwTenure_IsValid(const cbw_tenure_t *tenure, cbw_time_t now);
 /* Besides, no other owner has the right any more. */
 bool CbwTenure_IsSole(const cbw_tenure_t *tenure, cbw_time_t now);
+/* Nobody else had acknowledged anything by `time`: others may take the record
+ * over at once, and acknowledge, since it was last proved; but not while it is
+ * in a promotion, which they would have to wait for. */
+bool CbwTenure_WasSole(const cbw_tenure_t *tenure, cbw_time_t now,
+                       cbw_time_t time);
 /* Proves, takes over or takes back the right where that is due. `primary` is
  * for a record that does not exist yet; "" when it is not known. */
 void CbwTenure_Tick(cbw_tenure_t *tenure, cbw_time_t now, const char *primary);
--- a/src/libcarobwind/pool_dispatch.c
+++ b/src/libcarobwind/pool_dispatch.c
@@ -39,7 +39,7 @@
         found = true;
     }
     /* The only one that acknowledges knows all that it acknowledged. */
-    if (!found && count > 0 && CbwTenure_IsSole(&pool->tenure, now)) {
+    if (!found && count > 0 && CbwTenure_WasSole(&pool->tenure, now, time)) {
         *position = pool->newest;
         found = true;
     }
@@ -258,8 +258,7 @@
 {
     bool plain = request->writes || (request->begins && !request->reads_only);
 
-    return !plain && CbwTenure_IsSole(&pool->tenure, now) &&
-           required_position(pool, now, request, after) &&
+    return !plain && required_position(pool, now, request, after) &&
            choose_replica(pool, now, *after, endpoint) == CHOICE_FOUND;
 }
 
--- a/src/libcarobwind/tenure.c
+++ b/src/libcarobwind/tenure.c
@@ -67,7 +67,17 @@
 bool
 CbwTenure_IsSole(const cbw_tenure_t *tenure, cbw_time_t now)
 {
-    return CbwTenure_IsValid(tenure, now) && now >= tenure->sole_since;
+    return CbwTenure_IsValid(tenure, now) && tenure->held &&
+           now >= tenure->sole_since;
+}
+
+bool
+CbwTenure_WasSole(const cbw_tenure_t *tenure, cbw_time_t now, cbw_time_t time)
+{
+    cbw_time_t proved_at = tenure->valid_until - Cbw_TENURE_VALID_FOR;
+
+    return CbwTenure_IsSole(tenure, now) &&
+           (time <= proved_at || tenure->record.promoting);
 }
 
 static void
--- a/src/test_libcarobwind/test_tenure.c
+++ b/src/test_libcarobwind/test_tenure.c
@@ -20,7 +20,8 @@
     bool used;
     int owner;
     bool swap;
-    bool done; /* it took effect; only its answer is on its way */
+    bool done;     /* it took effect; only its answer is on its way */
+    bool given_up; /* nobody waits for its answer any more */
     uint64_t expected;
     cbw_tenure_record_t record;
     cbw_store_status_t status;
@@ -135,6 +136,7 @@
 
     /* A lost swap may still take effect later. */
     call->used = lost && call->swap && !call->done;
+    call->given_up = true;
     if (lost) {
         copy.status = CBW_STORE_LOST;
     }
@@ -334,6 +336,10 @@
     cbw_tenure_t *tenure = &owner->tenure;
 
     CbwTenure_Tick(tenure, world->now, "p");
+    if (!tenure->held) {
+        owner->promoting = false; /* another took it over */
+        owner->ordered = false;
+    }
     if (owner->promoting && tenure->held && tenure->record.promoting &&
         !tenure->asking && !tenure->inherited) {
         CbwTenure_AskFormers(tenure, world->now);
@@ -357,11 +363,12 @@
 
     if (!call->done && choice < 6) {
         execute(world, call);
+        call->used = !call->given_up;
     }
     else if (call->done && choice < 8) {
         answer(world, call, false);
     }
-    else if (choice == 9 && world->owners[call->owner].tenure.asking) {
+    else if (choice == 9 && !call->given_up) {
         answer(world, call, true);
     }
 }
