Log on standard output, bounded by event and never blocking

Cause: lines went to standard error by blocking writes, one system call each, and a flood of refusals wrote a line a request. The library has no clock of its own: the output brings it. Tests: /log/rate, /log/long-line, /log/full-pipe (all pass).

--- a/src/carobwindd/main.c
+++ b/src/carobwindd/main.c
@@ -6,6 +6,7 @@
 #include <string.h>
 #include <sys/random.h>
 #include <sysexits.h>
+#include <unistd.h>
 
 #include "carobwind/log.h"
 #include "carobwind/plugin.h"
@@ -13,6 +14,7 @@
 #include "messages.h"
 #include "platform/probe.h"
 #include "share/fault.h"
+#include "share/log_output.h"
 #include "share/net.h"
 #include "share/reaper.h"
 
@@ -213,6 +215,7 @@
         return EX_USAGE;
     }
     signal(SIGPIPE, SIG_IGN);
+    CbwLogOutput_Start(loop, STDOUT_FILENO);
     self.daemon = &the_daemon;
     init_daemon(&the_daemon, loop);
     CbwReaper_Start(loop);
@@ -233,5 +236,6 @@
     ev_run(loop, 0);
     CbwLog_Write(CBW_LOG_INFO, "main", "stopped", "host=%s",
                  the_daemon.settings.name);
+    CbwLogOutput_Flush();
     return EX_OK;
 }
--- a/src/libcarobwind/log.c
+++ b/src/libcarobwind/log.c
@@ -1,13 +1,32 @@
 #include "carobwind/log.h"
 
+#include <inttypes.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
 #include <time.h>
 
+/* Events whose rates are followed at one time. */
+#define EVENTS_MAX 64
+
 const char *const CbwLog_LevelString[] = {"debug", "info", "warning", "error"};
 
+typedef struct {
+    const char *event;
+    cbw_time_t second;
+    unsigned written;
+    unsigned left_out;
+} event_rate_t;
+
+static const cbw_log_output_t *output;
 static cbw_log_level_t lowest_level = CBW_LOG_INFO;
+static event_rate_t rates[EVENTS_MAX];
+
+void
+CbwLog_SetOutput(const cbw_log_output_t *value)
+{
+    output = value;
+}
 
 void
 CbwLog_SetLevel(cbw_log_level_t level)
@@ -26,26 +45,85 @@
     return -1;
 }
 
+static void
+write_line(cbw_time_t now, cbw_log_level_t level, const char *task,
+           const char *event, const char *pairs)
+{
+    char stamp[32];
+    char line[Cbw_LOG_LINE_MAX];
+    time_t seconds = (time_t)(now / Cbw_SEC);
+    struct tm parts;
+    int length;
+
+    gmtime_r(&seconds, &parts);
+    strftime(stamp, sizeof(stamp), "%Y-%m-%dT%H:%M:%S", &parts);
+    length = snprintf(line, sizeof(line) - 1,
+                      "%s.%03dZ level=%s task=%s event=%s %s", stamp,
+                      (int)(now % Cbw_SEC / Cbw_MSEC),
+                      CbwLog_LevelString[level], task, event, pairs);
+    if (length > (int)sizeof(line) - 2) {
+        length = (int)sizeof(line) - 2;
+    }
+    line[length++] = '\n';
+    output->write(line, (size_t)length);
+}
+
+static event_rate_t *
+find_rate(const char *event)
+{
+    for (int i = 0; i < EVENTS_MAX; i++) {
+        if (rates[i].event == NULL) {
+            rates[i].event = event;
+        }
+        if (rates[i].event == event) {
+            return &rates[i];
+        }
+    }
+    return &rates[EVENTS_MAX - 1]; /* the rest share a place */
+}
+
+/* Whether another line of the event may be written in this second. */
+static bool
+take_place(cbw_time_t now, const char *task, const char *event)
+{
+    event_rate_t *rate = find_rate(event);
+    char pairs[64];
+
+    if (rate->second != now / Cbw_SEC) {
+        if (rate->left_out > 0) {
+            snprintf(pairs, sizeof(pairs), "of=%.32s count=%u", event,
+                     rate->left_out);
+            write_line(now, CBW_LOG_WARNING, task, "left-out", pairs);
+        }
+        rate->second = now / Cbw_SEC;
+        rate->written = 0;
+        rate->left_out = 0;
+    }
+    if (rate->written >= Cbw_LOG_EVENT_RATE) {
+        rate->left_out++;
+        return false;
+    }
+    rate->written++;
+    return true;
+}
+
 void
 CbwLog_Write(cbw_log_level_t level, const char *task, const char *event,
              const char *format, ...)
 {
-    char stamp[32];
-    char pairs[512];
-    struct timespec now;
-    struct tm parts;
+    char pairs[Cbw_LOG_LINE_MAX];
+    cbw_time_t now;
     va_list arguments;
 
-    if (level < lowest_level) {
+    if (level < lowest_level || output == NULL) {
+        return;
+    }
+    now = output->time_of_day();
+    if (!take_place(now, task, event)) {
         return;
     }
-    clock_gettime(CLOCK_REALTIME, &now);
-    gmtime_r(&now.tv_sec, &parts);
-    strftime(stamp, sizeof(stamp), "%Y-%m-%dT%H:%M:%S", &parts);
     va_start(arguments, format);
     vsnprintf(pairs, sizeof(pairs), format, arguments);
     va_end(arguments);
-    fprintf(stderr, "%s.%03ldZ level=%s task=%s event=%s %s\n", stamp,
-            now.tv_nsec / 1000000, CbwLog_LevelString[level], task, event,
-            pairs);
+    write_line(now, level, task, event, pairs);
 }
--- /dev/null
+++ b/src/share/log_output.c
@@ -0,0 +1,89 @@
+#include "share/log_output.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "carobwind/log.h"
+
+static int output_fd = -1;
+static char buffer[CbwLogOutput_BUFFER];
+static size_t used;
+static unsigned long dropped;
+static ev_prepare before_waiting;
+
+static cbw_time_t
+time_of_day(void)
+{
+    struct timespec now;
+
+    clock_gettime(CLOCK_REALTIME, &now);
+    return (cbw_time_t)now.tv_sec * Cbw_SEC + now.tv_nsec / 1000;
+}
+
+void
+CbwLogOutput_Flush(void)
+{
+    ssize_t written;
+
+    if (used == 0) {
+        return;
+    }
+    written = write(output_fd, buffer, used);
+    if (written < 0) {
+        if (errno != EAGAIN && errno != EINTR) {
+            used = 0; /* nobody can read it: there is no place to say so */
+        }
+        return;
+    }
+    used -= (size_t)written;
+    memmove(buffer, buffer + written, used);
+}
+
+static void
+write_line(const char *line, size_t size)
+{
+    if (used + size > sizeof(buffer)) {
+        CbwLogOutput_Flush();
+    }
+    if (used + size > sizeof(buffer)) {
+        dropped++;
+        return;
+    }
+    memcpy(buffer + used, line, size);
+    used += size;
+}
+
+static void
+on_before_waiting(struct ev_loop *loop, ev_prepare *watcher, int events)
+{
+    (void)loop;
+    (void)watcher;
+    (void)events;
+    CbwLogOutput_Flush();
+}
+
+unsigned long
+CbwLogOutput_Dropped(void)
+{
+    return dropped;
+}
+
+static const cbw_log_output_t log_output = {.time_of_day = time_of_day,
+                                            .write = write_line};
+
+void
+CbwLogOutput_Start(struct ev_loop *loop, int fd)
+{
+    int flags = fcntl(fd, F_GETFL);
+
+    output_fd = fd;
+    if (flags >= 0) {
+        fcntl(fd, F_SETFL, flags | O_NONBLOCK);
+    }
+    CbwLog_SetOutput(&log_output);
+    ev_prepare_init(&before_waiting, on_before_waiting);
+    ev_prepare_start(loop, &before_waiting);
+}
--- a/src/test_libcarobwind/suites.h
+++ b/src/test_libcarobwind/suites.h
@@ -6,6 +6,7 @@
 void Suite_AddExplorer(void);
 void Suite_AddFuzz(void);
 void Suite_AddInventory(void);
+void Suite_AddLog(void);
 void Suite_AddMembership(void);
 void Suite_AddOwner(void);
 void Suite_AddPolicies(void);
--- /dev/null
+++ b/src/test_libcarobwind/test_log.c
@@ -0,0 +1,101 @@
+#include <ev.h>
+#include <fcntl.h>
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "carobwind/log.h"
+#include "share/log_output.h"
+#include "suites.h"
+
+#define EVENTS 40
+#define LONG_TEXT 600
+
+static cbw_time_t time_now;
+static int lines;
+static char last_line[Cbw_LOG_LINE_MAX + 1];
+
+static cbw_time_t
+fake_time(void)
+{
+    return time_now;
+}
+
+static void
+fake_write(const char *line, size_t size)
+{
+    lines++;
+    memcpy(last_line, line, size);
+    last_line[size] = '\0';
+}
+
+static const cbw_log_output_t fake = {.time_of_day = fake_time,
+                                      .write = fake_write};
+
+static void
+test_rate(void)
+{
+    lines = 0;
+    time_now = 5 * Cbw_SEC;
+    CbwLog_SetOutput(&fake);
+    for (int i = 0; i < 100; i++) {
+        CbwLog_Write(CBW_LOG_INFO, "test", "flood", "n=%d", i);
+    }
+    g_assert_cmpint(lines, ==, Cbw_LOG_EVENT_RATE);
+    CbwLog_Write(CBW_LOG_INFO, "test", "other", "n=1");
+    g_assert_cmpint(lines, ==, Cbw_LOG_EVENT_RATE + 1);
+    time_now += Cbw_SEC;
+    CbwLog_Write(CBW_LOG_INFO, "test", "flood", "n=last");
+    g_assert_cmpint(lines, ==, Cbw_LOG_EVENT_RATE + 3);
+    g_assert_nonnull(strstr(last_line, "event=flood n=last\n"));
+    CbwLog_SetOutput(NULL);
+}
+
+static void
+test_long_line(void)
+{
+    char text[2 * Cbw_LOG_LINE_MAX];
+
+    memset(text, 'x', sizeof(text) - 1);
+    text[sizeof(text) - 1] = '\0';
+    time_now += Cbw_SEC;
+    CbwLog_SetOutput(&fake);
+    CbwLog_Write(CBW_LOG_INFO, "test", "long", "text=%s", text);
+    g_assert_cmpint(strlen(last_line), <, Cbw_LOG_LINE_MAX);
+    g_assert_cmpint(last_line[strlen(last_line) - 1], ==, '\n');
+    CbwLog_SetOutput(NULL);
+}
+
+/* A reader that does not read must not stop the process. */
+static void
+test_full_pipe(void)
+{
+    static char events[EVENTS][16];
+    char text[LONG_TEXT];
+    int ends[2];
+
+    g_assert_cmpint(pipe(ends), ==, 0);
+    memset(text, 'x', sizeof(text) - 1);
+    text[sizeof(text) - 1] = '\0';
+    CbwLogOutput_Start(ev_default_loop(0), ends[1]);
+    for (int i = 0; i < EVENTS; i++) {
+        snprintf(events[i], sizeof(events[i]), "event-%d", i);
+        for (int j = 0; j < Cbw_LOG_EVENT_RATE; j++) {
+            CbwLog_Write(CBW_LOG_INFO, "test", events[i], "text=%s", text);
+        }
+    }
+    g_assert_cmpuint(CbwLogOutput_Dropped(), >, 0);
+    CbwLogOutput_Flush();
+    CbwLog_SetOutput(NULL);
+    close(ends[0]);
+    close(ends[1]);
+}
+
+void
+Suite_AddLog(void)
+{
+    g_test_add_func("/log/rate", test_rate);
+    g_test_add_func("/log/long-line", test_long_line);
+    g_test_add_func("/log/full-pipe", test_full_pipe);
+}
--- a/src/test_libcarobwind/test_main.c
+++ b/src/test_libcarobwind/test_main.c
@@ -11,6 +11,7 @@
     Suite_AddExplorer();
     Suite_AddFuzz();
     Suite_AddInventory();
+    Suite_AddLog();
     Suite_AddMembership();
     Suite_AddOwner();
     Suite_AddPolicies();
