Spread the registry through peers; metrics, incident tool, operators' page

Change: three hosts watch; the others hear of revisions with the probes and fetch what changed from the peer that knows it. At its start each host reads a state that may lag.

Besides: latency histograms by hop and rank, `carobwindctl incident` (the story of a request from many logs), `check` of the platform's record, docs/OPERATIONS.md with three walks that the scenario wire-walks repeats, wire-flood.

--- a/Makefile
+++ b/Makefile
@@ -44,6 +44,7 @@
 	@mkdir -p $(@D)
 	$(CC) $(ALL_CFLAGS) -MMD -MP -c -o $@ $<
 
+$(BUILD)/bin/carobwindctl: $(BUILD)/platform/registry.o
 $(BUILD)/bin/test_libcarobwind: $(BUILD)/carobwindd/caller_protocol.o \
 	$(BUILD)/platform/wire.o $(BUILD)/platform/callers.o \
 	$(BUILD)/platform/registry.o
--- a/include/carobwind/pool.h
+++ b/include/carobwind/pool.h
@@ -9,6 +9,7 @@
 #include "carobwind/counter.h"
 #include "carobwind/endpoint.h"
 #include "carobwind/inventory.h"
+#include "carobwind/latency.h"
 #include "carobwind/limit.h"
 #include "carobwind/queue.h"
 #include "carobwind/tenure.h"
@@ -160,6 +161,7 @@
     void *context;
     const cbw_queue_ops_t *queue_policy;
     cbw_counters_t *counters; /* may be NULL */
+    cbw_latencies_t *latencies; /* may be NULL, as after init */
     cbw_tenure_t tenure;
     cbw_pool_endpoint_t endpoints[Cbw_POOL_ENDPOINTS_MAX];
     int primary; /* place of the record's primary; -1: not listed */
--- a/src/carobwindctl/main.c
+++ b/src/carobwindctl/main.c
@@ -1,6 +1,7 @@
 /* The operators' tool. */
 
 #include <errno.h>
+#include <inttypes.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -8,6 +9,9 @@
 #include <sysexits.h>
 
 #include "carobwind/inventory.h"
+#include "carobwind/plugin.h"
+#include "carobwindd/drivers.h"
+#include "incident.h"
 #include "output.h"
 #include "platform_client.h"
 #include "share/options.h"
@@ -42,17 +46,20 @@
                "the fleet does.",
     .words_help =
         "Commands:\n"
-        "  check FILE         report all that is wrong in an inventory\n"
+        "  check FILE         report all that is wrong in an inventory, or in\n"
+        "                     the platform's record of the configuration\n"
         "  apply FILE         check, show the changes, and put it in force\n"
         "  show               print the inventory in force\n"
         "  status             members and configuration, seen by --host\n"
         "  explain DATABASE   who owns it, its primary, and why\n"
         "  trace ID           the spans of a request on all hosts\n"
         "  counters           counters of --host, as Prometheus text\n"
-        "  drain HOST         stop a host's daemon gracefully, by its name",
+        "  drain HOST         stop a host's daemon gracefully, by its name\n"
+        "  incident ID FILE...  what became of a request, or what a database's\n"
+        "                     owners decided, from the logs of many hosts",
     .options = options,
     .option_count = sizeof(options) / sizeof(options[0]),
-    .words_max = 3,
+    .words_max = CbwOptions_WORDS_MAX,
 };
 
 /* Reads a whole file. Returns NULL after printing what is wrong. */
@@ -120,12 +127,49 @@
     }
 }
 
+/* Checks the operators' record as it lies in the platform's store. */
+static int
+check_record(const char *path, const char *text)
+{
+    const registry_driver_t *registry =
+        CbwPlugin_Find(CBW_PLUGIN_REGISTRY_DRIVER, "platform");
+    cbw_inventory_t inventory;
+    cbw_findings_t findings;
+    int code = EX_OK;
+
+    CbwFindings_Init(&findings);
+    if (registry->parse_config(text, &inventory, &findings) != 0) {
+        CbwFindings_Print(&findings, stderr);
+        fprintf(stderr, "%s: %zu findings\n", path, findings.count);
+        code = EX_DATAERR;
+    }
+    else {
+        printf("%s: ok: version %" PRId64 ", %zu routes, %zu services\n", path,
+               inventory.version, inventory.kind_count,
+               inventory.database_count);
+    }
+    CbwInventory_Finish(&inventory);
+    CbwFindings_Finish(&findings);
+    return code;
+}
+
 static int
 command_check(const char *path)
 {
     cbw_inventory_t inventory;
-    char *text;
-    int code = load(path, &text, &inventory);
+    char *text = read_file(path);
+    int code;
+
+    if (text == NULL) {
+        return EX_NOINPUT;
+    }
+    if (text[strspn(text, " \t\r\n")] == '{') {
+        code = check_record(path, text);
+        free(text);
+        return code;
+    }
+    free(text);
+    code = load(path, &text, &inventory);
 
     if (code != EX_OK) {
         return code;
@@ -401,24 +445,27 @@
     COMMAND_TRACE,
     COMMAND_COUNTERS,
     COMMAND_DRAIN,
+    COMMAND_INCIDENT,
 } command_t;
 
 static const struct {
     const char *name;
-    int words; /* with the name */
+    int words; /* with the name; at the least for incident */
 } commands[] = {
     [COMMAND_CHECK] = {"check", 2},       [COMMAND_APPLY] = {"apply", 2},
     [COMMAND_SHOW] = {"show", 1},         [COMMAND_STATUS] = {"status", 1},
     [COMMAND_EXPLAIN] = {"explain", 2},   [COMMAND_TRACE] = {"trace", 2},
     [COMMAND_COUNTERS] = {"counters", 1}, [COMMAND_DRAIN] = {"drain", 2},
+    [COMMAND_INCIDENT] = {"incident", 3},
 };
 
 static int
 find_command(const char *name, int count)
 {
-    for (int i = COMMAND_CHECK; i <= COMMAND_DRAIN; i++) {
-        if (strcmp(commands[i].name, name) == 0 &&
-            commands[i].words == count) {
+    for (int i = COMMAND_CHECK; i <= COMMAND_INCIDENT; i++) {
+        bool fits = i == COMMAND_INCIDENT ? count >= commands[i].words
+                                          : count == commands[i].words;
+        if (fits && strcmp(commands[i].name, name) == 0) {
             return i;
         }
     }
@@ -426,8 +473,10 @@
 }
 
 static int
-run(int command, const char *word)
+run(int command, const char **words, int count)
 {
+    const char *word = count > 1 ? words[1] : "";
+
     switch ((command_t)command) {
     case COMMAND_CHECK:
         return command_check(word);
@@ -445,6 +494,8 @@
         return print_answer(host_address, PEER_COUNTERS, "");
     case COMMAND_DRAIN:
         return command_drain(word);
+    case COMMAND_INCIDENT:
+        return Incident_Print(word, words + 2, count - 2);
     }
     return EX_USAGE;
 }
@@ -470,5 +521,5 @@
                         "carobwindctl --help\n");
         return EX_USAGE;
     }
-    return run(command, count > 1 ? words[1] : "");
+    return run(command, words, count);
 }
--- a/src/carobwindd/config_task.c
+++ b/src/carobwindd/config_task.c
@@ -95,6 +95,7 @@
     else {
         config->references = 1;
         config->inventory.version = version;
+        config->revision = version;
         config->text = strdup(text);
         keep(config);
         CbwCounter_Add(&self.daemon->counters, CBW_COUNTER_CONFIG_APPLIED, 1);
--- a/src/carobwindd/member_task.c
+++ b/src/carobwindd/member_task.c
@@ -481,7 +481,7 @@
 static void
 on_config(config_message_t *message)
 {
-    self.config_version = message->config->inventory.version;
+    self.config_version = message->config->revision;
     Config_Unref(message->config);
     free(message);
     tell_some();
--- a/src/carobwindd/messages.c
+++ b/src/carobwindd/messages.c
@@ -27,6 +27,8 @@
     [PEER_DRAIN] = {no_arguments, CODEC(xdr_bool)},
     [PEER_GIVE_UP] = {CODEC(xdr_peer_give_up_args), CODEC(xdr_bool)},
     [PEER_PREPARE] = {CODEC(xdr_peer_prepare_args), CODEC(xdr_bool)},
+    [PEER_REGISTRY] = {CODEC(xdr_peer_registry_args),
+                       CODEC(xdr_peer_store_result)},
     [PEER_STORE] = {CODEC(xdr_peer_store_args), CODEC(xdr_peer_store_result)},
 };
 
--- a/src/carobwindd/messages.h
+++ b/src/carobwindd/messages.h
@@ -4,6 +4,7 @@
 
 #include "carobwind/counter.h"
 #include "carobwind/inventory.h"
+#include "carobwind/latency.h"
 #include "carobwind/membership.h"
 #include "carobwind/promotion.h"
 #include "carobwind/request.h"
@@ -20,6 +21,7 @@
     char local_ip[16]; /* outgoing connections come from here */
     uint64_t nonce;    /* unique to this start */
     cbw_counters_t counters;
+    cbw_latencies_t latencies;
     cbw_trace_ring_t traces;
     /* Whether the balancer may send callers here. */
     bool configured; /* a configuration is in force */
@@ -38,6 +40,7 @@
 typedef struct {
     int references;
     char *text;
+    int64_t revision; /* that peers compare; grows with each change */
     cbw_inventory_t inventory;
 } config_t;
 
@@ -150,6 +153,7 @@
     peer_store_args store;
     peer_give_up_args give_up;
     peer_prepare_args prepare;
+    peer_registry_args registry;
 } peer_args_t;
 
 typedef union {
@@ -203,7 +207,7 @@
     xdrproc_t result;
 } peer_codec_t;
 
-/* Indexed by procedure, up to PEER_PREPARE. */
+/* Indexed by procedure, up to PEER_REGISTRY. */
 extern const peer_codec_t Peer_Codecs[];
 
 /* Tasks. Each is created once and lives as long as the process. */
--- a/src/carobwindd/peer_task.c
+++ b/src/carobwindd/peer_task.c
@@ -374,6 +374,7 @@
     case PEER_PREPARE:
         return TASK_OWNER;
     case PEER_CONFIG:
+    case PEER_REGISTRY:
         return TASK_CONFIG;
     case PEER_STORE:
         return TASK_STORE;
--- a/src/carobwindd/pool_task.c
+++ b/src/carobwindd/pool_task.c
@@ -442,6 +442,7 @@
                  inventory->ranks, inventory->rank_count, &pool_ops, instance,
                  self.daemon->nonce + instance->id, self.daemon->settings.name,
                  self.daemon->settings.data_centre, &self.daemon->counters);
+    instance->pool.latencies = &self.daemon->latencies;
     update_endpoints(instance);
     CbwLog_Write(CBW_LOG_INFO, "owner", "started", "database=%s",
                  database->name);
--- a/src/carobwindd/registry_task.c
+++ b/src/carobwindd/registry_task.c
@@ -1,6 +1,8 @@
 /* The configuration task for a platform on which endpoints register
- * themselves: the operators' record and the registrations, both watched in the
- * store, make up one inventory. A version never goes back. */
+ * themselves: the operators' record and the registrations make up one
+ * inventory. A few hosts watch the store; the others hear of its revisions
+ * with the probes and fetch what has changed from the peer that knows it. A
+ * version of the operators' record never goes back. */
 
 #include <glib.h>
 #include <inttypes.h>
@@ -14,11 +16,15 @@
 #include "share/net.h"
 
 #define TICK_SECONDS 0.1
+/* Members that watch the store for all. */
+#define WATCHERS 3
+#define WATCHER_ROLE "registry"
+#define FETCH_TIMEOUT (500 * Cbw_MSEC)
+/* Removals that are kept to send differences from. */
+#define REMOVALS_MAX 512
 /* Longest wait of a watch: a silent one is found by its deadline well within
  * the time in which a change must be in force. */
 #define WATCH_WAIT (9 * Cbw_SEC)
-/* That of the operators' record may be longer: peers tell of its versions. */
-#define CONFIG_WATCH_WAIT (25 * Cbw_SEC)
 /* Pause after changes of registrations, which come in bunches. */
 #define CHANGES_PAUSE (250 * Cbw_MSEC)
 #define RETRY_INTERVAL (150 * Cbw_MSEC)
@@ -32,7 +38,8 @@
 
 typedef struct {
     const char *key;
-    bool listed; /* read once */
+    bool read;   /* once, perhaps a state that lags */
+    bool listed; /* the state at `version` is known */
     bool asked;
     uint64_t version; /* of the store, up to which it is known */
     cbw_time_t ask_at;
@@ -42,26 +49,49 @@
     char key[Cbw_NAME_MAX + 16];
     cbw_endpoint_t endpoint;
     char database[Cbw_NAME_MAX];
+    char *text; /* as registered; owned */
+    size_t text_size;
     uint64_t version;
     bool seen;          /* in the list that is being read */
     cbw_time_t gone_at; /* removed, and kept until then; 0: registered */
 } registration_t;
 
+typedef struct {
+    char key[Cbw_NAME_MAX + 16];
+    uint64_t version;
+} removal_t;
+
 typedef struct {
     daemon_t *daemon;
     const registry_driver_t *driver;
+    view_t *view;
+    char *config_text; /* as the operators wrote it; owned */
+    size_t config_size;
+    uint64_t config_version; /* its revision in the store */
+    uint64_t revision;       /* of the latest change that is known */
+    removal_t removals[REMOVALS_MAX];
+    size_t removal_count; /* ever */
     watch_t watches[WATCH_COUNT_];
     GHashTable *registrations; /* key to registration_t, which it owns */
     cbw_inventory_t routes;    /* without endpoints */
     bool configured;
     bool changed;  /* since the last publication */
-    bool fetching; /* the operators' record, besides the watch */
+    bool fetching; /* from a peer */
     cbw_random_t random;
     ev_timer timer;
 } registry_task_t;
 
 static registry_task_t self;
 
+static void
+free_registration(void *object)
+{
+    registration_t *registration = object;
+
+    free(registration->text);
+    free(registration);
+}
+
 /* The inventory. */
 
 static int
@@ -122,6 +152,7 @@
         abort();
     }
     config->references = 1;
+    config->revision = (int64_t)self.revision;
     inventory = &config->inventory;
     *inventory = self.routes;
     inventory->kinds = copy_array(self.routes.kinds, self.routes.kind_count,
@@ -143,7 +174,7 @@
     config_t *config;
 
     if (!self.changed || !self.configured ||
-        !self.watches[WATCH_ENDPOINTS].listed) {
+        !self.watches[WATCH_ENDPOINTS].read) {
         return;
     }
     self.changed = false;
@@ -164,8 +195,17 @@
 /* The operators' record. */
 
 static void
-take_config(const char *text)
+note_revision(uint64_t revision)
 {
+    if (revision > self.revision) {
+        self.revision = revision;
+    }
+}
+
+static void
+take_config(const store_item_t *item)
+{
+    const char *text = item->value;
     cbw_inventory_t inventory;
     cbw_findings_t findings;
 
@@ -181,6 +221,11 @@
         self.routes = inventory;
         self.configured = true;
         self.changed = true;
+        free(self.config_text);
+        self.config_text = strdup(text);
+        self.config_size = strlen(text);
+        self.config_version = item->version;
+        note_revision(item->version);
         CbwCounter_Add(&self.daemon->counters, CBW_COUNTER_CONFIG_APPLIED, 1);
         CbwLog_Write(CBW_LOG_INFO, "config", "in-force",
                      "version=%" PRId64 " routes=%zu databases=%zu",
@@ -195,6 +240,16 @@
 
 /* Registrations. */
 
+static void
+note_removal(const char *key, uint64_t version)
+{
+    removal_t *removal = &self.removals[self.removal_count++ % REMOVALS_MAX];
+
+    snprintf(removal->key, sizeof(removal->key), "%s", key);
+    removal->version = version;
+    note_revision(version);
+}
+
 static void
 take_registration(const store_item_t *item)
 {
@@ -212,11 +267,13 @@
                      "key=%.64s revision=%" PRIu64 " reason=\"%s\"", item->key,
                      item->version, error.text);
         if (known != NULL) {
+            note_removal(item->key, item->version);
             g_hash_table_remove(self.registrations, item->key);
             self.changed = true;
         }
         return;
     }
+    note_revision(item->version);
     strcpy(fresh.key, item->key);
     fresh.version = item->version;
     fresh.seen = true;
@@ -235,7 +292,14 @@
         strcpy(known->key, fresh.key);
         g_hash_table_insert(self.registrations, known->key, known);
     }
+    free(known->text);
     *known = fresh;
+    known->text = malloc(item->value_size + 1);
+    if (known->text == NULL) {
+        abort();
+    }
+    memcpy(known->text, item->value, item->value_size + 1);
+    known->text_size = item->value_size;
     self.changed = true;
     CbwLog_Write(CBW_LOG_INFO, "config", "registration",
                  "endpoint=%s database=%s address=%s leaving=%d primary=%d "
@@ -246,11 +310,14 @@
 }
 
 static void
-remove_registration(registration_t *registration, cbw_time_t now)
+remove_registration(registration_t *registration, uint64_t version,
+                    cbw_time_t now)
 {
     if (registration->gone_at != 0) {
         return;
     }
+    note_removal(registration->key, version);
+    self.changed = true; /* so that peers hear of it */
     /* One that said that it leaves has left; any other may have lapsed while
      * the store was away. */
     registration->gone_at =
@@ -289,7 +356,7 @@
 }
 
 static void
-remove_unseen(cbw_time_t now)
+remove_unseen(uint64_t version, cbw_time_t now)
 {
     GHashTableIter iterator;
     gpointer value;
@@ -298,7 +365,7 @@
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         registration_t *registration = value;
         if (!registration->seen) {
-            remove_registration(registration, now);
+            remove_registration(registration, version, now);
         }
     }
 }
@@ -313,7 +380,7 @@
     if (id == WATCH_CONFIG) {
         if (item->value != NULL &&
             strcmp(item->key, self.driver->config_key) == 0) {
-            take_config(item->value);
+            take_config(item);
         }
         return;
     }
@@ -323,26 +390,35 @@
     }
     known = g_hash_table_lookup(self.registrations, item->key);
     if (known != NULL) {
-        remove_registration(known, now);
+        remove_registration(known, item->version, now);
     }
 }
 
+static bool
+is_watcher(void)
+{
+    return self.view != NULL &&
+           CbwMembership_Rank(&self.view->membership, WATCHER_ROLE) < WATCHERS;
+}
+
 static void
 ask(watch_id_t id, cbw_time_t now)
 {
     watch_t *watch = &self.watches[id];
     store_call_t *call;
 
-    if (watch->asked || now < watch->ask_at) {
+    /* At the start everybody reads what is there, which may lag. */
+    bool first = !watch->read;
+
+    if (watch->asked || now < watch->ask_at || (!first && !is_watcher())) {
         return;
     }
     watch->asked = true;
     call =
         StoreCall_New(watch->listed ? STORE_CHANGES : STORE_RANGE, watch->key);
     call->version = watch->listed ? watch->version : 0;
-    if (watch->listed) {
-        call->wait = id == WATCH_CONFIG ? CONFIG_WATCH_WAIT : WATCH_WAIT;
-    }
+    call->may_be_stale = first;
+    call->wait = watch->listed ? WATCH_WAIT : 0;
     call->reply_to = TASK_CONFIG;
     call->context = (void *)(uintptr_t)id;
     Task_Post(TASK_CONFIG, TASK_STORE, MESSAGE_STORE, &call->message);
@@ -372,10 +448,12 @@
         for (size_t i = 0; i < call->item_count; i++) {
             take_item(id, &call->items[i], now);
         }
-        if (call->verb == STORE_RANGE && id == WATCH_ENDPOINTS) {
-            remove_unseen(now);
+        if (call->verb == STORE_RANGE && id == WATCH_ENDPOINTS &&
+            !call->may_be_stale) {
+            remove_unseen(call->version, now);
         }
-        watch->listed = true;
+        watch->read = true;
+        watch->listed = !call->may_be_stale;
         watch->version = call->version;
         if (id == WATCH_ENDPOINTS && call->item_count > 0) {
             watch->ask_at = now + CHANGES_PAUSE;
@@ -389,32 +467,137 @@
     ask(id, now);
 }
 
-/* A peer has a version that the watch has not brought: its connection may be
- * silent. */
+/* Peers. */
+
 static void
-on_peer_version(version_message_t *message)
+take_fetched(const peer_store_result *result, cbw_time_t now)
 {
-    store_call_t *call;
+    bool whole = result->status == 1;
 
-    if (message->version > self.routes.version && !self.fetching) {
-        self.fetching = true;
-        call = StoreCall_New(STORE_GET, self.driver->config_key);
-        call->reply_to = TASK_CONFIG;
-        Task_Post(TASK_CONFIG, TASK_STORE, MESSAGE_STORE, &call->message);
+    if (whole) {
+        mark_unseen();
     }
-    free(message);
+    for (u_int i = 0; i < result->items.items_len; i++) {
+        const peer_store_item *from = &result->items.items_val[i];
+        store_item_t item = {.key = from->key,
+                             .value_size = from->value.value_len,
+                             .version = from->record_version};
+        if (!from->removed) {
+            item.value = g_strndup(from->value.value_val, item.value_size);
+        }
+        take_item(strcmp(item.key, self.driver->config_key) == 0
+                      ? WATCH_CONFIG
+                      : WATCH_ENDPOINTS,
+                  &item, now);
+        g_free(item.value);
+    }
+    if (whole) {
+        remove_unseen(result->record_version, now);
+    }
+    note_revision(result->record_version);
 }
 
 static void
-on_fetched(store_call_t *call)
+on_fetched(outbound_t *outbound)
 {
     self.fetching = false;
-    if (call->status == CBW_STORE_OK) {
+    if (outbound->answered &&
+        outbound->result.store.record_version > self.revision) {
         CbwCounter_Add(&self.daemon->counters, CBW_COUNTER_CONFIG_FETCHED, 1);
-        take_config(call->value);
+        take_fetched(&outbound->result.store, CbwNet_Now());
+        self.watches[WATCH_ENDPOINTS].read = true;
+        self.watches[WATCH_CONFIG].read = true;
+        self.changed = true;
         publish();
     }
-    StoreCall_Free(call);
+    Outbound_Free(outbound);
+}
+
+static void
+on_peer_version(version_message_t *message)
+{
+    outbound_t *outbound;
+
+    if (message->version > (int64_t)self.revision && !self.fetching) {
+        self.fetching = true;
+        outbound = Outbound_New(PEER_REGISTRY, message->address);
+        outbound->args.registry.since = self.revision;
+        outbound->timeout = FETCH_TIMEOUT;
+        outbound->reply_to = TASK_CONFIG;
+        Task_Post(TASK_CONFIG, TASK_PEER, MESSAGE_OUTBOUND,
+                  &outbound->message);
+    }
+    free(message);
+}
+
+static void
+add_item(peer_store_result *result, const char *key, const char *text,
+         size_t size, uint64_t version)
+{
+    peer_store_item *item =
+        &result->items.items_val[result->items.items_len++];
+
+    item->key = strdup(key);
+    item->removed = text == NULL;
+    item->record_version = version;
+    if (text != NULL) {
+        item->value.value_val = malloc(size + 1);
+        if (item->value.value_val == NULL) {
+            abort();
+        }
+        memcpy(item->value.value_val, text, size);
+        item->value.value_len = (u_int)size;
+    }
+}
+
+/* Whether all removals after `since` are still kept. */
+static bool
+has_removals_since(uint64_t since)
+{
+    return self.removal_count <= REMOVALS_MAX ||
+           self.removals[self.removal_count % REMOVALS_MAX].version <= since;
+}
+
+static void
+answer_registry(inbound_t *inbound)
+{
+    peer_store_result *result = &inbound->result.store;
+    uint64_t since = inbound->args.registry.since;
+    bool whole = since == 0 || !has_removals_since(since);
+    size_t kept =
+        self.removal_count < REMOVALS_MAX ? self.removal_count : REMOVALS_MAX;
+    GHashTableIter iterator;
+    gpointer value;
+
+    result->status = whole;
+    result->record_version = self.revision;
+    result->value = strdup("");
+    result->items.items_val =
+        calloc(g_hash_table_size(self.registrations) + kept + 1,
+               sizeof(peer_store_item));
+    if (result->items.items_val == NULL) {
+        abort();
+    }
+    if (self.config_text != NULL && self.config_version > since) {
+        add_item(result, self.driver->config_key, self.config_text,
+                 self.config_size, self.config_version);
+    }
+    for (size_t i = 0; i < kept && !whole; i++) {
+        if (self.removals[i].version > since) {
+            add_item(result, self.removals[i].key, NULL, 0,
+                     self.removals[i].version);
+        }
+    }
+    g_hash_table_iter_init(&iterator, self.registrations);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const registration_t *registration = value;
+        if (registration->gone_at == 0 &&
+            (whole || registration->version > since)) {
+            add_item(result, registration->key, registration->text,
+                     registration->text_size, registration->version);
+        }
+    }
+    Task_Post(TASK_CONFIG, TASK_PEER, MESSAGE_INBOUND_DONE, &inbound->message);
 }
 
 static void
@@ -430,25 +613,29 @@
 {
     (void)state;
     switch (message->type) {
-    case MESSAGE_STORE_DONE: {
-        store_call_t *call = Cbw_LIST_ITEM(message, store_call_t, message);
-        if (call->verb == STORE_GET) {
-            on_fetched(call);
-        }
-        else {
-            on_store_done(call);
-        }
+    case MESSAGE_STORE_DONE:
+        on_store_done(Cbw_LIST_ITEM(message, store_call_t, message));
+        break;
+    case MESSAGE_OUTBOUND_DONE:
+        on_fetched(Cbw_LIST_ITEM(message, outbound_t, message));
         break;
-    }
     case MESSAGE_PEER_VERSION:
         on_peer_version(Cbw_LIST_ITEM(message, version_message_t, message));
         break;
-    case MESSAGE_INBOUND:
-        answer_config(Cbw_LIST_ITEM(message, inbound_t, message));
+    case MESSAGE_INBOUND: {
+        inbound_t *inbound = Cbw_LIST_ITEM(message, inbound_t, message);
+        if (inbound->procedure == PEER_REGISTRY) {
+            answer_registry(inbound);
+        }
+        else {
+            answer_config(inbound);
+        }
         break;
+    }
     case MESSAGE_VIEW: {
         view_message_t *view = Cbw_LIST_ITEM(message, view_message_t, message);
-        View_Unref(view->view);
+        View_Unref(self.view);
+        self.view = view->view;
         free(view);
         break;
     }
@@ -480,8 +667,8 @@
                                  daemon->settings.registry_driver);
     self.watches[WATCH_CONFIG].key = self.driver->config_key;
     self.watches[WATCH_ENDPOINTS].key = self.driver->endpoints_prefix;
-    self.registrations =
-        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free);
+    self.registrations = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+                                               free_registration);
     CbwRandom_Init(&self.random, daemon->nonce);
     Task_Register(daemon->loop, TASK_CONFIG, handle, NULL);
     ev_timer_init(&self.timer, on_tick, TICK_SECONDS, TICK_SECONDS);
--- a/src/carobwindd/session_task.c
+++ b/src/carobwindd/session_task.c
@@ -199,6 +199,8 @@
     caller_answer_t answer = {.token = request->answer.token};
 
     count_outcome(request->answer.outcome);
+    CbwLatency_Add(&self.daemon->latencies, CBW_LATENCY_REQUEST, request->rank,
+                   CbwNet_Now() - request->arrived);
     log_failure(session, request, job->host);
     memcpy(session->host, job->host, Cbw_NAME_MAX);
     CbwSession_OnAnswer(&session->session, request);
@@ -348,6 +350,10 @@
     GString *out = g_string_new(NULL);
     char *end;
 
+    CbwLog_Write(CBW_LOG_INFO, "entry", "not-started",
+                 "database=%.64s cause=nodatabase configuration=%" PRId64,
+                 session->database,
+                 self.config != NULL ? self.config->inventory.version : 0);
     self.driver->encode(out, &answer);
     /* A session that does not start is told the error alone. */
     end = strstr(out->str, "\r\n");
--- a/src/libcarobwind/pool_dispatch.c
+++ b/src/libcarobwind/pool_dispatch.c
@@ -231,6 +231,8 @@
         return false;
     }
     CbwQueue_OnDispatch(queue, now, request->rank);
+    CbwLatency_Add(pool->latencies, CBW_LATENCY_QUEUE, request->rank,
+                   now - request->queued_at);
     CbwCounter_Add(pool->counters,
                    request->writes             ? CBW_COUNTER_WRITES
                    : endpoint == pool->primary ? CBW_COUNTER_READS_PRIMARY
@@ -637,6 +639,8 @@
     CbwPool_Forget_(pool, found);
     note_reply(pool, now, &call, reply);
     if (call.request != NULL) {
+        CbwLatency_Add(pool->latencies, CBW_LATENCY_ENDPOINT,
+                       call.request->rank, now - call.sent_at);
         on_request_reply(pool, now, call.request, reply, call.endpoint);
     }
     else {
--- a/src/share/options.h
+++ b/src/share/options.h
@@ -33,7 +33,7 @@
     int words_max;
 } cbw_program_t;
 
-#define CbwOptions_WORDS_MAX 16
+#define CbwOptions_WORDS_MAX 512
 
 /* Parses flags and variables; strings point into argv or the environment.
  * Prints and exits with 0 for --help and --version. Sets `words` (of
--- a/src/share/peer.x
+++ b/src/share/peer.x
@@ -105,6 +105,13 @@
     string text<PEER_TEXT_MAX>;
 };
 
+/* What the receiver knows of the registry beyond store revision `since`. Its
+ * result is that of a store call: status 1 means that the items are all there
+ * is, 0 that they are what has changed. */
+struct peer_registry_args {
+    unsigned hyper since;
+};
+
 /* Asks the owner with `nonce` to give up its right in `database`. */
 struct peer_give_up_args {
     string database<PEER_NAME_MAX>;
@@ -154,5 +161,6 @@
         peer_store_result PEER_STORE(peer_store_args) = 11;
         bool PEER_GIVE_UP(peer_give_up_args) = 12;
         bool PEER_PREPARE(peer_prepare_args) = 13;
+        peer_store_result PEER_REGISTRY(peer_registry_args) = 14;
     } = 1;
 } = 0x20ca0b01;
--- a/src/share/peer_rpc.h
+++ b/src/share/peer_rpc.h
@@ -145,6 +145,11 @@
 };
 typedef struct peer_text_result peer_text_result;
 
+struct peer_registry_args {
+    u_quad_t since;
+};
+typedef struct peer_registry_args peer_registry_args;
+
 struct peer_give_up_args {
     char *database;
     u_quad_t nonce;
@@ -232,6 +237,10 @@
 #define PEER_PREPARE 13
 extern bool_t *peer_prepare_1(peer_prepare_args, CLIENT *);
 extern bool_t *peer_prepare_1_svc(peer_prepare_args, struct svc_req *);
+#define PEER_REGISTRY 14
+extern peer_store_result *peer_registry_1(peer_registry_args, CLIENT *);
+extern peer_store_result *peer_registry_1_svc(peer_registry_args,
+                                              struct svc_req *);
 extern int carobwind_peer_1_freeresult(SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -274,6 +283,9 @@
 #define PEER_PREPARE 13
 extern bool_t *peer_prepare_1();
 extern bool_t *peer_prepare_1_svc();
+#define PEER_REGISTRY 14
+extern peer_store_result *peer_registry_1();
+extern peer_store_result *peer_registry_1_svc();
 extern int carobwind_peer_1_freeresult();
 #endif /* K&R C */
 
@@ -291,6 +303,7 @@
 extern bool_t xdr_peer_members_result(XDR *, peer_members_result *);
 extern bool_t xdr_peer_text_args(XDR *, peer_text_args *);
 extern bool_t xdr_peer_text_result(XDR *, peer_text_result *);
+extern bool_t xdr_peer_registry_args(XDR *, peer_registry_args *);
 extern bool_t xdr_peer_give_up_args(XDR *, peer_give_up_args *);
 extern bool_t xdr_peer_prepare_args(XDR *, peer_prepare_args *);
 extern bool_t xdr_peer_store_args(XDR *, peer_store_args *);
@@ -309,6 +322,7 @@
 extern bool_t xdr_peer_members_result();
 extern bool_t xdr_peer_text_args();
 extern bool_t xdr_peer_text_result();
+extern bool_t xdr_peer_registry_args();
 extern bool_t xdr_peer_give_up_args();
 extern bool_t xdr_peer_prepare_args();
 extern bool_t xdr_peer_store_args();
--- a/src/share/peer_xdr.c
+++ b/src/share/peer_xdr.c
@@ -322,6 +322,16 @@
     return TRUE;
 }
 
+bool_t
+xdr_peer_registry_args(XDR *xdrs, peer_registry_args *objp)
+{
+    register int32_t *buf;
+
+    if (!xdr_u_quad_t(xdrs, &objp->since))
+        return FALSE;
+    return TRUE;
+}
+
 bool_t
 xdr_peer_give_up_args(XDR *xdrs, peer_give_up_args *objp)
 {
--- a/test/lib/platform_standin.tcl
+++ b/test/lib/platform_standin.tcl
@@ -3,7 +3,7 @@
 # protocol. One process, driven by lines on a control connection:
 #   tclsh platform_standin.tcl NETWORK     listens on NETWORK.9.1 to .9.4
 # Commands: kill E, start E, leave E, config TEXT, store up|down|reject,
-# runs, log E, quit. Each is answered by one line.
+# work MS, runs, log E, quit. Each is answered by one line.
 
 package require json
 
@@ -475,6 +475,7 @@
         }
         config { put op/config [string range $line 7 end]; return ok }
         store { set ::mode $subject; return ok }
+        work { set ::work_ms $subject; return ok }
         primary { return [primary] }
         runs { return $::runs }
         log { return [dict get $::endpoints $subject log] }
--- a/test/scenarios/wire.tcl
+++ b/test/scenarios/wire.tcl
@@ -6,7 +6,7 @@
     variable next 0
 }
 
-set wire::config {{"version":1,"routes":[{"name":"r1","database":"pay","routeType":"primary","timeoutMs":1500,"targetLatencyMs":0,"priority":0,"service":"svc1"},{"name":"r2","database":"own","routeType":"read_your_writes","timeoutMs":1500,"targetLatencyMs":0,"priority":1,"service":"svc1","maxStalenessMs":2000},{"name":"r3","database":"old","routeType":"bounded_staleness","timeoutMs":1500,"targetLatencyMs":0,"priority":2,"service":"svc1","maxStalenessMs":1500}],"services":[{"name":"svc1","maxConns":40,"syncReplicas":0}],"limits":{"idleTxMs":3000}}}
+set wire::config {{"version":1,"routes":[{"name":"r1","database":"pay","routeType":"primary","timeoutMs":1500,"targetLatencyMs":0,"priority":0,"service":"svc1"},{"name":"r2","database":"own","routeType":"read_your_writes","timeoutMs":1500,"targetLatencyMs":0,"priority":1,"service":"svc1","maxStalenessMs":2000},{"name":"r4","database":"rush","routeType":"primary","timeoutMs":1500,"targetLatencyMs":100,"priority":2,"service":"svc1"},{"name":"r3","database":"old","routeType":"bounded_staleness","timeoutMs":1500,"targetLatencyMs":0,"priority":2,"service":"svc1","maxStalenessMs":1500}],"services":[{"name":"svc1","maxConns":40,"syncReplicas":0}],"limits":{"idleTxMs":3000}}}
 
 proc wire::network {} {
     return 127.$fleet::block
@@ -146,8 +146,9 @@
             expect {$values eq {} || $values eq {zone {a b}}} $run
         }
     }
-    expect {[string match "*carobwind_requests_total*" \
-        [wire::http host1 7201 /metrics]]}
+    set metrics [wire::http host1 7201 /metrics]
+    expect {[string match "*carobwind_requests_total*" $metrics]}
+    expect {[regexp {carobwind_request_seconds_count\{rank="0"\} \d+} $metrics]}
 }
 
 # Whether the other side has closed the session, which is idle.
@@ -266,3 +267,84 @@
     expect {[lsort -unique [dict values $outcomes]] eq "done"} \
         [lsort -unique [dict values $outcomes]]
 }
+
+scenario wire-flood "more writes at once than the aim allows: the rest is told" {
+    wire::fleet
+    set first [wire::connect host1 pay]
+    eventually {[lindex [wire::run $first "WRITE first x"] 0] eq "done"} 5000
+    set channels {}
+    for {set i 0} {$i < 240} {incr i} {
+        lappend channels [wire::connect host[expr {$i % 3 + 1}] rush]
+    }
+    set number 0
+    foreach channel $channels {
+        puts $channel "QUERY f[incr number] WRITE s$number x"
+    }
+    set outcomes [dict create]
+    set number 0
+    foreach channel $channels {
+        set outcome cut
+        while {[gets $channel line] >= 0 && ![string match "READY*" $line]} {
+            set outcome [expr {[lindex $line 0] eq "ERROR" ? [lindex $line 1] : "done"}]
+            set text $line
+        }
+        if {$outcome eq "BUSY"} {
+            expect {[string match "*retry after*" $text]} $text
+        }
+        dict set outcomes s[incr number] $outcome
+    }
+    wire::check $outcomes 0
+    set counts [dict create]
+    foreach outcome [dict values $outcomes] {
+        dict incr counts $outcome
+    }
+    expect {[dict get $counts done] >= 4 && [dict get $counts BUSY] >= 20} $counts
+    # The tool tells the story of a refused one from the logs.
+    set refused f[lsearch [dict values $outcomes] BUSY]
+    regexp {request=(f\d+) .*cause=busy} [fleet::read_log host1][fleet::read_log host2] -> refused
+    set story [exec [file join $fleet::bin carobwindctl] incident $refused \
+        {*}[glob [file join $fleet::dir host*.log]]]
+    expect {[string match "*> *request=$refused *cause=busy*" $story]} $story
+}
+
+# The three walks of docs/OPERATIONS.md: a failed request's id leads to its
+# cause by logs alone.
+proc wire::story {id} {
+    return [exec [file join $fleet::bin carobwindctl] incident $id \
+        {*}[glob [file join $fleet::dir host*.log]]]
+}
+
+scenario wire-walks "three failed requests are traced to their causes" {
+    wire::fleet
+    set a [wire::connect host1 pay]
+    eventually {[lindex [wire::run $a "WRITE first x"] 0] eq "done"} 5000
+    # The primary dies with a write on its way.
+    wire::tell work 400
+    puts $a "QUERY walk-unknown WRITE k1 v1"
+    after 150
+    wire::tell kill e-1
+    expect {[string match "ERROR INDOUBT*" [gets $a]]}
+    gets $a
+    # While it is replaced, a write with a short aim is told to come back.
+    set b [wire::connect host2 rush]
+    puts $b "QUERY walk-refused WRITE k2 v2"
+    expect {[string match "ERROR BUSY*retry after*" [gets $b]]}
+    gets $b
+    # A route that a change has dropped.
+    wire::tell work 3
+    set c [wire::connect host3 old]
+    eventually {[wire::tell primary] in {e-2 e-3}} 5000
+    wire::tell config [string map {{"version":1} {"version":2} {"database":"old"} {"database":"new"}} $wire::config]
+    eventually {[catch {wire::connect host3 old}]} 8000
+    puts $c "QUERY walk-dropped READ k1"
+    expect {[string match "ERROR NODB*" [gets $c]]}
+    after 200
+    set story [wire::story walk-unknown]
+    expect {[string match "*request=walk-unknown *cause=indoubt*" $story]} $story
+    expect {[string match "*endpoint e-1 is down*" $story]} $story
+    expect {[string match "*primary is e-*" $story]} $story
+    set story [wire::story walk-refused]
+    expect {[string match "*promotion begins*request=walk-refused *cause=busy*" $story]} $story
+    set story [wire::story walk-dropped]
+    expect {[string match "*event=in-force version=2*request=walk-dropped *cause=nodatabase*" $story]} $story
+}
