Wait only for rights that can still be valid; end a promotion that was taken over

Change: the phase ends with the tenure. Formers carry the record's version at which they were displaced; a host that has seen them before counts from then. A candidate of -1 no longer indexes the endpoints (found by the undefined-behaviour sanitizer in /pool/blocked-is-told-early).

Tests that failed first: /pool/promotion-taken-over, /tenure/old-formers.

--- a/include/carobwind/tenure.h
+++ b/include/carobwind/tenure.h
@@ -27,12 +27,17 @@
 
 /* Former holders that a record names; with more, all must be waited for. */
 #define Cbw_TENURE_FORMERS_MAX 6
+/* Former holders that are remembered with the time when they were seen. */
+#define Cbw_TENURE_SEEN_MAX 24
 /* How often a former holder is asked to give its right up. */
 #define Cbw_TENURE_ASK_INTERVAL (300 * Cbw_MSEC)
 
 typedef struct {
     uint64_t nonce; /* of the owner */
     char host[Cbw_NAME_MAX];
+    /* Of a former holder: the record's version when another took over; 0: it
+     * holds. Sets apart the times at which one owner held. */
+    uint64_t version;
 } cbw_tenure_holder_t;
 
 /* The record in the store. */
@@ -79,6 +84,14 @@
     cbw_time_t took_over_at;
     cbw_time_t seen_at; /* when `version` was first seen */
     unsigned given_up;  /* mask of the record's formers */
+    /* When holders were first seen among the former ones, the latest ones:
+     * they proved their rights before. */
+    struct {
+        uint64_t nonce;
+        uint64_t version;
+        cbw_time_t at;
+    } seen[Cbw_TENURE_SEEN_MAX];
+    size_t seen_count; /* ever */
     cbw_time_t formers_asked_at;
     cbw_time_t given_up_at; /* answers to earlier calls do not count */
     cbw_time_t sole_since;  /* other holders' rights have ended by then */
--- a/src/libcarobwind/pool_health.c
+++ b/src/libcarobwind/pool_health.c
@@ -229,8 +229,13 @@
 static void
 follow(cbw_pool_t *pool, cbw_time_t now)
 {
-    const cbw_pool_endpoint_t *e = &pool->endpoints[pool->candidate];
+    const cbw_pool_endpoint_t *e;
 
+    if (pool->candidate < 0) {
+        set_phase(pool, now, CBW_POOL_WAITING);
+        return;
+    }
+    e = &pool->endpoints[pool->candidate];
     if (e->used && e->is_primary && e->status_at >= pool->phase_since) {
         on_new_primary(pool, now);
         return;
@@ -297,8 +302,7 @@
 on_tenure_changed(cbw_pool_t *pool, cbw_time_t now)
 {
     update_primary(pool, now);
-    if (pool->phase >= CBW_POOL_CLAIMING && !pool->tenure.held &&
-        pool->tenure.known) {
+    if (pool->phase >= CBW_POOL_CLAIMING && !pool->tenure.held) {
         set_phase(pool, now, CBW_POOL_SERVING);
         CbwPool_Decide_(pool, now, "another owner took the promotion over");
         return;
--- a/src/libcarobwind/tenure.c
+++ b/src/libcarobwind/tenure.c
@@ -16,8 +16,8 @@
     for (int i = 0; i < record->former_count; i++) {
         length +=
             snprintf(text + length, (size_t)(Cbw_TENURE_TEXT_MAX - length),
-                     " %" PRIu64 " %s", record->formers[i].nonce,
-                     record->formers[i].host);
+                     " %" PRIu64 " %s %" PRIu64, record->formers[i].nonce,
+                     record->formers[i].host, record->formers[i].version);
     }
 }
 
@@ -39,8 +39,9 @@
     record->promoting = promoting == 1;
     for (int i = 0; i < record->former_count; i++) {
         text += used;
-        if (sscanf(text, "%" SCNu64 " %47s%n", &record->formers[i].nonce,
-                   record->formers[i].host, &used) != 2) {
+        if (sscanf(text, "%" SCNu64 " %47s %" SCNu64 "%n",
+                   &record->formers[i].nonce, record->formers[i].host,
+                   &record->formers[i].version, &used) != 3) {
             return -1;
         }
     }
@@ -120,9 +121,9 @@
     return false;
 }
 
-/* The present holder of `record` becomes a former one. */
+/* The holder of `record`, which stands at `version`, becomes a former one. */
 static void
-add_former(cbw_tenure_record_t *record)
+add_former(cbw_tenure_record_t *record, uint64_t version)
 {
     if (record->holder.nonce == 0 || record->former_count < 0 ||
         is_former(record, record->holder.nonce)) {
@@ -132,7 +133,8 @@
         record->former_count = -1;
         return;
     }
-    record->formers[record->former_count++] = record->holder;
+    record->formers[record->former_count] = record->holder;
+    record->formers[record->former_count++].version = version;
 }
 
 /* This owner holds again: it is not a former holder. */
@@ -156,7 +158,7 @@
         memset(&wanted, 0, sizeof(wanted));
         snprintf(wanted.primary, sizeof(wanted.primary), "%s", primary);
     }
-    add_former(&wanted);
+    add_former(&wanted, tenure->version);
     remove_former(&wanted, tenure->self.nonce);
     wanted.holder = tenure->self;
     swap_record(tenure, now, &wanted);
@@ -207,6 +209,60 @@
     take_over(tenure, now, primary);
 }
 
+/* When `former` was first seen as one; 0: it was not. */
+static cbw_time_t
+seen_since(const cbw_tenure_t *tenure, const cbw_tenure_holder_t *former)
+{
+    size_t count = tenure->seen_count < Cbw_TENURE_SEEN_MAX
+                       ? tenure->seen_count
+                       : Cbw_TENURE_SEEN_MAX;
+
+    for (size_t i = 0; i < count; i++) {
+        if (tenure->seen[i].nonce == former->nonce &&
+            tenure->seen[i].version == former->version) {
+            return tenure->seen[i].at;
+        }
+    }
+    return 0;
+}
+
+/* A holder that is seen as a former one proved its right before `now` for the
+ * last time. */
+static void
+note_formers(cbw_tenure_t *tenure, cbw_time_t now)
+{
+    for (int i = 0; i < tenure->record.former_count; i++) {
+        const cbw_tenure_holder_t *former = &tenure->record.formers[i];
+        if (seen_since(tenure, former) == 0) {
+            size_t place = tenure->seen_count++ % Cbw_TENURE_SEEN_MAX;
+            tenure->seen[place].nonce = former->nonce;
+            tenure->seen[place].version = former->version;
+            tenure->seen[place].at = now;
+        }
+    }
+}
+
+/* Works out when the last of the others' rights ends. */
+static void
+update_sole(cbw_tenure_t *tenure, cbw_time_t now)
+{
+    cbw_time_t latest = now;
+
+    if (tenure->record.former_count < 0) {
+        return; /* not all are named */
+    }
+    for (int i = 0; i < tenure->record.former_count; i++) {
+        cbw_time_t seen = seen_since(tenure, &tenure->record.formers[i]);
+        cbw_time_t end = (seen != 0 ? seen : now) + Cbw_TENURE_VALID_FOR;
+        if ((tenure->given_up & (1U << i)) == 0 && end > latest) {
+            latest = end;
+        }
+    }
+    if (latest < tenure->sole_since) {
+        tenure->sole_since = latest;
+    }
+}
+
 /* The record became this owner's; others' rights end in time, or when they are
  * given up. */
 static void
@@ -217,9 +273,7 @@
     tenure->formers_asked_at = 0;
     tenure->took_over_at = now;
     tenure->sole_since = now + Cbw_TENURE_VALID_FOR;
-    if (tenure->record.former_count == 0) {
-        tenure->sole_since = now;
-    }
+    update_sole(tenure, now);
 }
 
 void
@@ -242,10 +296,7 @@
             tenure->given_up |= 1U << i;
         }
     }
-    if (tenure->record.former_count >= 0 && now < tenure->sole_since &&
-        tenure->given_up == (1U << tenure->record.former_count) - 1) {
-        tenure->sole_since = now;
-    }
+    update_sole(tenure, now);
 }
 
 void
@@ -342,6 +393,7 @@
     tenure->known = true;
     tenure->version = version;
     tenure->record = *record;
+    note_formers(tenure, now);
     if (is_ours(tenure)) {
         if (!tenure->held) {
             begin_holding(tenure, now); /* by a swap whose answer was lost */
@@ -390,6 +442,7 @@
     }
     tenure->version = version;
     tenure->record = tenure->wanted;
+    note_formers(tenure, now);
     if (took_over) {
         begin_holding(tenure, now);
         tenure->inherited = tenure->record.promoting;
--- a/src/test_libcarobwind/test_pool.c
+++ b/src/test_libcarobwind/test_pool.c
@@ -469,6 +469,30 @@
     free_request(write);
 }
 
+/* Found by trouble-3 of Tadla: the former promoter went on taking itself for
+ * one, refused to give its right up, and made the next one wait 6 s. */
+static void
+test_promotion_taken_over(void)
+{
+    static const uint64_t positions[] = {9, 5, 8};
+    world_t world;
+
+    init_world(&world);
+    take_primary_down(&world);
+    for (int i = 0; i < 10 && world.ordered[0] == '\0'; i++) {
+        tick(&world, 10 * Cbw_MSEC);
+        answer_statuses(&world, -1, positions);
+    }
+    g_assert_false(CbwPool_GiveUp(&world.pool, world.now));
+    world.record.holder.nonce = 99;
+    world.record.epoch++;
+    world.version++;
+    tick(&world, Cbw_TENURE_RENEW_INTERVAL);
+    g_assert_cmpint(world.pool.phase, ==, CBW_POOL_SERVING);
+    g_assert_true(CbwPool_GiveUp(&world.pool, world.now));
+    finish_world(&world);
+}
+
 static void
 test_refused_candidate(void)
 {
@@ -572,6 +596,7 @@
                     test_replica_read_carries_position);
     g_test_add_func("/pool/promotes-who-received-most",
                     test_promotes_who_received_most);
+    g_test_add_func("/pool/promotion-taken-over", test_promotion_taken_over);
     g_test_add_func("/pool/refused-candidate", test_refused_candidate);
     g_test_add_func("/pool/lost-answer-is-not-down",
                     test_lost_answer_is_not_down);
--- a/src/test_libcarobwind/test_tenure.c
+++ b/src/test_libcarobwind/test_tenure.c
@@ -99,7 +99,7 @@
     world->now = 100 * Cbw_SEC;
     world->revision = 10;
     for (int i = 0; i < OWNERS; i++) {
-        char host[8];
+        char host[16];
         world->owners[i].world = world;
         world->owners[i].index = i;
         snprintf(host, sizeof(host), "h%d", i);
@@ -242,6 +242,31 @@
     g_assert_true(CbwTenure_IsSole(&world.owners[0].tenure, world.now));
 }
 
+/* Found by trouble-3 of Tadla: holders that followed each other within the
+ * length of a right each waited for all who had ever held. */
+static void
+test_old_formers_are_not_waited_for(void)
+{
+    world_t world;
+    cbw_tenure_t *third = &world.owners[2].tenure;
+    cbw_time_t lost_at;
+
+    init_world(&world, 8);
+    take(&world, 2);
+    take(&world, 0);
+    lost_at = world.now;
+    take(&world, 1);
+    world.now += Cbw_TENURE_RENEW_INTERVAL;
+    CbwTenure_Tick(third, world.now, "p"); /* sees who held before */
+    settle(&world);
+    world.now = lost_at + Cbw_TENURE_VALID_FOR - Cbw_SEC;
+    take(&world, 2);
+    CbwTenure_OnGivenUp(third, world.now, 2);
+    g_assert_false(CbwTenure_IsSole(third, world.now));
+    g_assert_cmpint(third->sole_since, <,
+                    lost_at + Cbw_TENURE_VALID_FOR + 3 * Cbw_SEC);
+}
+
 static void
 test_lost_swap_is_not_sole(void)
 {
@@ -455,11 +480,11 @@
         "1 2 h 0 p -2",
     };
     cbw_tenure_record_t record = {.epoch = 7,
-                                  .holder = {9, "host-1"},
+                                  .holder = {9, "host-1", 0},
                                   .promoting = true,
                                   .primary = "i-1",
                                   .former_count = 2,
-                                  .formers = {{3, "a"}, {4, "b"}}};
+                                  .formers = {{3, "a", 5}, {4, "b", 6}}};
     cbw_tenure_record_t parsed;
     char text[Cbw_TENURE_TEXT_MAX];
     char mutated[Cbw_TENURE_TEXT_MAX];
@@ -488,6 +513,8 @@
     g_test_add_func("/tenure/valid-from-sending", test_valid_from_sending);
     g_test_add_func("/tenure/promoter-waits", test_promoter_waits);
     g_test_add_func("/tenure/back-again", test_back_again_is_not_former);
+    g_test_add_func("/tenure/old-formers",
+                    test_old_formers_are_not_waited_for);
     g_test_add_func("/tenure/lost-swap", test_lost_swap_is_not_sole);
     g_test_add_func("/tenure/given-up", test_given_up_before_the_answer);
     g_test_add_func("/tenure/left-to-its-owner",
