Let hosts find each other in the store

Change: each host registers itself under carobwind/hosts/ and, as long as it has not joined, asks hosts of that list. Records of hosts that have been dead for 30 s are removed by one host.

--- a/include/carobwind/pool.h
+++ b/include/carobwind/pool.h
@@ -160,7 +160,7 @@
     const cbw_pool_ops_t *ops;
     void *context;
     const cbw_queue_ops_t *queue_policy;
-    cbw_counters_t *counters; /* may be NULL */
+    cbw_counters_t *counters;   /* may be NULL */
     cbw_latencies_t *latencies; /* may be NULL, as after init */
     cbw_tenure_t tenure;
     cbw_pool_endpoint_t endpoints[Cbw_POOL_ENDPOINTS_MAX];
--- a/src/carobwindctl/incident.c
+++ b/src/carobwindctl/incident.c
@@ -17,6 +17,7 @@
     char *text; /* owned */
     const char *file;
     double time; /* seconds since 1970 */
+    size_t number;
 } line_t;
 
 typedef struct {
@@ -58,7 +59,9 @@
             abort();
         }
     }
-    lines->items[lines->count++] = (line_t){strdup(begin), file, time};
+    lines->items[lines->count] =
+        (line_t){strdup(begin), file, time, lines->count};
+    lines->count++;
 }
 
 static int
@@ -87,7 +90,10 @@
     const line_t *x = a;
     const line_t *y = b;
 
-    return x->time < y->time ? -1 : x->time > y->time;
+    if (x->time != y->time) {
+        return x->time < y->time ? -1 : 1;
+    }
+    return x->number < y->number ? -1 : 1; /* as they were read */
 }
 
 /* Whether the line has the pair name=value. */
--- a/src/carobwindctl/main.c
+++ b/src/carobwindctl/main.c
@@ -46,7 +46,8 @@
                "the fleet does.",
     .words_help =
         "Commands:\n"
-        "  check FILE         report all that is wrong in an inventory, or in\n"
+        "  check FILE         report all that is wrong in an inventory, or "
+        "in\n"
         "                     the platform's record of the configuration\n"
         "  apply FILE         check, show the changes, and put it in force\n"
         "  show               print the inventory in force\n"
@@ -55,7 +56,8 @@
         "  trace ID           the spans of a request on all hosts\n"
         "  counters           counters of --host, as Prometheus text\n"
         "  drain HOST         stop a host's daemon gracefully, by its name\n"
-        "  incident ID FILE...  what became of a request, or what a database's\n"
+        "  incident ID FILE...  what became of a request, or what a "
+        "database's\n"
         "                     owners decided, from the logs of many hosts",
     .options = options,
     .option_count = sizeof(options) / sizeof(options[0]),
--- a/src/carobwindd/endpoint_resp.c
+++ b/src/carobwindd/endpoint_resp.c
@@ -413,7 +413,8 @@
         count = 4;
         break;
     case CBW_CALL_STEP_DOWN:
-        break; /* of endpoints that are not fenced; never sent here */
+        words[0] = "STEPDOWN"; /* of endpoints without fences; not used */
+        break;
     }
     for (int i = 0; i < count; i++) {
         sizes[i] = strlen(words[i]);
--- a/src/carobwindd/member_task.c
+++ b/src/carobwindd/member_task.c
@@ -15,8 +15,13 @@
 /* Members that read the host list for all. */
 #define LIST_READERS 3
 #define LIST_INTERVAL (1 * Cbw_SEC)
+/* Hosts of the list that are asked for their members at a time. */
+#define LISTED_ASKED 5
+/* The record of a host that has been dead for so long is removed. */
+#define RECORD_KEPT (30 * Cbw_SEC)
+#define RECORD_KEY_FORMAT "hosts/%s"
 /* Wait for an answer of a peer that is asked for its members. */
-#define JOIN_INTERVAL (1 * Cbw_SEC)
+#define JOIN_INTERVAL (250 * Cbw_MSEC)
 #define JOIN_TIMEOUT (500 * Cbw_MSEC)
 /* A view is published once a peer has sent its members and a little time has
  * passed, or when this time has passed without one: a host that does not know
@@ -35,6 +40,7 @@
     cbw_time_t join_at;
     bool joined;  /* a peer sent its members */
     bool arrived; /* takes work */
+    bool leaving;
     cbw_time_t started_at;
     ev_timer timer;
 } member_task_t;
@@ -226,8 +232,10 @@
         }
         list += length + (list[length] == ',');
     }
-    for (size_t i = 1; i < self.membership.count && i < 4; i++) {
-        ask_members(self.membership.members[i].public.address);
+    for (size_t i = 1; i < self.membership.count && i <= LISTED_ASKED; i++) {
+        size_t index = 1 + (size_t)CbwRandom_Below(&self.membership.random,
+                                                   self.membership.count - 1);
+        ask_members(self.membership.members[index].public.address);
     }
 }
 
@@ -290,14 +298,68 @@
     CbwMembership_HearList(&self.membership, CbwNet_Now(), &change);
 }
 
+/* Where hosts register themselves: the list names those of before a loss of
+ * power of all, so that they find each other without the seeds. */
+static void
+put_record(const char *state)
+{
+    const settings_t *settings = &self.daemon->settings;
+    char key[Cbw_NAME_MAX + 16];
+    store_call_t *call;
+
+    snprintf(key, sizeof(key), RECORD_KEY_FORMAT, settings->name);
+    call = StoreCall_New(state != NULL ? STORE_SWAP : STORE_DELETE, key);
+    call->unconditional = true;
+    call->reply_to = TASK_MEMBER;
+    if (state != NULL &&
+        asprintf(&call->value, "%s %s %s %s", settings->name,
+                 settings->data_centre, settings->peers, state) < 0) {
+        abort();
+    }
+    Task_Post(TASK_MEMBER, TASK_STORE, MESSAGE_STORE, &call->message);
+}
+
+/* Removes the record of a host that is gone for good. */
+static void
+remove_old_record(const char *name, cbw_time_t now)
+{
+    const cbw_member_t *member = CbwMembership_Find(&self.membership, name);
+    char key[Cbw_NAME_MAX + 16];
+    store_call_t *call;
+
+    if (!self.daemon->prepares || member == NULL ||
+        member->public.state != CBW_MEMBER_DEAD ||
+        now - member->changed_at < RECORD_KEPT ||
+        CbwMembership_Rank(&self.membership, "host-list") != 0) {
+        return;
+    }
+    snprintf(key, sizeof(key), RECORD_KEY_FORMAT, name);
+    call = StoreCall_New(STORE_DELETE, key);
+    call->reply_to = TASK_MEMBER;
+    Task_Post(TASK_MEMBER, TASK_STORE, MESSAGE_STORE, &call->message);
+}
+
 static void
 on_list(store_call_t *call)
 {
+    if (call->verb != STORE_HOSTS) {
+        if (call->status != CBW_STORE_OK && call->verb == STORE_SWAP &&
+            !self.leaving) {
+            put_record("alive"); /* until it stands there */
+        }
+        StoreCall_Free(call);
+        return;
+    }
     self.list_asked = false;
     if (call->status == CBW_STORE_OK) {
         for (int i = 0; i + 4 <= call->word_count; i += 4) {
             hear_listed(call->words[i], call->words[i + 1], call->words[i + 2],
                         call->words[i + 3]);
+            remove_old_record(call->words[i], CbwNet_Now());
+        }
+        if (!self.joined) {
+            self.join_at = 0; /* asks those that are listed at once */
+            join(CbwNet_Now());
         }
     }
     StoreCall_Free(call);
@@ -491,6 +553,10 @@
 on_drain(void)
 {
     self.arrived = true; /* it will not arrive any more */
+    self.leaving = true;
+    if (self.daemon->prepares) {
+        put_record(NULL);
+    }
     CbwMembership_Leave(&self.membership, CbwNet_Now());
     tell_some();
 }
@@ -581,6 +647,9 @@
         CbwMembership_BeginJoining(&self.membership);
     }
     Task_Register(daemon->loop, TASK_MEMBER, handle, NULL);
+    if (daemon->prepares) {
+        put_record("alive");
+    }
     ev_timer_init(&self.timer, on_tick, TICK_SECONDS, TICK_SECONDS);
     ev_timer_start(daemon->loop, &self.timer);
     return 0;
--- a/src/carobwindd/messages.h
+++ b/src/carobwindd/messages.h
@@ -28,8 +28,8 @@
     bool joined;     /* the members are known */
     bool prepares;   /* to own databases, before it takes work */
     bool draining;
-    bool store_answers;       /* itself, not through a peer */
-    bool few_peers;           /* most members are not reached */
+    bool store_answers; /* itself, not through a peer */
+    bool few_peers;     /* most members are not reached */
 } daemon_t;
 
 /* Neither the store nor most of the members are reached: callers are served
@@ -128,7 +128,7 @@
     store_item_t *items; /* RANGE, CHANGES; owned */
     size_t item_count;
     bool unconditional; /* SWAP: whatever the version */
-    bool may_be_stale; /* a cheap answer that lags will do */
+    bool may_be_stale;  /* a cheap answer that lags will do */
     task_id_t reply_to;
     void *context;
 
--- a/src/carobwindd/registry_task.c
+++ b/src/carobwindd/registry_task.c
@@ -6,6 +6,7 @@
 
 #include <glib.h>
 #include <inttypes.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -250,6 +251,16 @@
     note_revision(version);
 }
 
+static bool
+is_same_endpoint(const cbw_endpoint_t *a, const cbw_endpoint_t *b)
+{
+    return strcmp(a->name, b->name) == 0 &&
+           strcmp(a->data_centre, b->data_centre) == 0 &&
+           strcmp(a->address, b->address) == 0 && a->slots == b->slots &&
+           a->leaving == b->leaving &&
+           a->reports_primary == b->reports_primary && a->born == b->born;
+}
+
 static void
 take_registration(const store_item_t *item)
 {
@@ -274,12 +285,11 @@
         return;
     }
     note_revision(item->version);
-    strcpy(fresh.key, item->key);
+    snprintf(fresh.key, sizeof(fresh.key), "%s", item->key);
     fresh.version = item->version;
     fresh.seen = true;
     if (known != NULL && known->gone_at == 0 &&
-        memcmp(&known->endpoint, &fresh.endpoint, sizeof(fresh.endpoint)) ==
-            0) {
+        is_same_endpoint(&known->endpoint, &fresh.endpoint)) {
         known->seen = true;
         known->version = item->version;
         return;
@@ -289,7 +299,7 @@
         if (known == NULL) {
             abort();
         }
-        strcpy(known->key, fresh.key);
+        snprintf(known->key, sizeof(known->key), "%s", fresh.key);
         g_hash_table_insert(self.registrations, known->key, known);
     }
     free(known->text);
--- a/src/carobwindd/session_task.c
+++ b/src/carobwindd/session_task.c
@@ -297,7 +297,8 @@
         Job_Free(job);
         return;
     }
-    strcpy(job->request.trace, statement->id);
+    snprintf(job->request.trace, sizeof(job->request.trace), "%s",
+             statement->id);
     CbwSession_Plan(&session->session, statement,
                     self.daemon->nonce + ++self.next_number, &job->request,
                     &plan);
@@ -370,7 +371,7 @@
         refuse_start(session);
         return;
     }
-    strcpy(session->database, database);
+    snprintf(session->database, sizeof(session->database), "%s", database);
     if (find_kind(database) != NULL) {
         write_started(session);
         return;
--- a/src/carobwindd/settings.h
+++ b/src/carobwindd/settings.h
@@ -24,7 +24,7 @@
     const char *orders;          /* address for orders of promotions */
     const char *readiness;       /* address for the balancer; "": none */
     const char *metrics;         /* address for counters; "": none */
-    const char *owner_policy; /* "owner", or "direct": the baseline */
+    const char *owner_policy;    /* "owner", or "direct": the baseline */
     long drain_seconds;
     bool test_faults;
 } settings_t;
