--- a/src/carobwindd/member_task.c
+++ b/src/carobwindd/member_task.c
@@ -26,7 +26,7 @@
 /* A view is published once a peer has sent its members and a little time has
  * passed, or when this time has passed without one: a host that does not know
  * the others would take itself for the owner of all. */
-#define SETTLE_JOINED (300 * Cbw_MSEC)
+#define SETTLE_JOINED (200 * Cbw_MSEC)
 #define SETTLE_ALONE (1500 * Cbw_MSEC)
 #define STATUS_TEXT_MAX 262144
 
--- /dev/null
+++ b/src/carobwindd/pool_instance.c
@@ -0,0 +1,399 @@
+#include "pool_instance.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "carobwind/log.h"
+#include "carobwind/plugin.h"
+#include "share/net.h"
+
+/* Peers that are asked whether they reach a primary. */
+#define REACH_PEERS 3
+#define REACH_CALL_TIMEOUT (250 * Cbw_MSEC)
+/* Control calls have connections beside those for statements. */
+#define CONTROL_CONNECTIONS 3
+#define RECORD_KEY_FORMAT "group/%s"
+
+pool_task_t PoolTask_State;
+
+static pool_instance_t *
+find_by_id(uint64_t id)
+{
+    cbw_link_t *link = PoolTask_State.instances.next;
+
+    for (; link != &PoolTask_State.instances; link = link->next) {
+        pool_instance_t *instance = Cbw_LIST_ITEM(link, pool_instance_t, link);
+        if (instance->id == id) {
+            return instance;
+        }
+    }
+    return NULL;
+}
+
+pool_instance_t *
+PoolInstance_Find(const char *database)
+{
+    cbw_link_t *link = PoolTask_State.instances.next;
+
+    for (; link != &PoolTask_State.instances; link = link->next) {
+        pool_instance_t *instance = Cbw_LIST_ITEM(link, pool_instance_t, link);
+        if (!instance->retired &&
+            strcmp(instance->pool.database, database) == 0) {
+            return instance;
+        }
+    }
+    return NULL;
+}
+
+/* The kernel's calls. */
+
+static bool
+op_call(void *context, int place, const cbw_call_t *call)
+{
+    pool_instance_t *instance = context;
+
+    return PoolTask_State.driver->call(instance->links[place], call);
+}
+
+static bool
+op_abort(void *context, int place, uint64_t id)
+{
+    pool_instance_t *instance = context;
+
+    return PoolTask_State.driver->abort(instance->links[place], id);
+}
+
+static void
+op_end_transaction(void *context, int place, uint64_t transaction, bool clean)
+{
+    pool_instance_t *instance = context;
+
+    PoolTask_State.driver->end_transaction(instance->links[place], transaction,
+                                           clean);
+}
+
+static void
+op_answer(void *context, cbw_request_t *request)
+{
+    pool_instance_t *instance = context;
+    job_t *job = Cbw_LIST_ITEM(request, job_t, request);
+
+    job->admission_count = 0;
+    if (request->answer.outcome == CBW_OUTCOME_PENDING) {
+        memcpy(job->moved_to, instance->moved_to, sizeof(job->moved_to));
+    }
+    Task_Post(TASK_OWNER, job->reply_to, MESSAGE_JOB_DONE, &job->message);
+}
+
+static void
+on_reply(void *context, uint64_t id, const cbw_reply_t *reply)
+{
+    binding_t *binding = context;
+
+    CbwPool_OnReply(&binding->instance->pool, CbwNet_Now(), id, reply);
+}
+
+static const endpoint_events_t endpoint_events = {.on_reply = on_reply};
+
+static void
+op_attach(void *context, int place, const cbw_endpoint_t *info)
+{
+    pool_instance_t *instance = context;
+
+    instance->bindings[place] = (binding_t){instance, place};
+    instance->links[place] = PoolTask_State.driver->open(
+        PoolTask_State.daemon, instance->pool.database, info,
+        info->connections / 2 + CONTROL_CONNECTIONS, &endpoint_events,
+        &instance->bindings[place]);
+}
+
+static void
+op_detach(void *context, int place)
+{
+    pool_instance_t *instance = context;
+
+    PoolTask_State.driver->close(instance->links[place]);
+    instance->links[place] = NULL;
+}
+
+static store_call_t *
+new_record_call(const pool_instance_t *instance, store_verb_t verb)
+{
+    char key[Cbw_NAME_MAX + 8];
+    store_call_t *call;
+
+    snprintf(key, sizeof(key), RECORD_KEY_FORMAT, instance->pool.database);
+    call = StoreCall_New(verb, key);
+    call->reply_to = TASK_OWNER;
+    call->context = (void *)(uintptr_t)instance->id;
+    return call;
+}
+
+static void
+op_read_record(void *context)
+{
+    store_call_t *call = new_record_call(context, STORE_GET);
+
+    Task_Post(TASK_OWNER, TASK_STORE, MESSAGE_STORE, &call->message);
+}
+
+static void
+op_swap_record(void *context, uint64_t version,
+               const cbw_tenure_record_t *record)
+{
+    store_call_t *call = new_record_call(context, STORE_SWAP);
+
+    call->version = version;
+    call->value = malloc(Cbw_TENURE_TEXT_MAX);
+    if (call->value == NULL) {
+        abort();
+    }
+    CbwTenure_FormatRecord(record, call->value);
+    Task_Post(TASK_OWNER, TASK_STORE, MESSAGE_STORE, &call->message);
+}
+
+void
+PoolInstance_OnStoreDone(store_call_t *call)
+{
+    pool_instance_t *instance = find_by_id((uint64_t)(uintptr_t)call->context);
+    cbw_tenure_record_t record = {.epoch = 0};
+    cbw_store_status_t status = call->status;
+
+    if (instance != NULL && call->verb == STORE_SWAP) {
+        CbwPool_OnSwap(&instance->pool, CbwNet_Now(), status, call->version);
+    }
+    else if (instance != NULL) {
+        if (status == CBW_STORE_OK &&
+            CbwTenure_ParseRecord(&record, call->value) != 0) {
+            CbwLog_Write(CBW_LOG_ERROR, "owner", "bad-record", "key=%s",
+                         call->key);
+            status = CBW_STORE_LOST;
+        }
+        CbwPool_OnRecord(&instance->pool, CbwNet_Now(), status, call->version,
+                         &record);
+    }
+    StoreCall_Free(call);
+}
+
+static void
+on_ordered(void *context, cbw_order_status_t status)
+{
+    pool_instance_t *instance = find_by_id((uint64_t)(uintptr_t)context);
+
+    if (instance != NULL) {
+        CbwPool_OnOrdered(&instance->pool, CbwNet_Now(), status);
+    }
+}
+
+static void
+op_order(void *context, const char *endpoint, uint64_t fence)
+{
+    pool_instance_t *instance = context;
+
+    PoolTask_State.orders->promote(
+        PoolTask_State.daemon, instance->pool.database, endpoint,
+        PoolTask_State.daemon->settings.name, fence, on_ordered,
+        (void *)(uintptr_t)instance->id);
+}
+
+static void
+op_decide(void *context, const char *text)
+{
+    pool_instance_t *instance = context;
+
+    CbwLog_Write(CBW_LOG_INFO, "owner", "decision", "database=%s what=\"%s\"",
+                 instance->pool.database, text);
+}
+
+/* Whether peers in other data centres reach a primary that this host does
+ * not. */
+
+static void
+ask_peer(pool_instance_t *instance, const cbw_member_change_t *peer,
+         const cbw_endpoint_t *endpoint)
+{
+    outbound_t *outbound = Outbound_New(PEER_REACH, peer->address);
+
+    outbound->args.reach.address = strdup(endpoint->address);
+    outbound->args.reach.database = strdup(instance->pool.database);
+    outbound->args.reach.endpoint = strdup(endpoint->name);
+    memcpy(outbound->name, peer->name, sizeof(outbound->name));
+    outbound->timeout = REACH_CALL_TIMEOUT;
+    outbound->reply_to = TASK_OWNER;
+    outbound->context = (void *)(uintptr_t)instance->id;
+    instance->reach_waiting++;
+    Task_Post(TASK_OWNER, TASK_PEER, MESSAGE_OUTBOUND, &outbound->message);
+}
+
+static void
+op_ask_reach(void *context, int place)
+{
+    pool_instance_t *instance = context;
+    const cbw_membership_t *members = &PoolTask_State.view->membership;
+    size_t offset = (size_t)CbwNet_Now();
+
+    instance->reach_waiting = 0;
+    for (size_t i = 0;
+         i < members->count && instance->reach_waiting < REACH_PEERS; i++) {
+        const cbw_member_change_t *peer =
+            &members->members[(i + offset) % members->count].public;
+        if (peer->state == CBW_MEMBER_ALIVE &&
+            peer != &members->members[0].public) {
+            ask_peer(instance, peer, &instance->pool.endpoints[place].info);
+        }
+    }
+    if (instance->reach_waiting == 0) {
+        CbwPool_OnReach(&instance->pool, CbwNet_Now(), NULL);
+    }
+}
+
+/* A former holder that is not a member any more cannot be asked. */
+static void
+op_ask_former(void *context, const cbw_tenure_holder_t *former)
+{
+    pool_instance_t *instance = context;
+    const cbw_member_t *member =
+        CbwMembership_Find(&PoolTask_State.view->membership, former->host);
+    outbound_t *outbound;
+
+    if (member == NULL || member->public.state == CBW_MEMBER_DEAD) {
+        CbwPool_OnUnreachable(&instance->pool, CbwNet_Now(), former->nonce);
+        return;
+    }
+    outbound = Outbound_New(PEER_GIVE_UP, member->public.address);
+    outbound->args.give_up.database = strdup(instance->pool.database);
+    outbound->args.give_up.nonce = former->nonce;
+    outbound->timeout = REACH_CALL_TIMEOUT;
+    outbound->reply_to = TASK_OWNER;
+    outbound->context = (void *)(uintptr_t)instance->id;
+    Task_Post(TASK_OWNER, TASK_PEER, MESSAGE_OUTBOUND, &outbound->message);
+}
+
+void
+PoolInstance_OnGiveUpDone(outbound_t *outbound)
+{
+    pool_instance_t *instance =
+        find_by_id((uint64_t)(uintptr_t)outbound->context);
+
+    if (instance != NULL && outbound->answered && outbound->result.flag) {
+        CbwPool_OnGivenUp(&instance->pool, CbwNet_Now(),
+                          outbound->args.give_up.nonce);
+    }
+    Outbound_Free(outbound);
+}
+
+void
+PoolInstance_OnReachDone(outbound_t *outbound)
+{
+    pool_instance_t *instance =
+        find_by_id((uint64_t)(uintptr_t)outbound->context);
+
+    if (instance != NULL) {
+        instance->reach_waiting--;
+        if (outbound->answered && outbound->result.flag) {
+            CbwPool_OnReach(&instance->pool, CbwNet_Now(), outbound->name);
+        }
+        else if (instance->reach_waiting == 0) {
+            CbwPool_OnReach(&instance->pool, CbwNet_Now(), NULL);
+        }
+    }
+    Outbound_Free(outbound);
+}
+
+static bool
+op_move(void *context, const char *host)
+{
+    pool_instance_t *instance = context;
+    const cbw_member_t *member =
+        CbwMembership_Find(&PoolTask_State.view->membership, host);
+
+    if (member == NULL || member->public.state == CBW_MEMBER_DEAD) {
+        return false;
+    }
+    snprintf(instance->moved_to, sizeof(instance->moved_to), "%s", host);
+    instance->moved_at = CbwNet_Now();
+    return true;
+}
+
+static const cbw_pool_ops_t pool_ops = {
+    .call = op_call,
+    .abort = op_abort,
+    .end_transaction = op_end_transaction,
+    .answer = op_answer,
+    .attach = op_attach,
+    .detach = op_detach,
+    .read_record = op_read_record,
+    .swap_record = op_swap_record,
+    .ask_former = op_ask_former,
+    .order = op_order,
+    .ask_reach = op_ask_reach,
+    .move = op_move,
+    .decide = op_decide,
+};
+
+/* Instances. */
+
+void
+PoolInstance_UpdateEndpoints(pool_instance_t *instance)
+{
+    const cbw_database_t *database = CbwInventory_Database(
+        &PoolTask_State.config->inventory, instance->pool.database);
+
+    instance->retired = database == NULL;
+    if (database != NULL) {
+        CbwPool_SetEndpoints(&instance->pool, CbwNet_Now(),
+                             database->endpoints, database->endpoint_count);
+    }
+}
+
+pool_instance_t *
+PoolInstance_New(const cbw_database_t *database)
+{
+    pool_instance_t *instance = calloc(1, sizeof(*instance));
+    const cbw_inventory_t *inventory = &PoolTask_State.config->inventory;
+
+    if (instance == NULL) {
+        abort();
+    }
+    instance->id = ++PoolTask_State.next_id;
+    instance->used_at = CbwNet_Now();
+    CbwList_Init(&instance->link);
+    CbwList_Append(&PoolTask_State.instances, &instance->link);
+    CbwPool_Init(&instance->pool, database->name,
+                 CbwQueue_Policy(PoolTask_State.daemon->settings.queue_policy),
+                 inventory->ranks, inventory->rank_count, &pool_ops, instance,
+                 PoolTask_State.daemon->nonce + instance->id,
+                 PoolTask_State.daemon->settings.name,
+                 PoolTask_State.daemon->settings.data_centre,
+                 &PoolTask_State.daemon->counters);
+    instance->pool.latencies = &PoolTask_State.daemon->latencies;
+    PoolInstance_UpdateEndpoints(instance);
+    CbwLog_Write(CBW_LOG_INFO, "owner", "started", "database=%s",
+                 database->name);
+    return instance;
+}
+
+void
+PoolInstance_Free(pool_instance_t *instance)
+{
+    CbwLog_Write(CBW_LOG_INFO, "owner", "stopped", "database=%s",
+                 instance->pool.database);
+    if (instance->preparing != NULL) {
+        PoolInstance_FinishPreparing(instance);
+    }
+    CbwPool_Finish(&instance->pool, CbwNet_Now());
+    CbwList_Remove(&instance->link);
+    free(instance);
+}
+
+void
+PoolInstance_FinishPreparing(pool_instance_t *instance)
+{
+    inbound_t *inbound = instance->preparing;
+
+    instance->preparing = NULL;
+    inbound->result.flag = TRUE;
+    Task_Post(TASK_OWNER, TASK_PEER, MESSAGE_INBOUND_DONE, &inbound->message);
+}
--- a/src/libcarobwind/include/private/pool.h
+++ b/src/libcarobwind/include/private/pool.h
@@ -53,6 +53,8 @@
 void CbwPool_Abandon_(cbw_pool_t *pool, cbw_time_t now, int endpoint);
 /* The primary, if statements may go to it now; else -1. */
 int CbwPool_UsablePrimary_(const cbw_pool_t *pool, cbw_time_t now);
+/* The place of the endpoint called `name`; -1: it has none. */
+int CbwPool_Find_(const cbw_pool_t *pool, const char *name);
 bool CbwPool_HasRoom_(const cbw_pool_t *pool, int endpoint);
 /* Releases answered commits whose proof has come, or ends them. */
 void CbwPool_Prove_(cbw_pool_t *pool, cbw_time_t now);
--- /dev/null
+++ b/src/libcarobwind/pool_endpoints.c
@@ -0,0 +1,99 @@
+#include <string.h>
+
+#include "carobwind/pool.h"
+#include "private/pool.h"
+
+int
+CbwPool_Find_(const cbw_pool_t *pool, const char *name)
+{
+    for (int i = 0; i < Cbw_POOL_ENDPOINTS_MAX; i++) {
+        if (pool->endpoints[i].used &&
+            strcmp(pool->endpoints[i].info.name, name) == 0) {
+            return i;
+        }
+    }
+    return -1;
+}
+
+static void
+drop_endpoint(cbw_pool_t *pool, cbw_time_t now, int index)
+{
+    CbwPool_Decide_(pool, now, "endpoint %s is gone",
+                    pool->endpoints[index].info.name);
+    CbwPool_Abandon_(pool, now, index);
+    pool->ops->detach(pool->context, index);
+    memset(&pool->endpoints[index], 0, sizeof(pool->endpoints[index]));
+}
+
+static void
+add_endpoint(cbw_pool_t *pool, cbw_time_t now, const cbw_endpoint_t *info)
+{
+    for (int i = 0; i < Cbw_POOL_ENDPOINTS_MAX; i++) {
+        cbw_pool_endpoint_t *endpoint = &pool->endpoints[i];
+        if (endpoint->used) {
+            continue;
+        }
+        memset(endpoint, 0, sizeof(*endpoint));
+        endpoint->used = true;
+        endpoint->listed = true;
+        endpoint->info = *info;
+        endpoint->heard_at = now;
+        endpoint->is_near = strcmp(info->data_centre, pool->data_centre) == 0;
+        CbwPool_Decide_(pool, now, "endpoint %s at %s, %d slots%s", info->name,
+                        info->address, info->slots,
+                        info->leaving ? ", leaving" : "");
+        pool->ops->attach(pool->context, i, info);
+        return;
+    }
+    CbwPool_Decide_(pool, now, "endpoint %s: no place left", info->name);
+}
+
+/* The same endpoint, or a new incarnation of it that holds nothing. */
+static bool
+is_same(const cbw_endpoint_t *a, const cbw_endpoint_t *b)
+{
+    return strcmp(a->name, b->name) == 0 &&
+           strcmp(a->address, b->address) == 0 && a->born == b->born;
+}
+
+static const cbw_endpoint_t *
+find_listed(const cbw_endpoint_t *endpoints, int count,
+            const cbw_endpoint_t *wanted)
+{
+    for (int i = 0; i < count; i++) {
+        if (is_same(&endpoints[i], wanted)) {
+            return &endpoints[i];
+        }
+    }
+    return NULL;
+}
+
+void
+CbwPool_SetEndpoints(cbw_pool_t *pool, cbw_time_t now,
+                     const cbw_endpoint_t *endpoints, int count)
+{
+    for (int i = 0; i < Cbw_POOL_ENDPOINTS_MAX; i++) {
+        cbw_pool_endpoint_t *endpoint = &pool->endpoints[i];
+        const cbw_endpoint_t *listed;
+        if (!endpoint->used) {
+            continue;
+        }
+        listed = find_listed(endpoints, count, &endpoint->info);
+        if (listed == NULL) {
+            drop_endpoint(pool, now, i);
+            continue;
+        }
+        if (listed->leaving && !endpoint->info.leaving) {
+            CbwPool_Decide_(pool, now, "endpoint %s is leaving", listed->name);
+        }
+        endpoint->info = *listed;
+    }
+    for (int i = 0; i < count; i++) {
+        int place = CbwPool_Find_(pool, endpoints[i].name);
+        if (place < 0) {
+            add_endpoint(pool, now, &endpoints[i]);
+        }
+    }
+    pool->primary = CbwPool_Find_(pool, pool->tenure.record.primary);
+    CbwPool_Dispatch_(pool, now);
+}
--- a/src/libcarobwind/pool_health.c
+++ b/src/libcarobwind/pool_health.c
@@ -251,22 +251,10 @@
     }
 }
 
-static int
-find_place(const cbw_pool_t *pool, const char *name)
-{
-    for (int i = 0; i < Cbw_POOL_ENDPOINTS_MAX; i++) {
-        if (pool->endpoints[i].used &&
-            strcmp(pool->endpoints[i].info.name, name) == 0) {
-            return i;
-        }
-    }
-    return -1;
-}
-
 static void
 on_published(cbw_pool_t *pool, cbw_time_t now)
 {
-    int former = find_place(pool, pool->former);
+    int former = CbwPool_Find_(pool, pool->former);
 
     set_phase(pool, now, CBW_POOL_SERVING);
     CbwCounter_Add(pool->counters, CBW_COUNTER_PROMOTIONS_WON, 1);
@@ -287,7 +275,7 @@
         return; /* what was known holds until it is read again */
     }
     place = pool->tenure.version != 0
-                ? find_place(pool, pool->tenure.record.primary)
+                ? CbwPool_Find_(pool, pool->tenure.record.primary)
                 : -1;
     if (place == pool->primary) {
         return;
--- /dev/null
+++ b/src/libcarobwind/pool_reply.c
@@ -0,0 +1,290 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "carobwind/pool.h"
+#include "carobwind/token.h"
+#include "private/pool.h"
+
+void
+CbwPool_OnLost_(cbw_pool_t *pool, cbw_time_t now, cbw_request_t *request,
+                cbw_cause_t cause)
+{
+    cbw_pool_transaction_t *transaction =
+        CbwPool_Transaction_(pool, request->transaction);
+    bool commit = request->verb == CBW_VERB_COMMIT;
+
+    if (request->transaction != 0) {
+        if (transaction != NULL) {
+            CbwPool_DropTransaction_(pool, transaction, false);
+        }
+        if (commit && request->writes) {
+            CbwPool_Answer_(pool, request, CBW_OUTCOME_UNKNOWN, cause,
+                            "the commit was sent, and its answer is lost");
+        }
+        else if (request->begins) {
+            /* Nothing of it can be committed: its connection is dropped. */
+            CbwPool_Requeue_(pool, now, request, CBW_CAUSE_ABORTED);
+        }
+        else {
+            CbwPool_Answer_(pool, request, CBW_OUTCOME_NOTRUN,
+                            CBW_CAUSE_ABORTED,
+                            "the transaction's connection is lost");
+        }
+        return;
+    }
+    if (request->writes) {
+        CbwPool_Answer_(pool, request, CBW_OUTCOME_UNKNOWN, cause,
+                        "the write was sent, and its answer is lost");
+        return;
+    }
+    if (now >= request->deadline) {
+        CbwPool_Answer_(pool, request, CBW_OUTCOME_UNKNOWN, CBW_CAUSE_TIMEOUT,
+                        "no answer in the time allowed");
+        return;
+    }
+    CbwPool_Requeue_(pool, now, request, CBW_CAUSE_BUSY);
+}
+
+static void
+set_result(cbw_pool_t *pool, cbw_request_t *request, const cbw_reply_t *reply)
+{
+    cbw_token_t token = {.term = reply->state.last_term,
+                         .position = reply->state.position};
+
+    if (CbwRequest_SetResult(request, reply->result, reply->result_size) !=
+        0) {
+        abort();
+    }
+    if (token.term != 0) {
+        memcpy(token.database, pool->database, sizeof(token.database));
+        CbwToken_Format(&token, request->answer.token);
+    }
+}
+
+/* A commit may be acknowledged under a tenure that was valid after its answer
+ * came, with no promotion begun. */
+static void
+on_committed(cbw_pool_t *pool, cbw_time_t now, cbw_request_t *request,
+             int endpoint)
+{
+    if (endpoint != pool->primary || pool->tenure.record.promoting ||
+        pool->phase >= CBW_POOL_CLAIMING) {
+        CbwPool_Answer_(pool, request, CBW_OUTCOME_UNKNOWN, CBW_CAUSE_IN_DOUBT,
+                        "a promotion began before the answer came");
+        return;
+    }
+    if (CbwTenure_IsValid(&pool->tenure, now)) {
+        CbwPool_Answer_(pool, request, CBW_OUTCOME_DONE, CBW_CAUSE_NONE, "");
+        return;
+    }
+    request->state = CBW_REQUEST_CONFIRMING;
+    request->answered_at = now;
+    request->endpoint = endpoint;
+    CbwList_Append(&pool->proving, &request->link);
+    CbwTenure_Hasten(&pool->tenure, now);
+}
+
+void
+CbwPool_Prove_(cbw_pool_t *pool, cbw_time_t now)
+{
+    cbw_link_t *link;
+    cbw_link_t *safe;
+
+    Cbw_LIST_FOREACH (&pool->proving, link, safe) {
+        cbw_request_t *request = Cbw_LIST_ITEM(link, cbw_request_t, link);
+        bool superseded = request->endpoint != pool->primary ||
+                          pool->tenure.record.promoting ||
+                          pool->phase >= CBW_POOL_CLAIMING ||
+                          pool->tenure.inherited;
+        if (!superseded && CbwTenure_IsValid(&pool->tenure, now)) {
+            CbwPool_Answer_(pool, request, CBW_OUTCOME_DONE, CBW_CAUSE_NONE,
+                            "");
+        }
+        else if (superseded || now >= request->deadline) {
+            CbwPool_Answer_(pool, request, CBW_OUTCOME_UNKNOWN,
+                            CBW_CAUSE_IN_DOUBT,
+                            "no proof that the primary is still the one");
+        }
+    }
+}
+
+static void
+on_done(cbw_pool_t *pool, cbw_time_t now, cbw_request_t *request,
+        const cbw_reply_t *reply, int endpoint)
+{
+    bool commits = request->writes && (request->transaction == 0 ||
+                                       request->verb == CBW_VERB_COMMIT);
+
+    set_result(pool, request, reply);
+    if (commits) {
+        on_committed(pool, now, request, endpoint);
+        return;
+    }
+    CbwPool_Answer_(pool, request, CBW_OUTCOME_DONE, CBW_CAUSE_NONE, "");
+}
+
+void
+CbwPool_OnNotRun_(cbw_pool_t *pool, cbw_time_t now, cbw_request_t *request,
+                  cbw_cause_t cause)
+{
+    cbw_pool_transaction_t *transaction;
+
+    if (request->transaction == 0 || request->begins) {
+        transaction = CbwPool_Transaction_(pool, request->transaction);
+        if (transaction != NULL) {
+            CbwPool_DropTransaction_(pool, transaction, false);
+        }
+        CbwPool_Requeue_(pool, now, request, cause);
+        return;
+    }
+    CbwPool_Answer_(pool, request, CBW_OUTCOME_NOTRUN, CBW_CAUSE_ABORTED,
+                    "a statement of the transaction did not run");
+}
+
+static void
+update_transaction(cbw_pool_t *pool, cbw_time_t now,
+                   const cbw_request_t *request, cbw_reply_status_t status)
+{
+    cbw_pool_transaction_t *transaction;
+    bool answered = status == CBW_REPLY_OK;
+    bool ends;
+
+    if (request->transaction == 0) {
+        return;
+    }
+    transaction = CbwPool_Transaction_(pool, request->transaction);
+    if (transaction == NULL) {
+        return;
+    }
+    transaction->busy = false;
+    transaction->used_at = now;
+    ends =
+        request->verb == CBW_VERB_COMMIT || request->verb == CBW_VERB_ROLLBACK;
+    if (ends || !answered) {
+        /* After an error the connection is dropped, which rolls back. */
+        CbwPool_DropTransaction_(pool, transaction, ends && answered);
+    }
+}
+
+static void
+pause_behind(cbw_pool_endpoint_t *e, cbw_time_t now)
+{
+    e->behind_pause =
+        e->behind_pause == 0 ? Cbw_POOL_BEHIND_PAUSE : 2 * e->behind_pause;
+    if (e->behind_pause > Cbw_POOL_BEHIND_PAUSE_MAX) {
+        e->behind_pause = Cbw_POOL_BEHIND_PAUSE_MAX;
+    }
+    e->behind_until = now + e->behind_pause;
+}
+
+static void
+on_request_reply(cbw_pool_t *pool, cbw_time_t now, cbw_request_t *request,
+                 const cbw_reply_t *reply, int endpoint)
+{
+    cbw_pool_endpoint_t *e = &pool->endpoints[endpoint];
+
+    if (reply->status != CBW_REPLY_LOST) {
+        update_transaction(pool, now, request, reply->status);
+    }
+    switch (reply->status) {
+    case CBW_REPLY_OK:
+        e->behind_pause = 0;
+        on_done(pool, now, request, reply, endpoint);
+        break;
+    case CBW_REPLY_BUSY:
+    case CBW_REPLY_FULL:
+        e->passed_over_until = now + Cbw_POOL_BUSY_PAUSE;
+        CbwPool_OnNotRun_(pool, now, request, CBW_CAUSE_BUSY);
+        break;
+    case CBW_REPLY_BEHIND:
+        pause_behind(e, now);
+        request->needs_primary |=
+            CbwPool_UsablePrimary_(pool, now) >= 0 && !request->reads_only;
+        CbwPool_OnNotRun_(pool, now, request, CBW_CAUSE_BEHIND);
+        break;
+    case CBW_REPLY_SUPERSEDED:
+    case CBW_REPLY_NOT_PRIMARY:
+        e->passed_over_until = now + Cbw_POOL_BEHIND_PAUSE;
+        CbwTenure_Hasten(&pool->tenure, now);
+        CbwPool_OnNotRun_(pool, now, request, CBW_CAUSE_BUSY);
+        break;
+    case CBW_REPLY_FAILED:
+        set_result(pool, request, reply);
+        CbwPool_Answer_(pool, request, CBW_OUTCOME_UNKNOWN, CBW_CAUSE_FAILED,
+                        "the endpoint ran it, and it failed");
+        break;
+    case CBW_REPLY_TIMEOUT:
+        CbwPool_Answer_(pool, request, CBW_OUTCOME_UNKNOWN, CBW_CAUSE_TIMEOUT,
+                        "the endpoint gave it up");
+        break;
+    default:
+        CbwPool_OnLost_(pool, now, request,
+                        now >= request->deadline ? CBW_CAUSE_TIMEOUT
+                                                 : CBW_CAUSE_IN_DOUBT);
+        break;
+    }
+}
+
+static void
+note_reply(cbw_pool_t *pool, cbw_time_t now, const cbw_pool_call_t *call,
+           const cbw_reply_t *reply)
+{
+    cbw_pool_endpoint_t *e = &pool->endpoints[call->endpoint];
+    cbw_position_t position = {reply->state.last_term, reply->state.position};
+
+    if (reply->status == CBW_REPLY_LOST && call->request != NULL) {
+        e->suspect = true;
+        return;
+    }
+    if (reply->status == CBW_REPLY_LOST || reply->status == CBW_REPLY_FULL) {
+        CbwPool_OnFailure_(pool, now, call->endpoint);
+        return;
+    }
+    e->heard_at = now;
+    e->failures = 0;
+    e->suspect = false;
+    if (e->down) {
+        e->down = false;
+        CbwPool_Decide_(pool, now, "endpoint %s answers again", e->info.name);
+    }
+    if (position.term == 0) {
+        return;
+    }
+    e->position = position;
+    if (call->endpoint == pool->primary && call->was_valid &&
+        !pool->tenure.record.promoting) {
+        CbwPool_NotePosition_(pool, call->sent_at, position);
+    }
+}
+
+void
+CbwPool_OnReply(cbw_pool_t *pool, cbw_time_t now, uint64_t id,
+                const cbw_reply_t *reply)
+{
+    cbw_link_t *link = pool->outstanding.next;
+    cbw_pool_call_t *found = NULL;
+    cbw_pool_call_t call;
+
+    for (; link != &pool->outstanding && found == NULL; link = link->next) {
+        cbw_pool_call_t *candidate =
+            Cbw_LIST_ITEM(link, cbw_pool_call_t, link);
+        if (candidate->id == id) {
+            found = candidate;
+        }
+    }
+    if (found == NULL) {
+        return; /* late: given up before */
+    }
+    call = *found;
+    CbwPool_Forget_(pool, found);
+    note_reply(pool, now, &call, reply);
+    if (call.request != NULL) {
+        CbwLatency_Add(pool->latencies, CBW_LATENCY_ENDPOINT,
+                       call.request->rank, now - call.sent_at);
+        on_request_reply(pool, now, call.request, reply, call.endpoint);
+    }
+    else {
+        CbwPool_OnControlReply_(pool, now, &call, reply);
+    }
+    CbwPool_Dispatch_(pool, now);
+}
