Read the registry besides its watches; tell changes that are learned late

Change: each host watches the operators' record again; a change that is learned late gets a number of its own; one host reads both kinds of record whatever the watches say; what is older than what is known is ignored.

Test: wire-deaf-watch fails without the number of its own, passes with it.

--- a/src/carobwindd/registry_task.c
+++ b/src/carobwindd/registry_task.c
@@ -1,8 +1,9 @@
 /* The configuration task for a platform on which endpoints register
  * themselves: the operators' record and the registrations make up one
- * inventory. A few hosts watch the store; the others hear of its revisions
- * with the probes and fetch what has changed from the peer that knows it. A
- * version of the operators' record never goes back. */
+ * inventory. Each host watches the operators' record; a few
+ * watch the registrations, and the others hear of their revisions with the
+ * probes and fetch what has changed from the peer that knows it. A version of
+ * the operators' record never goes back. */
 
 #include <glib.h>
 #include <inttypes.h>
@@ -26,6 +27,12 @@
 /* Longest wait of a watch: a silent one is found by its deadline well within
  * the time in which a change must be in force. */
 #define WATCH_WAIT (9 * Cbw_SEC)
+/* A watch may miss changes and say nothing of it (a store that drops its
+ * history): one host reads the operators' record, and less often the
+ * registrations, whatever its watches say. A change must be in force within
+ * 3 s. */
+#define POLL_INTERVAL (1 * Cbw_SEC)
+#define POLLS_PER_RANGE 4
 /* Pause after changes of registrations, which come in bunches. */
 #define CHANGES_PAUSE (250 * Cbw_MSEC)
 #define RETRY_INTERVAL (150 * Cbw_MSEC)
@@ -50,7 +57,8 @@
     char key[Cbw_NAME_MAX + 16];
     cbw_endpoint_t endpoint;
     char database[Cbw_NAME_MAX];
-    char *text; /* as registered; owned */
+    uint64_t learned; /* the revision at which this host came to know it */
+    char *text;       /* as registered; owned */
     size_t text_size;
     uint64_t version;
     bool seen;          /* in the list that is being read */
@@ -68,7 +76,7 @@
     view_t *view;
     char *config_text; /* as the operators wrote it; owned */
     size_t config_size;
-    uint64_t config_version; /* its revision in the store */
+    uint64_t config_learned; /* the revision at which it came to be known */
     uint64_t revision;       /* of the latest change that is known */
     removal_t removals[REMOVALS_MAX];
     size_t removal_count; /* ever */
@@ -78,6 +86,9 @@
     bool configured;
     bool changed;  /* since the last publication */
     bool fetching; /* from a peer */
+    bool polling;
+    cbw_time_t poll_at;
+    unsigned polls;
     cbw_random_t random;
     ev_timer timer;
 } registry_task_t;
@@ -203,6 +214,15 @@
     }
 }
 
+/* A change that is known later than another that came after it gets a number
+ * of its own, so that peers hear of it too. */
+static uint64_t
+learn(uint64_t version)
+{
+    note_revision(version > self.revision ? version : self.revision + 1);
+    return self.revision;
+}
+
 static void
 take_config(const store_item_t *item)
 {
@@ -225,8 +245,7 @@
         free(self.config_text);
         self.config_text = strdup(text);
         self.config_size = strlen(text);
-        self.config_version = item->version;
-        note_revision(item->version);
+        self.config_learned = learn(item->version);
         CbwCounter_Add(&self.daemon->counters, CBW_COUNTER_CONFIG_APPLIED, 1);
         CbwLog_Write(CBW_LOG_INFO, "config", "in-force",
                      "version=%" PRId64 " routes=%zu databases=%zu",
@@ -247,8 +266,7 @@
     removal_t *removal = &self.removals[self.removal_count++ % REMOVALS_MAX];
 
     snprintf(removal->key, sizeof(removal->key), "%s", key);
-    removal->version = version;
-    note_revision(version);
+    removal->version = learn(version);
 }
 
 static bool
@@ -269,6 +287,10 @@
     cbw_error_t error = {0};
     const char *name = item->key + strlen(self.watches[WATCH_ENDPOINTS].key);
 
+    if (known != NULL && item->version < known->version) {
+        known->seen = true; /* a later state of it is known */
+        return;
+    }
     memset(&fresh, 0, sizeof(fresh));
     if (strlen(item->key) >= sizeof(fresh.key) ||
         memchr(item->value, '\0', item->value_size) != NULL ||
@@ -284,7 +306,6 @@
         }
         return;
     }
-    note_revision(item->version);
     snprintf(fresh.key, sizeof(fresh.key), "%s", item->key);
     fresh.version = item->version;
     fresh.seen = true;
@@ -303,6 +324,7 @@
         g_hash_table_insert(self.registrations, known->key, known);
     }
     free(known->text);
+    fresh.learned = learn(item->version);
     *known = fresh;
     known->text = malloc(item->value_size + 1);
     if (known->text == NULL) {
@@ -374,7 +396,8 @@
     g_hash_table_iter_init(&iterator, self.registrations);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         registration_t *registration = value;
-        if (!registration->seen) {
+        /* What came after the list was made does not stand in it. */
+        if (!registration->seen && registration->version <= version) {
             remove_registration(registration, version, now);
         }
     }
@@ -420,7 +443,8 @@
     /* At the start everybody reads what is there, which may lag. */
     bool first = !watch->read;
 
-    if (watch->asked || now < watch->ask_at || (!first && !is_watcher())) {
+    if (watch->asked || now < watch->ask_at ||
+        (!first && id == WATCH_ENDPOINTS && !is_watcher())) {
         return;
     }
     watch->asked = true;
@@ -434,6 +458,48 @@
     Task_Post(TASK_CONFIG, TASK_STORE, MESSAGE_STORE, &call->message);
 }
 
+static void
+poll_store(cbw_time_t now)
+{
+    bool range = self.polls % POLLS_PER_RANGE == POLLS_PER_RANGE - 1;
+    store_call_t *call;
+
+    if (self.polling || now < self.poll_at || self.view == NULL ||
+        CbwMembership_Rank(&self.view->membership, WATCHER_ROLE) != 0) {
+        return;
+    }
+    self.polling = true;
+    self.polls++;
+    self.poll_at = now + POLL_INTERVAL;
+    call = range ? StoreCall_New(STORE_RANGE, self.driver->endpoints_prefix)
+                 : StoreCall_New(STORE_GET, self.driver->config_key);
+    call->reply_to = TASK_CONFIG;
+    call->context = &self.polling;
+    Task_Post(TASK_CONFIG, TASK_STORE, MESSAGE_STORE, &call->message);
+}
+
+static void
+on_polled(store_call_t *call)
+{
+    cbw_time_t now = CbwNet_Now();
+    store_item_t config = {
+        .key = call->key, .value = call->value, .version = call->version};
+
+    self.polling = false;
+    if (call->status == CBW_STORE_OK && call->verb == STORE_GET) {
+        take_item(WATCH_CONFIG, &config, now);
+    }
+    else if (call->status == CBW_STORE_OK) {
+        mark_unseen();
+        for (size_t i = 0; i < call->item_count; i++) {
+            take_item(WATCH_ENDPOINTS, &call->items[i], now);
+        }
+        remove_unseen(call->version, now);
+    }
+    StoreCall_Free(call);
+    publish();
+}
+
 static void
 on_store_done(store_call_t *call)
 {
@@ -588,9 +654,9 @@
     if (result->items.items_val == NULL) {
         abort();
     }
-    if (self.config_text != NULL && self.config_version > since) {
+    if (self.config_text != NULL && self.config_learned > since) {
         add_item(result, self.driver->config_key, self.config_text,
-                 self.config_size, self.config_version);
+                 self.config_size, self.config_learned);
     }
     for (size_t i = 0; i < kept && !whole; i++) {
         if (self.removals[i].version > since) {
@@ -602,7 +668,7 @@
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         const registration_t *registration = value;
         if (registration->gone_at == 0 &&
-            (whole || registration->version > since)) {
+            (whole || registration->learned > since)) {
             add_item(result, registration->key, registration->text,
                      registration->text_size, registration->version);
         }
@@ -623,9 +689,16 @@
 {
     (void)state;
     switch (message->type) {
-    case MESSAGE_STORE_DONE:
-        on_store_done(Cbw_LIST_ITEM(message, store_call_t, message));
+    case MESSAGE_STORE_DONE: {
+        store_call_t *call = Cbw_LIST_ITEM(message, store_call_t, message);
+        if (call->context == &self.polling) {
+            on_polled(call);
+        }
+        else {
+            on_store_done(call);
+        }
         break;
+    }
     case MESSAGE_OUTBOUND_DONE:
         on_fetched(Cbw_LIST_ITEM(message, outbound_t, message));
         break;
@@ -664,6 +737,7 @@
     (void)events;
     forget_gone(now);
     publish();
+    poll_store(now);
     for (int i = 0; i < WATCH_COUNT_; i++) {
         ask((watch_id_t)i, now);
     }
--- a/test/lib/platform_standin.tcl
+++ b/test/lib/platform_standin.tcl
@@ -3,7 +3,7 @@
 # protocol. One process, driven by lines on a control connection:
 #   tclsh platform_standin.tcl NETWORK     listens on NETWORK.9.1 to .9.4
 # Commands: kill E, start E, leave E, config TEXT, store up|down|reject,
-# work MS, runs, log E, quit. Each is answered by one line.
+# deaf 0|1 (watches miss changes), work MS, runs, log E, quit. Each is answered by one line.
 
 package require json
 
@@ -19,6 +19,7 @@
 set history {}
 set watches {}
 set mode up
+set deaf 0
 
 proc put {key value} {
     set created [incr ::revision]
@@ -93,6 +94,9 @@
 }
 
 proc wake_watches {} {
+    if {$::deaf} {
+        return
+    }
     set kept {}
     foreach watch $::watches {
         lassign $watch channel prefix after
@@ -110,7 +114,9 @@
     foreach watch $::watches {
         lassign $watch waiting prefix after
         if {$waiting eq $channel} {
-            answer_watch $channel $prefix $after
+            # A deaf watch ends with no event, past what it missed.
+            answer_watch $channel $prefix \
+                [expr {$::deaf ? $::revision : $after}]
         } else {
             lappend kept $watch
         }
@@ -475,6 +481,7 @@
         }
         config { put op/config [string range $line 7 end]; return ok }
         store { set ::mode $subject; return ok }
+        deaf { set ::deaf $subject; return ok }
         work { set ::work_ms $subject; return ok }
         primary { return [primary] }
         runs { return $::runs }
--- a/test/scenarios/wire.tcl
+++ b/test/scenarios/wire.tcl
@@ -365,3 +365,14 @@
     set a [wire::connect host2 pay]
     eventually {[lindex [wire::run $a "WRITE k v"] 0] eq "done"} 3000
 }
+
+# Found by deploy/days/compact-drain.toml on quotes, seed 192066740088.
+scenario wire-deaf-watch "watches miss a change; it is in force all the same" {
+    wire::fleet
+    after 1500
+    wire::tell deaf 1
+    wire::tell config [string map {{"version":1} {"version":2} {"database":"old"} {"database":"new"}} $wire::config]
+    foreach host {host1 host2 host3} {
+        eventually {![catch {wire::connect $host new}]} 3000
+    }
+}
