--- a/src/carobwindd/pool_task.c
+++ b/src/carobwindd/pool_task.c
@@ -40,8 +40,7 @@
     inbound->result.flag = TRUE;
     for (; link != &PoolTask_State.instances; link = link->next) {
         pool_instance_t *instance = Cbw_LIST_ITEM(link, pool_instance_t, link);
-        if (instance->pool.tenure.self.nonce ==
-            inbound->args.give_up.nonce) {
+        if (instance->pool.tenure.self.nonce == inbound->args.give_up.nonce) {
             inbound->result.flag =
                 CbwPool_GiveUp(&instance->pool, CbwNet_Now());
         }
