End a settling request while its call is on its way

Cause: CbwOwner_Answer_ freed a request whose key was being settled, while the call that settles it was outstanding; the end of that call touched the freed request (heap-use-after-free in CbwOwner_Forget_, found by ASan in the RESP scenarios). Ruled out: the pool, which answers only what has no call.

Change: the answer parts the call from its request, as CbwOwner_Forget_ does; the call ends by itself later. Test /owner/settling-runs-out: segmentation fault, and the ASan report, before; passes after. Three scenarios that showed it (statement-outlives-deadline, platform-down, platform-slow) run under ASan without a report.

primary-frozen, failed once before ("kill: No such process"): cause in the test language. It sent signals to process numbers noted at the start, also after the process had crashed and been collected; with 32,768 numbers and parallel scenarios they are given anew within an hour, and the end of one scenario killed a process of another. Signals now go only to a process with the noted start time (test/fleet.test: finish-1, signal-1). A scenario now fails when a process ends that it did not end; such a crash passed unnoticed before.

--- a/src/libcarobwind/include/private/owner.h
+++ b/src/libcarobwind/include/private/owner.h
@@ -13,10 +13,13 @@
 bool CbwOwner_Send_(cbw_owner_t *owner, cbw_time_t now, int endpoint,
                     cbw_call_t *call, cbw_request_t *request,
                     cbw_time_t timeout);
+/* The call on its way with this id; NULL: none. */
+cbw_outstanding_t *CbwOwner_Outstanding_(cbw_owner_t *owner, uint64_t id);
 /* Forgets an outstanding call. */
 void CbwOwner_Forget_(cbw_owner_t *owner, cbw_outstanding_t *outstanding,
                       cbw_time_t latency);
-/* Ends the request and hands it back. */
+/* Ends the request and hands it back. A call of its own that is on its way
+ * goes on without it. */
 void CbwOwner_Answer_(cbw_owner_t *owner, cbw_time_t now,
                       cbw_request_t *request, cbw_outcome_t outcome,
                       const char *reason);
--- a/src/libcarobwind/owner.c
+++ b/src/libcarobwind/owner.c
@@ -166,11 +166,43 @@
     va_end(arguments);
 }
 
+cbw_outstanding_t *
+CbwOwner_Outstanding_(cbw_owner_t *owner, uint64_t id)
+{
+    cbw_link_t *link;
+    cbw_link_t *safe;
+
+    Cbw_LIST_FOREACH (&owner->outstanding, link, safe) {
+        cbw_outstanding_t *outstanding =
+            Cbw_LIST_ITEM(link, cbw_outstanding_t, link);
+        if (outstanding->id == id) {
+            return outstanding;
+        }
+    }
+    return NULL;
+}
+
+/* Parts a call on its way from its request. */
+static void
+detach(cbw_owner_t *owner, cbw_outstanding_t *outstanding, cbw_time_t latency)
+{
+    if (outstanding->request == NULL) {
+        return;
+    }
+    outstanding->request->call = 0;
+    outstanding->request = NULL;
+    CbwLimit_OnEnd(&owner->group.endpoints[outstanding->endpoint].limit,
+                   owner->policies.limit, latency);
+}
+
 void
 CbwOwner_Answer_(cbw_owner_t *owner, cbw_time_t now, cbw_request_t *request,
                  cbw_outcome_t outcome, const char *reason)
 {
     (void)now;
+    if (request->call != 0) {
+        detach(owner, CbwOwner_Outstanding_(owner, request->call), -1);
+    }
     CbwList_Remove(&request->link);
     CbwRequest_End(request, outcome, reason);
     owner->ops->answer(owner->context, request);
@@ -225,11 +257,7 @@
 {
     int endpoint = outstanding->endpoint;
 
-    if (outstanding->request != NULL) {
-        outstanding->request->call = 0;
-        CbwLimit_OnEnd(&owner->group.endpoints[endpoint].limit,
-                       owner->policies.limit, latency);
-    }
+    detach(owner, outstanding, latency);
     if (owner->state_calls[endpoint] == outstanding) {
         owner->state_calls[endpoint] = NULL;
     }
@@ -390,13 +418,9 @@
         }
     }
     for (size_t i = 0; i < count; i++) {
-        Cbw_LIST_FOREACH (&owner->outstanding, link, safe) {
-            cbw_outstanding_t *outstanding =
-                Cbw_LIST_ITEM(link, cbw_outstanding_t, link);
-            if (outstanding->id == late[i]) {
-                expire_call(owner, now, outstanding);
-                break;
-            }
+        cbw_outstanding_t *outstanding = CbwOwner_Outstanding_(owner, late[i]);
+        if (outstanding != NULL) {
+            expire_call(owner, now, outstanding);
         }
     }
 }
--- a/src/libcarobwind/owner_reply.c
+++ b/src/libcarobwind/owner_reply.c
@@ -6,22 +6,6 @@
 /* Retry-after of a read whose token is ahead of the primary. */
 #define TOKEN_RETRY_AFTER (100 * Cbw_MSEC)
 
-static cbw_outstanding_t *
-find_outstanding(cbw_owner_t *owner, uint64_t id)
-{
-    cbw_link_t *link;
-    cbw_link_t *safe;
-
-    Cbw_LIST_FOREACH (&owner->outstanding, link, safe) {
-        cbw_outstanding_t *outstanding =
-            Cbw_LIST_ITEM(link, cbw_outstanding_t, link);
-        if (outstanding->id == id) {
-            return outstanding;
-        }
-    }
-    return NULL;
-}
-
 static void
 set_token(const cbw_owner_t *owner, cbw_request_t *request, uint64_t term,
           uint64_t position)
@@ -297,7 +281,7 @@
 CbwOwner_OnReply(cbw_owner_t *owner, cbw_time_t now, uint64_t id,
                  const cbw_reply_t *reply)
 {
-    cbw_outstanding_t *found = find_outstanding(owner, id);
+    cbw_outstanding_t *found = CbwOwner_Outstanding_(owner, id);
     cbw_outstanding_t outstanding;
     cbw_request_t *request;
     cbw_time_t latency = -1;
--- a/src/test_libcarobwind/fake_group.c
+++ b/src/test_libcarobwind/fake_group.c
@@ -333,8 +333,12 @@
             start_waiting(group, number);
         }
         break;
-    case CBW_CALL_ROLLBACK:
     case CBW_CALL_CANCEL:
+        if (endpoint->cancels_lost) {
+            break;
+        }
+        /* fall through */
+    case CBW_CALL_ROLLBACK:
         run_statement(group, number, event);
         break;
     case CBW_CALL_STATE:
--- a/src/test_libcarobwind/fake_group.h
+++ b/src/test_libcarobwind/fake_group.h
@@ -33,8 +33,9 @@
 } fake_log_entry_t;
 
 typedef struct {
-    bool down;   /* answers nothing */
-    bool silent; /* statements get no answer; control calls do */
+    bool down;         /* answers nothing */
+    bool silent;       /* statements get no answer; control calls do */
+    bool cancels_lost; /* nor do cancellations */
     uint64_t term;
     bool primary;
     uint64_t follows;
--- a/src/test_libcarobwind/test_owner.c
+++ b/src/test_libcarobwind/test_owner.c
@@ -189,6 +189,21 @@
     FakeGroup_Finish(&group);
 }
 
+/* Time runs out while the call that settles the key is on its way: the request
+ * is answered once, and the late end of that call changes nothing. */
+static void
+test_settling_runs_out_of_time(void)
+{
+    start();
+    group.endpoints[0].silent = true;
+    group.endpoints[0].cancels_lost = true;
+    submit_write("payment", "k1");
+    run_for(5 * Cbw_SEC);
+    assert_outcomes(0, 0, 1);
+    g_assert_cmpint(group.owner.group.endpoints[0].limit.in_flight, ==, 0);
+    FakeGroup_Finish(&group);
+}
+
 /* Repeats of slow statements do not fill the slots: each is sent three times
  * at the most before it is done. */
 static void
@@ -364,6 +379,7 @@
         {"/owner/peers-reach", test_peers_that_reach_take_over},
         {"/owner/unsent", test_unsent_is_notrun},
         {"/owner/unanswered", test_unanswered_is_settled},
+        {"/owner/settling-runs-out", test_settling_runs_out_of_time},
         {"/owner/slow-statements", test_slow_statements_are_not_multiplied},
         {"/owner/reads-replica", test_reads_use_replicas},
         {"/owner/reads-behind", test_reads_behind_go_to_primary},
--- a/test/check.tcl
+++ b/test/check.tcl
@@ -152,6 +152,7 @@
 set outputs [dict create]
 if {$only eq "*"} {
     run_tcltest [file join $root test checker.test]
+    run_tcltest [file join $root test fleet.test]
     run_glib kernel [file join $root build bin test_libcarobwind]
     run_glib sanitized [file join $root build-asan bin test_libcarobwind] \
         -p /fuzz -p /inventory -p /membership -p /owner -p /queue -p /token \
--- a/test/lib/fleet.tcl
+++ b/test/lib/fleet.tcl
@@ -11,6 +11,8 @@
     variable block 40
     variable dir ""
     variable pids [dict create]
+    variable started [dict create]
+    variable ending [dict create] ;# were told to end
     variable settings [dict create]
     variable hosts {}
     variable endpoints {}
@@ -45,7 +47,29 @@
     variable pids
     set pid [exec [file join $bin $program] {*}$arguments \
         >>& [log_file $name] &]
+    track $name $pid
+}
+
+# Notes a process with the time at which it started: the system gives the
+# number of one that has ended to another, which must not get its signals.
+proc fleet::track {name pid} {
+    variable pids
+    variable started
+    variable ending
     dict set pids $name $pid
+    dict unset ending $name
+    dict set started $name [process_field $pid 19]
+}
+
+# Sends a signal to a process of the fleet; an error when it has ended.
+proc fleet::signal {name signal} {
+    if {![is_running $name]} {
+        error "$name has ended by itself: [string range [read_log $name] end-300 end]"
+    }
+    if {$signal in {TERM KILL}} {
+        will_end $name
+    }
+    exec kill -$signal [pid $name]
 }
 
 # Starts a process of the fleet again, with the settings that it had.
@@ -315,25 +339,34 @@
 
 proc fleet::is_running {name} {
     variable pids
-    return [expr {[dict exists $pids $name] &&
-        ![catch {exec kill -0 [dict get $pids $name]}] &&
-        [string index [process_state [dict get $pids $name]] 0] ne "Z"}]
+    variable started
+    if {![dict exists $pids $name]} {
+        return 0
+    }
+    set pid [dict get $pids $name]
+    return [expr {[process_field $pid 0] ne "Z" &&
+        [process_field $pid 19] eq [dict get $started $name]}]
 }
 
-proc fleet::process_state {pid} {
+# A field of a process's state line, counted from its state; a process that is
+# gone is in state Z.
+proc fleet::process_field {pid number} {
     if {[catch {open /proc/$pid/stat} file]} {
         return "Z"
     }
-    set text [read $file]
+    set code [catch {read $file} text]
     close $file
+    if {$code} {
+        return "Z"
+    }
     return [lindex [split [string range $text \
-        [expr {[string last ")" $text] + 2}] end]] 0]
+        [expr {[string last ")" $text] + 2}] end]] $number]
 }
 
 # Kills a process, so that nothing of it can be finished.
 proc kill {name} {
     variable fleet::pids
-    catch {exec kill -9 [fleet::pid $name]}
+    fleet::signal $name KILL
     dict unset pids $name
 }
 
@@ -341,7 +374,7 @@
 proc stop {name {timeout_ms 20000}} {
     variable fleet::pids
     set begin [clock milliseconds]
-    exec kill -TERM [fleet::pid $name]
+    fleet::signal $name TERM
     while {[fleet::is_running $name]} {
         if {[clock milliseconds] - $begin > $timeout_ms} {
             error "$name does not stop"
@@ -353,11 +386,11 @@
 }
 
 proc freeze {name} {
-    exec kill -STOP [fleet::pid $name]
+    fleet::signal $name STOP
 }
 
 proc thaw {name} {
-    exec kill -CONT [fleet::pid $name]
+    fleet::signal $name CONT
 }
 
 proc fleet::fault {name words} {
@@ -441,7 +474,7 @@
         --local-ip=[dict get $options -from] \
         --seed=$fleet::seed --label=$name --journal=$base.journal --plot=$base.svg \
         --json --quiet > $base.json 2> $base.err &]
-    dict set fleet::pids work-$name $pid
+    fleet::track work-$name $pid
     dict set works $name $base
 }
 
@@ -557,12 +590,33 @@
     }
 }
 
+# The process is about to end by other means than a signal from here.
+proc fleet::will_end {name} {
+    variable ending
+    dict set ending $name 1
+}
+
+# Fails the scenario when a process that it did not end is gone.
+proc fleet::check_alive {} {
+    variable pids
+    variable ending
+    foreach name [dict keys $pids] {
+        if {![string match work-* $name] && ![dict exists $ending $name] &&
+            ![is_running $name]} {
+            error "$name has ended by itself:\
+                [string range [read_log $name] end-300 end]"
+        }
+    }
+}
+
 # Ends all processes of the fleet.
 proc fleet::finish {} {
     variable pids
     dict for {name pid} $pids {
-        catch {exec kill -CONT $pid}
-        catch {exec kill -9 $pid}
+        if {[is_running $name]} {
+            catch {exec kill -CONT $pid}
+            catch {exec kill -9 $pid}
+        }
     }
     set pids [dict create]
 }
--- a/test/scenarios.tcl
+++ b/test/scenarios.tcl
@@ -16,7 +16,10 @@
 # Runs one scenario here. Returns "" or what failed.
 proc run_scenario {name} {
     set body [dict get $::scenarios $name body]
-    set code [catch {apply [list {} $body]} message options]
+    set code [catch {
+        apply [list {} $body]
+        fleet::check_alive
+    } message options]
     fleet::finish
     if {$code && [info exists ::env(VERBOSE)]} {
         puts [dict get $options -errorinfo]
--- a/test/scenarios/connections.tcl
+++ b/test/scenarios/connections.tcl
@@ -133,7 +133,8 @@
         lappend channels $channel
     }
     after 100
-    exec kill -TERM [fleet::pid $entry] [fleet::pid $owner]
+    fleet::signal $entry TERM
+    fleet::signal $owner TERM
     foreach channel $channels {
         set answer [resp::receive $channel 5000]
         expect {[lindex $answer 0] eq "done"} $answer
@@ -147,6 +148,7 @@
     fleet -hosts 5
     storm 8 {
         set owner [owner_of db1]
+        fleet::will_end $owner
         ctl drain $owner
         eventually {![fleet::is_running $owner]}
     }
--- a/test/scenarios/wire.tcl
+++ b/test/scenarios/wire.tcl
@@ -28,7 +28,7 @@
     file mkdir $fleet::dir
     set pid [exec tclsh [file join $fleet::root test lib platform_standin.tcl] \
         [network] >& [fleet::log_file standin] &]
-    dict set fleet::pids standin $pid
+    fleet::track standin $pid
     fleet::wait_port [network].9.1:7399 standin
     set control [socket [network].9.1 7399]
     tell config $config
@@ -248,7 +248,7 @@
 
 scenario wire-host-stops "a host stops gracefully under load" {
     wire::fleet
-    lassign [wire::storm 6 { exec kill -TERM [dict get $fleet::pids host1] }] \
+    lassign [wire::storm 6 { fleet::signal host1 TERM }] \
         outcomes
     wire::check $outcomes 0
     foreach outcome [dict values $outcomes] {
