Start a whole fleet with one view of its owners; hold store calls back

Cause: after a loss of power of all hosts each took itself for the owner of what it did not see another for: hosts on the list counted as dead until they answered, joining ones took no work.

Change: CbwMembership_BeginService tells a cold start (less than a quarter of the members take work); for 2 s then every member that may come counts, so that all hosts name the same owners at once. A host writes its record into the host list only where it does not stand there. While neither the store nor a peer answers, one call in 300 ms tries; the others end as lost and are counted (store_held_back_total). A holder that counts as dead is asked before its promotion is taken over: as a partition heals, many count as dead that are not.

--- a/include/carobwind/membership.h
+++ b/include/carobwind/membership.h
@@ -17,6 +17,10 @@
 /* Names of the members of cbw_member_state_t, in their order. */
 extern const char *const CbwMembership_StateString[];
 
+/* A cold start counts as over after this time; a member has then been probed
+ * and has told, or is dead. */
+#define Cbw_MEMBERSHIP_COLD_FOR (2 * Cbw_SEC)
+
 /* Most changes that one probe carries. */
 #define Cbw_MEMBER_CHANGES_MAX 12
 
@@ -64,7 +68,8 @@
     cbw_member_t *members;
     size_t count;
     size_t capacity;
-    uint64_t epoch; /* grows with each change that may move an owner */
+    uint64_t epoch;        /* grows with each change that may move an owner */
+    cbw_time_t cold_until; /* of a cold start; 0: it is none, or over */
     size_t next_probe;
     cbw_time_t next_probe_at;
 } cbw_membership_t;
@@ -110,6 +115,11 @@
  * yet; CbwMembership_Arrive ends that. */
 void CbwMembership_BeginJoining(cbw_membership_t *membership);
 void CbwMembership_Arrive(cbw_membership_t *membership, cbw_time_t now);
+/* Call it when the members are known and before work is sent to any: where
+ * hardly any of them takes work the whole fleet starts, and each member that
+ * may come counts as one that takes work for Cbw_MEMBERSHIP_COLD_FOR. So all
+ * hosts choose the same owners before they have heard of each other. */
+void CbwMembership_BeginService(cbw_membership_t *membership, cbw_time_t now);
 /* Whether any other member takes work. */
 bool CbwMembership_HasOthers(const cbw_membership_t *membership);
 /* Whether at least half of the members answer, this host included. */
--- a/src/carobwindd/member_task.c
+++ b/src/carobwindd/member_task.c
@@ -41,6 +41,7 @@
     bool joined;  /* a peer sent its members */
     bool arrived; /* takes work */
     bool leaving;
+    bool recorded; /* this host's record stands in the list */
     cbw_time_t started_at;
     ev_timer timer;
 } member_task_t;
@@ -261,7 +262,7 @@
         return;
     }
     self.list_at = now + LIST_INTERVAL;
-    if (self.membership.count > 1 &&
+    if (self.recorded && self.membership.count > 1 &&
         CbwMembership_Rank(&self.membership, "host-list") >= LIST_READERS) {
         return;
     }
@@ -339,19 +340,40 @@
     Task_Post(TASK_MEMBER, TASK_STORE, MESSAGE_STORE, &call->message);
 }
 
+/* Writes the host's record unless it stands in the list, as after a restart:
+ * a whole fleet that starts need not write one each. */
+static void
+check_record(const store_call_t *call)
+{
+    const settings_t *settings = &self.daemon->settings;
+
+    if (!self.daemon->prepares || self.leaving) {
+        return;
+    }
+    self.recorded = false;
+    for (int i = 0; i + 4 <= call->word_count; i += 4) {
+        self.recorded |= strcmp(call->words[i], settings->name) == 0 &&
+                         strcmp(call->words[i + 2], settings->peers) == 0;
+    }
+    if (!self.recorded) {
+        put_record("alive");
+    }
+}
+
 static void
 on_list(store_call_t *call)
 {
     if (call->verb != STORE_HOSTS) {
-        if (call->status != CBW_STORE_OK && call->verb == STORE_SWAP &&
-            !self.leaving) {
-            put_record("alive"); /* until it stands there */
+        if (call->verb == STORE_SWAP) {
+            /* Otherwise the list is read again, and it is tried again. */
+            self.recorded = call->status == CBW_STORE_OK;
         }
         StoreCall_Free(call);
         return;
     }
     self.list_asked = false;
     if (call->status == CBW_STORE_OK) {
+        check_record(call);
         for (int i = 0; i + 4 <= call->word_count; i += 4) {
             hear_listed(call->words[i], call->words[i + 1], call->words[i + 2],
                         call->words[i + 3]);
@@ -524,6 +546,9 @@
         !is_settled(CbwNet_Now())) {
         return;
     }
+    if (!self.daemon->joined) {
+        CbwMembership_BeginService(&self.membership, CbwNet_Now());
+    }
     arrive(false);
     self.published_epoch = self.membership.epoch;
     self.daemon->joined = true;
@@ -647,9 +672,7 @@
         CbwMembership_BeginJoining(&self.membership);
     }
     Task_Register(daemon->loop, TASK_MEMBER, handle, NULL);
-    if (daemon->prepares) {
-        put_record("alive");
-    }
+    self.recorded = !daemon->prepares;
     ev_timer_init(&self.timer, on_tick, TICK_SECONDS, TICK_SECONDS);
     ev_timer_start(daemon->loop, &self.timer);
     return 0;
--- a/src/carobwindd/pool_instance.c
+++ b/src/carobwindd/pool_instance.c
@@ -249,7 +249,14 @@
     }
 }
 
-/* A former holder that is not a member any more cannot be asked. */
+static bool
+is_gone(const cbw_member_t *member)
+{
+    return member == NULL || member->public.state == CBW_MEMBER_DEAD;
+}
+
+/* A former holder that is not a member any more cannot be asked; one that
+ * counts as dead can: as a partition heals, many do that are not. */
 static void
 op_ask_former(void *context, const cbw_tenure_holder_t *former)
 {
@@ -258,11 +265,12 @@
         CbwMembership_Find(&PoolTask_State.view->membership, former->host);
     outbound_t *outbound;
 
-    if (member == NULL || member->public.state == CBW_MEMBER_DEAD) {
+    if (member == NULL) {
         CbwPool_OnUnreachable(&instance->pool, CbwNet_Now(), former->nonce);
         return;
     }
     outbound = Outbound_New(PEER_GIVE_UP, member->public.address);
+    snprintf(outbound->name, sizeof(outbound->name), "%s", former->host);
     outbound->args.give_up.database = strdup(instance->pool.database);
     outbound->args.give_up.nonce = former->nonce;
     outbound->timeout = REACH_CALL_TIMEOUT;
@@ -281,6 +289,12 @@
         CbwPool_OnGivenUp(&instance->pool, CbwNet_Now(),
                           outbound->args.give_up.nonce);
     }
+    else if (instance != NULL && !outbound->answered &&
+             is_gone(CbwMembership_Find(&PoolTask_State.view->membership,
+                                        outbound->name))) {
+        CbwPool_OnUnreachable(&instance->pool, CbwNet_Now(),
+                              outbound->args.give_up.nonce);
+    }
     Outbound_Free(outbound);
 }
 
@@ -309,7 +323,7 @@
     const cbw_member_t *member =
         CbwMembership_Find(&PoolTask_State.view->membership, host);
 
-    if (member == NULL || member->public.state == CBW_MEMBER_DEAD) {
+    if (is_gone(member)) {
         return false;
     }
     snprintf(instance->moved_to, sizeof(instance->moved_to), "%s", host);
--- a/src/carobwindd/store_task.c
+++ b/src/carobwindd/store_task.c
@@ -19,8 +19,13 @@
 /* Peers that are asked to make one call. */
 #define PEERS_ASKED 2
 /* While the store does not answer this host, its own call is tried this
- * often. */
+ * often: while peers make its calls, and while they cannot either (a return
+ * must be seen well within the 2 s in which registrations come back). */
 #define OWN_TRY_INTERVAL (1 * Cbw_SEC)
+#define OWN_TRY_INTERVAL_AWAY (300 * Cbw_MSEC)
+/* Lost calls in a row after which the others are not made meanwhile: one may
+ * be lost by itself. */
+#define AWAY_FAILURES 2
 /* After peers could not make a call either, they are left alone so long. */
 #define PEERS_PAUSE (1 * Cbw_SEC)
 
@@ -31,8 +36,9 @@
     uint64_t next_id;
     double tokens;
     cbw_time_t refilled_at;
-    bool answering; /* as far as the last call shows */
-    cbw_time_t own_try_at;
+    bool answering;    /* as far as the last call shows */
+    unsigned failures; /* of this host's own calls in a row */
+    cbw_time_t own_tried_at;
     cbw_time_t peers_at;
     view_t *view;
     size_t next_peer;
@@ -44,10 +50,10 @@
 static void
 note_health(bool answering)
 {
+    self.failures = answering ? 0 : self.failures + 1;
     if (answering != self.answering) {
         self.answering = answering;
         self.daemon->store_answers = answering;
-        self.own_try_at = CbwNet_Now() + OWN_TRY_INTERVAL;
         CbwLog_Write(answering ? CBW_LOG_INFO : CBW_LOG_WARNING, "store",
                      answering ? "answers" : "silent", "address=%s",
                      self.daemon->settings.platform);
@@ -255,6 +261,16 @@
     return true;
 }
 
+static bool
+is_own_try_due(cbw_time_t now)
+{
+    cbw_time_t interval = self.view != NULL && now >= self.peers_at
+                              ? OWN_TRY_INTERVAL
+                              : OWN_TRY_INTERVAL_AWAY;
+
+    return self.answering || now - self.own_tried_at >= interval;
+}
+
 static void
 start(store_call_t *call)
 {
@@ -267,10 +283,18 @@
         deliver(call);
         return;
     }
-    if (!self.answering && now < self.own_try_at && ask_peer(call)) {
-        return;
+    if (!is_own_try_due(now)) {
+        if (ask_peer(call)) {
+            return;
+        }
+        if (self.failures >= AWAY_FAILURES) {
+            CbwCounter_Add(&self.daemon->counters, CBW_COUNTER_STORE_HELD_BACK,
+                           1);
+            deliver(call);
+            return;
+        }
     }
-    self.own_try_at = now + OWN_TRY_INTERVAL;
+    self.own_tried_at = now;
     call->id = ++self.next_id;
     CbwCounter_Add(&self.daemon->counters, CBW_COUNTER_STORE_CALLS, 1);
     self.driver->call(call);
--- a/src/libcarobwind/counter.c
+++ b/src/libcarobwind/counter.c
@@ -32,6 +32,7 @@
     "store_calls_total",
     "store_failures_total",
     "store_through_peers_total",
+    "store_held_back_total",
     "peer_control_messages_total",
     "peer_control_bytes_total",
     "probes_total",
--- a/src/libcarobwind/membership.c
+++ b/src/libcarobwind/membership.c
@@ -23,6 +23,9 @@
 #define UNHEARD_PROBES 4
 /* A dead member is probed this often, so that healed partitions are found. */
 #define DEAD_PROBE_INTERVAL (3 * Cbw_SEC)
+/* The start is a cold one when less than one in so many members takes work: a
+ * host that joins a fleet which serves learns of most from the first peer. */
+#define COLD_PART 4
 /* A change is sent this many times, for each power of two of the fleet. */
 #define TRANSMISSIONS_FACTOR 3
 
@@ -234,6 +237,7 @@
         member = add_member(membership, &listed);
         if (member != NULL) {
             member->changed_at = now;
+            membership->epoch += membership->cold_until != 0;
         }
         return;
     }
@@ -474,6 +478,8 @@
     }
     if (waited >= 3 * settings->probe_timeout) {
         member->probed_at = 0;
+        membership->epoch +=
+            membership->cold_until != 0 && member->public.incarnation == 0;
         if (member->public.state == CBW_MEMBER_ALIVE) {
             set_state(membership, now, member, CBW_MEMBER_SUSPECT,
                       member->public.incarnation);
@@ -510,6 +516,10 @@
 void
 CbwMembership_Tick(cbw_membership_t *membership, cbw_time_t now)
 {
+    if (membership->cold_until != 0 && now >= membership->cold_until) {
+        membership->cold_until = 0;
+        membership->epoch++;
+    }
     check_members(membership, now);
     probe_unheard(membership, now);
     if (now >= membership->next_probe_at) {
@@ -526,12 +536,44 @@
     return index < 0 ? NULL : &membership->members[index];
 }
 
+/* Whether the member is listed, and neither has answered nor failed to. */
+static bool
+is_unheard(const cbw_member_t *member)
+{
+    return member->public.incarnation == 0 &&
+           (member->tried_at == 0 || member->probed_at != 0);
+}
+
 /* Whether work may go to the member. */
 static bool
-is_usable(const cbw_member_change_t *member)
+is_usable(const cbw_membership_t *membership, const cbw_member_t *member)
 {
-    return member->state <= CBW_MEMBER_SUSPECT &&
-           !CbwMembership_IsEndpoint(member);
+    if (CbwMembership_IsEndpoint(&member->public)) {
+        return false;
+    }
+    return member->public.state <= CBW_MEMBER_SUSPECT ||
+           (membership->cold_until != 0 &&
+            (member->public.state == CBW_MEMBER_LEAVING ||
+             is_unheard(member)));
+}
+
+void
+CbwMembership_BeginService(cbw_membership_t *membership, cbw_time_t now)
+{
+    size_t known = 0;
+    size_t serving = 0;
+
+    for (size_t i = 1; i < membership->count; i++) {
+        const cbw_member_t *member = &membership->members[i];
+        if (!CbwMembership_IsEndpoint(&member->public)) {
+            known++;
+            serving += is_usable(membership, member);
+        }
+    }
+    if (serving * COLD_PART < known) {
+        membership->cold_until = now + Cbw_MEMBERSHIP_COLD_FOR;
+        membership->epoch++;
+    }
 }
 
 int
@@ -542,9 +584,9 @@
     int rank = 0;
 
     for (size_t i = 1; i < membership->count; i++) {
-        const cbw_member_change_t *member = &membership->members[i].public;
-        if (is_usable(member) &&
-            CbwRendezvous_Weight(role, member->name) > own) {
+        const cbw_member_t *member = &membership->members[i];
+        if (is_usable(membership, member) &&
+            CbwRendezvous_Weight(role, member->public.name) > own) {
             rank++;
         }
     }
@@ -556,9 +598,9 @@
                         const char *data_centre)
 {
     for (size_t i = 0; i < membership->count; i++) {
-        const cbw_member_change_t *member = &membership->members[i].public;
-        if (is_usable(member) &&
-            strcmp(member->data_centre, data_centre) == 0) {
+        const cbw_member_t *member = &membership->members[i];
+        if (is_usable(membership, member) &&
+            strcmp(member->public.data_centre, data_centre) == 0) {
             return true;
         }
     }
@@ -577,7 +619,7 @@
     for (size_t i = 0; i < membership->count; i++) {
         const cbw_member_t *member = &membership->members[i];
         uint64_t weight;
-        if (!is_usable(&member->public) ||
+        if (!is_usable(membership, member) ||
             (data_centre != NULL &&
              strcmp(member->public.data_centre, data_centre) != 0) ||
             (skip != NULL && skip(context, member->public.name))) {
--- a/src/test_libcarobwind/test_membership.c
+++ b/src/test_libcarobwind/test_membership.c
@@ -345,6 +345,87 @@
     finish_fleet();
 }
 
+static void
+assert_one_owner(void)
+{
+    for (int d = 0; d < 50; d++) {
+        char database[16];
+        const char *first = NULL;
+        g_snprintf(database, sizeof(database), "db%d", d);
+        for (int i = 0; i < fleet.count; i++) {
+            const cbw_member_t *owner = CbwMembership_Owner(
+                &fleet.members[i], database, "south", NULL, NULL);
+            if (fleet.down[i]) {
+                continue;
+            }
+            g_assert_nonnull(owner);
+            first = first != NULL ? first : owner->public.name;
+            g_assert_cmpstr(owner->public.name, ==, first);
+        }
+    }
+}
+
+/* After a loss of power of all, hosts know each other from the list only: they
+ * name the same owners before they have heard of each other. */
+static void
+test_cold_start(void)
+{
+    start_fleet(16);
+    for (int i = 0; i < fleet.count; i++) {
+        CbwMembership_BeginJoining(&fleet.members[i]);
+        CbwMembership_BeginService(&fleet.members[i], fleet.now);
+    }
+    assert_one_owner();
+    run_for(200 * Cbw_MSEC);
+    assert_one_owner();
+    for (int i = 0; i < fleet.count; i++) {
+        CbwMembership_Arrive(&fleet.members[i], fleet.now);
+        run_for(STEP);
+        assert_one_owner();
+    }
+    run_for(3 * Cbw_SEC);
+    assert_one_owner();
+    g_assert_cmpint(fleet.members[0].cold_until, ==, 0);
+    finish_fleet();
+}
+
+/* A listed host that does not come owns nothing once its probe has failed. */
+static void
+test_cold_start_without_one(void)
+{
+    start_fleet(8);
+    fleet.down[5] = true;
+    for (int i = 0; i < fleet.count; i++) {
+        CbwMembership_BeginJoining(&fleet.members[i]);
+        CbwMembership_BeginService(&fleet.members[i], fleet.now);
+    }
+    run_for(500 * Cbw_MSEC);
+    for (int d = 0; d < 50; d++) {
+        char database[16];
+        g_snprintf(database, sizeof(database), "db%d", d);
+        g_assert_cmpstr(CbwMembership_Owner(&fleet.members[0], database,
+                                            "south", NULL, NULL)
+                            ->public.name,
+                        !=, "h5");
+    }
+    finish_fleet();
+}
+
+/* A host that joins a fleet that serves does not take it for a cold start. */
+static void
+test_joining_is_not_cold(void)
+{
+    start_fleet(8);
+    run_for(2 * Cbw_SEC);
+    CbwMembership_Finish(&fleet.members[7]);
+    start_host(7, 200);
+    CbwMembership_BeginJoining(&fleet.members[7]);
+    run_for(200 * Cbw_MSEC);
+    CbwMembership_BeginService(&fleet.members[7], fleet.now);
+    g_assert_cmpint(fleet.members[7].cold_until, ==, 0);
+    finish_fleet();
+}
+
 void
 Suite_AddMembership(void)
 {
@@ -358,4 +439,9 @@
     g_test_add_func("/membership/endpoint-leaving",
                     test_endpoint_leaving_spreads);
     g_test_add_func("/membership/owner", test_owner_agreement);
+    g_test_add_func("/membership/cold-start", test_cold_start);
+    g_test_add_func("/membership/cold-start-without-one",
+                    test_cold_start_without_one);
+    g_test_add_func("/membership/joining-is-not-cold",
+                    test_joining_is_not_cold);
 }
