Leave a database to its holder; three hosts watch the operators' record

Cause, first: as a partition of 130 hosts heals, and while hosts join, each host has another view.

Change: an owner that the fleet's order does not name sends requests on to the holder that the record names, as it did only during promotions; it takes over when the holder is gone, or when an entry says that it could not bring the request there (takes_over in the peer protocol; moved_takes apart from it, for an owner that must take over because it reaches the primary). The operators' record is watched by the three hosts that watch the registrations; the others hear of it with the probes, as of those.

--- a/include/carobwind/pool.h
+++ b/include/carobwind/pool.h
@@ -58,6 +58,13 @@
 #define Cbw_POOL_WAIT_PERCENT 75
 /* When it may come back: about what a promotion takes. */
 #define Cbw_POOL_BLOCKED_RETRY (300 * Cbw_MSEC)
+/* How long an owner leaves the database to the one that the record names
+ * before it reads the record again: a fraction of the time in which a dead
+ * host is found. */
+#define Cbw_POOL_DEFER_FOR (500 * Cbw_MSEC)
+/* How long one request that its entry could not bring to the holder lets this
+ * owner take over; as long as entries avoid a host that is lost. */
+#define Cbw_POOL_CLAIM_FOR (600 * Cbw_MSEC)
 
 /* A place in an endpoint's log; terms come first. */
 typedef struct {
@@ -89,8 +96,9 @@
     void (*order)(void *context, const char *endpoint, uint64_t fence);
     /* Asks peers whether they reach the endpoint; CbwPool_OnReach. */
     void (*ask_reach)(void *context, int endpoint);
-    /* The owner should be `host`. Returns whether that host is there. */
-    bool (*move)(void *context, const char *host);
+    /* The owner should be `host`; `takes`: it must take over from this one,
+     * else it holds already. Returns whether that host is there. */
+    bool (*move)(void *context, const char *host, bool takes);
     /* A line for the log. */
     void (*decide)(void *context, const char *text);
 } cbw_pool_ops_t;
@@ -185,6 +193,9 @@
     char former[Cbw_NAME_MAX]; /* primary before the promotion */
     uint64_t former_term;
     cbw_time_t reach_known_until; /* no peer reached the primary */
+    bool owned;                   /* the fleet's order names this owner */
+    cbw_time_t
+        claimed_until; /* requests say that the holder does not answer */
     cbw_time_t moved_until;
     cbw_time_t admission_at;
     int admission[Cbw_RANKS_MAX]; /* in 1/1000 */
@@ -201,6 +212,10 @@
                   cbw_counters_t *counters);
 /* Answers every request that is still inside; frees all memory. */
 void CbwPool_Finish(cbw_pool_t *pool, cbw_time_t now);
+/* Whether the fleet's order names this owner, as it is taken to until told
+ * otherwise. One that it does not name sends requests on to the owner that the
+ * record names, instead of taking over: hosts differ in whom they see. */
+void CbwPool_SetOwned(cbw_pool_t *pool, bool owned);
 /* The endpoints of the present inventory. */
 void CbwPool_SetEndpoints(cbw_pool_t *pool, cbw_time_t now,
                           const cbw_endpoint_t *endpoints, int count);
--- a/include/carobwind/request.h
+++ b/include/carobwind/request.h
@@ -89,6 +89,7 @@
     cbw_read_rule_t rule;
     cbw_time_t target;      /* aim of the whole operation; 0: none */
     int64_t config_version; /* that routed it */
+    bool takes_over; /* its owner must take over: the holder was not reached */
 
     /* The owner's part. */
     int rank;
--- a/include/carobwind/tenure.h
+++ b/include/carobwind/tenure.h
@@ -131,6 +131,8 @@
                              uint64_t nonce);
 /* The owner with `nonce` has no right any more. */
 void CbwTenure_OnGivenUp(cbw_tenure_t *tenure, cbw_time_t now, uint64_t nonce);
+/* Leaves the record to the holder that it names; reads it again at `until`. */
+void CbwTenure_Defer(cbw_tenure_t *tenure, cbw_time_t until);
 /* Gives the right back, so that the next owner need not wait. */
 void CbwTenure_Release(cbw_tenure_t *tenure, cbw_time_t now);
 
--- a/src/carobwindd/messages.h
+++ b/src/carobwindd/messages.h
@@ -87,6 +87,7 @@
     cbw_time_t route_at;     /* when the router tries again */
     char host[Cbw_NAME_MAX]; /* that it was last sent to */
     char moved_to[Cbw_NAME_MAX];
+    bool moved_takes; /* that host must take over, it does not hold yet */
     int admission[Cbw_RANKS_MAX];
     int admission_count;
 } job_t;
--- a/src/carobwindd/peer_task.c
+++ b/src/carobwindd/peer_task.c
@@ -353,6 +353,7 @@
     request->writes = args->writes;
     request->target = args->target;
     request->config_version = args->config_version;
+    request->takes_over = args->takes_over;
     return job;
 }
 
@@ -520,6 +521,7 @@
         .reason = (char *)answer->reason,
         .retry_after = answer->retry_after,
         .moved_to = job->moved_to,
+        .moved_takes = job->moved_takes,
     };
 
     result.result.result_val = answer->result;
--- a/src/carobwindd/pool_instance.c
+++ b/src/carobwindd/pool_instance.c
@@ -83,6 +83,7 @@
     job->admission_count = 0;
     if (request->answer.outcome == CBW_OUTCOME_PENDING) {
         memcpy(job->moved_to, instance->moved_to, sizeof(job->moved_to));
+        job->moved_takes = instance->moved_takes;
     }
     Task_Post(TASK_OWNER, job->reply_to, MESSAGE_JOB_DONE, &job->message);
 }
@@ -317,7 +318,7 @@
 }
 
 static bool
-op_move(void *context, const char *host)
+op_move(void *context, const char *host, bool takes)
 {
     pool_instance_t *instance = context;
     const cbw_member_t *member =
@@ -327,6 +328,7 @@
         return false;
     }
     snprintf(instance->moved_to, sizeof(instance->moved_to), "%s", host);
+    instance->moved_takes = takes;
     instance->moved_at = CbwNet_Now();
     return true;
 }
--- a/src/carobwindd/pool_instance.h
+++ b/src/carobwindd/pool_instance.h
@@ -24,6 +24,7 @@
     bool released;
     cbw_time_t used_at;
     char moved_to[Cbw_NAME_MAX];
+    bool moved_takes;
     cbw_time_t moved_at;
     int reach_waiting;
     inbound_t *preparing; /* a peer waits until this host can serve */
--- a/src/carobwindd/pool_task.c
+++ b/src/carobwindd/pool_task.c
@@ -165,8 +165,10 @@
 static bool
 has_moved(const pool_instance_t *instance, const job_t *job, cbw_time_t now)
 {
-    return instance->moved_to[0] != '\0' &&
-           now - instance->moved_at < MOVED_FOR &&
+    cbw_time_t length = instance->moved_takes ? MOVED_FOR : Cbw_POOL_DEFER_FOR;
+
+    return instance->moved_to[0] != '\0' && !job->request.takes_over &&
+           now - instance->moved_at < length &&
            (job->request.transaction == 0 || job->request.begins);
 }
 
@@ -193,6 +195,7 @@
     instance->used_at = now;
     if (has_moved(instance, job, now)) {
         memcpy(job->moved_to, instance->moved_to, sizeof(job->moved_to));
+        job->moved_takes = instance->moved_takes;
         send_back(job);
         return;
     }
@@ -463,6 +466,8 @@
     bool used = instance->owned || now - instance->used_at <= UNUSED_LIMIT;
     bool idle;
 
+    CbwPool_SetOwned(&instance->pool,
+                     instance->owned || instance->preparing != NULL);
     /* A host that leaves serves on under the right that it has. */
     CbwPool_Tick(&instance->pool, now,
                  used && !instance->retired && !PoolTask_State.draining);
--- a/src/carobwindd/registry_task.c
+++ b/src/carobwindd/registry_task.c
@@ -1,8 +1,8 @@
 /* The configuration task for a platform on which endpoints register
  * themselves: the operators' record and the registrations make up one
- * inventory. Each host watches the operators' record; a few
- * watch the registrations, and the others hear of their revisions with the
- * probes and fetch what has changed from the peer that knows it. A version of
+ * inventory. A few hosts watch them; the others hear of their revisions with
+ * the probes and fetch what has changed from the peer that knows it. A host
+ * that reaches no others takes itself for one of the few. A version of
  * the operators' record never goes back. */
 
 #include <glib.h>
@@ -443,8 +443,7 @@
     /* At the start everybody reads what is there, which may lag. */
     bool first = !watch->read;
 
-    if (watch->asked || now < watch->ask_at ||
-        (!first && id == WATCH_ENDPOINTS && !is_watcher())) {
+    if (watch->asked || now < watch->ask_at || (!first && !is_watcher())) {
         return;
     }
     watch->asked = true;
--- a/src/carobwindd/router_task.c
+++ b/src/carobwindd/router_task.c
@@ -30,6 +30,7 @@
     uint64_t epoch; /* of the view it was worked out from */
     const cbw_member_t *owner;
     char moved_to[Cbw_NAME_MAX]; /* "": by rendezvous order */
+    bool moved_takes; /* that host must take over, it does not hold yet */
     cbw_time_t moved_at;
 } route_t;
 
@@ -146,14 +147,16 @@
     return member;
 }
 
+/* `takes_over` is set to whether the owner must take over from the holder. */
 static const cbw_member_t *
-find_owner(const cbw_database_t *database, cbw_time_t now)
+find_owner(const cbw_database_t *database, cbw_time_t now, bool *takes_over)
 {
     const cbw_membership_t *members = &self.view->membership;
     const char *data_centre = database->endpoints[0].data_centre;
     route_t *route = &self.routes[database - self.config->inventory.databases];
     const cbw_member_t *owner = find_moved(route, now);
 
+    *takes_over = owner != NULL && route->moved_takes;
     if (strcmp(self.daemon->settings.owner_policy, "direct") == 0) {
         return &members->members[0];
     }
@@ -168,6 +171,7 @@
     if (owner != NULL && is_avoided(&now, owner->public.name)) {
         const cbw_member_t *next = CbwMembership_Owner(
             members, database->name, data_centre, is_avoided, &now);
+        *takes_over = next != NULL;
         return next != NULL ? next : owner;
     }
     return owner;
@@ -209,6 +213,7 @@
     args->writes = request->writes;
     args->target = request->target;
     args->config_version = request->config_version;
+    args->takes_over = request->takes_over;
 }
 
 static void
@@ -266,7 +271,7 @@
         owner = CbwMembership_Find(&self.view->membership, job->host);
     }
     else {
-        owner = find_owner(database, now);
+        owner = find_owner(database, now, &job->request.takes_over);
     }
     if (owner == NULL) {
         job->request.answer.cause = CBW_CAUSE_ABORTED;
@@ -334,6 +339,7 @@
     }
     known = &self.routes[database - self.config->inventory.databases];
     memcpy(known->moved_to, job->moved_to, sizeof(known->moved_to));
+    known->moved_takes = job->moved_takes;
     known->moved_at = CbwNet_Now();
 }
 
@@ -368,6 +374,7 @@
     snprintf(answer->token, sizeof(answer->token), "%s", result->token);
     snprintf(answer->reason, sizeof(answer->reason), "%s", result->reason);
     snprintf(job->moved_to, sizeof(job->moved_to), "%s", result->moved_to);
+    job->moved_takes = result->moved_takes;
     answer->retry_after = result->retry_after;
     job->admission_count = (int)result->admission.admission_len;
     for (int i = 0; i < job->admission_count; i++) {
--- a/src/libcarobwind/include/private/pool.h
+++ b/src/libcarobwind/include/private/pool.h
@@ -66,6 +66,8 @@
 bool CbwPool_RequiredAt_(const cbw_pool_t *pool, cbw_time_t now,
                          cbw_time_t time, cbw_position_t *position);
 void CbwPool_TickHealth_(cbw_pool_t *pool, cbw_time_t now);
+/* Sends queued requests on to the record's holder, if it is left to that. */
+void CbwPool_MoveToHolder_(cbw_pool_t *pool, cbw_time_t now);
 void CbwPool_OnControlReply_(cbw_pool_t *pool, cbw_time_t now,
                              const cbw_pool_call_t *call,
                              const cbw_reply_t *reply);
--- a/src/libcarobwind/pool.c
+++ b/src/libcarobwind/pool.c
@@ -79,6 +79,7 @@
     pool->context = context;
     pool->queue_policy = queue_policy;
     pool->counters = counters;
+    pool->owned = true;
     pool->primary = -1;
     pool->candidate = -1;
     CbwTenure_Init(&pool->tenure, &tenure_ops, pool, nonce, host);
@@ -389,9 +390,19 @@
     }
 }
 
+void
+CbwPool_SetOwned(cbw_pool_t *pool, bool owned)
+{
+    pool->owned = owned;
+}
+
 void
 CbwPool_Submit(cbw_pool_t *pool, cbw_time_t now, cbw_request_t *request)
 {
+    if (request->takes_over) {
+        pool->claimed_until = now + Cbw_POOL_CLAIM_FOR;
+        pool->moved_until = 0;
+    }
     request->needs_primary = request->rule == CBW_READ_LATEST ||
                              (request->writes && !request->reads_only) ||
                              (request->begins && !request->reads_only);
@@ -528,6 +539,7 @@
 void
 CbwPool_Tick(cbw_pool_t *pool, cbw_time_t now, bool wanted)
 {
+    CbwPool_MoveToHolder_(pool, now);
     if (wanted && !pool->stopping && now >= pool->moved_until) {
         const char *primary = "";
         for (int i = 0; i < Cbw_POOL_ENDPOINTS_MAX; i++) {
--- a/src/libcarobwind/pool_health.c
+++ b/src/libcarobwind/pool_health.c
@@ -347,7 +347,7 @@
     CbwPool_Decide_(pool, now, "%s reaches the primary: ownership moves",
                     host);
     pool->moved_until = now + Cbw_POOL_ORDER_AGAIN;
-    pool->ops->move(pool->context, host);
+    pool->ops->move(pool->context, host, true);
     CbwPool_Evict(pool);
 }
 
@@ -409,22 +409,43 @@
     return false;
 }
 
-/* Another owner carries a promotion out: requests wait there. */
-static void
-move_to_promoter(cbw_pool_t *pool, cbw_time_t now)
+/* Whether the database is left to the holder that the record names: to one
+ * that carries a promotion out, and to any when the fleet's order does not
+ * name this owner. */
+static bool
+defers(const cbw_pool_t *pool, cbw_time_t now)
 {
     const cbw_tenure_t *tenure = &pool->tenure;
 
-    if (tenure->held || !tenure->record.promoting ||
-        tenure->record.holder.nonce == 0 || now < pool->moved_until ||
-        CbwTenure_IsValid(tenure, now) ||
+    if (tenure->held || tenure->record.holder.nonce == 0 ||
+        now < pool->moved_until ||
         strcmp(tenure->record.holder.host, tenure->self.host) == 0) {
+        return false;
+    }
+    if (tenure->record.promoting) {
+        return !CbwTenure_IsValid(tenure, now);
+    }
+    return tenure->known && !pool->owned && now >= pool->claimed_until;
+}
+
+/* Requests go to the holder, which knows the database better. */
+void
+CbwPool_MoveToHolder_(cbw_pool_t *pool, cbw_time_t now)
+{
+    cbw_tenure_t *tenure = &pool->tenure;
+
+    if (!defers(pool, now) ||
+        !pool->ops->move(pool->context, tenure->record.holder.host, false)) {
         return;
     }
-    if (pool->ops->move(pool->context, tenure->record.holder.host)) {
+    if (tenure->record.promoting) {
         pool->moved_until = now + Cbw_TENURE_RETRY_INTERVAL;
-        CbwPool_Evict(pool);
     }
+    else {
+        pool->moved_until = now + Cbw_POOL_DEFER_FOR;
+        CbwTenure_Defer(tenure, pool->moved_until);
+    }
+    CbwPool_Evict(pool);
 }
 
 static void
@@ -432,7 +453,6 @@
 {
     const cbw_pool_endpoint_t *e;
 
-    move_to_promoter(pool, now);
     if (!pool->tenure.held || pool->stopping) {
         return;
     }
--- a/src/libcarobwind/tenure.c
+++ b/src/libcarobwind/tenure.c
@@ -310,6 +310,13 @@
     tenure->ask_again_at = now + Cbw_TENURE_RETRY_INTERVAL;
 }
 
+void
+CbwTenure_Defer(cbw_tenure_t *tenure, cbw_time_t until)
+{
+    tenure->known = false;
+    tenure->ask_again_at = until;
+}
+
 void
 CbwTenure_Hasten(cbw_tenure_t *tenure, cbw_time_t now)
 {
--- a/src/share/peer.x
+++ b/src/share/peer.x
@@ -59,6 +59,7 @@
     bool writes;
     hyper target; /* microseconds */
     hyper config_version;
+    bool takes_over; /* the owner must take over: the holder was not reached */
 };
 
 struct peer_statement_result {
@@ -69,6 +70,7 @@
     string reason<PEER_REASON_MAX>;
     hyper retry_after; /* microseconds */
     string moved_to<PEER_NAME_MAX>;
+    bool moved_takes; /* that host must take over, it does not hold yet */
     int admission<PEER_RANKS_MAX>; /* by rank, in 1/1000 */
 };
 
--- a/src/share/peer_rpc.h
+++ b/src/share/peer_rpc.h
@@ -81,6 +81,7 @@
     bool_t writes;
     quad_t target;
     quad_t config_version;
+    bool_t takes_over;
 };
 typedef struct peer_statement_args peer_statement_args;
 
@@ -95,6 +96,7 @@
     char *reason;
     quad_t retry_after;
     char *moved_to;
+    bool_t moved_takes;
     struct {
         u_int admission_len;
         int *admission_val;
--- a/src/share/peer_xdr.c
+++ b/src/share/peer_xdr.c
@@ -115,6 +115,8 @@
             return FALSE;
         if (!xdr_quad_t(xdrs, &objp->config_version))
             return FALSE;
+        if (!xdr_bool(xdrs, &objp->takes_over))
+            return FALSE;
         return TRUE;
     }
     else if (xdrs->x_op == XDR_DECODE) {
@@ -170,6 +172,8 @@
             return FALSE;
         if (!xdr_quad_t(xdrs, &objp->config_version))
             return FALSE;
+        if (!xdr_bool(xdrs, &objp->takes_over))
+            return FALSE;
         return TRUE;
     }
 
@@ -215,6 +219,8 @@
         return FALSE;
     if (!xdr_quad_t(xdrs, &objp->config_version))
         return FALSE;
+    if (!xdr_bool(xdrs, &objp->takes_over))
+        return FALSE;
     return TRUE;
 }
 
@@ -238,6 +244,8 @@
         return FALSE;
     if (!xdr_string(xdrs, &objp->moved_to, PEER_NAME_MAX))
         return FALSE;
+    if (!xdr_bool(xdrs, &objp->moved_takes))
+        return FALSE;
     if (!xdr_array(xdrs, (char **)&objp->admission.admission_val,
                    (u_int *)&objp->admission.admission_len, PEER_RANKS_MAX,
                    sizeof(int), (xdrproc_t)xdr_int))
--- a/src/test_libcarobwind/test_pool.c
+++ b/src/test_libcarobwind/test_pool.c
@@ -32,6 +32,7 @@
     char ordered[Cbw_NAME_MAX];
     uint64_t fence;
     int asked_formers;
+    char moved_to[Cbw_NAME_MAX];
 } world_t;
 
 static bool
@@ -135,10 +136,12 @@
 }
 
 static bool
-op_move(void *context, const char *host)
+op_move(void *context, const char *host, bool takes)
 {
-    (void)context;
-    (void)host;
+    world_t *world = context;
+
+    g_assert_false(takes);
+    g_strlcpy(world->moved_to, host, sizeof(world->moved_to));
     return true;
 }
 
@@ -586,9 +589,81 @@
     free_request(write);
 }
 
+/* Another owner holds the record. */
+static void
+give_to_other(world_t *world)
+{
+    world->version++;
+    world->record.holder = (cbw_tenure_holder_t){.nonce = NONCE + 1};
+    g_strlcpy(world->record.holder.host, "other", Cbw_NAME_MAX);
+    tick(world, Cbw_TENURE_RENEW_INTERVAL);
+}
+
+/* Hosts that see different members do not take a database from each other: who
+ * is not its owner by the fleet's order sends requests on to the holder. */
+static void
+test_leaves_it_to_the_holder(void)
+{
+    world_t world;
+    cbw_request_t *request;
+    uint64_t version;
+
+    init_world(&world);
+    CbwPool_SetOwned(&world.pool, false);
+    give_to_other(&world);
+    version = world.version;
+    /* Until its own right has ended it serves under that. */
+    for (int i = 0; i < 70; i++) {
+        tick(&world, 100 * Cbw_MSEC);
+    }
+    request = new_request(&world, true, CBW_READ_LATEST);
+    submit(&world, request);
+    for (int i = 0; i < 6; i++) {
+        tick(&world, 100 * Cbw_MSEC);
+    }
+    g_assert_true(world.answered == request);
+    g_assert_cmpint(request->answer.outcome, ==, CBW_OUTCOME_PENDING);
+    g_assert_cmpstr(world.moved_to, ==, "other");
+    g_assert_cmpuint(world.version, ==, version);
+    free_request(request);
+    finish_world(&world);
+}
+
+/* It takes over when a request could not be brought to the holder, and when
+ * the fleet's order names it. */
+static void
+test_takes_over_from_the_holder(void)
+{
+    for (int by_order = 0; by_order < 2; by_order++) {
+        world_t world;
+        cbw_request_t *request;
+
+        init_world(&world);
+        CbwPool_SetOwned(&world.pool, false);
+        give_to_other(&world);
+        tick(&world, 100 * Cbw_MSEC);
+        g_assert_cmpuint(world.record.holder.nonce, ==, NONCE + 1);
+        CbwPool_SetOwned(&world.pool, by_order);
+        request = new_request(&world, true, CBW_READ_LATEST);
+        request->takes_over = !by_order;
+        request->deadline = world.now + 5 * Cbw_SEC;
+        submit(&world, request);
+        for (int i = 0; i < 20; i++) {
+            tick(&world, 50 * Cbw_MSEC);
+        }
+        g_assert_cmpuint(world.record.holder.nonce, ==, NONCE);
+        finish_world(&world);
+        free_request(request);
+    }
+}
+
 void
 Suite_AddPool(void)
 {
+    g_test_add_func("/pool/leaves-it-to-the-holder",
+                    test_leaves_it_to_the_holder);
+    g_test_add_func("/pool/takes-over-from-the-holder",
+                    test_takes_over_from_the_holder);
     g_test_add_func("/pool/replies", test_replies);
     g_test_add_func("/pool/commit-needs-valid-tenure",
                     test_commit_needs_valid_tenure);
