Send each change of a member a third as often

Change: as many times as the fleet has powers of two (8 for 130; a change misses a host with e^-8, and each message carries its sender's own record); a starting host asks two listed hosts for their members, not five.

--- a/src/carobwindd/member_task.c
+++ b/src/carobwindd/member_task.c
@@ -16,7 +16,7 @@
 #define LIST_READERS 3
 #define LIST_INTERVAL (1 * Cbw_SEC)
 /* Hosts of the list that are asked for their members at a time. */
-#define LISTED_ASKED 5
+#define LISTED_ASKED 2
 /* The record of a host that has been dead for so long is removed. */
 #define RECORD_KEPT (30 * Cbw_SEC)
 #define RECORD_KEY_FORMAT "hosts/%s"
--- a/src/libcarobwind/membership.c
+++ b/src/libcarobwind/membership.c
@@ -27,7 +27,7 @@
  * host that joins a fleet which serves learns of most from the first peer. */
 #define COLD_PART 4
 /* A change is sent this many times, for each power of two of the fleet. */
-#define TRANSMISSIONS_FACTOR 3
+#define TRANSMISSIONS_FACTOR 1
 
 /* First character of the names of endpoints, which are listed beside the
  * members while they leave. */
