Roll idle transactions back after the time that operators set

Cause: idleTxMs was read from the operators' configuration and not used; 3 s was in force whatever it said. A longer setting would have been cut short.

Change: the pool takes it with each configuration; 3 s where none is set. Test /pool/transaction-idle (the call did not exist before).

--- a/include/carobwind/pool.h
+++ b/include/carobwind/pool.h
@@ -47,7 +47,8 @@
 /* After this time without a new primary, the order is given again. */
 #define Cbw_POOL_ORDER_AGAIN (2500 * Cbw_MSEC)
 #define Cbw_POOL_REACH_WAIT (300 * Cbw_MSEC)
-/* An open transaction without a statement for so long is rolled back. */
+/* An open transaction without a statement for so long is rolled back, unless
+ * the operators' configuration sets it. */
 #define Cbw_POOL_TRANSACTION_IDLE (3 * Cbw_SEC)
 #define Cbw_POOL_DECISIONS 32
 /* A request that no endpoint may take now is told to come back after this part
@@ -197,8 +198,7 @@
     cbw_time_t
         claimed_until; /* requests say that the holder does not answer */
     cbw_time_t moved_until;
-    cbw_time_t admission_at;
-    int admission[Cbw_RANKS_MAX]; /* in 1/1000 */
+    cbw_time_t transaction_idle; /* then it is rolled back */
     bool stopping;
     cbw_pool_decision_t decisions[Cbw_POOL_DECISIONS];
     size_t decision_count;
@@ -219,6 +219,8 @@
 /* The endpoints of the present inventory. */
 void CbwPool_SetEndpoints(cbw_pool_t *pool, cbw_time_t now,
                           const cbw_endpoint_t *endpoints, int count);
+/* How long an open transaction may rest; 0: Cbw_POOL_TRANSACTION_IDLE. */
+void CbwPool_SetTransactionIdle(cbw_pool_t *pool, cbw_time_t idle);
 /* Hands back queued requests as pending, for another owner. */
 void CbwPool_Evict(cbw_pool_t *pool);
 /* Takes in a request; it stays with the pool until ops->answer. */
@@ -244,7 +246,6 @@
 void CbwPool_Release(cbw_pool_t *pool, cbw_time_t now);
 /* No request and no open transaction is inside. */
 bool CbwPool_IsIdle(const cbw_pool_t *pool);
-int CbwPool_Admission(const cbw_pool_t *pool, int rank);
 /* Writes a description for operators. Returns its length. */
 size_t CbwPool_Explain(const cbw_pool_t *pool, cbw_time_t now, char *text,
                        size_t size);
--- a/include/carobwind/types.h
+++ b/include/carobwind/types.h
@@ -31,7 +31,5 @@
 #define Cbw_RANKS_MAX 6
 /* Longest statement or result, in bytes. */
 #define Cbw_STATEMENT_MAX ((size_t)65536)
-/* The same of a caller on the platform. */
-#define Cbw_PLATFORM_STATEMENT_MAX ((size_t)1048576)
 
 #endif
--- a/src/carobwindd/pool_instance.c
+++ b/src/carobwindd/pool_instance.c
@@ -358,6 +358,8 @@
         &PoolTask_State.config->inventory, instance->pool.database);
 
     instance->retired = database == NULL;
+    CbwPool_SetTransactionIdle(
+        &instance->pool, PoolTask_State.config->inventory.transaction_idle);
     if (database != NULL) {
         CbwPool_SetEndpoints(&instance->pool, CbwNet_Now(),
                              database->endpoints, database->endpoint_count);
--- a/src/libcarobwind/pool.c
+++ b/src/libcarobwind/pool.c
@@ -12,8 +12,6 @@
 /* A request is refused when its estimated wait exceeds this part of the time
  * that it has left. */
 #define WAIT_PART 2
-#define ADMISSION_INTERVAL (20 * Cbw_MSEC)
-#define ADMISSION_FULL 1000
 
 const char *const CbwPool_OrderString[] = {"taken", "refused", "lost"};
 
@@ -89,9 +87,13 @@
     CbwList_Init(&pool->proving);
     CbwList_Init(&pool->outstanding);
     CbwList_Init(&pool->transactions);
-    for (int i = 0; i < Cbw_RANKS_MAX; i++) {
-        pool->admission[i] = ADMISSION_FULL;
-    }
+    pool->transaction_idle = Cbw_POOL_TRANSACTION_IDLE;
+}
+
+void
+CbwPool_SetTransactionIdle(cbw_pool_t *pool, cbw_time_t idle)
+{
+    pool->transaction_idle = idle > 0 ? idle : Cbw_POOL_TRANSACTION_IDLE;
 }
 
 static void
@@ -319,7 +321,7 @@
         cbw_pool_transaction_t *transaction =
             Cbw_LIST_ITEM(link, cbw_pool_transaction_t, link);
         if (!transaction->busy &&
-            now - transaction->used_at > Cbw_POOL_TRANSACTION_IDLE) {
+            now - transaction->used_at > pool->transaction_idle) {
             CbwPool_DropTransaction_(pool, transaction, false);
         }
     }
@@ -529,13 +531,6 @@
     }
 }
 
-int
-CbwPool_Admission(const cbw_pool_t *pool, int rank)
-{
-    assert(rank >= 0 && rank < Cbw_RANKS_MAX);
-    return pool->admission[rank];
-}
-
 void
 CbwPool_Tick(cbw_pool_t *pool, cbw_time_t now, bool wanted)
 {
--- a/src/test_libcarobwind/test_pool.c
+++ b/src/test_libcarobwind/test_pool.c
@@ -657,6 +657,29 @@
     }
 }
 
+/* The operators' configuration says how long an open transaction may rest. */
+static void
+test_transaction_idle(void)
+{
+    world_t world;
+    cbw_request_t *request;
+
+    init_world(&world);
+    CbwPool_SetTransactionIdle(&world.pool, 8 * Cbw_SEC);
+    request = new_request(&world, true, CBW_READ_LATEST);
+    request->transaction = 7;
+    request->begins = true;
+    submit(&world, request);
+    reply_to(&world, last_sent(&world, CBW_CALL_RUN), CBW_REPLY_OK, 5);
+    free_request(request);
+    tick(&world, 4 * Cbw_SEC);
+    g_assert_false(CbwPool_IsIdle(&world.pool));
+    CbwPool_SetTransactionIdle(&world.pool, 0);
+    tick(&world, 1 * Cbw_MSEC);
+    g_assert_true(CbwPool_IsIdle(&world.pool));
+    finish_world(&world);
+}
+
 void
 Suite_AddPool(void)
 {
@@ -665,6 +688,7 @@
     g_test_add_func("/pool/takes-over-from-the-holder",
                     test_takes_over_from_the_holder);
     g_test_add_func("/pool/replies", test_replies);
+    g_test_add_func("/pool/transaction-idle", test_transaction_idle);
     g_test_add_func("/pool/commit-needs-valid-tenure",
                     test_commit_needs_valid_tenure);
     g_test_add_func("/pool/replica-read-carries-position",
