--- a/test/lib/platform_standin.tcl
+++ b/test/lib/platform_standin.tcl
@@ -3,7 +3,7 @@
 # protocol. One process, driven by lines on a control connection:
 #   tclsh platform_standin.tcl NETWORK     listens on NETWORK.9.1 to .9.4
 # Commands: kill E, start E, leave E, config TEXT, store up|down|reject,
-# deaf 0|1 (watches miss changes), work MS, runs, log E, quit. Each is answered by one line.
+# deaf 0|1 (watches miss changes), twice 0|1 (each answer is sent again), work MS, runs, log E, quit. Each is answered by one line.
 
 package require json
 
@@ -20,6 +20,7 @@
 set watches {}
 set mode up
 set deaf 0
+set twice 0
 
 proc put {key value} {
     set created [incr ::revision]
@@ -52,6 +53,13 @@
 }
 
 proc respond {channel status body} {
+    if {$::twice} {
+        after 20 [list send_answer $channel $status $body]
+    }
+    send_answer $channel $status $body
+}
+
+proc send_answer {channel status body} {
     catch {
         puts -nonewline $channel "HTTP/1.1 $status X\r\nContent-Type:\
             application/json\r\nContent-Length: [string length $body]\r\n\r\n$body"
@@ -482,6 +490,7 @@
         config { put op/config [string range $line 7 end]; return ok }
         store { set ::mode $subject; return ok }
         deaf { set ::deaf $subject; return ok }
+        twice { set ::twice $subject; return ok }
         work { set ::work_ms $subject; return ok }
         primary { return [primary] }
         runs { return $::runs }
--- a/test/scenarios/wire.tcl
+++ b/test/scenarios/wire.tcl
@@ -4,6 +4,7 @@
 namespace eval wire {
     variable control ""
     variable next 0
+    variable number 0 ;# of keys
 }
 
 set wire::config {{"version":1,"routes":[{"name":"r1","database":"pay","routeType":"primary","timeoutMs":1500,"targetLatencyMs":0,"priority":0,"service":"svc1"},{"name":"r2","database":"own","routeType":"read_your_writes","timeoutMs":1500,"targetLatencyMs":0,"priority":1,"service":"svc1","maxStalenessMs":2000},{"name":"r4","database":"rush","routeType":"primary","timeoutMs":1500,"targetLatencyMs":100,"priority":2,"service":"svc1"},{"name":"r3","database":"old","routeType":"bounded_staleness","timeoutMs":1500,"targetLatencyMs":0,"priority":2,"service":"svc1","maxStalenessMs":1500}],"services":[{"name":"svc1","maxConns":40,"syncReplicas":0}],"limits":{"idleTxMs":3000}}}
@@ -174,7 +175,7 @@
     set ids [dict create]
     set begin [clock milliseconds]
     set done 0
-    set number 0
+    variable number
     while {[clock milliseconds] - $begin < $seconds * 1000} {
         if {!$done && [clock milliseconds] - $begin > 1000} {
             uplevel 1 $body
@@ -366,6 +367,19 @@
     eventually {[lindex [wire::run $a "WRITE k v"] 0] eq "done"} 3000
 }
 
+# Found by the soak, seed 35: an answer that came on an idle connection put that
+# into the list of idle ones once more, and the daemon crashed later.
+scenario wire-answers-twice "the store sends its answers twice" {
+    wire::fleet
+    wire::tell twice 1
+    lassign [wire::storm 4 {}] outcomes
+    wire::tell twice 0
+    lassign [wire::storm 2 {}] after_it
+    wire::check [dict merge $outcomes $after_it] 0
+    set late [lrange [dict values $after_it] end-20 end]
+    expect {[lsort -unique $late] eq "done"} $late
+}
+
 # Found by deploy/days/compact-drain.toml on quotes, seed 192066740088.
 scenario wire-deaf-watch "watches miss a change; it is in force all the same" {
     wire::fleet
