--- a/src/carobwindd/config_task.c
+++ b/src/carobwindd/config_task.c
@@ -241,14 +241,6 @@
     Task_Post(TASK_CONFIG, TASK_PEER, MESSAGE_INBOUND_DONE, &inbound->message);
 }
 
-static void
-on_view(view_message_t *message)
-{
-    View_Unref(self.view);
-    self.view = message->view;
-    free(message);
-}
-
 static void
 handle(void *state, message_t *message)
 {
@@ -267,7 +259,7 @@
         answer_config(Cbw_LIST_ITEM(message, inbound_t, message));
         break;
     case MESSAGE_VIEW:
-        on_view(Cbw_LIST_ITEM(message, view_message_t, message));
+        View_Take(&self.view, message);
         break;
     default:
         break;
--- a/src/carobwindd/messages.c
+++ b/src/carobwindd/messages.c
@@ -73,6 +73,16 @@
     free(view);
 }
 
+void
+View_Take(view_t **view, message_t *message)
+{
+    view_message_t *sent = Cbw_LIST_ITEM(message, view_message_t, message);
+
+    View_Unref(*view);
+    *view = sent->view;
+    free(sent);
+}
+
 job_t *
 Job_New(void)
 {
--- a/src/carobwindd/messages.h
+++ b/src/carobwindd/messages.h
@@ -55,6 +55,9 @@
 
 view_t *View_Ref(view_t *view);
 void View_Unref(view_t *view); /* NULL is allowed */
+/* Puts the view of a MESSAGE_VIEW in place of `*view`; the message is freed.
+ */
+void View_Take(view_t **view, message_t *message);
 
 typedef struct {
     message_t message;
--- a/src/carobwindd/owner_task.c
+++ b/src/carobwindd/owner_task.c
@@ -139,14 +139,12 @@
 }
 
 static void
-on_view(view_message_t *message)
+on_view(message_t *message)
 {
     cbw_link_t *link;
     cbw_link_t *safe;
 
-    View_Unref(OwnerTask_State.view);
-    OwnerTask_State.view = message->view;
-    free(message);
+    View_Take(&OwnerTask_State.view, message);
     Cbw_LIST_FOREACH (&OwnerTask_State.instances, link, safe) {
         OwnerInstance_UpdateLeaving(Cbw_LIST_ITEM(link, instance_t, link));
     }
@@ -296,7 +294,7 @@
         on_config(Cbw_LIST_ITEM(message, config_message_t, message));
         break;
     case MESSAGE_VIEW:
-        on_view(Cbw_LIST_ITEM(message, view_message_t, message));
+        on_view(message);
         break;
     case MESSAGE_REPORT:
         report_busy(message);
--- a/src/carobwindd/pool_task.c
+++ b/src/carobwindd/pool_task.c
@@ -145,11 +145,9 @@
 }
 
 static void
-on_view(view_message_t *message)
+on_view(message_t *message)
 {
-    View_Unref(PoolTask_State.view);
-    PoolTask_State.view = message->view;
-    free(message);
+    View_Take(&PoolTask_State.view, message);
     claim_databases();
 }
 
@@ -445,7 +443,7 @@
         on_config(Cbw_LIST_ITEM(message, config_message_t, message));
         break;
     case MESSAGE_VIEW:
-        on_view(Cbw_LIST_ITEM(message, view_message_t, message));
+        on_view(message);
         break;
     case MESSAGE_REPORT:
         report_busy(message);
--- a/src/carobwindd/registry_task.c
+++ b/src/carobwindd/registry_task.c
@@ -301,13 +301,9 @@
         }
         break;
     }
-    case MESSAGE_VIEW: {
-        view_message_t *view = Cbw_LIST_ITEM(message, view_message_t, message);
-        View_Unref(self.view);
-        self.view = view->view;
-        free(view);
+    case MESSAGE_VIEW:
+        View_Take(&self.view, message);
         break;
-    }
     default:
         break;
     }
--- a/src/carobwindd/router_task.c
+++ b/src/carobwindd/router_task.c
@@ -413,16 +413,14 @@
 }
 
 static void
-on_view(view_message_t *message)
+on_view(message_t *message)
 {
     size_t count = self.config ? self.config->inventory.database_count : 0;
 
-    View_Unref(self.view);
-    self.view = message->view;
+    View_Take(&self.view, message);
     for (size_t i = 0; i < count; i++) {
         self.routes[i].owner = NULL; /* points into the former view */
     }
-    free(message);
 }
 
 static void
@@ -450,7 +448,7 @@
         on_config(Cbw_LIST_ITEM(message, config_message_t, message));
         break;
     case MESSAGE_VIEW:
-        on_view(Cbw_LIST_ITEM(message, view_message_t, message));
+        on_view(message);
         break;
     default:
         break;
