Wait until the processes of a scenario have ended

Cause: fleet::finish returned as soon as it had sent SIGKILL; test alive-2 then read the process's state while the system had not got to it (state R). Ruled out: a reused number (the start time in field 19 was the process's own). Change: finish waits for the end of each, 20 s at most, and fails beyond that.

--- a/test/lib/fleet.tcl
+++ b/test/lib/fleet.tcl
@@ -609,8 +609,9 @@
     }
 }
 
-# Ends all processes of the fleet.
-proc fleet::finish {} {
+# Ends all processes of the fleet, and returns when they have ended: a killed
+# process runs on until the system gets to it.
+proc fleet::finish {{timeout_ms 20000}} {
     variable pids
     dict for {name pid} $pids {
         if {[is_running $name]} {
@@ -618,5 +619,14 @@
             catch {exec kill -9 $pid}
         }
     }
+    set begin [clock milliseconds]
+    foreach name [dict keys $pids] {
+        while {[is_running $name]} {
+            if {[clock milliseconds] - $begin > $timeout_ms} {
+                error "$name was killed and has not ended"
+            }
+            after 5
+        }
+    }
     set pids [dict create]
 }
