Compress records between data centres

Change: a record to another data centre is deflated by itself, with the start of the record before it as dictionary. One compressor a process (zlib). Tests: /compression/*, which damage records too; none of it existed before.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 CFLAGS ?= -O2 -g
 PACKAGES = libev-dev libhiredis-dev libtirpc-dev libargtable2-dev \
 	libconfuse-dev libxxhash-dev libglib2.0-dev libhttp-parser-dev \
-	libjansson-dev tcl make gcc
+	libjansson-dev zlib1g-dev tcl make gcc
 
 PKG_CFLAGS := $(shell pkg-config --cflags glib-2.0 libtirpc 2>/dev/null)
 PKG_LIBS := $(shell pkg-config --libs glib-2.0 libtirpc 2>/dev/null)
@@ -13,7 +13,7 @@
 	-Wmissing-prototypes -I. -Iinclude -Isrc -Isrc/libcarobwind/include \
 	$(PKG_CFLAGS) $(CFLAGS)
 LIBS = -lev -lhiredis -largtable2 -lconfuse -lxxhash $(PKG_LIBS) -lhttp_parser \
-	-ljansson -lm
+	-ljansson -lz -lm
 
 PROGRAMS = carobwindd carobwindctl carobwind-endpoint carobwind-platform \
 	carobwind-bench
--- a/src/carobwindd/member_task.c
+++ b/src/carobwindd/member_task.c
@@ -539,7 +539,7 @@
 publish(void)
 {
     static const task_id_t readers[] = {TASK_ROUTER, TASK_OWNER, TASK_CONFIG,
-                                        TASK_STORE};
+                                        TASK_STORE, TASK_PEER};
     view_t *view;
 
     if (self.published_epoch == self.membership.epoch ||
--- a/src/carobwindd/peer_task.c
+++ b/src/carobwindd/peer_task.c
@@ -41,6 +41,7 @@
 } server_t;
 
 static daemon_t *daemon_;
+static view_t *view; /* NULL until the members are known */
 static cbw_link_t clients;
 static GHashTable *clients_by_address; /* the same; owns nothing */
 static ev_io listener;
@@ -146,6 +147,20 @@
 
 /* Calls to peers. */
 
+/* Bytes within a data centre are free: compressing them would only cost. */
+static bool
+is_in_this_data_centre(const char *address)
+{
+    for (size_t i = 0; view != NULL && i < view->membership.count; i++) {
+        const cbw_member_t *member = &view->membership.members[i];
+        if (strcmp(member->public.address, address) == 0) {
+            return strcmp(member->public.data_centre,
+                          daemon_->settings.data_centre) == 0;
+        }
+    }
+    return false;
+}
+
 static client_t *
 open_client(const char *address)
 {
@@ -159,6 +174,7 @@
         free(client);
         return NULL;
     }
+    client->rpc.compress = !is_in_this_data_centre(address);
     snprintf(client->address, sizeof(client->address), "%s", address);
     CbwList_Init(&client->link);
     CbwList_Init(&client->calls);
@@ -584,6 +600,9 @@
     case MESSAGE_JOB_DONE:
         finish_statement(Cbw_LIST_ITEM(message, job_t, message));
         break;
+    case MESSAGE_VIEW:
+        View_Take(&view, message);
+        break;
     default:
         break;
     }
--- a/src/share/rpc.c
+++ b/src/share/rpc.c
@@ -7,6 +7,7 @@
 #include "share/peer_rpc.h"
 
 #define MARK_LAST 0x80000000U
+#define MARK_PACKED 0x40000000U
 #define FIRST_RECORD_CAPACITY 1024
 #define FIRST_ENCODE_SIZE 2048
 
@@ -37,6 +38,46 @@
     return ok;
 }
 
+static size_t
+write_record(cbw_rpc_t *rpc, char *bytes, size_t size, uint32_t flags)
+{
+    uint32_t mark = htonl((uint32_t)size | MARK_LAST | flags);
+
+    memcpy(bytes, &mark, sizeof(mark));
+    CbwStream_Write(&rpc->stream, bytes, size + 4);
+    return size + 4;
+}
+
+/* Writes the record whose `size` bytes stand behind four for the mark. */
+static size_t
+send_record(cbw_rpc_t *rpc, char *bytes, size_t size)
+{
+    char *packed;
+    size_t packed_size;
+    size_t written;
+
+    if (!rpc->compress) {
+        return write_record(rpc, bytes, size, 0);
+    }
+    packed = malloc(size + 4);
+    packed_size = packed != NULL ? CbwCompression_Pack(&rpc->sent, bytes + 4,
+                                                       size, packed + 4)
+                                 : 0;
+    /* The first compressed one tells the other end to remember records. */
+    if (packed_size > 0) {
+        CbwDictionary_Set(&rpc->sent, bytes + 4, size);
+        written = write_record(rpc, packed, packed_size, MARK_PACKED);
+    }
+    else {
+        if (rpc->sent.size > 0) {
+            CbwDictionary_Set(&rpc->sent, bytes + 4, size);
+        }
+        written = write_record(rpc, bytes, size, 0);
+    }
+    free(packed);
+    return written;
+}
+
 /* Sends a message as one record of one fragment. The buffer grows until the
  * message fits. */
 static size_t
@@ -45,17 +86,15 @@
     for (size_t size = FIRST_ENCODE_SIZE; size <= CbwRpc_RECORD_MAX;
          size *= 8) {
         char *bytes = malloc(size + 4);
-        uint32_t mark;
+        size_t written;
         size_t used;
         if (bytes == NULL) {
             return 0;
         }
         if (encode_into(bytes + 4, size, outgoing, &used)) {
-            mark = htonl((uint32_t)used | MARK_LAST);
-            memcpy(bytes, &mark, sizeof(mark));
-            CbwStream_Write(&rpc->stream, bytes, used + 4);
+            written = send_record(rpc, bytes, used);
             free(bytes);
-            return used + 4;
+            return written;
         }
         free(bytes);
     }
@@ -240,21 +279,48 @@
         memcpy(&mark, rpc->mark, sizeof(mark));
         mark = ntohl(mark);
         rpc->last_fragment = (mark & MARK_LAST) != 0;
-        rpc->fragment_left = mark & ~MARK_LAST;
+        rpc->packed = (mark & MARK_PACKED) != 0;
+        rpc->fragment_left = mark & ~(MARK_LAST | MARK_PACKED);
     }
     return taken;
 }
 
+static void
+dispatch_packed(cbw_rpc_t *rpc, const char *packed, size_t size)
+{
+    size_t record_size;
+    char *record = CbwCompression_Unpack(&rpc->received, packed, size,
+                                         CbwRpc_RECORD_MAX, &record_size);
+
+    if (record == NULL) {
+        CbwStream_Close(&rpc->stream);
+        rpc->ops->on_close(rpc, "malformed compressed record");
+        return;
+    }
+    rpc->compress = true;
+    CbwDictionary_Set(&rpc->received, record, record_size);
+    CbwRpc_Dispatch(rpc, record, record_size);
+    free(record);
+}
+
 static void
 end_fragment(cbw_rpc_t *rpc)
 {
     size_t size = rpc->record_size;
 
     rpc->mark_size = 0;
-    if (rpc->last_fragment) {
-        rpc->record_size = 0;
-        CbwRpc_Dispatch(rpc, rpc->record, size);
+    if (!rpc->last_fragment) {
+        return;
+    }
+    rpc->record_size = 0;
+    if (rpc->packed) {
+        dispatch_packed(rpc, rpc->record, size);
+        return;
+    }
+    if (rpc->received.size > 0) {
+        CbwDictionary_Set(&rpc->received, rpc->record, size);
     }
+    CbwRpc_Dispatch(rpc, rpc->record, size);
 }
 
 static void
@@ -342,6 +408,8 @@
     CbwStream_Close(&rpc->stream);
     free(rpc->record);
     rpc->record = NULL;
+    CbwDictionary_Finish(&rpc->sent);
+    CbwDictionary_Finish(&rpc->received);
 }
 
 bool
--- a/src/share/rpc.h
+++ b/src/share/rpc.h
@@ -1,11 +1,14 @@
 /* ONC RPC (RFC 5531) over a non-blocking stream with record marking. Calls
  * and replies go both ways; many calls may be outstanding, and replies come in
- * any order by their transaction id (xid). */
+ * any order by their transaction id (xid). A bit of the record mark that RFC
+ * 5531 leaves to the length, which never grows so far, says that the record is
+ * compressed. */
 #ifndef CAROBWIND_SHARE_RPC_H
 #define CAROBWIND_SHARE_RPC_H
 
 #include <rpc/rpc.h>
 
+#include "share/compression.h"
 #include "share/stream.h"
 
 /* Longest record, in bytes; longer ones close the connection. */
@@ -36,6 +39,11 @@
     int mark_size;
     size_t fragment_left;
     bool last_fragment;
+    bool packed;   /* the present record is compressed */
+    bool compress; /* records are sent compressed; set by the caller, or by
+                      the first compressed record that comes */
+    cbw_dictionary_t sent;     /* kept from the first compressed record on */
+    cbw_dictionary_t received; /* likewise */
 };
 
 void CbwRpc_Accept(cbw_rpc_t *rpc, struct ev_loop *loop, int fd,
--- /dev/null
+++ b/src/test_libcarobwind/test_compression.c
@@ -0,0 +1,255 @@
+#include <ev.h>
+#include <glib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "carobwind/random.h"
+#include "share/compression.h"
+#include "share/peer_rpc.h"
+#include "share/rpc.h"
+#include "suites.h"
+
+#define RECORD_MAX 20000
+#define ROUNDS 20000
+/* The longest record that the malformed ones may grow to. */
+#define SIZE_MAX_MALFORMED 4096
+#define CALLS_MAX 16
+
+/* Letters and figures as in rows, or bytes of any kind, which do not shrink.
+ */
+static void
+fill(cbw_random_t *random, char *bytes, size_t size, size_t alphabet)
+{
+    for (size_t i = 0; i < size; i++) {
+        bytes[i] = (char)('a' + CbwRandom_Below(random, alphabet));
+    }
+}
+
+typedef struct {
+    size_t size;
+    size_t alphabet;
+    size_t packed_max; /* 0: it is not packed */
+} pack_case_t;
+
+static void
+test_pack(void)
+{
+    static const pack_case_t cases[] = {
+        {0, 26, 0},       {CbwCompression_RECORD_MIN - 1, 1, 0},
+        {600, 26, 520},   {600, 256, 0},
+        {3000, 26, 2100}, {RECORD_MAX, 1, 200},
+    };
+    static char record[RECORD_MAX];
+    static char packed[RECORD_MAX];
+    cbw_dictionary_t none = {0};
+    cbw_random_t random;
+
+    CbwRandom_Init(&random, 31);
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        size_t size;
+        size_t back_size = 0;
+        char *back;
+        fill(&random, record, cases[i].size, cases[i].alphabet);
+        size = CbwCompression_Pack(&none, record, cases[i].size, packed);
+        g_assert_cmpuint(size, <=, cases[i].packed_max);
+        g_assert_true((size == 0) == (cases[i].packed_max == 0));
+        if (size == 0) {
+            continue;
+        }
+        back = CbwCompression_Unpack(&none, packed, size, RECORD_MAX * 4,
+                                     &back_size);
+        g_assert_cmpmem(back, back_size, record, cases[i].size);
+        free(back);
+    }
+}
+
+/* A record like the one before it takes a few bytes. */
+static void
+test_dictionary(void)
+{
+    char record[400];
+    char packed[400];
+    cbw_dictionary_t dictionary = {0};
+    cbw_random_t random;
+    size_t size;
+    size_t back_size = 0;
+    char *back;
+
+    CbwRandom_Init(&random, 32);
+    fill(&random, record, sizeof(record), 26);
+    CbwDictionary_Set(&dictionary, record, sizeof(record));
+    record[200] = '!';
+    size = CbwCompression_Pack(&dictionary, record, sizeof(record), packed);
+    g_assert_cmpuint(size, >, 0);
+    g_assert_cmpuint(size, <, 30);
+    back = CbwCompression_Unpack(&dictionary, packed, size, RECORD_MAX,
+                                 &back_size);
+    g_assert_cmpmem(back, back_size, record, sizeof(record));
+    free(back);
+    CbwDictionary_Finish(&dictionary);
+}
+
+/* Damaged records are refused, or give no more than the limit. */
+static void
+test_malformed(void)
+{
+    char record[1500];
+    char packed[1500];
+    char damaged[1500];
+    cbw_dictionary_t none = {0};
+    cbw_random_t random;
+    size_t size;
+    size_t back_size = 0;
+
+    CbwRandom_Init(&random, 33);
+    fill(&random, record, sizeof(record), 4);
+    size = CbwCompression_Pack(&none, record, sizeof(record), packed);
+    g_assert_cmpuint(size, >, 0);
+    g_assert_null(CbwCompression_Unpack(&none, packed, size - 1,
+                                        SIZE_MAX_MALFORMED, &back_size));
+    g_assert_null(CbwCompression_Unpack(&none, packed, 0, SIZE_MAX_MALFORMED,
+                                        &back_size));
+    for (int i = 0; i < ROUNDS; i++) {
+        char *back;
+        memcpy(damaged, packed, size);
+        for (int j = 0; j < 4; j++) {
+            damaged[CbwRandom_Below(&random, size)] =
+                (char)CbwRandom_Below(&random, 256);
+        }
+        back = CbwCompression_Unpack(&none, damaged,
+                                     1 + CbwRandom_Below(&random, size),
+                                     SIZE_MAX_MALFORMED, &back_size);
+        g_assert_true(back == NULL || back_size <= SIZE_MAX_MALFORMED);
+        free(back);
+    }
+    /* A short record that would grow beyond the limit. */
+    memset(record, 'x', sizeof(record));
+    size = CbwCompression_Pack(&none, record, sizeof(record), packed);
+    g_assert_null(CbwCompression_Unpack(&none, packed, size,
+                                        sizeof(record) / 2, &back_size));
+}
+
+/* Calls over a connection of which one end compresses. */
+
+typedef struct {
+    char statements[CALLS_MAX][RECORD_MAX];
+    size_t sizes[CALLS_MAX];
+    size_t calls;   /* that came, in order */
+    size_t replies; /* likewise */
+    bool closed;
+} exchange_t;
+
+static bool
+on_call(cbw_rpc_t *rpc, uint32_t xid, uint32_t procedure, XDR *arguments)
+{
+    exchange_t *exchange = rpc->context;
+    peer_statement_args args = {0};
+    peer_statement_result result = {
+        .token = (char *)"", .reason = (char *)"", .moved_to = (char *)""};
+
+    g_assert_cmpint(procedure, ==, PEER_STATEMENT);
+    g_assert_true(xdr_peer_statement_args(arguments, &args));
+    g_assert_cmpmem(args.statement.statement_val, args.statement.statement_len,
+                    exchange->statements[exchange->calls],
+                    exchange->sizes[exchange->calls]);
+    exchange->calls++;
+    result.result.result_val = args.statement.statement_val;
+    result.result.result_len = args.statement.statement_len;
+    CbwRpc_Reply(rpc, xid,
+                 (xdrproc_t)(void (*)(void))xdr_peer_statement_result,
+                 &result);
+    xdr_free((xdrproc_t)(void (*)(void))xdr_peer_statement_args, &args);
+    return true;
+}
+
+static void
+on_reply(cbw_rpc_t *rpc, uint32_t xid, XDR *result)
+{
+    exchange_t *exchange = rpc->context;
+    peer_statement_result decoded = {0};
+
+    g_assert_cmpuint(xid, ==, exchange->replies + 1);
+    g_assert_true(xdr_peer_statement_result(result, &decoded));
+    g_assert_cmpmem(decoded.result.result_val, decoded.result.result_len,
+                    exchange->statements[exchange->replies],
+                    exchange->sizes[exchange->replies]);
+    exchange->replies++;
+    xdr_free((xdrproc_t)(void (*)(void))xdr_peer_statement_result, &decoded);
+}
+
+static void
+on_close(cbw_rpc_t *rpc, const char *reason)
+{
+    exchange_t *exchange = rpc->context;
+
+    (void)reason;
+    exchange->closed = true;
+}
+
+static const cbw_rpc_ops_t ops = {
+    .on_call = on_call, .on_reply = on_reply, .on_close = on_close};
+
+static void
+call(cbw_rpc_t *rpc, uint32_t xid, char *statement, size_t size)
+{
+    peer_statement_args args = {.database = (char *)"db",
+                                .kind = (char *)"reading",
+                                .key = (char *)"",
+                                .token = (char *)"db:1:2",
+                                .trace = (char *)"t",
+                                .values = (char *)"",
+                                .shape = (char *)""};
+
+    args.statement.statement_val = statement;
+    args.statement.statement_len = (u_int)size;
+    CbwRpc_Call(rpc, xid, PEER_STATEMENT,
+                (xdrproc_t)(void (*)(void))xdr_peer_statement_args, &args);
+}
+
+/* Compressed records, and such as do not shrink, follow each other in both
+ * directions; both ends remember the same ones. */
+static void
+test_exchange(void)
+{
+    static const pack_case_t cases[] = {
+        {0, 26, 0},   {500, 256, 0},        {20, 26, 0},  {500, 26, 0},
+        {500, 26, 0}, {RECORD_MAX, 256, 0}, {700, 4, 0},  {3000, 256, 0},
+        {10, 26, 0},  {RECORD_MAX, 4, 0},   {1200, 2, 0}, {0, 26, 0},
+    };
+    static exchange_t exchange;
+    struct ev_loop *loop = ev_loop_new(0);
+    cbw_rpc_t client;
+    cbw_rpc_t server;
+    cbw_random_t random;
+    int fds[2];
+
+    g_assert_cmpint(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, fds),
+                    ==, 0);
+    CbwRpc_Accept(&client, loop, fds[0], "", &ops, &exchange);
+    CbwRpc_Accept(&server, loop, fds[1], "", &ops, &exchange);
+    client.compress = true;
+    CbwRandom_Init(&random, 34);
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        exchange.sizes[i] = cases[i].size;
+        fill(&random, exchange.statements[i], cases[i].size,
+             cases[i].alphabet);
+        call(&client, (uint32_t)i + 1, exchange.statements[i], cases[i].size);
+    }
+    while (exchange.replies < G_N_ELEMENTS(cases) && !exchange.closed) {
+        ev_run(loop, EVRUN_ONCE);
+    }
+    g_assert_false(exchange.closed);
+    g_assert_true(server.compress);
+    CbwRpc_Finish(&client);
+    CbwRpc_Finish(&server);
+    ev_loop_destroy(loop);
+}
+
+void
+Suite_AddCompression(void)
+{
+    g_test_add_func("/compression/pack", test_pack);
+    g_test_add_func("/compression/dictionary", test_dictionary);
+    g_test_add_func("/compression/malformed", test_malformed);
+    g_test_add_func("/compression/exchange", test_exchange);
+}
