Serve by the endpoints' word while the store is silent

Ruled out: a shorter tenure (the owner beyond the partition is not the matter); readiness (more than half of the hosts are cut off, and the balancer then uses all).

Change: while the store is silent and no tenure is valid, an owner asks all endpoints of the group each 40 ms who leads. When the primary says that it leads, and then every other one that it follows in no higher term, no promotion had taken effect when they were asked. Not where commits are synchronous: endpoints do not know of a promoter that is choosing a candidate. Since others may now acknowledge beside the holder of a tenure, the holder's own last position proves nothing any more: reads of the latest go to replicas by samples only (CbwTenure_WasSole is gone).

--- a/include/carobwind/inventory.h
+++ b/include/carobwind/inventory.h
@@ -44,7 +44,8 @@
 
 typedef struct {
     char name[Cbw_NAME_MAX];
-    int connections; /* allowance at each endpoint; 0: they name their own */
+    int connections;  /* allowance at each endpoint; 0: they name their own */
+    bool synchronous; /* a commit is kept by a replica before its answer */
     int endpoint_count;
     cbw_endpoint_t endpoints[Cbw_ENDPOINTS_MAX];
 } cbw_database_t;
--- a/include/carobwind/pool.h
+++ b/include/carobwind/pool.h
@@ -63,6 +63,15 @@
  * before it reads the record again: a fraction of the time in which a dead
  * host is found. */
 #define Cbw_POOL_DEFER_FOR (500 * Cbw_MSEC)
+/* How often endpoints are asked who leads while the store is silent: what it
+ * adds to an answer is a small part of the shortest aim (150 ms). */
+#define Cbw_POOL_CONFIRM_INTERVAL (40 * Cbw_MSEC)
+/* Nothing new is sent by an older word of the endpoints. */
+#define Cbw_POOL_CONFIRM_FRESH (500 * Cbw_MSEC)
+/* They are asked so long before the tenure ends, so that service goes on. */
+#define Cbw_POOL_CONFIRM_LEAD (250 * Cbw_MSEC)
+/* They are not asked when no request came for so long. */
+#define Cbw_POOL_CONFIRM_IDLE Cbw_SEC
 /* How long one request that its entry could not bring to the holder lets this
  * owner take over; as long as entries avoid a host that is lost. */
 #define Cbw_POOL_CLAIM_FOR (600 * Cbw_MSEC)
@@ -177,7 +186,7 @@
     cbw_queue_t primary_queue; /* writes, and reads of the latest */
     cbw_queue_t replica_queue; /* other reads */
     cbw_link_t running;
-    cbw_link_t proving; /* answered commits that wait for a valid tenure */
+    cbw_link_t proving; /* answered, and not proven yet */
     cbw_link_t outstanding;
     cbw_link_t transactions;
     uint64_t next_call;
@@ -186,6 +195,12 @@
     uint64_t lead_term;    /* of the primary at the floor; 0: not known */
     cbw_pool_sample_t history[Cbw_POOL_HISTORY];
     size_t history_count; /* samples written ever */
+    bool synchronous;
+    bool confirming;         /* endpoints are asked, as the store is silent */
+    cbw_time_t confirmed_at; /* nobody else had been promoted; 0: unknown */
+    uint64_t confirmed_term; /* of the primary by its endpoints */
+    cbw_pool_sample_t unconfirmed; /* newer than that; time 0: none */
+    cbw_time_t submitted_at;       /* when the last request came */
     cbw_pool_phase_t phase;
     cbw_time_t phase_since;
     bool planned;
@@ -221,6 +236,10 @@
                           const cbw_endpoint_t *endpoints, int count);
 /* How long an open transaction may rest; 0: Cbw_POOL_TRANSACTION_IDLE. */
 void CbwPool_SetTransactionIdle(cbw_pool_t *pool, cbw_time_t idle);
+/* Whether a commit is kept by a replica before its answer comes. Then nothing
+ * may be acknowledged once a promoter has begun to choose a candidate, which
+ * endpoints do not know. */
+void CbwPool_SetSynchronous(cbw_pool_t *pool, bool synchronous);
 /* Hands back queued requests as pending, for another owner. */
 void CbwPool_Evict(cbw_pool_t *pool);
 /* Takes in a request; it stays with the pool until ops->answer. */
--- a/include/carobwind/tenure.h
+++ b/include/carobwind/tenure.h
@@ -25,6 +25,10 @@
  * longer than a promotion takes with all its waits. */
 #define Cbw_TENURE_PROMOTION_PATIENCE (Cbw_TENURE_VALID_FOR + 3 * Cbw_SEC)
 
+/* A store whose answer is due for so long counts as silent: above the slow
+ * answers of the users' sheets (4 ms, 60 times as long). */
+#define Cbw_TENURE_SILENT_AFTER (300 * Cbw_MSEC)
+
 /* Former holders that a record names; with more, all must be waited for. */
 #define Cbw_TENURE_FORMERS_MAX 6
 /* Former holders that are remembered with the time when they were seen. */
@@ -77,6 +81,7 @@
     bool swapping;    /* it is a swap, of `wanted` */
     cbw_tenure_record_t wanted;
     cbw_time_t asked_at;
+    bool unanswered; /* the last call ended without an answer */
     cbw_time_t ask_again_at;
     cbw_time_t valid_until; /* 0: not held */
     bool held;              /* without a break since `sole_since` was set */
@@ -103,11 +108,8 @@
 bool CbwTenure_IsValid(const cbw_tenure_t *tenure, cbw_time_t now);
 /* Besides, no other owner has the right any more. */
 bool CbwTenure_IsSole(const cbw_tenure_t *tenure, cbw_time_t now);
-/* Nobody else had acknowledged anything by `time`: others may take the record
- * over at once, and acknowledge, since it was last proved; but not while it is
- * in a promotion, which they would have to wait for. */
-bool CbwTenure_WasSole(const cbw_tenure_t *tenure, cbw_time_t now,
-                       cbw_time_t time);
+/* The store does not answer this owner. */
+bool CbwTenure_IsStoreSilent(const cbw_tenure_t *tenure, cbw_time_t now);
 /* Proves, takes over or takes back the right where that is due. `primary` is
  * for a record that does not exist yet; "" when it is not known. */
 void CbwTenure_Tick(cbw_tenure_t *tenure, cbw_time_t now, const char *primary);
--- a/src/carobwindd/pool_instance.c
+++ b/src/carobwindd/pool_instance.c
@@ -361,6 +361,7 @@
     CbwPool_SetTransactionIdle(
         &instance->pool, PoolTask_State.config->inventory.transaction_idle);
     if (database != NULL) {
+        CbwPool_SetSynchronous(&instance->pool, database->synchronous);
         CbwPool_SetEndpoints(&instance->pool, CbwNet_Now(),
                              database->endpoints, database->endpoint_count);
     }
--- a/src/libcarobwind/include/private/pool.h
+++ b/src/libcarobwind/include/private/pool.h
@@ -56,15 +56,33 @@
 /* The place of the endpoint called `name`; -1: it has none. */
 int CbwPool_Find_(const cbw_pool_t *pool, const char *name);
 bool CbwPool_HasRoom_(const cbw_pool_t *pool, int endpoint);
-/* Releases answered commits whose proof has come, or ends them. */
+/* Releases answered requests whose proof has come, or ends them. */
 void CbwPool_Prove_(cbw_pool_t *pool, cbw_time_t now);
+/* Ends all answered requests that are not proven. */
+void CbwPool_EndUnproven_(cbw_pool_t *pool, cbw_time_t now);
 /* Notes where the primary's log ends, by what was asked at `sent`. */
 void CbwPool_NotePosition_(cbw_pool_t *pool, cbw_time_t sent,
                            cbw_position_t position);
 /* The position that a read which arrived at `arrived` must see, by age.
  * Returns false when that is not known. */
-bool CbwPool_RequiredAt_(const cbw_pool_t *pool, cbw_time_t now,
-                         cbw_time_t time, cbw_position_t *position);
+bool CbwPool_RequiredAt_(const cbw_pool_t *pool, cbw_time_t time,
+                         cbw_position_t *position);
+void CbwPool_AskStatus_(cbw_pool_t *pool, cbw_time_t now, int endpoint);
+/* Asks endpoints who leads, while the store is silent. */
+void CbwPool_TickConfirmation_(cbw_pool_t *pool, cbw_time_t now);
+/* An endpoint has said what it is. */
+void CbwPool_OnStatus_(cbw_pool_t *pool, cbw_time_t now);
+/* Keeps where the primary's log ends until it is confirmed. */
+void CbwPool_NoteUnconfirmed_(cbw_pool_t *pool, cbw_time_t sent,
+                              cbw_position_t position);
+/* Endpoints said shortly ago that the primary leads. */
+bool CbwPool_IsConfirmed_(const cbw_pool_t *pool, cbw_time_t now);
+/* Requests may be sent, by the tenure or by the endpoints' word. */
+bool CbwPool_HasRight_(const cbw_pool_t *pool, cbw_time_t now);
+/* Nobody else had been promoted by `time`. Endpoints that were asked in the
+ * same moment do not prove it: time stands still while an event is handled. */
+bool CbwPool_IsProven_(const cbw_pool_t *pool, cbw_time_t now,
+                       cbw_time_t time);
 void CbwPool_TickHealth_(cbw_pool_t *pool, cbw_time_t now);
 /* Sends queued requests on to the record's holder, if it is left to that. */
 void CbwPool_MoveToHolder_(cbw_pool_t *pool, cbw_time_t now);
--- a/src/libcarobwind/pool.c
+++ b/src/libcarobwind/pool.c
@@ -96,6 +96,12 @@
     pool->transaction_idle = idle > 0 ? idle : Cbw_POOL_TRANSACTION_IDLE;
 }
 
+void
+CbwPool_SetSynchronous(cbw_pool_t *pool, bool synchronous)
+{
+    pool->synchronous = synchronous;
+}
+
 static void
 end_queue(cbw_pool_t *pool, cbw_queue_t *queue, cbw_outcome_t outcome)
 {
@@ -409,6 +415,7 @@
                              (request->writes && !request->reads_only) ||
                              (request->begins && !request->reads_only);
     request->queued_at = now;
+    pool->submitted_at = now;
     if (request->transaction != 0 && !request->begins) {
         continue_transaction(pool, now, request);
         return;
@@ -520,7 +527,7 @@
 expire_queues(cbw_pool_t *pool, cbw_time_t now)
 {
     bool blocked[] = {CbwPool_UsablePrimary_(pool, now) < 0,
-                      !CbwTenure_IsValid(&pool->tenure, now)};
+                      !CbwPool_HasRight_(pool, now)};
     cbw_queue_t *queues[] = {&pool->primary_queue, &pool->replica_queue};
 
     for (size_t i = 0; i < 2; i++) {
--- a/src/libcarobwind/pool_dispatch.c
+++ b/src/libcarobwind/pool_dispatch.c
@@ -11,8 +11,8 @@
     int primary = pool->primary;
 
     if (primary < 0 || pool->endpoints[primary].down ||
-        pool->tenure.record.promoting || now < pool->moved_until ||
-        !CbwTenure_IsValid(&pool->tenure, now)) {
+        now < pool->moved_until || !CbwPool_HasRight_(pool, now) ||
+        (pool->tenure.record.promoting && !CbwPool_IsConfirmed_(pool, now))) {
         return -1;
     }
     return primary;
@@ -21,14 +21,15 @@
 /* What reads must see. */
 
 bool
-CbwPool_RequiredAt_(const cbw_pool_t *pool, cbw_time_t now, cbw_time_t time,
+CbwPool_RequiredAt_(const cbw_pool_t *pool, cbw_time_t time,
                     cbw_position_t *position)
 {
     size_t count = pool->history_count;
     size_t kept = count < Cbw_POOL_HISTORY ? count : Cbw_POOL_HISTORY;
     bool found = false;
 
-    /* The oldest sample that is not older than `time`. */
+    /* The oldest sample that is not older than `time`. What this owner itself
+     * acknowledged says nothing: others may, by the endpoints' word. */
     for (size_t i = 0; i < kept; i++) {
         const cbw_pool_sample_t *sample =
             &pool->history[(count - 1 - i) % Cbw_POOL_HISTORY];
@@ -38,11 +39,6 @@
         *position = sample->position;
         found = true;
     }
-    /* The only one that acknowledges knows all that it acknowledged. */
-    if (!found && count > 0 && CbwTenure_WasSole(&pool->tenure, now, time)) {
-        *position = pool->newest;
-        found = true;
-    }
     if (found && CbwPosition_Compare(*position, pool->floor) < 0) {
         *position = pool->floor;
     }
@@ -86,8 +82,8 @@
 /* The position that a replica must hold for the request. Returns false when it
  * is not known: then the primary is asked. */
 static bool
-required_position(const cbw_pool_t *pool, cbw_time_t now,
-                  const cbw_request_t *request, cbw_position_t *position)
+required_position(const cbw_pool_t *pool, const cbw_request_t *request,
+                  cbw_position_t *position)
 {
     cbw_time_t time = request->arrived;
     cbw_position_t session;
@@ -95,7 +91,7 @@
     if (request->rule != CBW_READ_LATEST) {
         time -= request->age;
     }
-    if (!CbwPool_RequiredAt_(pool, now, time, position)) {
+    if (!CbwPool_RequiredAt_(pool, time, position)) {
         return false;
     }
     if (request->rule == CBW_READ_SESSION &&
@@ -260,7 +256,7 @@
 {
     bool plain = request->writes || (request->begins && !request->reads_only);
 
-    return !plain && required_position(pool, now, request, after) &&
+    return !plain && required_position(pool, request, after) &&
            choose_replica(pool, now, *after, endpoint) == CHOICE_FOUND;
 }
 
@@ -315,15 +311,14 @@
     int endpoint = -1;
     choice_t choice = CHOICE_NONE;
 
-    if (pool->replica_queue.length == 0 ||
-        !CbwTenure_IsValid(&pool->tenure, now)) {
+    if (pool->replica_queue.length == 0 || !CbwPool_HasRight_(pool, now)) {
         return false;
     }
     request = pool->queue_policy->pop(&pool->replica_queue);
     if (end_late(pool, now, request)) {
         return true;
     }
-    if (required_position(pool, now, request, &needed)) {
+    if (required_position(pool, request, &needed)) {
         choice = choose_replica(pool, now, needed, &endpoint);
     }
     if (choice == CHOICE_FOUND) {
--- a/src/libcarobwind/pool_endpoints.c
+++ b/src/libcarobwind/pool_endpoints.c
@@ -23,6 +23,10 @@
     CbwPool_Abandon_(pool, now, index);
     pool->ops->detach(pool->context, index);
     memset(&pool->endpoints[index], 0, sizeof(pool->endpoints[index]));
+    if (index == pool->primary) {
+        pool->primary = -1;
+        pool->confirmed_at = 0;
+    }
 }
 
 static void
@@ -94,6 +98,8 @@
             add_endpoint(pool, now, &endpoints[i]);
         }
     }
-    pool->primary = CbwPool_Find_(pool, pool->tenure.record.primary);
+    if (pool->primary < 0 || !CbwPool_IsConfirmed_(pool, now)) {
+        pool->primary = CbwPool_Find_(pool, pool->tenure.record.primary);
+    }
     CbwPool_Dispatch_(pool, now);
 }
--- a/src/libcarobwind/pool_explain.c
+++ b/src/libcarobwind/pool_explain.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 
 #include "carobwind/pool.h"
+#include "private/pool.h"
 
 static size_t
 append(char *text, size_t size, size_t length, const char *format, ...)
@@ -26,13 +27,15 @@
     size_t length =
         append(text, size, 0,
                "database\t%s\nphase\t%s\nprimary\t%s\nepoch\t%" PRIu64
-               "\ntenure_valid_ms\t%" PRId64 "\nposition\t%" PRIu64 ".%" PRIu64
+               "\ntenure_valid_ms\t%" PRId64
+               "\nby_endpoints_word\t%s\nposition\t%" PRIu64 ".%" PRIu64
                "\nqueue.primary\t%zu\nqueue.replicas\t%zu\n",
                pool->database, CbwPool_PhaseString[pool->phase],
                pool->tenure.record.primary, pool->tenure.record.epoch,
                CbwTenure_IsValid(&pool->tenure, now)
                    ? (pool->tenure.valid_until - now) / Cbw_MSEC
                    : 0,
+               CbwPool_IsConfirmed_(pool, now) ? "yes" : "no",
                pool->newest.term, pool->newest.number,
                pool->primary_queue.length, pool->replica_queue.length);
 
--- a/src/libcarobwind/pool_health.c
+++ b/src/libcarobwind/pool_health.c
@@ -33,8 +33,8 @@
     CbwPool_Abandon_(pool, now, endpoint);
 }
 
-static void
-ask_status(cbw_pool_t *pool, cbw_time_t now, int endpoint)
+void
+CbwPool_AskStatus_(cbw_pool_t *pool, cbw_time_t now, int endpoint)
 {
     cbw_pool_endpoint_t *e = &pool->endpoints[endpoint];
     cbw_call_t call = {.verb = CBW_CALL_STATE, .key = ""};
@@ -43,7 +43,10 @@
         return;
     }
     CbwCounter_Add(pool->counters, CBW_COUNTER_STATE_CALLS, 1);
-    call.fresh = e->failures > 0 || e->suspect || e->waiting_since != 0;
+    /* While the endpoints are asked all the time, new connections would cost
+     * more slots than the answers. */
+    call.fresh = e->failures > 0 || e->suspect ||
+                 (e->waiting_since != 0 && !pool->confirming);
     e->status_due = now + Cbw_POOL_IDLE_INTERVAL;
     e->status_call = pool->next_call + 1;
     if (!CbwPool_Send_(pool, now, endpoint, &call, NULL,
@@ -134,7 +137,7 @@
     for (int i = 0; i < Cbw_POOL_ENDPOINTS_MAX; i++) {
         if (is_candidate(pool, i) &&
             pool->endpoints[i].status_at < pool->phase_since) {
-            ask_status(pool, now, i);
+            CbwPool_AskStatus_(pool, now, i);
         }
     }
 }
@@ -247,7 +250,7 @@
     }
     if (e->status_call == 0 &&
         now - e->status_at >= Cbw_POOL_FOLLOW_INTERVAL) {
-        ask_status(pool, now, pool->candidate);
+        CbwPool_AskStatus_(pool, now, pool->candidate);
     }
 }
 
@@ -274,6 +277,9 @@
     if (!pool->tenure.known) {
         return; /* what was known holds until it is read again */
     }
+    if (CbwPool_IsConfirmed_(pool, now)) {
+        return; /* the endpoints know better */
+    }
     place = pool->tenure.version != 0
                 ? CbwPool_Find_(pool, pool->tenure.record.primary)
                 : -1;
@@ -391,7 +397,7 @@
             found = true;
         }
         else if (now - e->status_at >= Cbw_POOL_FOLLOW_INTERVAL) {
-            ask_status(pool, now, i);
+            CbwPool_AskStatus_(pool, now, i);
         }
     }
     return found;
@@ -553,6 +559,7 @@
         e->step_down_term = 0;
         CbwPool_Decide_(pool, now, "%s stepped down", e->info.name);
     }
+    CbwPool_OnStatus_(pool, now);
     run_phase(pool, now);
 }
 
@@ -564,9 +571,10 @@
             continue;
         }
         if (is_status_due(pool, now, i)) {
-            ask_status(pool, now, i);
+            CbwPool_AskStatus_(pool, now, i);
         }
         tell_step_down(pool, now, i);
     }
+    CbwPool_TickConfirmation_(pool, now);
     run_phase(pool, now);
 }
--- a/src/libcarobwind/pool_reply.c
+++ b/src/libcarobwind/pool_reply.c
@@ -61,14 +61,43 @@
     }
 }
 
-/* A commit may be acknowledged under a tenure that was valid after its answer
- * came, with no promotion begun. */
+static bool
+commits(const cbw_request_t *request)
+{
+    return request->writes &&
+           (request->transaction == 0 || request->verb == CBW_VERB_COMMIT);
+}
+
+/* Another endpoint may lead, or be about to. */
+static bool
+is_superseded(const cbw_pool_t *pool, cbw_time_t now, int endpoint)
+{
+    const cbw_tenure_t *tenure = &pool->tenure;
+
+    return endpoint != pool->primary || pool->phase >= CBW_POOL_CLAIMING ||
+           ((tenure->record.promoting || tenure->inherited) &&
+            !CbwPool_IsConfirmed_(pool, now));
+}
+
+/* An answer waits for the proof that who gave it led. */
+static void
+hold_answer(cbw_pool_t *pool, cbw_time_t now, cbw_request_t *request,
+            int endpoint)
+{
+    request->state = CBW_REQUEST_CONFIRMING;
+    request->answered_at = now;
+    request->endpoint = endpoint;
+    CbwList_Append(&pool->proving, &request->link);
+    CbwTenure_Hasten(&pool->tenure, now);
+}
+
+/* A commit may be acknowledged by a proof that came after its answer, with no
+ * promotion begun. */
 static void
 on_committed(cbw_pool_t *pool, cbw_time_t now, cbw_request_t *request,
              int endpoint)
 {
-    if (endpoint != pool->primary || pool->tenure.record.promoting ||
-        pool->phase >= CBW_POOL_CLAIMING) {
+    if (is_superseded(pool, now, endpoint)) {
         CbwPool_Answer_(pool, request, CBW_OUTCOME_UNKNOWN, CBW_CAUSE_IN_DOUBT,
                         "a promotion began before the answer came");
         return;
@@ -77,11 +106,40 @@
         CbwPool_Answer_(pool, request, CBW_OUTCOME_DONE, CBW_CAUSE_NONE, "");
         return;
     }
-    request->state = CBW_REQUEST_CONFIRMING;
-    request->answered_at = now;
-    request->endpoint = endpoint;
-    CbwList_Append(&pool->proving, &request->link);
-    CbwTenure_Hasten(&pool->tenure, now);
+    hold_answer(pool, now, request, endpoint);
+}
+
+/* The time by which nobody else may have been promoted for the answer to
+ * hold: a commit's answer itself, or the sending of a read. */
+static cbw_time_t
+proof_time(const cbw_request_t *request)
+{
+    return commits(request) ? request->answered_at : request->sent_at;
+}
+
+/* Ends or tries again what has been answered and cannot be proven. */
+static void
+end_unproven(cbw_pool_t *pool, cbw_time_t now, cbw_request_t *request)
+{
+    if (commits(request)) {
+        CbwPool_Answer_(pool, request, CBW_OUTCOME_UNKNOWN, CBW_CAUSE_IN_DOUBT,
+                        "no proof that the primary is still the one");
+        return;
+    }
+    CbwList_Remove(&request->link);
+    request->answer.token[0] = '\0'; /* of a log that may not be kept */
+    CbwPool_OnLost_(pool, now, request, CBW_CAUSE_IN_DOUBT);
+}
+
+void
+CbwPool_EndUnproven_(cbw_pool_t *pool, cbw_time_t now)
+{
+    cbw_link_t *link;
+    cbw_link_t *safe;
+
+    Cbw_LIST_FOREACH (&pool->proving, link, safe) {
+        end_unproven(pool, now, Cbw_LIST_ITEM(link, cbw_request_t, link));
+    }
 }
 
 void
@@ -92,32 +150,40 @@
 
     Cbw_LIST_FOREACH (&pool->proving, link, safe) {
         cbw_request_t *request = Cbw_LIST_ITEM(link, cbw_request_t, link);
-        bool superseded = request->endpoint != pool->primary ||
-                          pool->tenure.record.promoting ||
-                          pool->phase >= CBW_POOL_CLAIMING ||
-                          pool->tenure.inherited;
-        if (!superseded && CbwTenure_IsValid(&pool->tenure, now)) {
+        bool superseded = is_superseded(pool, now, request->endpoint);
+        if (!superseded && CbwPool_IsProven_(pool, now, proof_time(request))) {
             CbwPool_Answer_(pool, request, CBW_OUTCOME_DONE, CBW_CAUSE_NONE,
                             "");
         }
-        else if (superseded || now >= request->deadline) {
-            CbwPool_Answer_(pool, request, CBW_OUTCOME_UNKNOWN,
-                            CBW_CAUSE_IN_DOUBT,
-                            "no proof that the primary is still the one");
+        else if (superseded || now >= request->deadline ||
+                 (!commits(request) && !pool->confirming)) {
+            end_unproven(pool, now, request);
         }
     }
 }
 
+/* A read of the primary that was not sent under a tenure. Later statements of
+ * a transaction see what its first one saw. */
+static bool
+is_unproven_read(const cbw_pool_t *pool, cbw_time_t now,
+                 const cbw_request_t *request, const cbw_pool_call_t *call)
+{
+    return !call->was_valid && call->endpoint == pool->primary &&
+           (request->transaction == 0 || request->begins) &&
+           !CbwPool_IsProven_(pool, now, request->sent_at);
+}
+
 static void
 on_done(cbw_pool_t *pool, cbw_time_t now, cbw_request_t *request,
-        const cbw_reply_t *reply, int endpoint)
+        const cbw_reply_t *reply, const cbw_pool_call_t *call)
 {
-    bool commits = request->writes && (request->transaction == 0 ||
-                                       request->verb == CBW_VERB_COMMIT);
-
     set_result(pool, request, reply);
-    if (commits) {
-        on_committed(pool, now, request, endpoint);
+    if (commits(request)) {
+        on_committed(pool, now, request, call->endpoint);
+        return;
+    }
+    if (is_unproven_read(pool, now, request, call)) {
+        hold_answer(pool, now, request, call->endpoint);
         return;
     }
     CbwPool_Answer_(pool, request, CBW_OUTCOME_DONE, CBW_CAUSE_NONE, "");
@@ -178,10 +244,11 @@
 }
 
 static void
-on_request_reply(cbw_pool_t *pool, cbw_time_t now, cbw_request_t *request,
-                 const cbw_reply_t *reply, int endpoint)
+on_request_reply(cbw_pool_t *pool, cbw_time_t now, const cbw_pool_call_t *call,
+                 const cbw_reply_t *reply)
 {
-    cbw_pool_endpoint_t *e = &pool->endpoints[endpoint];
+    cbw_pool_endpoint_t *e = &pool->endpoints[call->endpoint];
+    cbw_request_t *request = call->request;
 
     if (reply->status != CBW_REPLY_LOST) {
         update_transaction(pool, now, request, reply->status);
@@ -189,7 +256,7 @@
     switch (reply->status) {
     case CBW_REPLY_OK:
         e->behind_pause = 0;
-        on_done(pool, now, request, reply, endpoint);
+        on_done(pool, now, request, reply, call);
         break;
     case CBW_REPLY_BUSY:
     case CBW_REPLY_FULL:
@@ -251,10 +318,15 @@
         return;
     }
     e->position = position;
-    if (call->endpoint == pool->primary && call->was_valid &&
-        !pool->tenure.record.promoting) {
+    if (call->endpoint != pool->primary) {
+        return;
+    }
+    if (call->was_valid && !pool->tenure.record.promoting) {
         CbwPool_NotePosition_(pool, call->sent_at, position);
     }
+    else {
+        CbwPool_NoteUnconfirmed_(pool, call->sent_at, position);
+    }
 }
 
 void
@@ -281,7 +353,7 @@
     if (call.request != NULL) {
         CbwLatency_Add(pool->latencies, CBW_LATENCY_ENDPOINT,
                        call.request->rank, now - call.sent_at);
-        on_request_reply(pool, now, call.request, reply, call.endpoint);
+        on_request_reply(pool, now, &call, reply);
     }
     else {
         CbwPool_OnControlReply_(pool, now, &call, reply);
--- a/src/libcarobwind/tenure.c
+++ b/src/libcarobwind/tenure.c
@@ -73,12 +73,11 @@
 }
 
 bool
-CbwTenure_WasSole(const cbw_tenure_t *tenure, cbw_time_t now, cbw_time_t time)
+CbwTenure_IsStoreSilent(const cbw_tenure_t *tenure, cbw_time_t now)
 {
-    cbw_time_t proved_at = tenure->valid_until - Cbw_TENURE_VALID_FOR;
-
-    return CbwTenure_IsSole(tenure, now) &&
-           (time <= proved_at || tenure->record.promoting);
+    return tenure->unanswered ||
+           (tenure->asking &&
+            now - tenure->asked_at >= Cbw_TENURE_SILENT_AFTER);
 }
 
 static void
@@ -380,6 +379,7 @@
                    const cbw_tenure_record_t *record)
 {
     tenure->asking = false;
+    tenure->unanswered = status == CBW_STORE_LOST;
     if (tenure->given_up_at >= tenure->asked_at) {
         return; /* it may be older than the giving up */
     }
@@ -433,6 +433,7 @@
     bool took_over = !is_ours(tenure);
 
     tenure->asking = false;
+    tenure->unanswered = status == CBW_STORE_LOST;
     if (tenure->given_up_at >= tenure->asked_at) {
         return; /* reads it back */
     }
--- /dev/null
+++ b/src/test_libcarobwind/pool_world.c
@@ -0,0 +1,264 @@
+#include "pool_world.h"
+
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+static bool
+op_call(void *context, int endpoint, const cbw_call_t *call)
+{
+    world_t *world = context;
+
+    g_assert_cmpint(world->sent_count, <, CALLS_MAX);
+    world->sent[world->sent_count++] =
+        (sent_t){call->id, endpoint, *call, true};
+    return true;
+}
+
+static bool
+op_abort(void *context, int endpoint, uint64_t id)
+{
+    world_t *world = context;
+
+    (void)endpoint;
+    for (int i = 0; i < world->sent_count; i++) {
+        if (world->sent[i].id == id) {
+            world->sent[i].open = false;
+        }
+    }
+    return world->aborted_sent;
+}
+
+static void
+op_end_transaction(void *context, int endpoint, uint64_t transaction,
+                   bool clean)
+{
+    (void)context;
+    (void)endpoint;
+    (void)transaction;
+    (void)clean;
+}
+
+static void
+op_answer(void *context, cbw_request_t *request)
+{
+    world_t *world = context;
+
+    world->answered = request;
+    world->answers++;
+}
+
+static void
+op_attach(void *context, int endpoint, const cbw_endpoint_t *info)
+{
+    (void)context;
+    (void)endpoint;
+    (void)info;
+}
+
+static void
+op_detach(void *context, int endpoint)
+{
+    (void)context;
+    (void)endpoint;
+}
+
+static void
+op_read(void *context)
+{
+    ((world_t *)context)->reading = true;
+}
+
+static void
+op_swap(void *context, uint64_t version, const cbw_tenure_record_t *record)
+{
+    world_t *world = context;
+
+    g_assert_cmpuint(version, ==, world->version);
+    world->swapping = true;
+    world->record = *record;
+}
+
+static void
+op_ask_former(void *context, const cbw_tenure_holder_t *former)
+{
+    (void)former;
+    ((world_t *)context)->asked_formers++;
+}
+
+static void
+op_order(void *context, const char *endpoint, uint64_t fence)
+{
+    world_t *world = context;
+
+    g_strlcpy(world->ordered, endpoint, sizeof(world->ordered));
+    world->fence = fence;
+}
+
+static void
+op_ask_reach(void *context, int endpoint)
+{
+    world_t *world = context;
+
+    (void)endpoint;
+    CbwPool_OnReach(&world->pool, world->now, NULL);
+}
+
+static bool
+op_move(void *context, const char *host, bool takes)
+{
+    world_t *world = context;
+
+    g_assert_false(takes);
+    g_strlcpy(world->moved_to, host, sizeof(world->moved_to));
+    return true;
+}
+
+static void
+op_decide(void *context, const char *text)
+{
+    (void)context;
+    g_test_message("%s", text);
+}
+
+static const cbw_pool_ops_t ops = {
+    .call = op_call,
+    .abort = op_abort,
+    .end_transaction = op_end_transaction,
+    .answer = op_answer,
+    .attach = op_attach,
+    .detach = op_detach,
+    .read_record = op_read,
+    .swap_record = op_swap,
+    .ask_former = op_ask_former,
+    .order = op_order,
+    .ask_reach = op_ask_reach,
+    .move = op_move,
+    .decide = op_decide,
+};
+
+static const cbw_rank_t ranks[] = {{.name = "urgent"}, {.name = "other"}};
+
+void
+World_ServeStore(world_t *world)
+{
+    for (int i = 0; i < 8 && (world->reading || world->swapping); i++) {
+        if (world->reading) {
+            world->reading = false;
+            CbwPool_OnRecord(&world->pool, world->now,
+                             world->version == 0 ? CBW_STORE_MISSING
+                                                 : CBW_STORE_OK,
+                             world->version, &world->record);
+        }
+        if (world->swapping) {
+            world->swapping = false;
+            world->version++;
+            CbwPool_OnSwap(&world->pool, world->now, CBW_STORE_OK,
+                           world->version);
+        }
+    }
+}
+
+void
+World_Tick(world_t *world, cbw_time_t step)
+{
+    world->now += step;
+    CbwPool_Tick(&world->pool, world->now, true);
+    World_ServeStore(world);
+    CbwPool_Tick(&world->pool, world->now, true);
+    World_ServeStore(world);
+}
+
+void
+World_SetEndpoints(world_t *world, bool primary_leaves)
+{
+    cbw_endpoint_t endpoints[3];
+
+    memset(endpoints, 0, sizeof(endpoints));
+    for (int i = 0; i < 3; i++) {
+        snprintf(endpoints[i].name, sizeof(endpoints[i].name), "e%d", i);
+        snprintf(endpoints[i].address, sizeof(endpoints[i].address),
+                 "10.0.0.%d:1", i + 1);
+        endpoints[i].slots = 2;
+        endpoints[i].connections = 40;
+        endpoints[i].reports_primary = i == 0;
+        endpoints[i].leaving = i == 0 && primary_leaves;
+    }
+    CbwPool_SetEndpoints(&world->pool, world->now, endpoints, 3);
+}
+
+void
+World_Init(world_t *world)
+{
+    memset(world, 0, sizeof(*world));
+    world->now = 100 * Cbw_SEC;
+    world->aborted_sent = true;
+    CbwPool_Init(&world->pool, "db", CbwQueue_Policy("ranked"), ranks,
+                 G_N_ELEMENTS(ranks), &ops, world, NONCE, "host", "north",
+                 NULL);
+    World_SetEndpoints(world, false);
+    World_Tick(world, 0);
+    World_Tick(world, Cbw_TENURE_RETRY_INTERVAL);
+    g_assert_cmpint(world->pool.primary, ==, 0);
+}
+
+void
+World_Finish(world_t *world)
+{
+    CbwPool_Finish(&world->pool, world->now);
+}
+
+cbw_request_t *
+World_NewRequest(world_t *world, bool writes, cbw_read_rule_t rule)
+{
+    cbw_request_t *request = g_new0(cbw_request_t, 1);
+
+    CbwRequest_Init(request);
+    CbwRequest_SetStatement(request, "READ k", 6);
+    request->writes = writes;
+    request->rule = rule;
+    request->age = Cbw_SEC;
+    request->arrived = world->now;
+    request->deadline = world->now + Cbw_SEC;
+    return request;
+}
+
+void
+World_FreeRequest(cbw_request_t *request)
+{
+    CbwRequest_Finish(request);
+    g_free(request);
+}
+
+sent_t *
+World_LastSent(world_t *world, cbw_call_verb_t verb)
+{
+    for (int i = world->sent_count - 1; i >= 0; i--) {
+        if (world->sent[i].open && world->sent[i].call.verb == verb) {
+            return &world->sent[i];
+        }
+    }
+    return NULL;
+}
+
+void
+World_Reply(world_t *world, sent_t *sent, cbw_reply_status_t status,
+            uint64_t position)
+{
+    cbw_reply_t reply = {
+        .status = status,
+        .result = "r",
+        .result_size = 1,
+        .state = {.last_term = position ? 3 : 0, .position = position}};
+
+    g_assert_nonnull(sent);
+    sent->open = false;
+    CbwPool_OnReply(&world->pool, world->now, sent->id, &reply);
+}
+
+void
+World_Submit(world_t *world, cbw_request_t *request)
+{
+    world->answered = NULL;
+    CbwPool_Submit(&world->pool, world->now, request);
+}
--- a/src/test_libcarobwind/suites.h
+++ b/src/test_libcarobwind/suites.h
@@ -12,6 +12,7 @@
 void Suite_AddOwner(void);
 void Suite_AddPolicies(void);
 void Suite_AddPool(void);
+void Suite_AddPoolConfirm(void);
 void Suite_AddRegistry(void);
 void Suite_AddPlatform(void);
 void Suite_AddSession(void);
--- a/src/test_libcarobwind/test_compression.c
+++ b/src/test_libcarobwind/test_compression.c
@@ -56,8 +56,8 @@
         if (size == 0) {
             continue;
         }
-        back = CbwCompression_Unpack(&none, packed, size, RECORD_MAX * 4,
-                                     &back_size);
+        back =
+            CbwCompression_Unpack(&none, packed, size, RECORD_MAX, &back_size);
         g_assert_cmpmem(back, back_size, record, cases[i].size);
         free(back);
     }
--- a/src/test_libcarobwind/test_main.c
+++ b/src/test_libcarobwind/test_main.c
@@ -17,6 +17,7 @@
     Suite_AddOwner();
     Suite_AddPolicies();
     Suite_AddPool();
+    Suite_AddPoolConfirm();
     Suite_AddRegistry();
     Suite_AddPlatform();
     Suite_AddSession();
--- a/test/scenarios/wire.tcl
+++ b/test/scenarios/wire.tcl
@@ -272,6 +272,17 @@
         [lsort -unique [dict values $outcomes]]
 }
 
+scenario wire-store-long-away "the store is away for longer than a tenure lasts" {
+    wire::fleet
+    lassign [wire::storm 13 {
+        wire::tell store down
+        after 11000 { wire::tell store up }
+    }] outcomes
+    wire::check $outcomes 0
+    expect {[lsort -unique [dict values $outcomes]] eq "done"} \
+        [lsort -unique [dict values $outcomes]]
+}
+
 scenario wire-flood "more writes at once than the aim allows: the rest is told" {
     wire::fleet
     set first [wire::connect host1 pay]
