Unpack records up to the limit itself

Records between hosts are limited to a power of two, so no message was affected. Change: the last step ends at the limit. /compression/* passes.

--- a/src/share/compression.c
+++ b/src/share/compression.c
@@ -98,11 +98,12 @@
 static char *
 inflate_all(z_stream *stream, size_t size_max, size_t *record_size)
 {
-    size_t capacity = FIRST_UNPACKED_SIZE;
+    size_t capacity =
+        FIRST_UNPACKED_SIZE < size_max ? FIRST_UNPACKED_SIZE : size_max;
     size_t used = 0;
     char *record = NULL;
 
-    while (capacity <= size_max) {
+    for (;;) {
         char *grown = realloc(record, capacity);
         int status;
         if (grown == NULL) {
@@ -117,10 +118,10 @@
             *record_size = used;
             return record;
         }
-        if (status != Z_OK || stream->avail_out > 0) {
-            break; /* malformed, or cut short */
+        if (status != Z_OK || stream->avail_out > 0 || capacity >= size_max) {
+            break; /* malformed, cut short or too long */
         }
-        capacity *= 2;
+        capacity = capacity * 2 < size_max ? capacity * 2 : size_max;
     }
     free(record);
     return NULL;
