Let hosts watch the store only when they know each other

Change: nobody watches or polls until it has had a view for a second; what was read at the start serves until then.

--- a/src/carobwindd/registry_task.c
+++ b/src/carobwindd/registry_task.c
@@ -22,6 +22,10 @@
 /* Members that watch the store for all. */
 #define WATCHERS 3
 #define WATCHER_ROLE "registry"
+/* Hosts that start together do not know of each other yet: none watches until
+ * it has had a view for so long. Most members are heard of within the first
+ * probes; what was read at the start serves until then. */
+#define WATCH_DELAY (1 * Cbw_SEC)
 #define FETCH_TIMEOUT (500 * Cbw_MSEC)
 /* Longest wait of a watch: a silent one is found by its deadline well within
  * the time in which a change must be in force. */
@@ -56,9 +60,10 @@
     daemon_t *daemon;
     const registry_driver_t *driver;
     view_t *view;
+    cbw_time_t viewed_at; /* when the first one came; 0: none yet */
     registry_records_t records;
     watch_t watches[WATCH_COUNT_];
-    bool fetching; /* from a peer */
+    bool fetching;       /* from a peer */
     bool polling;
     cbw_time_t poll_at;
     unsigned polls;
@@ -96,11 +101,12 @@
     self.daemon->configured = true;
 }
 
+/* Whether this host is among the first `count` of the role. */
 static bool
-is_watcher(void)
+has_role(cbw_time_t now, int count)
 {
-    return self.view != NULL &&
-           CbwMembership_Rank(&self.view->membership, WATCHER_ROLE) < WATCHERS;
+    return self.viewed_at != 0 && now - self.viewed_at >= WATCH_DELAY &&
+           CbwMembership_Rank(&self.view->membership, WATCHER_ROLE) < count;
 }
 
 static void
@@ -112,7 +118,8 @@
     /* At the start everybody reads what is there, which may lag. */
     bool first = !watch->read;
 
-    if (watch->asked || now < watch->ask_at || (!first && !is_watcher())) {
+    if (watch->asked || now < watch->ask_at ||
+        (!first && !has_role(now, WATCHERS))) {
         return;
     }
     watch->asked = true;
@@ -132,8 +139,7 @@
     bool range = self.polls % POLLS_PER_RANGE == POLLS_PER_RANGE - 1;
     store_call_t *call;
 
-    if (self.polling || now < self.poll_at || self.view == NULL ||
-        CbwMembership_Rank(&self.view->membership, WATCHER_ROLE) != 0) {
+    if (self.polling || now < self.poll_at || !has_role(now, 1)) {
         return;
     }
     if (self.announcements_left > 0) {
@@ -303,6 +309,9 @@
     }
     case MESSAGE_VIEW:
         View_Take(&self.view, message);
+        if (self.viewed_at == 0) {
+            self.viewed_at = CbwNet_Now();
+        }
         break;
     default:
         break;
--- a/test/lib/platform_standin.tcl
+++ b/test/lib/platform_standin.tcl
@@ -19,6 +19,7 @@
 set history {}
 set watches {}
 set mode up
+set lists 0 ;# reads of all keys with a prefix that may not lag
 set deaf 0
 set twice 0
 
@@ -169,6 +170,9 @@
         respond $channel 503 "{}"
         return
     }
+    if {$route eq "/carobwind/kv-range" && ![dict exists $query staleOk]} {
+        incr ::lists
+    }
     switch -- $route {
         /carobwind/kv-key {
             set key [dict get $query key]
@@ -494,6 +498,7 @@
         work { set ::work_ms $subject; return ok }
         primary { return [primary] }
         runs { return $::runs }
+        lists { return $::lists }
         log { return [dict get $::endpoints $subject log] }
         quit { exit }
     }
--- a/test/scenarios/wire.tcl
+++ b/test/scenarios/wire.tcl
@@ -272,6 +272,14 @@
         [lsort -unique [dict values $outcomes]]
 }
 
+scenario wire-cold-start "of hosts that start together only a few watch the store" {
+    wire::fleet 9
+    after 3000
+    # Three watchers read two prefixes each; the first of them reads one again
+    # after four seconds.
+    expect {[wire::tell lists] <= 3 * 2} [wire::tell lists]
+}
+
 scenario wire-store-long-away "the store is away for longer than a tenure lasts" {
     wire::fleet
     lassign [wire::storm 13 {
