Compare what peers know, not only the numbers that they give it

All hosts are killed as a version of the operators' record is written. They start within 0.4 s of each other and read states of the store that differ; each numbers by itself what it learns in another order. Hosts with version 20 and with version 23 then announced one revision, and those with 20 never asked: they kept it for 15 s. The poll's second announcement did not help, as the polling host had read 23 at once.

Change: probes carry a digest of the records in use beside the revision. Where the revision is the same and the digest differs, all records are fetched and the later state of each is kept; removals are remembered with the version that was removed, so that they do not come back. Tests: /registry/one-revision-of-two-contents (the first half shows the hole), /registry/merge-keeps-removals.

--- a/src/carobwindd/member_task.c
+++ b/src/carobwindd/member_task.c
@@ -35,6 +35,7 @@
     cbw_membership_t membership;
     uint64_t published_epoch;
     int64_t config_version;
+    uint64_t config_digest;
     cbw_time_t list_at;
     bool list_asked;
     cbw_time_t join_at;
@@ -106,11 +107,13 @@
 }
 
 static void
-tell_version(const char *address, int64_t version)
+tell_version(const char *address, int64_t version, uint64_t digest)
 {
+    bool differs =
+        version == self.config_version && digest != self.config_digest;
     version_message_t *message;
 
-    if (version <= self.config_version) {
+    if (version <= self.config_version && !differs) {
         return;
     }
     message = calloc(1, sizeof(*message));
@@ -120,6 +123,7 @@
     CbwList_Init(&message->message.link);
     snprintf(message->address, sizeof(message->address), "%s", address);
     message->version = version;
+    message->differs = differs;
     Task_Post(TASK_MEMBER, TASK_CONFIG, MESSAGE_PEER_VERSION,
               &message->message);
 }
@@ -136,6 +140,7 @@
     args->target = strdup("");
     args->target_address = strdup("");
     args->config_version = self.config_version;
+    args->config_digest = self.config_digest;
     fill_changes(name, &args->changes.changes_val, &args->changes.changes_len);
     outbound->timeout = 3 * self.membership.settings.probe_timeout;
     outbound->reply_to = TASK_MEMBER;
@@ -189,7 +194,8 @@
     if (outbound->answered) {
         const peer_probe_result *result = &outbound->result.probe;
         hear_members(result->changes.changes_val, result->changes.changes_len);
-        tell_version(outbound->address, result->config_version);
+        tell_version(outbound->address, result->config_version,
+                     result->config_digest);
     }
     if (reached) {
         CbwMembership_OnAck(&self.membership, CbwNet_Now(), outbound->name);
@@ -400,9 +406,10 @@
     if (args->changes.changes_len > 0) {
         sender = args->changes.changes_val[0].name;
         tell_version(args->changes.changes_val[0].address,
-                     args->config_version);
+                     args->config_version, args->config_digest);
     }
     result->config_version = self.config_version;
+    result->config_digest = self.config_digest;
     fill_changes(sender, &result->changes.changes_val,
                  &result->changes.changes_len);
     if (args->target[0] != '\0') {
@@ -569,6 +576,7 @@
 on_config(config_message_t *message)
 {
     self.config_version = message->config->revision;
+    self.config_digest = message->config->digest;
     Config_Unref(message->config);
     free(message);
     tell_some();
--- a/src/carobwindd/messages.h
+++ b/src/carobwindd/messages.h
@@ -41,6 +41,7 @@
     int references;
     char *text;
     int64_t revision; /* that peers compare; grows with each change */
+    uint64_t digest;  /* of the content; peers compare it besides */
     cbw_inventory_t inventory;
 } config_t;
 
@@ -73,6 +74,7 @@
     message_t message;
     char address[Cbw_ADDRESS_MAX];
     int64_t version;
+    bool differs; /* it is the own version, of other content */
 } version_message_t;
 
 /* How many things keep a task from stopping. */
--- a/src/carobwindd/registry_records.c
+++ b/src/carobwindd/registry_records.c
@@ -5,6 +5,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <xxhash.h>
+
 #include "carobwind/log.h"
 
 /* Registrations that lapsed while the store was away come back within 2 s of
@@ -113,6 +115,7 @@
     }
     config->references = 1;
     config->revision = (int64_t)records->revision;
+    config->digest = RegistryRecords_Digest(records);
     inventory = &config->inventory;
     *inventory = records->routes;
     inventory->kinds = copy_array(
@@ -126,6 +129,42 @@
     return config;
 }
 
+static uint64_t
+hash_text(const char *text, uint64_t seed)
+{
+    return XXH64(text, strlen(text), seed);
+}
+
+/* Of what is_same_endpoint() compares. */
+static uint64_t
+hash_endpoint(const cbw_endpoint_t *endpoint)
+{
+    int64_t numbers[] = {endpoint->slots, endpoint->leaving,
+                         endpoint->reports_primary, endpoint->born};
+    uint64_t hash = XXH64(numbers, sizeof(numbers), 0);
+
+    hash = hash_text(endpoint->name, hash);
+    hash = hash_text(endpoint->data_centre, hash);
+    return hash_text(endpoint->address, hash);
+}
+
+uint64_t
+RegistryRecords_Digest(const registry_records_t *records)
+{
+    uint64_t digest = (uint64_t)records->routes.version;
+    GHashTableIter iterator;
+    gpointer value;
+
+    g_hash_table_iter_init(&iterator, records->registrations);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const registration_t *registration = value;
+        if (registration->gone_at == 0) {
+            digest += hash_endpoint(&registration->endpoint);
+        }
+    }
+    return digest;
+}
+
 /* The operators' record. */
 
 static void
@@ -185,13 +224,43 @@
 /* Registrations. */
 
 static void
-note_removal(registry_records_t *records, const char *key, uint64_t version)
+note_removal(registry_records_t *records, const registration_t *registration,
+             uint64_t removed_at)
 {
     removal_t *removal =
         &records->removals[records->removal_count++ % REGISTRY_REMOVALS_MAX];
 
-    snprintf(removal->key, sizeof(removal->key), "%s", key);
-    removal->version = learn(records, version);
+    snprintf(removal->key, sizeof(removal->key), "%s", registration->key);
+    removal->version = registration->version;
+    removal->removed_at = removed_at;
+    removal->learned = learn(records, removed_at);
+}
+
+static removal_t *
+last_removal(registry_records_t *records)
+{
+    return &records->removals[(records->removal_count + REGISTRY_REMOVALS_MAX -
+                               1) %
+                              REGISTRY_REMOVALS_MAX];
+}
+
+/* Whether this state of the record, or a later one, was removed: what is read
+ * may lag. */
+static bool
+is_removed(const registry_records_t *records, const char *key,
+           uint64_t version)
+{
+    size_t kept = records->removal_count < REGISTRY_REMOVALS_MAX
+                      ? records->removal_count
+                      : REGISTRY_REMOVALS_MAX;
+
+    for (size_t i = 0; i < kept; i++) {
+        if (records->removals[i].version >= version &&
+            strcmp(records->removals[i].key, key) == 0) {
+            return true;
+        }
+    }
+    return false;
 }
 
 static bool
@@ -217,6 +286,10 @@
         known->seen = true; /* a later state of it is known */
         return;
     }
+    if ((known == NULL || known->gone_at != 0) &&
+        is_removed(records, item->key, item->version)) {
+        return;
+    }
     memset(&fresh, 0, sizeof(fresh));
     if (strlen(item->key) >= sizeof(fresh.key) ||
         memchr(item->value, '\0', item->value_size) != NULL ||
@@ -226,7 +299,7 @@
                      "key=%.64s revision=%" PRIu64 " reason=\"%s\"", item->key,
                      item->version, error.text);
         if (known != NULL) {
-            note_removal(records, item->key, item->version);
+            note_removal(records, known, item->version);
             g_hash_table_remove(records->registrations, item->key);
             records->changed = true;
         }
@@ -274,7 +347,7 @@
     if (registration->gone_at != 0) {
         return;
     }
-    note_removal(records, registration->key, version);
+    note_removal(records, registration, version);
     records->changed = true; /* so that peers hear of it */
     /* One that said that it leaves has left; any other may have lapsed while
      * the store was away. */
@@ -313,9 +386,11 @@
     }
 }
 
-void
-RegistryRecords_EndList(registry_records_t *records, uint64_t version,
-                        cbw_time_t now)
+/* A peer's list may lack what the peer has not heard of: that may come back as
+ * it was. */
+static void
+end_list(registry_records_t *records, uint64_t version, cbw_time_t now,
+         bool from_peer)
 {
     GHashTableIter iterator;
     gpointer value;
@@ -324,12 +399,23 @@
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         registration_t *registration = value;
         /* What came after the list was made does not stand in it. */
-        if (!registration->seen && registration->version <= version) {
+        if (!registration->seen && registration->gone_at == 0 &&
+            registration->version <= version) {
             remove_registration(records, registration, version, now);
+            if (from_peer) {
+                last_removal(records)->version = 0;
+            }
         }
     }
 }
 
+void
+RegistryRecords_EndList(registry_records_t *records, uint64_t version,
+                        cbw_time_t now)
+{
+    end_list(records, version, now, false);
+}
+
 void
 RegistryRecords_Take(registry_records_t *records, const store_item_t *item,
                      cbw_time_t now)
@@ -350,7 +436,7 @@
         return;
     }
     known = g_hash_table_lookup(records->registrations, item->key);
-    if (known != NULL) {
+    if (known != NULL && known->version <= item->version) {
         remove_registration(records, known, item->version, now);
     }
 }
@@ -368,7 +454,7 @@
 
     for (size_t i = first; i < removals; i++) {
         removal_t *removal = &records->removals[i % REGISTRY_REMOVALS_MAX];
-        removal->version = removal->version > since ? fresh : removal->version;
+        removal->learned = removal->learned > since ? fresh : removal->learned;
     }
     if (records->config_learned > since) {
         records->config_learned = fresh;
@@ -410,14 +496,15 @@
 {
     return records->removal_count <= REGISTRY_REMOVALS_MAX ||
            records->removals[records->removal_count % REGISTRY_REMOVALS_MAX]
-                   .version <= since;
+                   .learned <= since;
 }
 
-void
-RegistryRecords_FillSince(const registry_records_t *records, uint64_t since,
-                          peer_store_result *result)
+/* Fills in what came to be known after `since`; `whole`: all registrations,
+ * and no removals. */
+static void
+fill(const registry_records_t *records, uint64_t since, bool whole,
+     peer_store_result *result)
 {
-    bool whole = since == 0 || !has_removals_since(records, since);
     size_t kept = records->removal_count < REGISTRY_REMOVALS_MAX
                       ? records->removal_count
                       : REGISTRY_REMOVALS_MAX;
@@ -438,9 +525,9 @@
                  records->config_size, records->config_learned);
     }
     for (size_t i = 0; i < kept && !whole; i++) {
-        if (records->removals[i].version > since) {
+        if (records->removals[i].learned > since) {
             add_item(result, records->removals[i].key, NULL, 0,
-                     records->removals[i].version);
+                     records->removals[i].removed_at);
         }
     }
     g_hash_table_iter_init(&iterator, records->registrations);
@@ -454,6 +541,21 @@
     }
 }
 
+void
+RegistryRecords_FillSince(const registry_records_t *records, uint64_t since,
+                          peer_store_result *result)
+{
+    fill(records, since, since == 0 || !has_removals_since(records, since),
+         result);
+}
+
+void
+RegistryRecords_FillAll(const registry_records_t *records,
+                        peer_store_result *result)
+{
+    fill(records, 0, false, result);
+}
+
 void
 RegistryRecords_TakeFetched(registry_records_t *records,
                             const peer_store_result *result, cbw_time_t now)
@@ -475,7 +577,7 @@
         g_free(item.value);
     }
     if (whole) {
-        RegistryRecords_EndList(records, result->record_version, now);
+        end_list(records, result->record_version, now, true);
     }
     note_revision(records, result->record_version);
 }
--- a/src/carobwindd/registry_records.h
+++ b/src/carobwindd/registry_records.h
@@ -14,7 +14,9 @@
 
 typedef struct {
     char key[Cbw_NAME_MAX + 16];
-    uint64_t version;
+    uint64_t learned;    /* the revision at which it came to be known */
+    uint64_t removed_at; /* the store's, or later */
+    uint64_t version;    /* of the record that was removed */
 } removal_t;
 
 typedef struct {
@@ -52,10 +54,18 @@
 /* Fills an answer for a peer that knows all up to `since`; 0: nothing. */
 void RegistryRecords_FillSince(const registry_records_t *records,
                                uint64_t since, peer_store_result *result);
+/* Fills one with all that is known, as changes: for a peer that announced the
+ * same revision for other content. Both take the later state of each record.
+ */
+void RegistryRecords_FillAll(const registry_records_t *records,
+                             peer_store_result *result);
 /* Takes in such an answer. */
 void RegistryRecords_TakeFetched(registry_records_t *records,
                                  const peer_store_result *result,
                                  cbw_time_t now);
+/* Sums up the records in use: hosts whose digests differ know different
+ * things, though their revisions be the same. */
+uint64_t RegistryRecords_Digest(const registry_records_t *records);
 /* The inventory that the records make up; one reference, the caller's. */
 config_t *RegistryRecords_MakeConfig(const registry_records_t *records);
 
--- a/src/carobwindd/registry_task.c
+++ b/src/carobwindd/registry_task.c
@@ -41,6 +41,9 @@
 #define POLLS_ANNOUNCED 3
 /* Pause after changes of registrations, which come in bunches. */
 #define CHANGES_PAUSE (250 * Cbw_MSEC)
+/* How often all records of a peer are asked for, whose content differs under
+ * the same revision; a change must be in force within 3 s. */
+#define MERGE_INTERVAL (500 * Cbw_MSEC)
 #define RETRY_INTERVAL (150 * Cbw_MSEC)
 /* How often changes are asked for through a peer. */
 #define THROUGH_PEER_INTERVAL (700 * Cbw_MSEC)
@@ -64,6 +67,7 @@
     registry_records_t records;
     watch_t watches[WATCH_COUNT_];
     bool fetching;       /* from a peer */
+    cbw_time_t merge_at; /* not before; all of a peer's records are long */
     bool polling;
     cbw_time_t poll_at;
     unsigned polls;
@@ -235,7 +239,8 @@
 {
     self.fetching = false;
     if (outbound->answered &&
-        outbound->result.store.record_version > self.records.revision) {
+        (outbound->result.store.record_version > self.records.revision ||
+         outbound->args.registry.all)) {
         CbwCounter_Add(&self.daemon->counters, CBW_COUNTER_CONFIG_FETCHED, 1);
         RegistryRecords_TakeFetched(&self.records, &outbound->result.store,
                                     CbwNet_Now());
@@ -250,12 +255,20 @@
 static void
 on_peer_version(version_message_t *message)
 {
+    cbw_time_t now = CbwNet_Now();
     outbound_t *outbound;
 
-    if (message->version > (int64_t)self.records.revision && !self.fetching) {
+    if (!self.fetching &&
+        (message->version > (int64_t)self.records.revision ||
+         (message->differs &&
+          message->version == (int64_t)self.records.revision &&
+          now >= self.merge_at))) {
         self.fetching = true;
+        self.merge_at =
+            message->differs ? now + MERGE_INTERVAL : self.merge_at;
         outbound = Outbound_New(PEER_REGISTRY, message->address);
         outbound->args.registry.since = self.records.revision;
+        outbound->args.registry.all = message->differs;
         outbound->timeout = FETCH_TIMEOUT;
         outbound->reply_to = TASK_CONFIG;
         Task_Post(TASK_CONFIG, TASK_PEER, MESSAGE_OUTBOUND,
@@ -264,6 +277,20 @@
     free(message);
 }
 
+static void
+answer_registry(inbound_t *inbound)
+{
+    const peer_registry_args *args = &inbound->args.registry;
+
+    if (args->all) {
+        RegistryRecords_FillAll(&self.records, &inbound->result.store);
+    }
+    else {
+        RegistryRecords_FillSince(&self.records, args->since,
+                                  &inbound->result.store);
+    }
+}
+
 static void
 answer_config(inbound_t *inbound)
 {
@@ -296,9 +323,7 @@
     case MESSAGE_INBOUND: {
         inbound_t *inbound = Cbw_LIST_ITEM(message, inbound_t, message);
         if (inbound->procedure == PEER_REGISTRY) {
-            RegistryRecords_FillSince(&self.records,
-                                      inbound->args.registry.since,
-                                      &inbound->result.store);
+            answer_registry(inbound);
             Task_Post(TASK_CONFIG, TASK_PEER, MESSAGE_INBOUND_DONE,
                       &inbound->message);
         }
--- a/src/share/peer.x
+++ b/src/share/peer.x
@@ -29,12 +29,14 @@
     string target<PEER_NAME_MAX>;
     string target_address<PEER_ADDRESS_MAX>;
     hyper config_version;
+    unsigned hyper config_digest; /* of what makes up that version */
     peer_member changes<PEER_CHANGES_MAX>;
 };
 
 struct peer_probe_result {
     bool reached;
     hyper config_version;
+    unsigned hyper config_digest;
     peer_member changes<PEER_CHANGES_MAX>;
 };
 
@@ -107,11 +109,12 @@
     string text<PEER_TEXT_MAX>;
 };
 
-/* What the receiver knows of the registry beyond store revision `since`. Its
- * result is that of a store call: status 1 means that the items are all there
- * is, 0 that they are what has changed. */
+/* What the receiver knows of the registry beyond store revision `since`, or
+ * all of it, with what was removed. Its result is that of a store call: status
+ * 1 means that the items are all there is, 0 that they are changes. */
 struct peer_registry_args {
     unsigned hyper since;
+    bool all;
 };
 
 /* Asks the owner with `nonce` to give up its right in `database`. */
--- a/src/share/peer_rpc.h
+++ b/src/share/peer_rpc.h
@@ -40,6 +40,7 @@
     char *target;
     char *target_address;
     quad_t config_version;
+    u_quad_t config_digest;
     struct {
         u_int changes_len;
         peer_member *changes_val;
@@ -50,6 +51,7 @@
 struct peer_probe_result {
     bool_t reached;
     quad_t config_version;
+    u_quad_t config_digest;
     struct {
         u_int changes_len;
         peer_member *changes_val;
@@ -149,6 +151,7 @@
 
 struct peer_registry_args {
     u_quad_t since;
+    bool_t all;
 };
 typedef struct peer_registry_args peer_registry_args;
 
--- a/src/share/peer_xdr.c
+++ b/src/share/peer_xdr.c
@@ -34,6 +34,8 @@
         return FALSE;
     if (!xdr_quad_t(xdrs, &objp->config_version))
         return FALSE;
+    if (!xdr_u_quad_t(xdrs, &objp->config_digest))
+        return FALSE;
     if (!xdr_array(xdrs, (char **)&objp->changes.changes_val,
                    (u_int *)&objp->changes.changes_len, PEER_CHANGES_MAX,
                    sizeof(peer_member), (xdrproc_t)xdr_peer_member))
@@ -50,6 +52,8 @@
         return FALSE;
     if (!xdr_quad_t(xdrs, &objp->config_version))
         return FALSE;
+    if (!xdr_u_quad_t(xdrs, &objp->config_digest))
+        return FALSE;
     if (!xdr_array(xdrs, (char **)&objp->changes.changes_val,
                    (u_int *)&objp->changes.changes_len, PEER_CHANGES_MAX,
                    sizeof(peer_member), (xdrproc_t)xdr_peer_member))
@@ -337,6 +341,8 @@
 
     if (!xdr_u_quad_t(xdrs, &objp->since))
         return FALSE;
+    if (!xdr_bool(xdrs, &objp->all))
+        return FALSE;
     return TRUE;
 }
 
--- a/src/test_libcarobwind/test_registry.c
+++ b/src/test_libcarobwind/test_registry.c
@@ -140,10 +140,86 @@
     RegistryRecords_Finish(&other);
 }
 
+/* `a` and `b` announce the same revision for different content. */
+static void
+merge(registry_records_t *to, const registry_records_t *from)
+{
+    peer_store_result result = {0};
+
+    g_assert_cmpuint(to->revision, ==, from->revision);
+    g_assert_cmpuint(RegistryRecords_Digest(to), !=,
+                     RegistryRecords_Digest(from));
+    RegistryRecords_FillAll(from, &result);
+    RegistryRecords_TakeFetched(to, &result, Cbw_SEC);
+    xdr_free((xdrproc_t)xdr_peer_store_result, &result);
+}
+
+/* After a start of all hosts each has read another state of the store, and
+ * numbers it by itself: one revision, two versions of the operators' record.
+ */
+static void
+test_one_revision_of_two_contents(void)
+{
+    registry_records_t early;
+    registry_records_t late;
+
+    RegistryRecords_Init(&early, &driver, &counters);
+    RegistryRecords_Init(&late, &driver, &counters);
+    take(&early, PREFIX "e1", "10.0.0.1:1", 10);
+    take(&early, CONFIG_KEY, "20", 8);
+    take(&late, PREFIX "e1", "10.0.0.1:1", 10);
+    take(&late, CONFIG_KEY, "23", 9);
+    hear(&early, &late);
+    g_assert_cmpint(early.routes.version, ==, 20);
+    merge(&early, &late);
+    g_assert_cmpint(early.routes.version, ==, 23);
+    g_assert_cmpuint(RegistryRecords_Digest(&early), ==,
+                     RegistryRecords_Digest(&late));
+    RegistryRecords_Finish(&early);
+    RegistryRecords_Finish(&late);
+}
+
+/* What one host saw removed does not come back from one that did not. */
+static void
+test_merge_keeps_removals(void)
+{
+    registry_records_t a;
+    registry_records_t b;
+
+    RegistryRecords_Init(&a, &driver, &counters);
+    RegistryRecords_Init(&b, &driver, &counters);
+    take(&a, PREFIX "e1", "10.0.0.1:1", 10);
+    take(&a, PREFIX "e2", "10.0.0.2:1", 11);
+    hear(&b, &a);
+    take(&a, PREFIX "e1", NULL, 12);
+    take(&b, PREFIX "e2", "10.0.0.3:1", 12);
+    merge(&a, &b);
+    RegistryRecords_ForgetGone(&a, 10 * Cbw_SEC);
+    g_assert_cmpuint(count_endpoints(&a), ==, 1);
+    hear(&b, &a);
+    RegistryRecords_ForgetGone(&b, 10 * Cbw_SEC);
+    if (RegistryRecords_Digest(&a) != RegistryRecords_Digest(&b)) {
+        merge(&b, &a);
+    }
+    RegistryRecords_ForgetGone(&b, 10 * Cbw_SEC);
+    g_assert_cmpuint(RegistryRecords_Digest(&a), ==,
+                     RegistryRecords_Digest(&b));
+    g_assert_cmpuint(count_endpoints(&b), ==, 1);
+    /* The same endpoint, registered anew, is taken. */
+    take(&a, PREFIX "e1", "10.0.0.1:1", 13);
+    g_assert_cmpuint(count_endpoints(&a), ==, 2);
+    RegistryRecords_Finish(&a);
+    RegistryRecords_Finish(&b);
+}
+
 void
 Suite_AddRegistry(void)
 {
     g_test_add_func("/registry/changes-are-fetched", test_changes_are_fetched);
+    g_test_add_func("/registry/one-revision-of-two-contents",
+                    test_one_revision_of_two_contents);
+    g_test_add_func("/registry/merge-keeps-removals",
+                    test_merge_keeps_removals);
     g_test_add_func("/registry/version-never-goes-back",
                     test_version_never_goes_back);
     g_test_add_func("/registry/missed-change-is-announced-again",
