--- a/include/carobwind/pool.h
+++ b/include/carobwind/pool.h
@@ -55,8 +55,10 @@
  * of its aim; the users price what is held longer without being offered. */
 #define Cbw_POOL_BLOCKED_PART 4
 /* One that waits while others are served is refused after this part of its
- * aim: past it, the statement itself would end late. */
-#define Cbw_POOL_WAIT_PERCENT 75
+ * aim. Past three quarters the statement itself would end late; with 60 the
+ * third try of the users' callers that have three aims until their deadline
+ * is not held for over half of the time that it has. */
+#define Cbw_POOL_WAIT_PERCENT 60
 /* When it may come back: about what a promotion takes. */
 #define Cbw_POOL_BLOCKED_RETRY (300 * Cbw_MSEC)
 /* How long an owner leaves the database to the one that the record names
--- a/src/test_libcarobwind/test_pool.c
+++ b/src/test_libcarobwind/test_pool.c
@@ -300,6 +300,34 @@
     World_FreeRequest(write);
 }
 
+/* Of a caller that tries three times within three of its aims, the last try
+ * still has twice the time left that it may wait. */
+static void
+test_long_wait_is_told_early(void)
+{
+    world_t world;
+    cbw_request_t *writes[4];
+
+    World_Init(&world);
+    for (size_t i = 0; i < G_N_ELEMENTS(writes); i++) {
+        writes[i] = World_NewRequest(&world, true, CBW_READ_LATEST);
+        writes[i]->target = 1000 * Cbw_MSEC;
+        writes[i]->deadline = world.now + 3000 * Cbw_MSEC;
+        World_Submit(&world, writes[i]);
+    }
+    world.now += 590 * Cbw_MSEC;
+    CbwPool_Tick(&world.pool, world.now, true);
+    g_assert_null(world.answered);
+    world.now += 20 * Cbw_MSEC;
+    CbwPool_Tick(&world.pool, world.now, true);
+    g_assert_true(world.answered == writes[3]);
+    g_assert_cmpint(writes[3]->answer.outcome, ==, CBW_OUTCOME_NOTRUN);
+    World_Finish(&world);
+    for (size_t i = 0; i < G_N_ELEMENTS(writes); i++) {
+        World_FreeRequest(writes[i]);
+    }
+}
+
 /* Another owner holds the record. */
 static void
 give_to_other(world_t *world)
@@ -412,6 +440,8 @@
                     test_lost_answer_is_not_down);
     g_test_add_func("/pool/leaving-primary",
                     test_leaving_primary_is_replaced_first);
+    g_test_add_func("/pool/long-wait-is-told-early",
+                    test_long_wait_is_told_early);
     g_test_add_func("/pool/blocked-is-told-early",
                     test_blocked_request_is_told_early);
 }
