--- a/Makefile
+++ b/Makefile
@@ -48,6 +48,7 @@
 $(BUILD)/bin/test_libcarobwind: $(BUILD)/carobwindd/caller_protocol.o \
 	$(BUILD)/carobwindd/registry_records.o \
 	$(BUILD)/platform/wire.o $(BUILD)/platform/callers.o \
+	$(BUILD)/platform/backend_text.o \
 	$(BUILD)/platform/registry.o
 $(BUILD)/bin/bench_decisions: $(BUILD)/test_libcarobwind/fake_group.o
 
--- a/src/test_libcarobwind/test_platform.c
+++ b/src/test_libcarobwind/test_platform.c
@@ -5,6 +5,7 @@
 #include "carobwind/plugin.h"
 #include "carobwind/random.h"
 #include "carobwindd/drivers.h"
+#include "platform/backend_text.h"
 #include "platform/wire.h"
 #include "suites.h"
 
@@ -256,9 +257,100 @@
     }
 }
 
+/* Calls to an endpoint, one after the other on one connection. */
+typedef struct {
+    cbw_call_t call;
+    bool in_transaction;
+    const char *setup;
+    int answers;
+    const char *statement;
+} text_case_t;
+
+#define CALL(called, session_values, ...)                                     \
+    {                                                                         \
+        .verb = called, .trace = "t", .shape = "", .values = session_values,  \
+        .statement = "READ k", .statement_size = 6, __VA_ARGS__               \
+    }
+
+static const text_case_t text_cases[] = {
+    {CALL(CBW_CALL_RUN, ""), false, "", 0, "QUERY t READ k\r\n"},
+    {CALL(CBW_CALL_RUN, "", .after_term = 3, .after_position = 9), false, "",
+     0, "QUERY t AFTER 3.9 READ k\r\n"},
+    {CALL(CBW_CALL_RUN, "a 1\nb 2"), false,
+     "QUERY - SET a 1\r\nQUERY - SET b 2\r\n", 2, "QUERY t READ k\r\n"},
+    {CALL(CBW_CALL_RUN, "a 1\nb 2"), false, "", 0, "QUERY t READ k\r\n"},
+    {CALL(CBW_CALL_RUN, "a 1\nb 2\nc 3"), true,
+     "QUERY - SET a 1\r\nQUERY - SET b 2\r\nQUERY - SET c 3\r\n", 3,
+     "QUERY t READ k\r\n"},
+    {CALL(CBW_CALL_RUN, "", .begins = true, .reads_only = true,
+          .after_term = 3, .after_position = 9),
+     false, "QUERY - DISCARD\r\nQUERY - AFTER 3.9 BEGIN READ\r\n", 2,
+     "QUERY t READ k\r\n"},
+    {CALL(CBW_CALL_STATE, ""), false, "", 0, "QUERY - STATUS\r\n"},
+    {CALL(CBW_CALL_STEP_DOWN, "", .term = 4), false, "", 0,
+     "QUERY - STEPDOWN 4\r\n"},
+    {CALL(CBW_CALL_ROLLBACK, ""), true, "", 0, "QUERY - ROLLBACK\r\n"},
+};
+
+static void
+test_backend_texts(void)
+{
+    backend_session_t session;
+    GString *setup = g_string_new(NULL);
+    GString *statement = g_string_new(NULL);
+
+    Backend_InitSession(&session);
+    for (size_t i = 0; i < G_N_ELEMENTS(text_cases); i++) {
+        g_string_truncate(setup, 0);
+        g_assert_cmpint(Backend_FormatCall(&session, &text_cases[i].call,
+                                           text_cases[i].in_transaction, setup,
+                                           statement),
+                        ==, text_cases[i].answers);
+        g_assert_cmpstr(setup->str, ==, text_cases[i].setup);
+        g_assert_cmpstr(statement->str, ==, text_cases[i].statement);
+    }
+    Backend_FinishSession(&session);
+    g_string_free(setup, TRUE);
+    g_string_free(statement, TRUE);
+}
+
+typedef struct {
+    const char *row;
+    bool primary;
+    uint64_t term;
+    uint64_t last_term;
+    uint64_t position;
+} status_case_t;
+
+/* A paused replica counts by the term that it holds; other rows say nothing.
+ */
+static void
+test_backend_status(void)
+{
+    static const status_case_t cases[] = {
+        {"DATAROW replica 3 3.1209 0 12 2 17", false, 3, 3, 1209},
+        {"DATAROW replica 3 3.1209 5 12 2 17", false, 5, 3, 1209},
+        {"DATAROW primary 4 3.7 0 0 0 1", true, 4, 3, 7},
+        {"DATAROW primary 4 - 0 0 0 1", true, 4, 0, 0},
+        {"DATAROW primary", false, 0, 0, 0},
+        {"", false, 0, 0, 0},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        cbw_endpoint_state_t state = {0};
+        Backend_ParseStatus(cases[i].row, &state);
+        g_assert_cmpint(state.primary, ==, cases[i].primary);
+        g_assert_cmpuint(state.term, ==, cases[i].term);
+        g_assert_cmpuint(state.last_term, ==, cases[i].last_term);
+        g_assert_cmpuint(state.position, ==, cases[i].position);
+    }
+}
+
 void
 Suite_AddPlatform(void)
 {
+    g_test_add_func("/platform/backend-texts", test_backend_texts);
+    g_test_add_func("/platform/backend-status", test_backend_status);
     g_test_add_func("/platform/messages", test_messages);
     g_test_add_func("/platform/measure", test_measure);
     g_test_add_func("/platform/messages-random", test_messages_random);
