--- a/src/libcarobwind/pool_confirm.c
+++ b/src/libcarobwind/pool_confirm.c
@@ -1,7 +1,7 @@
 /* Service while the store is silent: the endpoints' own word on who leads
- * stands in for the tenure.  When the primary says that it leads, and after
- * that every other endpoint of the group says that it follows in no higher
- * term, then no promotion had taken effect when they were asked. */
+ * stands in for the tenure.  When the primary says that it leads, and every
+ * other endpoint of the group that it follows in no higher term, then no
+ * promotion had taken effect when the first of them was asked. */
 
 #include <inttypes.h>
 #include <string.h>
