--- a/test/mutants.tcl
+++ b/test/mutants.tcl
@@ -62,7 +62,7 @@
 }
 mutant takes-any-version old-configuration-returns {
     src/carobwindd/member_task.c
-    "if (version <= self.config_version)" "if (version == self.config_version)"
+    "if (version <= self.config_version && " "if (version == self.config_version && "
     src/carobwindd/config_task.c
     "if (version <= present_version() ||" "if (version == present_version() ||"
     src/carobwindd/config_task.c
