Follow the other records when another writer leaves an odd one

It is taken over now: its holders and its promotion are not known, so the new holder waits for all tenures and promotes before it serves. A record with an empty primary could not be read back either. The stand-in pages its answers. - The RESP store driver indexed four entries by seven verbs, which a peer may send. - Control characters of such texts could begin log lines.

A route that is unusable is left out, the others hold, as before; both kinds are counted (records_unusable_total).

--- a/include/carobwind/tenure.h
+++ b/include/carobwind/tenure.h
@@ -77,7 +77,10 @@
 /* Writes the stored form of `record` to `text` of Cbw_TENURE_TEXT_MAX bytes.
  */
 void CbwTenure_FormatRecord(const cbw_tenure_record_t *record, char *text);
-/* Parses the stored form. Returns 0, or -1 when the text is malformed. */
+/* Parses the stored form. Returns 0, or -1 when the text is malformed. The
+ * record then names no holder, more previous holders than can be named, and a
+ * promotion under way: an owner that takes it over waits for all tenures and
+ * carries out a promotion before it serves. */
 int CbwTenure_ParseRecord(cbw_tenure_record_t *record, const char *text);
 
 typedef struct {
--- a/src/carobwindd/pool_instance.c
+++ b/src/carobwindd/pool_instance.c
@@ -170,20 +170,22 @@
 {
     pool_instance_t *instance = find_by_id((uint64_t)(uintptr_t)call->context);
     cbw_tenure_record_t record = {.epoch = 0};
-    cbw_store_status_t status = call->status;
 
     if (instance != NULL && call->verb == STORE_SWAP) {
-        CbwPool_OnSwap(&instance->pool, CbwNet_Now(), status, call->version);
+        CbwPool_OnSwap(&instance->pool, CbwNet_Now(), call->status,
+                       call->version);
     }
     else if (instance != NULL) {
-        if (status == CBW_STORE_OK &&
+        if (call->status == CBW_STORE_OK &&
             CbwTenure_ParseRecord(&record, call->value) != 0) {
+            /* Another writer's: it is replaced by this owner's. */
+            CbwCounter_Add(&PoolTask_State.daemon->counters,
+                           CBW_COUNTER_RECORDS_UNUSABLE, 1);
             CbwLog_Write(CBW_LOG_ERROR, "owner", "bad-record", "key=%s",
                          call->key);
-            status = CBW_STORE_LOST;
         }
-        CbwPool_OnRecord(&instance->pool, CbwNet_Now(), status, call->version,
-                         &record);
+        CbwPool_OnRecord(&instance->pool, CbwNet_Now(), call->status,
+                         call->version, &record);
     }
     StoreCall_Free(call);
 }
--- a/src/carobwindd/registry_records.c
+++ b/src/carobwindd/registry_records.c
@@ -201,6 +201,7 @@
 
     CbwFindings_Init(&findings);
     if (records->driver->parse_config(text, &inventory, &findings) != 0) {
+        CbwCounter_Add(records->counters, CBW_COUNTER_RECORDS_UNUSABLE, 1);
         CbwLog_Write(CBW_LOG_ERROR, "config", "refused",
                      "findings=%zu first=\"%s: %s\"", findings.count,
                      findings.items[0].source, findings.items[0].text);
@@ -308,6 +309,7 @@
                                         parsed.database, &error) != 0) {
         /* `revision=` here and below is the record's version, which the
          * platform calls its revision. */
+        CbwCounter_Add(records->counters, CBW_COUNTER_RECORDS_UNUSABLE, 1);
         CbwLog_Write(CBW_LOG_WARNING, "config", "unusable-registration",
                      "key=%.64s revision=%" PRIu64 " reason=\"%s\"", item->key,
                      item->version, error.text);
--- a/src/carobwindd/store_resp.c
+++ b/src/carobwindd/store_resp.c
@@ -175,13 +175,15 @@
     return connection;
 }
 
-/* This protocol has only the first four operations of store_verb_t; RANGE,
- * CHANGES and DELETE are not supported. */
+/* The operations of this protocol, by store_verb_t. RANGE, CHANGES and DELETE,
+ * which a peer may ask for, are not among them. */
+static const char *const verbs[] = {"GET", "SWAP", "WATCH", "HOSTS"};
+static const int word_counts[] = {3, 5, 5, 2};
+#define VERB_COUNT (sizeof(verbs) / sizeof(verbs[0]))
+
 static void
 send_call(connection_t *connection, const store_call_t *call)
 {
-    static const char *const verbs[] = {"GET", "SWAP", "WATCH", "HOSTS"};
-    static const int word_counts[] = {3, 5, 5, 2};
     char id[24];
     char version[24];
     char wait[24];
@@ -203,6 +205,11 @@
     connection_t *connection = connections[channel];
     int index = 0;
 
+    if (call->verb >= VERB_COUNT) {
+        call->status = CBW_STORE_LOST;
+        events_->on_done(call);
+        return;
+    }
     if (connection == NULL) {
         connection = open_connection(channel);
     }
--- a/src/libcarobwind/counter.c
+++ b/src/libcarobwind/counter.c
@@ -38,6 +38,7 @@
     "probes_total",
     "configurations_applied_total",
     "configurations_fetched_total",
+    "records_unusable_total",
     "sessions_total",
     "transactions_total",
 };
--- a/src/libcarobwind/log.c
+++ b/src/libcarobwind/log.c
@@ -46,6 +46,18 @@
     return -1;
 }
 
+/* Replaces control characters, which names in records of other writers may
+ * contain: a line break would begin another line. */
+static void
+replace_control_characters(char *text)
+{
+    for (; *text != '\0'; text++) {
+        if ((unsigned char)*text < ' ' || *text == 0x7f) {
+            *text = '?';
+        }
+    }
+}
+
 static void
 write_line(cbw_time_t now, cbw_log_level_t level, const char *task,
            const char *event, const char *pairs)
@@ -127,5 +139,6 @@
     va_start(arguments, format);
     vsnprintf(pairs, sizeof(pairs), format, arguments);
     va_end(arguments);
+    replace_control_characters(pairs);
     write_line(now, level, task, event, pairs);
 }
--- a/src/libcarobwind/tenure.c
+++ b/src/libcarobwind/tenure.c
@@ -4,14 +4,21 @@
 #include <stdio.h>
 #include <string.h>
 
+/* An empty field is written as a dash, so that it stays a word. */
+static const char *
+word_or_dash(const char *field)
+{
+    return field[0] != '\0' ? field : "-";
+}
+
 void
 CbwTenure_FormatRecord(const cbw_tenure_record_t *record, char *text)
 {
     int length = snprintf(
         text, Cbw_TENURE_TEXT_MAX, "%" PRIu64 " %" PRIu64 " %s %d %s %d",
-        record->epoch, record->holder.nonce,
-        record->holder.host[0] != '\0' ? record->holder.host : "-",
-        record->promoting, record->primary, record->previous_holder_count);
+        record->epoch, record->holder.nonce, word_or_dash(record->holder.host),
+        record->promoting, word_or_dash(record->primary),
+        record->previous_holder_count);
 
     for (int i = 0; i < record->previous_holder_count; i++) {
         length += snprintf(
@@ -22,8 +29,8 @@
     }
 }
 
-int
-CbwTenure_ParseRecord(cbw_tenure_record_t *record, const char *text)
+static int
+parse_record(cbw_tenure_record_t *record, const char *text)
 {
     int promoting;
     int consumed = 0;
@@ -38,6 +45,9 @@
         return -1;
     }
     record->promoting = promoting == 1;
+    if (strcmp(record->primary, "-") == 0) {
+        record->primary[0] = '\0';
+    }
     for (int i = 0; i < record->previous_holder_count; i++) {
         text += consumed;
         if (sscanf(text, "%" SCNu64 " %47s %" SCNu64 "%n",
@@ -50,6 +60,18 @@
     return 0;
 }
 
+int
+CbwTenure_ParseRecord(cbw_tenure_record_t *record, const char *text)
+{
+    if (parse_record(record, text) == 0) {
+        return 0;
+    }
+    memset(record, 0, sizeof(*record));
+    record->promoting = true;
+    record->previous_holder_count = -1;
+    return -1;
+}
+
 void
 CbwTenure_Init(cbw_tenure_t *tenure, const cbw_tenure_ops_t *ops,
                void *context, uint64_t nonce, const char *host)
--- a/src/share/net.c
+++ b/src/share/net.c
@@ -41,7 +41,7 @@
     memcpy(ip, text, (size_t)(colon - text));
     ip[colon - text] = '\0';
     port = strtol(colon + 1, &end, 10);
-    if (*end != '\0' || port < 0 || port > 65535 ||
+    if (colon[1] < '0' || colon[1] > '9' || *end != '\0' || port > 65535 ||
         inet_pton(AF_INET, ip, &address->sin_addr) != 1) {
         return CbwError_Set(error, CBW_ERROR_INVALID,
                             "address \"%s\" is not ip:port", text);
--- a/src/test_libcarobwind/suites.h
+++ b/src/test_libcarobwind/suites.h
@@ -10,6 +10,7 @@
 void Suite_AddInventory(void);
 void Suite_AddLog(void);
 void Suite_AddMembership(void);
+void Suite_AddOddRecords(void);
 void Suite_AddOwner(void);
 void Suite_AddPolicies(void);
 void Suite_AddPool(void);
--- a/src/test_libcarobwind/test_log.c
+++ b/src/test_libcarobwind/test_log.c
@@ -70,6 +70,19 @@
     CbwLog_SetOutput(NULL);
 }
 
+/* A text from another writer cannot begin a line of its own. */
+static void
+test_control_characters(void)
+{
+    now += Cbw_SEC;
+    line_count = 0;
+    CbwLog_SetOutput(&fake_output);
+    CbwLog_Write(CBW_LOG_INFO, "test", "control", "key=%s", "a\r\nb\tc\x7f");
+    g_assert_cmpint(line_count, ==, 1);
+    g_assert_true(g_str_has_suffix(last_line, " key=a??b?c?\n"));
+    CbwLog_SetOutput(NULL);
+}
+
 /* When the log is written to a pipe that nobody reads, lines are dropped and
  * the process does not block. */
 static void
@@ -101,5 +114,6 @@
 {
     g_test_add_func("/log/rate-limit", test_rate_limit);
     g_test_add_func("/log/long-line", test_long_line);
+    g_test_add_func("/log/control-characters", test_control_characters);
     g_test_add_func("/log/full-pipe", test_full_pipe);
 }
--- a/src/test_libcarobwind/test_main.c
+++ b/src/test_libcarobwind/test_main.c
@@ -14,6 +14,7 @@
     Suite_AddInventory();
     Suite_AddLog();
     Suite_AddMembership();
+    Suite_AddOddRecords();
     Suite_AddOwner();
     Suite_AddPolicies();
     Suite_AddPool();
--- a/src/test_libcarobwind/test_tenure.c
+++ b/src/test_libcarobwind/test_tenure.c
@@ -185,6 +185,34 @@
     }
 }
 
+/* A record that another writer replaced by an unreadable one is taken over. As
+ * its holders and its promotion are not known, the new holder serves only once
+ * it has waited for all tenures and carried out a promotion of its own. */
+static void
+test_unreadable_record(void)
+{
+    static tenure_model_t model;
+    cbw_tenure_t *tenure = &model.owners[0].tenure;
+
+    init_model(&model, 8);
+    model.version = ++model.revision;
+    g_assert_cmpint(CbwTenure_ParseRecord(&model.record, "{\"a\":[[[["), ==,
+                    -1);
+    acquire(&model, 0);
+    g_assert_true(tenure->held);
+    g_assert_false(CbwTenure_IsValid(tenure, model.now));
+    g_assert_true(CbwTenure_BeginPromotion(tenure, model.now));
+    complete_calls(&model);
+    g_assert_false(CbwTenure_IsExclusive(tenure, model.now));
+    model.now += Cbw_TENURE_VALID_FOR - Cbw_SEC;
+    acquire(&model, 0);
+    g_assert_true(CbwTenure_IsExclusive(tenure, model.now + Cbw_SEC));
+    g_assert_true(CbwTenure_EndPromotion(tenure, model.now, "p"));
+    complete_calls(&model);
+    g_assert_true(CbwTenure_IsValid(tenure, model.now));
+    g_assert_cmpstr(model.record.holder.host, ==, "h0");
+}
+
 /* A tenure lasts from the sending of the call that renewed it, however late
  * its answer arrives. */
 static void
@@ -523,6 +551,11 @@
     CbwTenure_FormatRecord(&record, text);
     g_assert_cmpint(CbwTenure_ParseRecord(&parsed, text), ==, 0);
     g_assert_cmpmem(&parsed, sizeof(parsed), &record, sizeof(record));
+    memset(record.primary, 0, sizeof(record.primary)); /* not known */
+    CbwTenure_FormatRecord(&record, text);
+    g_assert_cmpint(CbwTenure_ParseRecord(&parsed, text), ==, 0);
+    g_assert_cmpint(parsed.previous_holder_count, ==, 2);
+    g_assert_cmpstr(parsed.primary, ==, "");
     for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
         g_assert_cmpint(CbwTenure_ParseRecord(&parsed, bad[i]), ==, -1);
     }
@@ -558,4 +591,5 @@
     g_test_add_func("/tenure/checker-detects-missing-wait",
                     test_checker_detects_missing_wait);
     g_test_add_func("/tenure/record-format", test_record_format);
+    g_test_add_func("/tenure/unreadable-record", test_unreadable_record);
 }
--- a/test/lib/platform_standin.tcl
+++ b/test/lib/platform_standin.tcl
@@ -14,6 +14,10 @@
 #   lose N                    N answers of executed writes are lost
 #   work MS                   sets the service time of statements
 #   primary, log E            returns the primary, or the log of an endpoint
+#   odd KEY TEXT              another writer stores TEXT, a list element with
+#                             escapes, under KEY
+#   deep KEY N                the same with N opening brackets
+#   long KEY N                the same with N bytes
 #   runs                      returns the executed reads, writes and commits
 #   lists                     returns the number of linearizable range reads
 #   quit                      exits
@@ -25,6 +29,7 @@
 set lag_ms 30
 set service_ms 3
 set promote_ms 150
+set page_bytes 1000000 ;# of the values in one answer to a range read
 
 # The store: key to {value revision created}. `history` is the list of
 # {revision key} of all changes, `watches` that of {channel prefix after}.
@@ -177,6 +182,25 @@
     respond $channel 200 "{\"revision\":$::revision}"
 }
 
+# Answers with the page of the records under a prefix that begins after a key.
+proc answer_range {channel prefix after} {
+    set items {}
+    set bytes 0
+    set more false
+    foreach key [lsort [dict keys $::store $prefix*]] {
+        if {[string compare $key $after] <= 0} {
+            continue
+        }
+        if {$bytes >= $::page_bytes} {
+            set more true
+            break
+        }
+        lappend items [item_json $key]
+        incr bytes [string length [lindex [dict get $::store $key] 0]]
+    }
+    respond $channel 200 "{\"items\":\[[join $items ,]\],\"hasMore\":$more,\"storeRevision\":$::revision}"
+}
+
 proc handle_http {channel method path body} {
     set query [parse_query $path]
     set route [lindex [split $path ?] 0]
@@ -205,11 +229,8 @@
             respond $channel 200 "$item,\"storeRevision\":$::revision\}"
         }
         /carobwind/kv-range {
-            set items {}
-            foreach key [lsort [dict keys $::store [dict get $query prefix]*]] {
-                lappend items [item_json $key]
-            }
-            respond $channel 200 "{\"items\":\[[join $items ,]\],\"hasMore\":false,\"storeRevision\":$::revision}"
+            answer_range $channel [dict get $query prefix] \
+                [expr {[dict exists $query after] ? [dict get $query after] : ""}]
         }
         /carobwind/kv-watch {
             set prefix [dict get $query prefix]
@@ -536,6 +557,9 @@
         }
         config { put_key op/config [string range $line 7 end]; return ok }
         store { set ::store_mode $argument; return ok }
+        odd { put_key $argument [lindex $line 2]; return ok }
+        deep { put_key $argument [string repeat \[ [lindex $line 2]]; return ok }
+        long { put_key $argument [string repeat x [lindex $line 2]]; return ok }
         deaf { set ::watches_deaf $argument; return ok }
         twice { set ::duplicate_answers $argument; return ok }
         work { set ::service_ms $argument; return ok }
--- a/test/scenarios/wire.tcl
+++ b/test/scenarios/wire.tcl
@@ -449,3 +449,42 @@
         eventually {![catch {wire::connect $host new}]} 3000
     }
 }
+
+# Another writer leaves odd entries among the registrations and replaces a tenure
+# record: the daemons go on, follow later changes and serve.
+scenario wire-odd-entries \
+    "odd entries among the registrations and tenure records; service continues" {
+    wire::fleet
+    after 1500
+    lassign [wire::write_under_load 5 {
+        wire::control deep servers/i-deep 100000
+        wire::control odd servers/i-number {{{"service":"svc1","address":"127.0.0.1:80","zone":"north","slots":1e999,"state":"ready","dbRole":"primary"}}}
+        wire::control odd servers/i-port {{{"service":"svc1","address":"127.0.0.1:99999","zone":"north","slots":3,"state":"ready","dbRole":"primary"}}}
+        wire::control odd "{servers/i blank}" {{{"service":"svc1","address":"127.0.0.1:80","zone":"north","slots":3,"state":"ready","dbRole":"primary"}}}
+        wire::control odd servers/i-empty {{}}
+        # Together more than a response of the store that hosts read.
+        for {set i 0} {$i < 5} {incr i} {
+            wire::control long servers/i-long$i 1000000
+        }
+    }] outcomes
+    wire::check_writes $outcomes 0
+    expect {[lsort -unique [dict values $outcomes]] eq "done"} \
+        [lsort -unique [dict values $outcomes]]
+    wire::control config [string map {{"version":1} {"version":2} {"database":"old"} {"database":"new"}} $wire::config]
+    foreach host {host1 host2 host3} {
+        eventually {![catch {wire::connect $host new}]} 3000
+    }
+    # A registration after the odd ones is followed.
+    lassign [wire::write_under_load 4 { wire::control leave e-1 }] outcomes
+    eventually {[wire::control primary] in {e-2 e-3}} 3000
+    wire::check_writes $outcomes 0
+    # Its owner replaces the record and promotes before it serves again.
+    wire::control odd carobwind/group/svc1 {{not a record}}
+    lassign [wire::write_under_load 12 {}] outcomes
+    wire::check_writes $outcomes 1
+    set late [lrange [dict values $outcomes] end-20 end]
+    expect {[lsort -unique $late] eq "done"} $late
+    foreach host {host1 host2 host3} {
+        expect {[fleet::is_running $host]}
+    }
+}
