Apply lists in the order of their versions

Cause: the store returns a list in the order of its keys. A host that starts numbered most of its records anew (each one behind a higher version became the next number), so that it announced a revision above the fleet's by up to the number of records; every other host then fetched nearly all records from it, and again after each restart: bytes as hosts x hosts x databases.

Change: RegistryRecords_ApplyAll applies by version; hosts that read one state announce one revision. Tests: /registry/list-keeps-revisions (197 instead of 109 before) and /registry/fetch-keeps-revisions (191 instead of 109) fail without the sort.

--- a/src/carobwindd/registry_records.c
+++ b/src/carobwindd/registry_records.c
@@ -458,6 +458,30 @@
     }
 }
 
+static int
+compare_versions(const void *a, const void *b)
+{
+    const store_item_t *left = a;
+    const store_item_t *right = b;
+
+    if (left->version != right->version) {
+        return left->version < right->version ? -1 : 1;
+    }
+    return strcmp(left->key, right->key);
+}
+
+void
+RegistryRecords_ApplyAll(registry_records_t *records, store_item_t *items,
+                         size_t count, cbw_time_t now)
+{
+    if (count > 1) {
+        qsort(items, count, sizeof(*items), compare_versions);
+    }
+    for (size_t i = 0; i < count; i++) {
+        RegistryRecords_Apply(records, &items[i], now);
+    }
+}
+
 void
 RegistryRecords_Reannounce(registry_records_t *records, uint64_t since)
 {
@@ -584,21 +608,27 @@
                              const peer_store_result *result, cbw_time_t now)
 {
     bool complete = result->status == 1;
+    size_t count = result->items.items_len;
+    store_item_t *items = g_new0(store_item_t, count);
 
     if (complete) {
         RegistryRecords_BeginSnapshot(records);
     }
-    for (u_int i = 0; i < result->items.items_len; i++) {
+    for (size_t i = 0; i < count; i++) {
         const peer_store_item *fetched = &result->items.items_val[i];
-        store_item_t item = {.key = fetched->key,
-                             .value_size = fetched->value.value_len,
-                             .version = fetched->record_version};
+        items[i].key = fetched->key;
+        items[i].value_size = fetched->value.value_len;
+        items[i].version = fetched->record_version;
         if (!fetched->removed) {
-            item.value = g_strndup(fetched->value.value_val, item.value_size);
+            items[i].value =
+                g_strndup(fetched->value.value_val, items[i].value_size);
         }
-        RegistryRecords_Apply(records, &item, now);
-        g_free(item.value);
     }
+    RegistryRecords_ApplyAll(records, items, count, now);
+    for (size_t i = 0; i < count; i++) {
+        g_free(items[i].value);
+    }
+    g_free(items);
     if (complete) {
         end_snapshot(records, result->record_version, now, true);
     }
--- a/src/carobwindd/registry_records.h
+++ b/src/carobwindd/registry_records.h
@@ -57,7 +57,12 @@
  * the known one has no effect. */
 void RegistryRecords_Apply(registry_records_t *records,
                            const store_item_t *item, cbw_time_t now);
-/* Enclose the RegistryRecords_Apply calls for a complete list of registrations
+/* Applies records in the order of their versions, so that they keep these as
+ * their registry revisions: a host that reads the state which others have
+ * announces the same revision as they do. Sorts `items`. */
+void RegistryRecords_ApplyAll(registry_records_t *records, store_item_t *items,
+                              size_t count, cbw_time_t now);
+/* Enclose the calls for a complete list of registrations
  * that the store returned at its revision `store_revision`. Registrations that
  * are missing from the list, and are not newer than it, are removed. */
 void RegistryRecords_BeginSnapshot(registry_records_t *records);
--- a/src/carobwindd/registry_task.c
+++ b/src/carobwindd/registry_task.c
@@ -197,9 +197,8 @@
     }
     else if (call->status == CBW_STORE_OK) {
         RegistryRecords_BeginSnapshot(&self.records);
-        for (size_t i = 0; i < call->item_count; i++) {
-            RegistryRecords_Apply(&self.records, &call->items[i], now);
-        }
+        RegistryRecords_ApplyAll(&self.records, call->items, call->item_count,
+                                 now);
         RegistryRecords_EndSnapshot(&self.records, call->version, now);
     }
     if (self.records.revision > revision) {
@@ -233,9 +232,8 @@
         if (call->verb == STORE_RANGE && id == WATCH_ENDPOINTS) {
             RegistryRecords_BeginSnapshot(&self.records);
         }
-        for (size_t i = 0; i < call->item_count; i++) {
-            RegistryRecords_Apply(&self.records, &call->items[i], now);
-        }
+        RegistryRecords_ApplyAll(&self.records, call->items, call->item_count,
+                                 now);
         if (call->verb == STORE_RANGE && id == WATCH_ENDPOINTS &&
             !call->may_be_stale) {
             RegistryRecords_EndSnapshot(&self.records, call->version, now);
--- a/src/test_libcarobwind/test_registry.c
+++ b/src/test_libcarobwind/test_registry.c
@@ -95,6 +95,73 @@
     RegistryRecords_Finish(&b);
 }
 
+#define LIST_SIZE 100
+
+/* Guards against fetches that grow with the square of the fleet: the store
+ * returns a list in the order of its keys, not of its versions, and a host
+ * that starts applied it in that order. It numbered most records anew, so that
+ * its revision was above that of the fleet, and all others fetched all its
+ * records. A host that reads the state that the others have announces their
+ * revision. */
+static void
+test_list_keeps_revisions(void)
+{
+    registry_records_t fleet;
+    registry_records_t newcomer;
+    store_item_t items[LIST_SIZE];
+    char keys[LIST_SIZE][32];
+
+    RegistryRecords_Init(&fleet, &driver, &counters);
+    RegistryRecords_Init(&newcomer, &driver, &counters);
+    for (int i = 0; i < LIST_SIZE; i++) {
+        snprintf(keys[i], sizeof(keys[i]), PREFIX "e%03d", i);
+        /* 37 is prime to the size, so each version occurs once. */
+        items[i] =
+            (store_item_t){.key = keys[i],
+                           .value = (char *)"10.0.0.1:1",
+                           .value_size = 10,
+                           .version = 10 + (uint64_t)i * 37 % LIST_SIZE};
+    }
+    for (uint64_t version = 10; version < 10 + LIST_SIZE; version++) {
+        for (int i = 0; i < LIST_SIZE; i++) {
+            if (items[i].version == version) {
+                RegistryRecords_Apply(&fleet, &items[i], Cbw_SEC);
+            }
+        }
+    }
+    RegistryRecords_ApplyAll(&newcomer, items, LIST_SIZE, Cbw_SEC);
+    g_assert_cmpuint(newcomer.revision, ==, fleet.revision);
+    g_assert_cmpuint(RegistryRecords_Digest(&newcomer), ==,
+                     RegistryRecords_Digest(&fleet));
+    RegistryRecords_Finish(&fleet);
+    RegistryRecords_Finish(&newcomer);
+}
+
+/* The same for a host whose list was stale: it fetches from a peer what has
+ * changed since, and ends at the peer's revision. */
+static void
+test_fetch_keeps_revisions(void)
+{
+    registry_records_t fleet;
+    registry_records_t newcomer;
+    char key[32];
+
+    RegistryRecords_Init(&fleet, &driver, &counters);
+    RegistryRecords_Init(&newcomer, &driver, &counters);
+    apply_record(&newcomer, PREFIX "old", "10.0.0.9:1", 5);
+    apply_record(&fleet, PREFIX "old", "10.0.0.9:1", 5);
+    for (int i = 0; i < LIST_SIZE; i++) {
+        snprintf(key, sizeof(key), PREFIX "e%03d", i * 37 % LIST_SIZE);
+        apply_record(&fleet, key, "10.0.0.1:1", 10 + (uint64_t)i);
+    }
+    fetch_changes(&newcomer, &fleet);
+    g_assert_cmpuint(newcomer.revision, ==, fleet.revision);
+    g_assert_cmpuint(RegistryRecords_Digest(&newcomer), ==,
+                     RegistryRecords_Digest(&fleet));
+    RegistryRecords_Finish(&fleet);
+    RegistryRecords_Finish(&newcomer);
+}
+
 /* A configuration record with a lower version is ignored, even when the store
  * delivers it at a later revision. */
 static void
@@ -221,6 +288,10 @@
 Suite_AddRegistry(void)
 {
     g_test_add_func("/registry/fetch-changes", test_fetch_changes);
+    g_test_add_func("/registry/list-keeps-revisions",
+                    test_list_keeps_revisions);
+    g_test_add_func("/registry/fetch-keeps-revisions",
+                    test_fetch_keeps_revisions);
     g_test_add_func("/registry/merge-same-revision", test_merge_same_revision);
     g_test_add_func("/registry/merge-removals", test_merge_removals);
     g_test_add_func("/registry/older-config-is-ignored",
