Link the daemon's libraries statically, but the C library

Cause: a start of all hosts at once is bound by the start of the processes, and most of that is the dynamic loader: 21 shared libraries, of which libtirpc brings Kerberos.

Change: carobwindd has its libraries in itself; the programs that need the RPC client (and the sanitized build) stay as they were.

--- a/Makefile
+++ b/Makefile
@@ -14,6 +14,11 @@
 	$(PKG_CFLAGS) $(CFLAGS)
 LIBS = -lev -lhiredis -largtable2 -lconfuse -lxxhash $(PKG_LIBS) -lhttp_parser \
 	-ljansson -lz -lm
+# The daemon has the libraries but the C library in itself: loading the shared
+# ones, and those that they need (libtirpc: Kerberos), takes most of its start.
+STATIC_LIBS = -Wl,--as-needed -Wl,--gc-sections -Wl,-Bstatic -lev -lhiredis \
+	-largtable2 -lconfuse -lxxhash -lglib-2.0 -lpcre2-8 -ltirpc \
+	-lhttp_parser -ljansson -lz -Wl,-Bdynamic -lm
 
 PROGRAMS = carobwindd carobwindctl carobwind-endpoint carobwind-platform \
 	carobwind-bench
@@ -39,6 +44,8 @@
 PLATFORM_OBJECTS = $(patsubst platform/%.c,$(BUILD)/platform/%.o,\
 	$(wildcard platform/*.c))
 $(BUILD)/bin/carobwindd: $(PLATFORM_OBJECTS)
+DAEMON_LIBS ?= $(STATIC_LIBS)
+$(BUILD)/bin/carobwindd: LIBS = $(DAEMON_LIBS)
 
 $(BUILD)/platform/%.o: platform/%.c
 	@mkdir -p $(@D)
@@ -90,9 +97,10 @@
 	@printf '%s\n' $(LINT_SOURCES) | xargs -P 8 -n 4 \
 		sh -c 'clang-tidy --quiet "$$@" -- $(ALL_CFLAGS) 2>/dev/null' _
 
-# Builds the programs and the kernel's tests with the sanitizers.
+# Builds the programs and the kernel's tests with the sanitizers. These keep
+# unused code, which needs the shared libraries.
 asan:
-	@$(MAKE) --no-print-directory BUILD=build-asan \
+	@$(MAKE) --no-print-directory BUILD=build-asan DAEMON_LIBS='$(LIBS)' \
 		CFLAGS="-O1 -g -fsanitize=address,undefined -fno-omit-frame-pointer" \
 		all build-asan/bin/test_libcarobwind
 
