Start from the records of a peer, not of the store

Cause: each host that started read both lists from the store; the bytes of a start of all and of a rolling restart grew as hosts times records, over the links between data centres.

Change: a module of its own (bootstrap.h) decides where a starting host gets the records: a peer of its data centre; at a start of all the first two hosts of a data centre read the store and the others fetch from them. The member task tells the registry task whom it has heard of before the first view. Tests: /bootstrap/* replay a start of all, late readers, one restart, silent peers; /membership/local-order.

--- a/include/carobwind/membership.h
+++ b/include/carobwind/membership.h
@@ -27,6 +27,9 @@
  * either announced its state or been found dead. */
 #define Cbw_MEMBERSHIP_COLD_START_DURATION (2 * Cbw_SEC)
 
+/* Most hosts that CbwMembership_LocalOrder returns. */
+#define Cbw_LOCAL_ORDER_MAX 4
+
 /* Most updates that one message carries. */
 #define Cbw_MEMBER_UPDATES_MAX 12
 
@@ -160,6 +163,13 @@
  * `role`. Some roles are taken by the first few members only. */
 int CbwMembership_RoleIndex(const cbw_membership_t *membership,
                             const char *role);
+/* Fills `peers` with at most `limit` hosts of this host's data centre, first
+ * in the rendezvous order of `role` first, without this host and those that
+ * are known to be dead. Returns their number, and in `rank` how many hosts
+ * precede this one in that order. */
+size_t CbwMembership_LocalOrder(const cbw_membership_t *membership,
+                                const char *role, const cbw_member_t **peers,
+                                size_t limit, size_t *rank);
 /* Returns the record called `name`, or NULL. */
 const cbw_member_t *CbwMembership_Find(const cbw_membership_t *membership,
                                        const char *name);
--- a/src/carobwindd/member_task.c
+++ b/src/carobwindd/member_task.c
@@ -222,6 +222,48 @@
     Outbound_Free(outbound);
 }
 
+/* Membership views for the other tasks. */
+
+static view_t *
+copy_view(void)
+{
+    view_t *view = calloc(1, sizeof(*view));
+    size_t size = self.membership.count * sizeof(cbw_member_t);
+
+    if (view == NULL) {
+        abort();
+    }
+    view->references = 1;
+    view->membership = self.membership;
+    view->membership.members = malloc(size);
+    if (view->membership.members == NULL) {
+        abort();
+    }
+    memcpy(view->membership.members, self.membership.members, size);
+    view->membership.capacity = self.membership.count;
+    return view;
+}
+
+/* Tells the registry task which members are known before the first view is
+ * published, so that it can fetch the records from a peer. */
+static void
+announce_peers(void)
+{
+    view_message_t *message;
+
+    if (!self.daemon->prepares_before_serving || self.daemon->view_published) {
+        return;
+    }
+    message = calloc(1, sizeof(*message));
+    if (message == NULL) {
+        abort();
+    }
+    CbwList_Init(&message->message.link);
+    message->view = copy_view();
+    Task_Post(TASK_MEMBER, TASK_CONFIG, MESSAGE_PEERS_KNOWN,
+              &message->message);
+}
+
 /* Joining: fetches a peer's whole member list, since each probe carries only a
  * few updates. */
 
@@ -270,6 +312,7 @@
         self.joined = true;
         apply_members(result->members.members_val,
                       result->members.members_len);
+        announce_peers();
     }
     Outbound_Free(outbound);
 }
@@ -410,6 +453,7 @@
                               call->words[i + 2], call->words[i + 3]);
             remove_dead_host_record(call->words[i], CbwNet_Now());
         }
+        announce_peers();
         if (!self.joined) {
             self.next_join_at = 0; /* asks the listed hosts at once */
             request_join(CbwNet_Now());
@@ -504,28 +548,6 @@
     }
 }
 
-/* Membership views for the other tasks. */
-
-static view_t *
-copy_view(void)
-{
-    view_t *view = calloc(1, sizeof(*view));
-    size_t size = self.membership.count * sizeof(cbw_member_t);
-
-    if (view == NULL) {
-        abort();
-    }
-    view->references = 1;
-    view->membership = self.membership;
-    view->membership.members = malloc(size);
-    if (view->membership.members == NULL) {
-        abort();
-    }
-    memcpy(view->membership.members, self.membership.members, size);
-    view->membership.capacity = self.membership.count;
-    return view;
-}
-
 static bool
 is_settled(cbw_time_t now)
 {
--- a/src/carobwindd/messages.h
+++ b/src/carobwindd/messages.h
@@ -74,7 +74,8 @@
  * reference, takes over the message's one and frees the message. */
 void View_Replace(view_t **view, message_t *message);
 
-/* MESSAGE_VIEW. */
+/* MESSAGE_VIEW, and MESSAGE_PEERS_KNOWN, which goes to the registry task only:
+ * before the first view, the members that this host has heard of. */
 typedef struct {
     message_t message;
     view_t *view; /* a reference that passes to the receiver */
--- a/src/carobwindd/peer_task.c
+++ b/src/carobwindd/peer_task.c
@@ -187,10 +187,28 @@
     return client;
 }
 
-/* Counts the messages that carry no statements. */
+static cbw_counter_id_t
+byte_counter(uint32_t procedure)
+{
+    switch (procedure) {
+    case PEER_STATEMENT:
+        return CBW_COUNTER_PEER_BYTES_STATEMENTS;
+    case PEER_PROBE:
+        return CBW_COUNTER_PEER_BYTES_PROBES;
+    case PEER_MEMBERS:
+        return CBW_COUNTER_PEER_BYTES_MEMBERS;
+    case PEER_REGISTRY:
+        return CBW_COUNTER_PEER_BYTES_REGISTRY;
+    default:
+        return CBW_COUNTER_PEER_BYTES_OTHER;
+    }
+}
+
+/* Counts the bytes by kind, and the messages that carry no statements. */
 static void
-count_control_traffic(uint32_t procedure, size_t bytes)
+count_traffic(uint32_t procedure, size_t bytes)
 {
+    CbwCounter_Add(&local_daemon->counters, byte_counter(procedure), bytes);
     if (procedure != PEER_STATEMENT) {
         CbwCounter_Add(&local_daemon->counters, CBW_COUNTER_PEER_MESSAGES, 1);
         CbwCounter_Add(&local_daemon->counters, CBW_COUNTER_PEER_BYTES, bytes);
@@ -231,7 +249,7 @@
     CbwList_Append(&client->calls, &call->message.link);
     bytes = CbwRpc_Call(&client->rpc, call->xid, call->procedure,
                         Peer_Codecs[call->procedure].args, &call->args);
-    count_control_traffic(call->procedure, bytes);
+    count_traffic(call->procedure, bytes);
     if (bytes == 0) {
         finish_call(call, false);
     }
@@ -244,9 +262,9 @@
                             .target_address = (char *)""};
 
     client->probe_xid = next_xid(client);
-    count_control_traffic(
-        PEER_PROBE, CbwRpc_Call(&client->rpc, client->probe_xid, PEER_PROBE,
-                                Peer_Codecs[PEER_PROBE].args, &args));
+    count_traffic(PEER_PROBE,
+                  CbwRpc_Call(&client->rpc, client->probe_xid, PEER_PROBE,
+                              Peer_Codecs[PEER_PROBE].args, &args));
 }
 
 static void
@@ -464,7 +482,7 @@
     if (!server->closed) {
         size_t bytes = CbwRpc_Reply(&server->rpc, inbound->xid, codec->result,
                                     &inbound->result);
-        count_control_traffic(inbound->procedure, bytes);
+        count_traffic(inbound->procedure, bytes);
     }
     xdr_free(codec->args, &inbound->args);
     xdr_free(codec->result, &inbound->result);
@@ -553,8 +571,10 @@
     result.admission.admission_val = job->admission;
     result.admission.admission_len = (u_int)job->admission_count;
     if (!origin->server->closed) {
-        CbwRpc_Reply(&origin->server->rpc, origin->xid,
-                     Peer_Codecs[PEER_STATEMENT].result, &result);
+        count_traffic(PEER_STATEMENT,
+                      CbwRpc_Reply(&origin->server->rpc, origin->xid,
+                                   Peer_Codecs[PEER_STATEMENT].result,
+                                   &result));
     }
     unref_server(origin->server);
     free(origin);
--- a/src/carobwindd/registry_task.c
+++ b/src/carobwindd/registry_task.c
@@ -13,6 +13,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "carobwind/bootstrap.h"
 #include "carobwind/log.h"
 #include "carobwind/plugin.h"
 #include "carobwind/random.h"
@@ -21,6 +22,8 @@
 #include "share/net.h"
 
 #define TICK_SECONDS 0.1
+/* The same until the records are loaded. */
+#define BOOTSTRAP_TICK_SECONDS 0.01
 /* Number of members that watch the store on behalf of the fleet. */
 #define WATCHER_COUNT 3
 #define WATCHER_ROLE "registry"
@@ -30,6 +33,9 @@
  * of the store are used. */
 #define WATCHER_START_DELAY (1 * Cbw_SEC)
 #define FETCH_TIMEOUT (500 * Cbw_MSEC)
+/* The same of the first fetch, when this host starts. */
+#define BOOTSTRAP_TIMEOUT (150 * Cbw_MSEC)
+#define BOOTSTRAP_ROLE "records"
 /* Long-poll time of a watch. The deadline of the call detects a watch that
  * gets no answer; until then, polls find the changes. */
 #define WATCH_WAIT (9 * Cbw_SEC)
@@ -73,6 +79,9 @@
     view_t *view;
     cbw_time_t first_view_at; /* arrival of the first view; 0: none */
     registry_records_t records;
+    cbw_bootstrap_t bootstrap;
+    /* The peers that it asks, in its order. */
+    char bootstrap_peers[Cbw_LOCAL_ORDER_MAX][Cbw_ADDRESS_MAX];
     watch_t watches[WATCH_COUNT_];
     bool fetching;            /* a fetch from a peer is in flight */
     cbw_time_t next_merge_at; /* for fetches of all records: these are large */
@@ -135,12 +144,12 @@
     watch_t *watch = &self.watches[id];
     store_call_t *call;
 
-    /* Every host reads the records once when it starts; a stale read is
-     * sufficient. */
+    /* A host that starts reads the records unless a peer has them; a stale
+     * read is sufficient. */
     bool initial = !watch->loaded;
 
     if (watch->pending || now < watch->next_call_at ||
-        (!initial && !has_role(now, WATCHER_COUNT))) {
+        (initial ? !self.bootstrap.read : !has_role(now, WATCHER_COUNT))) {
         return;
     }
     watch->pending = true;
@@ -154,6 +163,50 @@
     Task_Post(TASK_CONFIG, TASK_STORE, MESSAGE_STORE, &call->message);
 }
 
+static bool
+is_loaded(void)
+{
+    return self.records.configured && self.watches[WATCH_ENDPOINTS].loaded;
+}
+
+/* Until the records are loaded: fetches them from a peer, or lets call_store
+ * read them. */
+static void
+run_bootstrap(cbw_time_t now)
+{
+    outbound_t *outbound;
+
+    if (is_loaded() ||
+        CbwBootstrap_Next(&self.bootstrap, now) != CBW_BOOTSTRAP_ASK) {
+        return;
+    }
+    outbound = Outbound_New(PEER_REGISTRY,
+                            self.bootstrap_peers[self.bootstrap.next_peer]);
+    outbound->timeout = BOOTSTRAP_TIMEOUT;
+    outbound->reply_to = TASK_CONFIG;
+    outbound->context = &self.bootstrap;
+    Task_Post(TASK_CONFIG, TASK_PEER, MESSAGE_OUTBOUND, &outbound->message);
+}
+
+static void
+on_peers_known(view_message_t *message)
+{
+    const cbw_member_t *peers[Cbw_LOCAL_ORDER_MAX];
+    size_t rank;
+    size_t count =
+        CbwMembership_LocalOrder(&message->view->membership, BOOTSTRAP_ROLE,
+                                 peers, Cbw_LOCAL_ORDER_MAX, &rank);
+
+    for (size_t i = 0; i < count; i++) {
+        memcpy(self.bootstrap_peers[i], peers[i]->record.address,
+               Cbw_ADDRESS_MAX);
+    }
+    CbwBootstrap_SetPeers(&self.bootstrap, rank, count);
+    View_Unref(message->view);
+    free(message);
+    run_bootstrap(CbwNet_Now());
+}
+
 /* Starts the next poll, unless one is in flight or this host is not the first
  * member for the watcher role. */
 static void
@@ -257,7 +310,17 @@
 static void
 on_fetch_done(outbound_t *outbound)
 {
-    self.fetching = false;
+    if (outbound->context == &self.bootstrap) {
+        if (!outbound->answered ||
+            outbound->result.store.items.items_len == 0) {
+            CbwBootstrap_OnFailure(&self.bootstrap, CbwNet_Now(),
+                                   outbound->answered ? CBW_BOOTSTRAP_EMPTY
+                                                      : CBW_BOOTSTRAP_LOST);
+        }
+    }
+    else {
+        self.fetching = false;
+    }
     if (outbound->answered &&
         (outbound->result.store.record_version > self.records.revision ||
          outbound->args.registry.all)) {
@@ -302,7 +365,10 @@
 {
     const peer_registry_args *args = &inbound->args.registry;
 
-    if (args->all) {
+    if (!is_loaded()) {
+        inbound->result.store.value = strdup("");
+    }
+    else if (args->all) {
         RegistryRecords_EncodeAll(&self.records, &inbound->result.store);
     }
     else {
@@ -355,6 +421,9 @@
         }
         break;
     }
+    case MESSAGE_PEERS_KNOWN:
+        on_peers_known(Cbw_LIST_ITEM(message, view_message_t, message));
+        break;
     case MESSAGE_VIEW:
         View_Replace(&self.view, message);
         if (self.first_view_at == 0) {
@@ -376,6 +445,11 @@
     (void)events;
     RegistryRecords_PurgeRemoved(&self.records, now);
     publish_config();
+    run_bootstrap(now);
+    if (is_loaded() && self.timer.repeat != TICK_SECONDS) {
+        self.timer.repeat = TICK_SECONDS;
+        ev_timer_again(self.daemon->loop, &self.timer);
+    }
     poll_store(now);
     for (int i = 0; i < WATCH_COUNT_; i++) {
         call_store((watch_id_t)i, now);
@@ -392,7 +466,9 @@
     self.watches[WATCH_ENDPOINTS].key = self.driver->endpoints_prefix;
     RegistryRecords_Init(&self.records, self.driver, &daemon->counters);
     CbwRandom_Init(&self.random, daemon->nonce);
+    CbwBootstrap_Init(&self.bootstrap, CbwNet_Now());
     Task_Register(daemon->loop, TASK_CONFIG, handle, NULL);
-    ev_timer_init(&self.timer, on_tick, TICK_SECONDS, TICK_SECONDS);
+    ev_timer_init(&self.timer, on_tick, BOOTSTRAP_TICK_SECONDS,
+                  BOOTSTRAP_TICK_SECONDS);
     ev_timer_start(daemon->loop, &self.timer);
 }
--- a/src/carobwindd/task.h
+++ b/src/carobwindd/task.h
@@ -29,6 +29,7 @@
     MESSAGE_JOB,           /* job_t: a request to execute */
     MESSAGE_JOB_DONE,      /* job_t: the answered request */
     MESSAGE_VIEW,          /* view_message_t: new membership view */
+    MESSAGE_PEERS_KNOWN,   /* view_message_t: the members known at the start */
     MESSAGE_CONFIG,        /* config_message_t: new configuration */
     MESSAGE_STORE,         /* store_call_t: a call to the store */
     MESSAGE_STORE_DONE,    /* store_call_t: the finished call */
--- a/src/libcarobwind/membership.c
+++ b/src/libcarobwind/membership.c
@@ -622,6 +622,47 @@
     return preceding;
 }
 
+size_t
+CbwMembership_LocalOrder(const cbw_membership_t *membership, const char *role,
+                         const cbw_member_t **peers, size_t limit,
+                         size_t *rank)
+{
+    const cbw_member_record_t *self = &membership->members[0].record;
+    uint64_t own_weight = CbwRendezvous_Weight(role, self->name);
+    uint64_t weights[Cbw_LOCAL_ORDER_MAX];
+    size_t count = 0;
+
+    *rank = 0;
+    limit = limit < Cbw_LOCAL_ORDER_MAX ? limit : Cbw_LOCAL_ORDER_MAX;
+    for (size_t i = 1; i < membership->count; i++) {
+        const cbw_member_t *member = &membership->members[i];
+        uint64_t weight;
+        size_t place = count;
+        if (CbwMembership_IsEndpoint(&member->record) ||
+            (member->record.state == CBW_MEMBER_DEAD &&
+             !is_first_probe_pending(member)) ||
+            strcmp(member->record.data_centre, self->data_centre) != 0) {
+            continue;
+        }
+        weight = CbwRendezvous_Weight(role, member->record.name);
+        *rank += weight > own_weight;
+        while (place > 0 && weights[place - 1] < weight) {
+            place--;
+        }
+        if (place == limit) {
+            continue;
+        }
+        count += count < limit;
+        for (size_t j = count - 1; j > place; j--) {
+            weights[j] = weights[j - 1];
+            peers[j] = peers[j - 1];
+        }
+        weights[place] = weight;
+        peers[place] = member;
+    }
+    return count;
+}
+
 bool
 CbwMembership_HasUsable(const cbw_membership_t *membership,
                         const char *data_centre)
--- a/src/test_libcarobwind/suites.h
+++ b/src/test_libcarobwind/suites.h
@@ -4,6 +4,7 @@
 #define TEST_LIBCAROBWIND_SUITES_H
 
 void Suite_AddBasics(void);
+void Suite_AddBootstrap(void);
 void Suite_AddCompression(void);
 void Suite_AddExplorer(void);
 void Suite_AddFuzz(void);
--- /dev/null
+++ b/src/test_libcarobwind/test_bootstrap.c
@@ -0,0 +1,208 @@
+#include <glib.h>
+#include <string.h>
+
+#include "carobwind/bootstrap.h"
+#include "suites.h"
+
+/* Replays starts of the hosts of one data centre in virtual time. */
+
+#define HOSTS 16
+#define STEP Cbw_MSEC
+#define CALL_TIME (2 * Cbw_MSEC)      /* of a call to a peer */
+#define CALL_TIMEOUT (150 * Cbw_MSEC) /* of a call that gets no answer */
+#define STORE_TIME (60 * Cbw_MSEC)    /* of a read of all records */
+
+typedef struct {
+    cbw_bootstrap_t bootstrap;
+    cbw_time_t starts_at;
+    bool silent;  /* does not answer peers */
+    bool loaded;  /* has the records */
+    bool reading; /* the store */
+    size_t asked;
+    cbw_time_t done_at; /* of the call or read in flight; 0: none */
+    cbw_time_t loaded_at;
+} host_t;
+
+typedef struct {
+    host_t hosts[HOSTS];
+    size_t reads;
+} world_t;
+
+/* Returns the host that is `peer` in the order of the others. */
+static size_t
+peer_of(size_t host, size_t peer)
+{
+    return peer < host ? peer : peer + 1;
+}
+
+static void
+complete(world_t *world, size_t index, cbw_time_t now)
+{
+    host_t *host = &world->hosts[index];
+    const host_t *peer = &world->hosts[host->asked];
+
+    host->done_at = 0;
+    if (host->reading || (peer->loaded && !peer->silent)) {
+        host->loaded = true;
+        host->loaded_at = now;
+        return;
+    }
+    CbwBootstrap_OnFailure(&host->bootstrap, now,
+                           peer->silent || now < peer->starts_at
+                               ? CBW_BOOTSTRAP_LOST
+                               : CBW_BOOTSTRAP_EMPTY);
+}
+
+static void
+step(world_t *world, size_t index, cbw_time_t now)
+{
+    host_t *host = &world->hosts[index];
+    const host_t *peer;
+
+    if (host->loaded || now < host->starts_at) {
+        return;
+    }
+    if (now == host->starts_at) {
+        CbwBootstrap_Init(&host->bootstrap, now);
+        CbwBootstrap_SetPeers(&host->bootstrap, index, HOSTS - 1);
+    }
+    if (host->done_at != 0) {
+        if (now >= host->done_at) {
+            complete(world, index, now);
+        }
+        return;
+    }
+    switch (CbwBootstrap_Next(&host->bootstrap, now)) {
+    case CBW_BOOTSTRAP_READ_STORE:
+        host->reading = true;
+        host->done_at = now + STORE_TIME;
+        world->reads++;
+        break;
+    case CBW_BOOTSTRAP_ASK:
+        host->asked = peer_of(index, host->bootstrap.next_peer);
+        peer = &world->hosts[host->asked];
+        host->done_at = now + (peer->silent ? CALL_TIMEOUT : CALL_TIME);
+        break;
+    case CBW_BOOTSTRAP_WAIT:
+        break;
+    }
+}
+
+/* Runs until all hosts have the records or a second has passed. Returns when
+ * the last one got them. */
+static cbw_time_t
+run(world_t *world)
+{
+    cbw_time_t last = 0;
+
+    for (cbw_time_t now = STEP; now <= Cbw_SEC; now += STEP) {
+        for (size_t i = 0; i < HOSTS; i++) {
+            step(world, i, now);
+        }
+    }
+    for (size_t i = 0; i < HOSTS; i++) {
+        g_assert_true(world->hosts[i].loaded);
+        last = MAX(last, world->hosts[i].loaded_at);
+    }
+    return last;
+}
+
+/* All hosts start at the same moment: the first two read the store, the others
+ * have the records shortly after them. */
+static void
+test_all_start(void)
+{
+    static world_t world;
+    cbw_time_t last;
+
+    memset(&world, 0, sizeof(world));
+    for (size_t i = 0; i < HOSTS; i++) {
+        world.hosts[i].starts_at = STEP;
+    }
+    last = run(&world);
+    g_assert_cmpuint(world.reads, ==, Cbw_BOOTSTRAP_READERS);
+    g_assert_cmpint(last, <=,
+                    STORE_TIME + CALL_TIME + Cbw_BOOTSTRAP_ASK_INTERVAL +
+                        10 * Cbw_MSEC);
+}
+
+/* The first hosts start last, 0.3 s after the others: these get the records
+ * all the same, and the first hosts then have them at once. */
+static void
+test_readers_start_last(void)
+{
+    static world_t world;
+    cbw_time_t last;
+
+    memset(&world, 0, sizeof(world));
+    for (size_t i = 0; i < HOSTS; i++) {
+        world.hosts[i].starts_at =
+            i < Cbw_BOOTSTRAP_READERS ? 300 * Cbw_MSEC : STEP;
+    }
+    last = run(&world);
+    g_assert_cmpint(last, <=,
+                    300 * Cbw_MSEC + STORE_TIME + Cbw_BOOTSTRAP_ASK_INTERVAL +
+                        CALL_TIME + 10 * Cbw_MSEC);
+}
+
+/* One host starts in a running fleet, in any place of the order: it does not
+ * read the store. */
+static void
+test_one_restarts(void)
+{
+    static world_t world;
+
+    for (size_t restarted = 0; restarted < HOSTS; restarted++) {
+        memset(&world, 0, sizeof(world));
+        for (size_t i = 0; i < HOSTS; i++) {
+            world.hosts[i].loaded = i != restarted;
+            world.hosts[i].starts_at = i == restarted ? STEP : 0;
+        }
+        run(&world);
+        g_assert_cmpuint(world.reads, ==, 0);
+        g_assert_cmpint(world.hosts[restarted].loaded_at, <=, 10 * Cbw_MSEC);
+    }
+}
+
+/* The first two hosts do not answer: the one that starts reads the store. */
+static void
+test_peers_silent(void)
+{
+    static world_t world;
+
+    memset(&world, 0, sizeof(world));
+    for (size_t i = 0; i < HOSTS; i++) {
+        world.hosts[i].loaded = i != 5;
+        world.hosts[i].silent = i < 2;
+    }
+    world.hosts[5].starts_at = STEP;
+    run(&world);
+    g_assert_cmpuint(world.reads, ==, 1);
+    g_assert_cmpint(world.hosts[5].loaded_at, <=,
+                    2 * CALL_TIMEOUT + Cbw_BOOTSTRAP_ASK_INTERVAL +
+                        STORE_TIME + 10 * Cbw_MSEC);
+}
+
+/* A host without peers reads the store. */
+static void
+test_alone(void)
+{
+    cbw_bootstrap_t bootstrap;
+
+    CbwBootstrap_Init(&bootstrap, Cbw_SEC);
+    g_assert_cmpint(CbwBootstrap_Next(&bootstrap, Cbw_SEC), ==,
+                    CBW_BOOTSTRAP_WAIT);
+    g_assert_cmpint(
+        CbwBootstrap_Next(&bootstrap, Cbw_SEC + Cbw_BOOTSTRAP_ALONE_AFTER), ==,
+        CBW_BOOTSTRAP_READ_STORE);
+}
+
+void
+Suite_AddBootstrap(void)
+{
+    g_test_add_func("/bootstrap/all-start", test_all_start);
+    g_test_add_func("/bootstrap/readers-start-last", test_readers_start_last);
+    g_test_add_func("/bootstrap/one-restarts", test_one_restarts);
+    g_test_add_func("/bootstrap/peers-silent", test_peers_silent);
+    g_test_add_func("/bootstrap/alone", test_alone);
+}
--- a/src/test_libcarobwind/test_membership.c
+++ b/src/test_libcarobwind/test_membership.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "carobwind/membership.h"
+#include "carobwind/rendezvous.h"
 #include "suites.h"
 
 #define HOSTS_MAX 24
@@ -452,9 +453,53 @@
     finish_fleet();
 }
 
+/* The order of the hosts of one data centre is the same for each of them, but
+ * for itself; dead hosts are left out, those known from a list only are not.
+ */
+static void
+test_local_order(void)
+{
+    cbw_membership_t membership;
+    const cbw_member_t *peers[Cbw_LOCAL_ORDER_MAX];
+    size_t rank;
+    size_t count;
+
+    CbwMembership_Init(&membership, &CbwMembership_DefaultSettings, &ops, NULL,
+                       "h0", "near", "h0:1", 1, 1);
+    for (int i = 1; i <= 8; i++) {
+        cbw_member_record_t record = {.incarnation = 1};
+        g_snprintf(record.name, sizeof(record.name), "h%d", i);
+        g_strlcpy(record.data_centre, i <= 5 ? "near" : "far",
+                  sizeof(record.data_centre));
+        CbwMembership_ApplyUpdate(&membership, Cbw_SEC, &record);
+        if (i == 5) {
+            record.state = CBW_MEMBER_DEAD;
+            CbwMembership_ApplyUpdate(&membership, Cbw_SEC, &record);
+        }
+    }
+    count = CbwMembership_LocalOrder(&membership, "role", peers,
+                                     G_N_ELEMENTS(peers), &rank);
+    g_assert_cmpuint(count, ==, 4);
+    g_assert_cmpuint(rank, <=, 4);
+    for (size_t i = 0; i < count; i++) {
+        uint64_t weight = CbwRendezvous_Weight("role", peers[i]->record.name);
+        g_assert_cmpstr(peers[i]->record.data_centre, ==, "near");
+        g_assert_cmpstr(peers[i]->record.name, !=, "h5");
+        g_assert_true(
+            i == 0 ||
+            weight < CbwRendezvous_Weight("role", peers[i - 1]->record.name));
+        g_assert_cmpint(weight > CbwRendezvous_Weight("role", "h0"), ==,
+                        i < rank);
+    }
+    g_assert_cmpuint(
+        CbwMembership_LocalOrder(&membership, "role", peers, 2, &rank), ==, 2);
+    CbwMembership_Finish(&membership);
+}
+
 void
 Suite_AddMembership(void)
 {
+    g_test_add_func("/membership/local-order", test_local_order);
 
     g_test_add_func("/membership/join", test_hosts_join);
     g_test_add_func("/membership/crash-detected", test_crash_detected);
