Fetch only other content; poll the configuration by its version

A change that a host learned late, or announced again, raised revisions without other content, and everybody fetched; at a start of all each endpoint that registered was fetched by itself. One host read the whole configuration once a second, three read the list of all hosts.

Change: an announcement with the digest that this host has raises its revision without a fetch (RegistryRecords_Compare); fetches are 250 ms apart; the configuration is polled by a check of its version (STORE_CHECK, a transaction without writes); the host list that hosts write themselves is read once in 6 s.

--- a/src/carobwindd/member_task.c
+++ b/src/carobwindd/member_task.c
@@ -10,11 +10,15 @@
 #include "carobwind/log.h"
 #include "messages.h"
 #include "share/net.h"
+#include "share/tick.h"
 
 #define TICK_SECONDS 0.02
 /* Number of members that read the host list on behalf of the fleet. */
 #define HOST_LIST_READERS 3
 #define HOST_LIST_INTERVAL (1 * Cbw_SEC)
+/* The same of a list that the hosts write themselves: it is only needed by
+ * hosts that know no other, and to remove the records of dead ones. */
+#define OWN_LIST_INTERVAL (6 * Cbw_SEC)
 /* Known members (from the host list) that one join round asks, besides the
  * seed peers. */
 #define JOIN_KNOWN_MEMBERS 2
@@ -131,7 +135,10 @@
     CbwList_Init(&message->message.link);
     snprintf(message->address, sizeof(message->address), "%s", address);
     message->peer_revision = peer_revision;
-    message->differs = differs;
+    message->digest = digest;
+    if (digest == self.config_digest) {
+        self.config_version = peer_revision; /* as the config task does */
+    }
     Task_Post(TASK_MEMBER, TASK_CONFIG, MESSAGE_PEER_VERSION,
               &message->message);
 }
@@ -330,10 +337,14 @@
     self.next_list_at = now + HOST_LIST_INTERVAL;
     /* A host that is not in the list, or knows no other member, always reads
      * it itself. */
-    if (self.registered && self.membership.count > 1 &&
-        CbwMembership_RoleIndex(&self.membership, "host-list") >=
+    if (self.registered && self.membership.count > 1) {
+        if (CbwMembership_RoleIndex(&self.membership, "host-list") >=
             HOST_LIST_READERS) {
-        return;
+            return;
+        }
+        if (self.daemon->prepares_before_serving) {
+            self.next_list_at = now + OWN_LIST_INTERVAL;
+        }
     }
     self.list_pending = true;
     call = StoreCall_New(STORE_HOSTS, "");
@@ -733,7 +744,7 @@
     }
     Task_Register(daemon->loop, TASK_MEMBER, handle, NULL);
     self.registered = !daemon->prepares_before_serving;
-    ev_timer_init(&self.timer, on_tick, TICK_SECONDS, TICK_SECONDS);
+    CbwTick_Init(&self.timer, on_tick, TICK_SECONDS, TICK_SECONDS);
     ev_timer_start(daemon->loop, &self.timer);
     return 0;
 }
--- a/src/carobwindd/registry_records.c
+++ b/src/carobwindd/registry_records.c
@@ -190,6 +190,21 @@
     return records->revision;
 }
 
+registry_need_t
+RegistryRecords_Compare(registry_records_t *records, uint64_t revision,
+                        uint64_t digest)
+{
+    if (revision < records->revision) {
+        return REGISTRY_KNOWN;
+    }
+    if (digest == RegistryRecords_Digest(records)) {
+        raise_revision(records, revision);
+        return REGISTRY_KNOWN;
+    }
+    return revision > records->revision ? REGISTRY_FETCH_CHANGES
+                                        : REGISTRY_FETCH_ALL;
+}
+
 /* Configuration record. */
 
 static void
--- a/src/carobwindd/registry_records.h
+++ b/src/carobwindd/registry_records.h
@@ -75,6 +75,17 @@
 /* Assigns a new registry revision to all changes whose registry revision is
  * above `since`, so that peers fetch them again. */
 void RegistryRecords_Reannounce(registry_records_t *records, uint64_t since);
+/* What a host has to fetch from a peer that announces its records. */
+typedef enum {
+    REGISTRY_KNOWN, /* nothing */
+    REGISTRY_FETCH_CHANGES,
+    REGISTRY_FETCH_ALL, /* other content under the same revision */
+} registry_need_t;
+
+/* Compares the records with what a peer announces. If the content is the same,
+ * takes a higher revision over. */
+registry_need_t RegistryRecords_Compare(registry_records_t *records,
+                                        uint64_t revision, uint64_t digest);
 /* Fills `result` for a peer that has this host's changes up to registry
  * revision `since`. With 0, or when removals that the peer needs were
  * overwritten, the result is a complete snapshot. */
--- a/src/carobwindd/registry_task.c
+++ b/src/carobwindd/registry_task.c
@@ -20,6 +20,7 @@
 #include "drivers.h"
 #include "registry_records.h"
 #include "share/net.h"
+#include "share/tick.h"
 
 #define TICK_SECONDS 0.1
 /* The same until the records are loaded. */
@@ -33,6 +34,9 @@
  * of the store are used. */
 #define WATCHER_START_DELAY (1 * Cbw_SEC)
 #define FETCH_TIMEOUT (500 * Cbw_MSEC)
+/* Shortest time between fetches. At a start of all, each endpoint that
+ * registers is a change, and each host would fetch each of them by itself. */
+#define FETCH_INTERVAL (250 * Cbw_MSEC)
 /* The same of the first fetch, when this host starts. */
 #define BOOTSTRAP_TIMEOUT (150 * Cbw_MSEC)
 #define BOOTSTRAP_ROLE "records"
@@ -83,8 +87,13 @@
     /* The peers that it asks, in its order. */
     char bootstrap_peers[Cbw_LOCAL_ORDER_MAX][Cbw_ADDRESS_MAX];
     watch_t watches[WATCH_COUNT_];
-    bool fetching;            /* a fetch from a peer is in flight */
+    bool fetching; /* a fetch from a peer is in flight */
+    cbw_time_t next_fetch_at;
+    peer_version_message_t *deferred; /* until then; NULL: none */
     cbw_time_t next_merge_at; /* for fetches of all records: these are large */
+    /* Version of the configuration record as last read from the store; 0: not
+     * read. */
+    uint64_t config_version;
     bool poll_pending;
     cbw_time_t next_poll_at;
     unsigned poll_count;
@@ -227,9 +236,17 @@
     self.poll_pending = true;
     self.poll_count++;
     self.next_poll_at = now + POLL_INTERVAL;
-    call = poll_endpoints
-               ? StoreCall_New(STORE_RANGE, self.driver->endpoints_prefix)
-               : StoreCall_New(STORE_GET, self.driver->config_key);
+    if (poll_endpoints) {
+        call = StoreCall_New(STORE_RANGE, self.driver->endpoints_prefix);
+    }
+    else if (self.config_version == 0) {
+        call = StoreCall_New(STORE_GET, self.driver->config_key);
+    }
+    else {
+        /* The record is large and seldom changes. */
+        call = StoreCall_New(STORE_CHECK, self.driver->config_key);
+        call->version = self.config_version;
+    }
     call->reply_to = TASK_CONFIG;
     call->context = &self.poll_pending;
     Task_Post(TASK_CONFIG, TASK_STORE, MESSAGE_STORE, &call->message);
@@ -245,7 +262,14 @@
     uint64_t revision = self.records.revision;
 
     self.poll_pending = false;
-    if (call->status == CBW_STORE_OK && call->verb == STORE_GET) {
+    if (call->verb == STORE_CHECK) {
+        if (call->status == CBW_STORE_CONFLICT) {
+            self.config_version = 0;
+            self.next_poll_at = now; /* reads it */
+        }
+    }
+    else if (call->status == CBW_STORE_OK && call->verb == STORE_GET) {
+        self.config_version = call->version;
         RegistryRecords_Apply(&self.records, &config, now);
     }
     else if (call->status == CBW_STORE_OK) {
@@ -262,6 +286,7 @@
     }
     StoreCall_Free(call);
     publish_config();
+    poll_store(now);
 }
 
 static void
@@ -323,7 +348,8 @@
     }
     if (outbound->answered &&
         (outbound->result.store.record_version > self.records.revision ||
-         outbound->args.registry.all)) {
+         outbound->args.registry.all ||
+         (!is_loaded() && outbound->result.store.items.items_len > 0))) {
         CbwCounter_Add(&self.daemon->counters, CBW_COUNTER_CONFIG_FETCHED, 1);
         RegistryRecords_ApplyFetched(&self.records, &outbound->result.store,
                                      CbwNet_Now());
@@ -335,28 +361,54 @@
     Outbound_Free(outbound);
 }
 
+/* Keeps the announcement with the highest revision until the next fetch may
+ * start. */
+static void
+defer_fetch(peer_version_message_t *message)
+{
+    if (self.deferred != NULL &&
+        self.deferred->peer_revision > message->peer_revision) {
+        free(message);
+        return;
+    }
+    free(self.deferred);
+    self.deferred = message;
+}
+
+static void
+fetch_records(const char *address, bool all)
+{
+    outbound_t *outbound = Outbound_New(PEER_REGISTRY, address);
+
+    self.fetching = true;
+    outbound->args.registry.since = is_loaded() ? self.records.revision : 0;
+    outbound->args.registry.all = all;
+    outbound->timeout = FETCH_TIMEOUT;
+    outbound->reply_to = TASK_CONFIG;
+    Task_Post(TASK_CONFIG, TASK_PEER, MESSAGE_OUTBOUND, &outbound->message);
+}
+
 static void
 on_peer_version(peer_version_message_t *message)
 {
     cbw_time_t now = CbwNet_Now();
-    outbound_t *outbound;
+    registry_need_t need = RegistryRecords_Compare(
+        &self.records, (uint64_t)message->peer_revision, message->digest);
 
-    if (!self.fetching &&
-        (message->peer_revision > (int64_t)self.records.revision ||
-         (message->differs &&
-          message->peer_revision == (int64_t)self.records.revision &&
-          now >= self.next_merge_at))) {
-        self.fetching = true;
-        self.next_merge_at =
-            message->differs ? now + MERGE_INTERVAL : self.next_merge_at;
-        outbound = Outbound_New(PEER_REGISTRY, message->address);
-        outbound->args.registry.since = self.records.revision;
-        outbound->args.registry.all = message->differs;
-        outbound->timeout = FETCH_TIMEOUT;
-        outbound->reply_to = TASK_CONFIG;
-        Task_Post(TASK_CONFIG, TASK_PEER, MESSAGE_OUTBOUND,
-                  &outbound->message);
+    if (need == REGISTRY_KNOWN || (!is_loaded() && !self.bootstrap.read)) {
+        free(message);
+        return;
+    }
+    if (self.fetching || now < self.next_fetch_at ||
+        (need == REGISTRY_FETCH_ALL && now < self.next_merge_at)) {
+        defer_fetch(message);
+        return;
+    }
+    self.next_fetch_at = now + FETCH_INTERVAL;
+    if (need == REGISTRY_FETCH_ALL) {
+        self.next_merge_at = now + MERGE_INTERVAL;
     }
+    fetch_records(message->address, need == REGISTRY_FETCH_ALL);
     free(message);
 }
 
@@ -451,6 +503,11 @@
         ev_timer_again(self.daemon->loop, &self.timer);
     }
     poll_store(now);
+    if (self.deferred != NULL && now >= self.next_fetch_at) {
+        peer_version_message_t *deferred = self.deferred;
+        self.deferred = NULL;
+        on_peer_version(deferred);
+    }
     for (int i = 0; i < WATCH_COUNT_; i++) {
         call_store((watch_id_t)i, now);
     }
@@ -468,7 +525,7 @@
     CbwRandom_Init(&self.random, daemon->nonce);
     CbwBootstrap_Init(&self.bootstrap, CbwNet_Now());
     Task_Register(daemon->loop, TASK_CONFIG, handle, NULL);
-    ev_timer_init(&self.timer, on_tick, BOOTSTRAP_TICK_SECONDS,
-                  BOOTSTRAP_TICK_SECONDS);
+    CbwTick_Init(&self.timer, on_tick, BOOTSTRAP_TICK_SECONDS,
+                 BOOTSTRAP_TICK_SECONDS);
     ev_timer_start(daemon->loop, &self.timer);
 }
--- a/src/carobwindd/store_resp.c
+++ b/src/carobwindd/store_resp.c
@@ -175,7 +175,7 @@
     return connection;
 }
 
-/* The operations of this protocol, by store_verb_t. RANGE, CHANGES and DELETE,
+/* The operations of this protocol, by store_verb_t. The others,
  * which a peer may ask for, are not among them. */
 static const char *const verbs[] = {"GET", "SWAP", "WATCH", "HOSTS"};
 static const int word_counts[] = {3, 5, 5, 2};
--- a/src/carobwindd/store_task.c
+++ b/src/carobwindd/store_task.c
@@ -10,6 +10,7 @@
 #include "carobwind/plugin.h"
 #include "drivers.h"
 #include "share/net.h"
+#include "share/tick.h"
 
 #define TICK_SECONDS 0.05
 /* Well above the slowest answer that the store is specified to take: 240 ms,
@@ -323,7 +324,7 @@
     if (args->verb == STORE_SWAP) {
         call->value = strdup(args->value);
     }
-    if (args->verb > STORE_DELETE || !self.reachable) {
+    if (args->verb > STORE_CHECK || !self.reachable) {
         /* The verb is unknown, or the store does not answer this host
          * either. */
         call->status = CBW_STORE_LOST;
@@ -402,6 +403,6 @@
     CbwList_Init(&self.calls);
     self.driver->open(daemon, &store_events);
     Task_Register(daemon->loop, TASK_STORE, handle, NULL);
-    ev_timer_init(&self.timer, on_tick, TICK_SECONDS, TICK_SECONDS);
+    CbwTick_Init(&self.timer, on_tick, TICK_SECONDS, TICK_SECONDS);
     ev_timer_start(daemon->loop, &self.timer);
 }
--- a/src/test_libcarobwind/test_registry.c
+++ b/src/test_libcarobwind/test_registry.c
@@ -95,6 +95,41 @@
     RegistryRecords_Finish(&b);
 }
 
+/* Guards against fetches without any change in them: a host that learned of a
+ * change late, or announced one again, has a higher revision with the content
+ * that the others have. They take the revision over; only other content is
+ * fetched. */
+static void
+test_same_content_is_not_fetched(void)
+{
+    registry_records_t a;
+    registry_records_t b;
+    uint64_t digest;
+
+    RegistryRecords_Init(&a, &driver, &counters);
+    RegistryRecords_Init(&b, &driver, &counters);
+    apply_record(&a, PREFIX "e1", "10.0.0.1:1", 10);
+    apply_record(&b, PREFIX "e1", "10.0.0.1:1", 10);
+    RegistryRecords_Reannounce(&a, 5);
+    digest = RegistryRecords_Digest(&a);
+    g_assert_cmpuint(a.revision, >, b.revision);
+    g_assert_cmpint(RegistryRecords_Compare(&b, a.revision, digest), ==,
+                    REGISTRY_KNOWN);
+    g_assert_cmpuint(b.revision, ==, a.revision);
+    apply_record(&a, PREFIX "e2", "10.0.0.2:1", 12);
+    digest = RegistryRecords_Digest(&a);
+    g_assert_cmpint(RegistryRecords_Compare(&b, a.revision, digest), ==,
+                    REGISTRY_FETCH_CHANGES);
+    g_assert_cmpint(RegistryRecords_Compare(&b, b.revision, digest), ==,
+                    REGISTRY_FETCH_ALL);
+    g_assert_cmpint(RegistryRecords_Compare(&b, b.revision - 1, digest), ==,
+                    REGISTRY_KNOWN);
+    fetch_changes(&b, &a);
+    g_assert_cmpuint(count_registrations(&b), ==, 2);
+    RegistryRecords_Finish(&a);
+    RegistryRecords_Finish(&b);
+}
+
 #define LIST_SIZE 100
 
 /* Guards against fetches that grow with the square of the fleet: the store
@@ -288,6 +323,8 @@
 Suite_AddRegistry(void)
 {
     g_test_add_func("/registry/fetch-changes", test_fetch_changes);
+    g_test_add_func("/registry/same-content-is-not-fetched",
+                    test_same_content_is_not_fetched);
     g_test_add_func("/registry/list-keeps-revisions",
                     test_list_keeps_revisions);
     g_test_add_func("/registry/fetch-keeps-revisions",
--- a/test/lib/platform_standin.tcl
+++ b/test/lib/platform_standin.tcl
@@ -20,6 +20,7 @@
 #   long KEY N                the same with N bytes
 #   runs                      returns the executed reads, writes and commits
 #   lists                     returns the number of linearizable range reads
+#   reads                     returns the number of reads of the configuration
 #   quit                      exits
 
 package require json
@@ -39,6 +40,7 @@
 set watches {}
 set store_mode up
 set answers_to_lose 0 ;# of writes
+set config_reads 0 ;# reads of the configuration record
 set range_reads 0 ;# linearizable reads of key ranges
 set watches_deaf 0 ;# watches miss changes, see expire_watch
 set duplicate_answers 0 ;# each HTTP response is sent twice
@@ -221,6 +223,7 @@
     switch -- $route {
         /carobwind/kv-key {
             set key [dict get $query key]
+            incr ::config_reads [expr {$key eq "op/config"}]
             if {![dict exists $::store $key]} {
                 respond $channel 404 "{}"
                 return
@@ -566,6 +569,7 @@
         primary { return [find_primary] }
         runs { return $::executed }
         lists { return $::range_reads }
+        reads { return $::config_reads }
         lose { set ::answers_to_lose $argument; return ok }
         log { return [dict get $::endpoints $argument log] }
         quit { exit }
