Exchange only the records in which two hosts differ

Cause: hosts with different content under one revision fetched all records from each other, up to twice a second, at each start of all: with 768 endpoints 230 KB and the configuration each time.

Change: the digests of 128 buckets of records go with the request, and only records in buckets that differ come back (PEER_REGISTRY_DIFF; a peer that does not know it is asked for all). /registry/merge-differing: 800 records, three differing: fewer than 40 come, 800 before.

--- a/src/carobwindd/messages.c
+++ b/src/carobwindd/messages.c
@@ -29,6 +29,8 @@
     [PEER_PREPARE] = {CODEC(xdr_peer_prepare_args), CODEC(xdr_bool)},
     [PEER_REGISTRY] = {CODEC(xdr_peer_registry_args),
                        CODEC(xdr_peer_store_result)},
+    [PEER_REGISTRY_DIFF] = {CODEC(xdr_peer_registry_diff_args),
+                            CODEC(xdr_peer_store_result)},
     [PEER_STORE] = {CODEC(xdr_peer_store_args), CODEC(xdr_peer_store_result)},
 };
 
--- a/src/carobwindd/messages.h
+++ b/src/carobwindd/messages.h
@@ -203,6 +203,7 @@
     peer_give_up_args give_up;
     peer_prepare_args prepare;
     peer_registry_args registry;
+    peer_registry_diff_args registry_diff;
 } peer_args_t;
 
 /* Result of a procedure of the peer protocol. */
@@ -265,7 +266,7 @@
     xdrproc_t result;
 } peer_codec_t;
 
-/* Indexed by procedure, up to PEER_REGISTRY. */
+/* Indexed by procedure, up to PEER_REGISTRY_DIFF. */
 extern const peer_codec_t Peer_Codecs[];
 
 /* The tasks. Each is started once and runs as long as the process. Those that
--- a/src/carobwindd/peer_task.c
+++ b/src/carobwindd/peer_task.c
@@ -204,6 +204,7 @@
     case PEER_MEMBERS:
         return CBW_COUNTER_PEER_BYTES_MEMBERS;
     case PEER_REGISTRY:
+    case PEER_REGISTRY_DIFF:
         return CBW_COUNTER_PEER_BYTES_REGISTRY;
     default:
         return CBW_COUNTER_PEER_BYTES_OTHER;
@@ -467,6 +468,7 @@
         return TASK_OWNER;
     case PEER_CONFIG:
     case PEER_REGISTRY:
+    case PEER_REGISTRY_DIFF:
         return TASK_CONFIG;
     case PEER_STORE:
         return TASK_STORE;
--- a/src/carobwindd/registry_records.c
+++ b/src/carobwindd/registry_records.c
@@ -168,6 +168,30 @@
     return digest;
 }
 
+static size_t
+bucket_of(const char *key)
+{
+    return (size_t)(hash_text(key, 0) % REGISTRY_BUCKETS);
+}
+
+void
+RegistryRecords_BucketDigests(const registry_records_t *records,
+                              uint64_t digests[REGISTRY_BUCKETS])
+{
+    GHashTableIter iterator;
+    gpointer value;
+
+    memset(digests, 0, REGISTRY_BUCKETS * sizeof(*digests));
+    g_hash_table_iter_init(&iterator, records->registrations);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const registration_t *registration = value;
+        if (registration->purge_at == 0) {
+            digests[bucket_of(registration->key)] +=
+                hash_endpoint(&registration->endpoint);
+        }
+    }
+}
+
 /* Revisions. */
 
 static void
@@ -557,14 +581,29 @@
                    .registry_revision <= since;
 }
 
-/* Fills `result` with the changes after registry revision `since`; if
- * `complete`, with all registrations and no removals. The result of
- * PEER_REGISTRY uses `status` as a flag and not as a cbw_store_status_t: 1
- * marks a complete snapshot, 0 changes. The configuration record is sent with
- * its registry revision as the version. */
+/* Which records a result contains. */
+typedef struct {
+    uint64_t since;     /* those with a higher registry revision */
+    bool complete;      /* all registrations, and no removals */
+    bool config;        /* the configuration record, if later than `since` */
+    const bool *wanted; /* by bucket; NULL: all buckets */
+} selection_t;
+
+static bool
+is_selected(const selection_t *selection, const char *key,
+            uint64_t registry_revision)
+{
+    return (selection->complete || registry_revision > selection->since) &&
+           (selection->wanted == NULL || selection->wanted[bucket_of(key)]);
+}
+
+/* Fills `result` with the selected records. The result of PEER_REGISTRY uses
+ * `status` as a flag and not as a cbw_store_status_t: 1 marks a complete
+ * snapshot, 0 changes. The configuration record is sent with its registry
+ * revision as the version. */
 static void
-encode_records(const registry_records_t *records, uint64_t since,
-               bool complete, peer_store_result *result)
+encode_records(const registry_records_t *records, const selection_t *selection,
+               peer_store_result *result)
 {
     size_t kept = records->removal_total < REGISTRY_REMOVALS_MAX
                       ? records->removal_total
@@ -572,7 +611,7 @@
     GHashTableIter iterator;
     gpointer value;
 
-    result->status = complete;
+    result->status = selection->complete;
     result->record_version = records->revision;
     result->value = strdup("");
     result->items.items_val =
@@ -581,22 +620,24 @@
     if (result->items.items_val == NULL) {
         abort();
     }
-    if (records->config_text != NULL &&
-        records->config_registry_revision > since) {
+    if (selection->config && records->config_text != NULL &&
+        records->config_registry_revision > selection->since) {
         append_item(result, records->driver->config_key, records->config_text,
                     records->config_size, records->config_registry_revision);
     }
-    for (size_t i = 0; i < kept && !complete; i++) {
-        if (records->removals[i].registry_revision > since) {
-            append_item(result, records->removals[i].key, NULL, 0,
-                        records->removals[i].store_revision);
+    for (size_t i = 0; i < kept && !selection->complete; i++) {
+        const removal_t *removal = &records->removals[i];
+        if (is_selected(selection, removal->key, removal->registry_revision)) {
+            append_item(result, removal->key, NULL, 0,
+                        removal->store_revision);
         }
     }
     g_hash_table_iter_init(&iterator, records->registrations);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         const registration_t *registration = value;
         if (registration->purge_at == 0 &&
-            (complete || registration->registry_revision > since)) {
+            is_selected(selection, registration->key,
+                        registration->registry_revision)) {
             append_item(result, registration->key, registration->text,
                         registration->text_size, registration->version);
         }
@@ -607,15 +648,38 @@
 RegistryRecords_EncodeSince(const registry_records_t *records, uint64_t since,
                             peer_store_result *result)
 {
-    encode_records(records, since,
-                   since == 0 || !has_removals_since(records, since), result);
+    selection_t selection = {.since = since,
+                             .complete = since == 0 ||
+                                         !has_removals_since(records, since),
+                             .config = true};
+
+    encode_records(records, &selection, result);
 }
 
 void
 RegistryRecords_EncodeAll(const registry_records_t *records,
                           peer_store_result *result)
 {
-    encode_records(records, 0, false, result);
+    encode_records(records, &(selection_t){.config = true}, result);
+}
+
+void
+RegistryRecords_EncodeDiffering(const registry_records_t *records,
+                                int64_t config_version,
+                                const uint64_t digests[REGISTRY_BUCKETS],
+                                peer_store_result *result)
+{
+    uint64_t own[REGISTRY_BUCKETS];
+    bool wanted[REGISTRY_BUCKETS];
+    selection_t selection = {.config = records->base_inventory.version >
+                                       config_version,
+                             .wanted = wanted};
+
+    RegistryRecords_BucketDigests(records, own);
+    for (size_t i = 0; i < REGISTRY_BUCKETS; i++) {
+        wanted[i] = own[i] != digests[i];
+    }
+    encode_records(records, &selection, result);
 }
 
 void
--- a/src/carobwindd/registry_records.h
+++ b/src/carobwindd/registry_records.h
@@ -96,7 +96,20 @@
  * different content: for each record the later version wins on both hosts. */
 void RegistryRecords_EncodeAll(const registry_records_t *records,
                                peer_store_result *result);
-/* Applies a result that a peer filled by one of the two functions above. */
+/* Number of buckets into which registrations are divided by the hash of their
+ * keys, so that hosts whose records differ exchange only some of them. */
+#define REGISTRY_BUCKETS 128
+/* Writes a digest of each bucket to `digests`. */
+void RegistryRecords_BucketDigests(const registry_records_t *records,
+                                   uint64_t digests[REGISTRY_BUCKETS]);
+/* Fills `result` like RegistryRecords_EncodeAll, but only with what is in the
+ * buckets whose digests differ from the peer's `digests`, and with the
+ * configuration if it is later than the peer's version. */
+void RegistryRecords_EncodeDiffering(const registry_records_t *records,
+                                     int64_t config_version,
+                                     const uint64_t digests[REGISTRY_BUCKETS],
+                                     peer_store_result *result);
+/* Applies a result that a peer filled by one of the functions above. */
 void RegistryRecords_ApplyFetched(registry_records_t *records,
                                   const peer_store_result *result,
                                   cbw_time_t now);
--- a/src/carobwindd/registry_task.c
+++ b/src/carobwindd/registry_task.c
@@ -88,6 +88,9 @@
     char bootstrap_peers[Cbw_LOCAL_ORDER_MAX][Cbw_ADDRESS_MAX];
     watch_t watches[WATCH_COUNT_];
     bool fetching; /* a fetch from a peer is in flight */
+    /* The last fetch of what differs failed: the peer may be of a version
+     * that does not know it. The next one fetches all records. */
+    bool diff_failed;
     cbw_time_t next_fetch_at;
     peer_version_message_t *deferred; /* until then; NULL: none */
     cbw_time_t next_merge_at; /* for fetches of all records: these are large */
@@ -332,24 +335,35 @@
     call_store(id, now);
 }
 
+/* Whether the result has something that this host lacks. */
+static bool
+is_useful(const outbound_t *outbound)
+{
+    const peer_store_result *result = &outbound->result.store;
+
+    if (outbound->procedure == PEER_REGISTRY_DIFF ||
+        outbound->args.registry.all || !is_loaded()) {
+        return result->items.items_len > 0;
+    }
+    return result->record_version > self.records.revision;
+}
+
 static void
 on_fetch_done(outbound_t *outbound)
 {
-    if (outbound->context == &self.bootstrap) {
-        if (!outbound->answered ||
-            outbound->result.store.items.items_len == 0) {
-            CbwBootstrap_OnFailure(&self.bootstrap, CbwNet_Now(),
-                                   outbound->answered ? CBW_BOOTSTRAP_EMPTY
-                                                      : CBW_BOOTSTRAP_LOST);
-        }
-    }
-    else {
+    bool useful = outbound->answered && is_useful(outbound);
+
+    if (outbound->context != &self.bootstrap) {
         self.fetching = false;
+        self.diff_failed =
+            outbound->procedure == PEER_REGISTRY_DIFF && !outbound->answered;
     }
-    if (outbound->answered &&
-        (outbound->result.store.record_version > self.records.revision ||
-         outbound->args.registry.all ||
-         (!is_loaded() && outbound->result.store.items.items_len > 0))) {
+    else if (!useful) {
+        CbwBootstrap_OnFailure(&self.bootstrap, CbwNet_Now(),
+                               outbound->answered ? CBW_BOOTSTRAP_EMPTY
+                                                  : CBW_BOOTSTRAP_LOST);
+    }
+    if (useful) {
         CbwCounter_Add(&self.daemon->counters, CBW_COUNTER_CONFIG_FETCHED, 1);
         RegistryRecords_ApplyFetched(&self.records, &outbound->result.store,
                                      CbwNet_Now());
@@ -376,13 +390,35 @@
 }
 
 static void
-fetch_records(const char *address, bool all)
+describe_records(peer_registry_diff_args *args)
+{
+    args->config_version = self.records.base_inventory.version;
+    args->digests.digests_val =
+        calloc(REGISTRY_BUCKETS, sizeof(*args->digests.digests_val));
+    if (args->digests.digests_val == NULL) {
+        abort();
+    }
+    args->digests.digests_len = REGISTRY_BUCKETS;
+    RegistryRecords_BucketDigests(&self.records, args->digests.digests_val);
+}
+
+static void
+fetch_records(const char *address, registry_need_t need)
 {
-    outbound_t *outbound = Outbound_New(PEER_REGISTRY, address);
+    bool diff = need == REGISTRY_FETCH_ALL && !self.diff_failed;
+    outbound_t *outbound =
+        Outbound_New(diff ? PEER_REGISTRY_DIFF : PEER_REGISTRY, address);
 
     self.fetching = true;
-    outbound->args.registry.since = is_loaded() ? self.records.revision : 0;
-    outbound->args.registry.all = all;
+    self.diff_failed = false;
+    if (diff) {
+        describe_records(&outbound->args.registry_diff);
+    }
+    else {
+        outbound->args.registry.since =
+            is_loaded() ? self.records.revision : 0;
+        outbound->args.registry.all = need == REGISTRY_FETCH_ALL;
+    }
     outbound->timeout = FETCH_TIMEOUT;
     outbound->reply_to = TASK_CONFIG;
     Task_Post(TASK_CONFIG, TASK_PEER, MESSAGE_OUTBOUND, &outbound->message);
@@ -408,7 +444,7 @@
     if (need == REGISTRY_FETCH_ALL) {
         self.next_merge_at = now + MERGE_INTERVAL;
     }
-    fetch_records(message->address, need == REGISTRY_FETCH_ALL);
+    fetch_records(message->address, need);
     free(message);
 }
 
@@ -416,16 +452,22 @@
 answer_registry(inbound_t *inbound)
 {
     const peer_registry_args *args = &inbound->args.registry;
+    const peer_registry_diff_args *diff = &inbound->args.registry_diff;
+    peer_store_result *result = &inbound->result.store;
 
     if (!is_loaded()) {
-        inbound->result.store.value = strdup("");
+        result->value = strdup("");
+    }
+    else if (inbound->procedure == PEER_REGISTRY_DIFF &&
+             diff->digests.digests_len == REGISTRY_BUCKETS) {
+        RegistryRecords_EncodeDiffering(&self.records, diff->config_version,
+                                        diff->digests.digests_val, result);
     }
-    else if (args->all) {
-        RegistryRecords_EncodeAll(&self.records, &inbound->result.store);
+    else if (inbound->procedure == PEER_REGISTRY_DIFF || args->all) {
+        RegistryRecords_EncodeAll(&self.records, result);
     }
     else {
-        RegistryRecords_EncodeSince(&self.records, args->since,
-                                    &inbound->result.store);
+        RegistryRecords_EncodeSince(&self.records, args->since, result);
     }
 }
 
@@ -463,7 +505,8 @@
         break;
     case MESSAGE_INBOUND: {
         inbound_t *inbound = Cbw_LIST_ITEM(message, inbound_t, message);
-        if (inbound->procedure == PEER_REGISTRY) {
+        if (inbound->procedure == PEER_REGISTRY ||
+            inbound->procedure == PEER_REGISTRY_DIFF) {
             answer_registry(inbound);
             Task_Post(TASK_CONFIG, TASK_PEER, MESSAGE_INBOUND_DONE,
                       &inbound->message);
--- a/src/share/peer.x
+++ b/src/share/peer.x
@@ -19,6 +19,8 @@
 const PEER_MEMBERS_MAX = 4096;
 const PEER_RANKS_MAX = 6;
 const PEER_TEXT_MAX = 4194304;
+/* Buckets of registry records, by the hash of their keys. */
+const PEER_BUCKETS_MAX = 256;
 /* Key of an item in a store result. */
 const PEER_STORE_KEY_MAX = 256;
 
@@ -133,6 +135,15 @@
     bool all;
 };
 
+/* Requests the records in which receiver and requester differ: those whose
+ * keys are in a bucket with another digest, and the configuration if it is
+ * later than the requester's. The result is like that of peer_registry_args
+ * for changes. */
+struct peer_registry_diff_args {
+    hyper config_version; /* of the inventory */
+    unsigned hyper digests<PEER_BUCKETS_MAX>;
+};
+
 /* Asks the owner with `nonce` to relinquish its tenure (a time-limited right
  * held in the store) in `database`. The result is whether it holds none
  * now. */
@@ -188,5 +199,6 @@
         bool PEER_GIVE_UP(peer_give_up_args) = 12;
         bool PEER_PREPARE(peer_prepare_args) = 13;
         peer_store_result PEER_REGISTRY(peer_registry_args) = 14;
+        peer_store_result PEER_REGISTRY_DIFF(peer_registry_diff_args) = 15;
     } = 1;
 } = 0x20ca0b01;
--- a/src/share/peer_clnt.c
+++ b/src/share/peer_clnt.c
@@ -204,3 +204,18 @@
     }
     return (&clnt_res);
 }
+
+peer_store_result *
+peer_registry_diff_1(peer_registry_diff_args arg1, CLIENT *clnt)
+{
+    static peer_store_result clnt_res;
+
+    memset((char *)&clnt_res, 0, sizeof(clnt_res));
+    if (clnt_call(clnt, PEER_REGISTRY_DIFF,
+                  (xdrproc_t)xdr_peer_registry_diff_args, (caddr_t)&arg1,
+                  (xdrproc_t)xdr_peer_store_result, (caddr_t)&clnt_res,
+                  TIMEOUT) != RPC_SUCCESS) {
+        return (NULL);
+    }
+    return (&clnt_res);
+}
--- a/src/share/peer_rpc.h
+++ b/src/share/peer_rpc.h
@@ -25,6 +25,7 @@
 #define PEER_MEMBERS_MAX 4096
 #define PEER_RANKS_MAX 6
 #define PEER_TEXT_MAX 4194304
+#define PEER_BUCKETS_MAX 256
 #define PEER_STORE_KEY_MAX 256
 
 struct peer_member {
@@ -155,6 +156,15 @@
 };
 typedef struct peer_registry_args peer_registry_args;
 
+struct peer_registry_diff_args {
+    quad_t config_version;
+    struct {
+        u_int digests_len;
+        u_quad_t *digests_val;
+    } digests;
+};
+typedef struct peer_registry_diff_args peer_registry_diff_args;
+
 struct peer_give_up_args {
     char *database;
     u_quad_t nonce;
@@ -246,6 +256,11 @@
 extern peer_store_result *peer_registry_1(peer_registry_args, CLIENT *);
 extern peer_store_result *peer_registry_1_svc(peer_registry_args,
                                               struct svc_req *);
+#define PEER_REGISTRY_DIFF 15
+extern peer_store_result *peer_registry_diff_1(peer_registry_diff_args,
+                                               CLIENT *);
+extern peer_store_result *peer_registry_diff_1_svc(peer_registry_diff_args,
+                                                   struct svc_req *);
 extern int carobwind_peer_1_freeresult(SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -291,6 +306,9 @@
 #define PEER_REGISTRY 14
 extern peer_store_result *peer_registry_1();
 extern peer_store_result *peer_registry_1_svc();
+#define PEER_REGISTRY_DIFF 15
+extern peer_store_result *peer_registry_diff_1();
+extern peer_store_result *peer_registry_diff_1_svc();
 extern int carobwind_peer_1_freeresult();
 #endif /* K&R C */
 
@@ -309,6 +327,7 @@
 extern bool_t xdr_peer_text_args(XDR *, peer_text_args *);
 extern bool_t xdr_peer_text_result(XDR *, peer_text_result *);
 extern bool_t xdr_peer_registry_args(XDR *, peer_registry_args *);
+extern bool_t xdr_peer_registry_diff_args(XDR *, peer_registry_diff_args *);
 extern bool_t xdr_peer_give_up_args(XDR *, peer_give_up_args *);
 extern bool_t xdr_peer_prepare_args(XDR *, peer_prepare_args *);
 extern bool_t xdr_peer_store_args(XDR *, peer_store_args *);
@@ -328,6 +347,7 @@
 extern bool_t xdr_peer_text_args();
 extern bool_t xdr_peer_text_result();
 extern bool_t xdr_peer_registry_args();
+extern bool_t xdr_peer_registry_diff_args();
 extern bool_t xdr_peer_give_up_args();
 extern bool_t xdr_peer_prepare_args();
 extern bool_t xdr_peer_store_args();
--- a/src/share/peer_xdr.c
+++ b/src/share/peer_xdr.c
@@ -346,6 +346,20 @@
     return TRUE;
 }
 
+bool_t
+xdr_peer_registry_diff_args(XDR *xdrs, peer_registry_diff_args *objp)
+{
+    register int32_t *buf;
+
+    if (!xdr_quad_t(xdrs, &objp->config_version))
+        return FALSE;
+    if (!xdr_array(xdrs, (char **)&objp->digests.digests_val,
+                   (u_int *)&objp->digests.digests_len, PEER_BUCKETS_MAX,
+                   sizeof(u_quad_t), (xdrproc_t)xdr_u_quad_t))
+        return FALSE;
+    return TRUE;
+}
+
 bool_t
 xdr_peer_give_up_args(XDR *xdrs, peer_give_up_args *objp)
 {
--- a/src/test_libcarobwind/test_registry.c
+++ b/src/test_libcarobwind/test_registry.c
@@ -130,6 +130,51 @@
     RegistryRecords_Finish(&b);
 }
 
+#define MANY_RECORDS 800
+
+/* Two hosts with many records differ in a few: these are exchanged, not all.
+ */
+static void
+test_merge_differing(void)
+{
+    registry_records_t a;
+    registry_records_t b;
+    peer_store_result result = {0};
+    uint64_t digests[REGISTRY_BUCKETS];
+    char key[32];
+
+    RegistryRecords_Init(&a, &driver, &counters);
+    RegistryRecords_Init(&b, &driver, &counters);
+    apply_record(&a, CONFIG_KEY, "1", 5);
+    apply_record(&b, CONFIG_KEY, "1", 5);
+    for (int i = 0; i < MANY_RECORDS; i++) {
+        snprintf(key, sizeof(key), PREFIX "e%03d", i);
+        apply_record(&a, key, "10.0.0.1:1", 10 + (uint64_t)i);
+        apply_record(&b, key, "10.0.0.1:1", 10 + (uint64_t)i);
+    }
+    apply_record(&a, PREFIX "e007", "10.0.0.2:1", 2000);
+    apply_record(&a, PREFIX "e008", NULL, 2001);
+    apply_record(&b, PREFIX "e009", "10.0.0.3:1", 2001);
+    RegistryRecords_BucketDigests(&b, digests);
+    RegistryRecords_EncodeDiffering(&a, b.base_inventory.version, digests,
+                                    &result);
+    /* Three buckets of some seven records. */
+    g_assert_cmpuint(result.items.items_len, <, 40);
+    RegistryRecords_ApplyFetched(&b, &result, Cbw_SEC);
+    xdr_free((xdrproc_t)xdr_peer_store_result, &result);
+    memset(&result, 0, sizeof(result));
+    RegistryRecords_BucketDigests(&a, digests);
+    RegistryRecords_EncodeDiffering(&b, a.base_inventory.version, digests,
+                                    &result);
+    g_assert_cmpuint(result.items.items_len, <, 20);
+    RegistryRecords_ApplyFetched(&a, &result, Cbw_SEC);
+    xdr_free((xdrproc_t)xdr_peer_store_result, &result);
+    g_assert_cmpuint(RegistryRecords_Digest(&a), ==,
+                     RegistryRecords_Digest(&b));
+    RegistryRecords_Finish(&a);
+    RegistryRecords_Finish(&b);
+}
+
 #define LIST_SIZE 100
 
 /* Guards against fetches that grow with the square of the fleet: the store
@@ -325,6 +370,7 @@
     g_test_add_func("/registry/fetch-changes", test_fetch_changes);
     g_test_add_func("/registry/same-content-is-not-fetched",
                     test_same_content_is_not_fetched);
+    g_test_add_func("/registry/merge-differing", test_merge_differing);
     g_test_add_func("/registry/list-keeps-revisions",
                     test_list_keeps_revisions);
     g_test_add_func("/registry/fetch-keeps-revisions",
