Number changes by the store alone; merge by digests

Cause: a host that learned a change late gave it the next number, so that others would fetch it. When all hosts start at once they overtake each other that way, and each step is fetched by the whole fleet. Changes that a poll found were announced three times more under new numbers.

Change: a record keeps its store revision as its number; hosts with the same number and other content exchange what differs, which makes both the bump and the repeated announcements needless (removed).

--- a/src/carobwindd/registry_records.c
+++ b/src/carobwindd/registry_records.c
@@ -202,16 +202,15 @@
     }
 }
 
-/* Returns the registry revision for a change that the store made at
- * `store_revision`. If a later change is known already, it is the next number,
- * so that peers which have the later change fetch this one too. */
+/* Returns the registry revision of a change that the store made at
+ * `store_revision`. A change that is learned late does not get a new number:
+ * hosts that have the same number and other content find that by their
+ * digests, and with a number each for it they would overtake each other. */
 static uint64_t
 assign_revision(registry_records_t *records, uint64_t store_revision)
 {
-    raise_revision(records, store_revision > records->revision
-                                ? store_revision
-                                : records->revision + 1);
-    return records->revision;
+    raise_revision(records, store_revision);
+    return store_revision;
 }
 
 registry_need_t
@@ -521,37 +520,6 @@
     }
 }
 
-void
-RegistryRecords_Reannounce(registry_records_t *records, uint64_t since)
-{
-    GHashTableIter iterator;
-    gpointer value;
-    uint64_t new_revision = records->revision + 1;
-    size_t removals = records->removal_total;
-    size_t first = removals > REGISTRY_REMOVALS_MAX
-                       ? removals - REGISTRY_REMOVALS_MAX
-                       : 0;
-
-    for (size_t i = first; i < removals; i++) {
-        removal_t *removal = &records->removals[i % REGISTRY_REMOVALS_MAX];
-        removal->registry_revision = removal->registry_revision > since
-                                         ? new_revision
-                                         : removal->registry_revision;
-    }
-    if (records->config_registry_revision > since) {
-        records->config_registry_revision = new_revision;
-    }
-    g_hash_table_iter_init(&iterator, records->registrations);
-    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        registration_t *registration = value;
-        if (registration->registry_revision > since) {
-            registration->registry_revision = new_revision;
-        }
-    }
-    raise_revision(records, new_revision);
-    records->changed = true;
-}
-
 static void
 append_item(peer_store_result *result, const char *key, const char *text,
             size_t size, uint64_t version)
--- a/src/carobwindd/registry_records.h
+++ b/src/carobwindd/registry_records.h
@@ -3,10 +3,9 @@
  *
  * - The store revision grows with each write to the store. The `version` of a
  *   registration is the store revision of its last write.
- * - The registry revision is local to this host and grows with each change
- *   that the host learns of: it becomes the store revision of the change where
- *   that is higher, else the next number. Peers compare it. It is
- *   registry_records_t.revision.
+ * - The registry revision is the store revision of the latest change that a
+ *   host knows. Peers compare it, and a digest of the records besides, since a
+ *   host may have missed earlier changes.
  * - The configuration version is written by the operators into the
  *   configuration record.
  *
@@ -72,9 +71,6 @@
  * in the inventory, since an endpoint whose registration expired during a
  * store outage registers again soon after the outage. */
 void RegistryRecords_PurgeRemoved(registry_records_t *records, cbw_time_t now);
-/* Assigns a new registry revision to all changes whose registry revision is
- * above `since`, so that peers fetch them again. */
-void RegistryRecords_Reannounce(registry_records_t *records, uint64_t since);
 /* What a host has to fetch from a peer that announces its records. */
 typedef enum {
     REGISTRY_KNOWN, /* nothing */
--- a/src/carobwindd/registry_task.c
+++ b/src/carobwindd/registry_task.c
@@ -49,17 +49,8 @@
  * force within 3 s. */
 #define POLL_INTERVAL (1 * Cbw_SEC)
 #define POLLS_PER_RANGE 4
-/* A change that a poll found is announced again at this many later polls, each
- * time under a new registry revision. Otherwise a host that meanwhile has a
- * higher revision from another peer would take the change for known and never
- * fetch it. */
-#define REANNOUNCE_POLLS 3
 /* Pause after changes of registrations, which arrive in bursts. */
 #define CHANGE_BATCH_DELAY (250 * Cbw_MSEC)
-/* Shortest time between fetches of all records from peers that have different
- * content under the same registry revision. A change must be in force within
- * 3 s. */
-#define MERGE_INTERVAL (500 * Cbw_MSEC)
 /* Shortest delay before a failed call to the store is retried. A random time
  * of up to the same length is added. */
 #define RETRY_INTERVAL (150 * Cbw_MSEC)
@@ -93,17 +84,12 @@
     bool diff_failed;
     cbw_time_t next_fetch_at;
     peer_version_message_t *deferred; /* until then; NULL: none */
-    cbw_time_t next_merge_at; /* for fetches of all records: these are large */
     /* Version of the configuration record as last read from the store; 0: not
      * read. */
     uint64_t config_version;
     bool poll_pending;
     cbw_time_t next_poll_at;
     unsigned poll_count;
-    /* The changes after registry revision `reannounce_since`, which polls
-     * found, are announced this many times more. */
-    unsigned reannouncements_left;
-    uint64_t reannounce_since;
     cbw_random_t random;
     ev_timer timer;
 } registry_task_t;
@@ -231,11 +217,6 @@
     if (self.poll_pending || now < self.next_poll_at || !has_role(now, 1)) {
         return;
     }
-    if (self.reannouncements_left > 0) {
-        self.reannouncements_left--;
-        RegistryRecords_Reannounce(&self.records, self.reannounce_since);
-        publish_config();
-    }
     self.poll_pending = true;
     self.poll_count++;
     self.next_poll_at = now + POLL_INTERVAL;
@@ -262,8 +243,6 @@
     store_item_t config = {
         .key = call->key, .value = call->value, .version = call->version};
 
-    uint64_t revision = self.records.revision;
-
     self.poll_pending = false;
     if (call->verb == STORE_CHECK) {
         if (call->status == CBW_STORE_CONFLICT) {
@@ -281,12 +260,6 @@
                                  now);
         RegistryRecords_EndSnapshot(&self.records, call->version, now);
     }
-    if (self.records.revision > revision) {
-        if (self.reannouncements_left == 0) {
-            self.reannounce_since = revision;
-        }
-        self.reannouncements_left = REANNOUNCE_POLLS;
-    }
     StoreCall_Free(call);
     publish_config();
     poll_store(now);
@@ -435,15 +408,11 @@
         free(message);
         return;
     }
-    if (self.fetching || now < self.next_fetch_at ||
-        (need == REGISTRY_FETCH_ALL && now < self.next_merge_at)) {
+    if (self.fetching || now < self.next_fetch_at) {
         defer_fetch(message);
         return;
     }
     self.next_fetch_at = now + FETCH_INTERVAL;
-    if (need == REGISTRY_FETCH_ALL) {
-        self.next_merge_at = now + MERGE_INTERVAL;
-    }
     fetch_records(message->address, need);
     free(message);
 }
--- a/src/test_libcarobwind/test_registry.c
+++ b/src/test_libcarobwind/test_registry.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "carobwind/random.h"
 #include "carobwindd/registry_records.h"
 #include "suites.h"
 
@@ -95,10 +96,10 @@
     RegistryRecords_Finish(&b);
 }
 
-/* Guards against fetches without any change in them: a host that learned of a
- * change late, or announced one again, has a higher revision with the content
- * that the others have. They take the revision over; only other content is
- * fetched. */
+/* Guards against fetches without any change in them: a host may have a higher
+ * revision with the content that the others have, as after a change that made
+ * no difference. They take the revision over; only other content is fetched.
+ */
 static void
 test_same_content_is_not_fetched(void)
 {
@@ -110,13 +111,13 @@
     RegistryRecords_Init(&b, &driver, &counters);
     apply_record(&a, PREFIX "e1", "10.0.0.1:1", 10);
     apply_record(&b, PREFIX "e1", "10.0.0.1:1", 10);
-    RegistryRecords_Reannounce(&a, 5);
+    a.revision += 5;
     digest = RegistryRecords_Digest(&a);
     g_assert_cmpuint(a.revision, >, b.revision);
     g_assert_cmpint(RegistryRecords_Compare(&b, a.revision, digest), ==,
                     REGISTRY_KNOWN);
     g_assert_cmpuint(b.revision, ==, a.revision);
-    apply_record(&a, PREFIX "e2", "10.0.0.2:1", 12);
+    apply_record(&a, PREFIX "e2", "10.0.0.2:1", 20);
     digest = RegistryRecords_Digest(&a);
     g_assert_cmpint(RegistryRecords_Compare(&b, a.revision, digest), ==,
                     REGISTRY_FETCH_CHANGES);
@@ -256,40 +257,126 @@
     RegistryRecords_Finish(&a);
 }
 
+/* `from` announces its records to `to`, which fetches what it needs. Returns
+ * the number of records that were sent. */
+static size_t
+announce(registry_records_t *to, const registry_records_t *from)
+{
+    peer_store_result result = {0};
+    uint64_t digests[REGISTRY_BUCKETS];
+    size_t sent;
+
+    switch (RegistryRecords_Compare(to, from->revision,
+                                    RegistryRecords_Digest(from))) {
+    case REGISTRY_FETCH_CHANGES:
+        RegistryRecords_EncodeSince(from, to->revision, &result);
+        break;
+    case REGISTRY_FETCH_ALL:
+        RegistryRecords_BucketDigests(to, digests);
+        RegistryRecords_EncodeDiffering(from, to->base_inventory.version,
+                                        digests, &result);
+        break;
+    default:
+        return 0;
+    }
+    RegistryRecords_ApplyFetched(to, &result, Cbw_SEC);
+    sent = result.items.items_len;
+    xdr_free((xdrproc_t)xdr_peer_store_result, &result);
+    return sent;
+}
+
 /* Guards against a missed change that never spreads. One host polls a change
- * that all watches missed while another host learns of a later change: both
- * announce the same revision. A host that fetches the later change first does
- * not fetch the missed one until it is announced again. */
+ * that all watches missed while another host learns of a later change. Each of
+ * them has what the other lacks, and a third one has heard of the later change
+ * only. */
 static void
-test_reannounce_missed_change(void)
+test_missed_change_spreads(void)
 {
     registry_records_t poller;
     registry_records_t watcher;
     registry_records_t other;
-    uint64_t before;
 
     RegistryRecords_Init(&poller, &driver, &counters);
     RegistryRecords_Init(&watcher, &driver, &counters);
     RegistryRecords_Init(&other, &driver, &counters);
     apply_record(&watcher, CONFIG_KEY, "1", 10);
     apply_record(&watcher, PREFIX "e1", "10.0.0.1:1", 12);
-    fetch_changes(&poller, &watcher);
-    fetch_changes(&other, &watcher);
-    before = poller.revision;
+    announce(&poller, &watcher);
+    announce(&other, &watcher);
     apply_record(&poller, CONFIG_KEY, "2", 11); /* missed, then polled */
     apply_record(&watcher, PREFIX "e2", "10.0.0.2:1", 13);
-    fetch_changes(&other, &watcher);
-    fetch_changes(&other, &poller);
+    announce(&other, &watcher);
+    announce(&other, &poller); /* of a lower revision: not fetched */
     g_assert_cmpint(other.base_inventory.version, ==, 1);
-    RegistryRecords_Reannounce(&poller, before);
-    fetch_changes(&other, &poller);
+    announce(&poller, &other);
+    announce(&other, &poller);
+    announce(&watcher, &poller);
     g_assert_cmpint(other.base_inventory.version, ==, 2);
     g_assert_cmpuint(count_registrations(&other), ==, 2);
+    g_assert_cmpint(watcher.base_inventory.version, ==, 2);
+    g_assert_cmpuint(count_registrations(&poller), ==, 2);
     RegistryRecords_Finish(&poller);
     RegistryRecords_Finish(&watcher);
     RegistryRecords_Finish(&other);
 }
 
+#define FLEET_HOSTS 40
+#define FLEET_RECORDS 200
+#define ROUNDS_MAX 10
+
+static bool
+agree(const registry_records_t *fleet)
+{
+    for (int i = 1; i < FLEET_HOSTS; i++) {
+        if (RegistryRecords_Digest(&fleet[i]) !=
+            RegistryRecords_Digest(&fleet[0])) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* All hosts start while endpoints register: each has read another state of the
+ * store, in pages, so that it lacks some records below its latest one.
+ * Announcing to three others a round, as probes do, they agree after a few
+ * rounds, and a record is not sent to a host more than a few times. */
+static void
+test_start_converges(void)
+{
+    static registry_records_t fleet[FLEET_HOSTS];
+    cbw_random_t random;
+    char key[32];
+    size_t sent = 0;
+    int rounds = 0;
+
+    CbwRandom_Init(&random, 41);
+    for (int i = 0; i < FLEET_HOSTS; i++) {
+        uint64_t read_at = CbwRandom_Below(&random, FLEET_RECORDS);
+        RegistryRecords_Init(&fleet[i], &driver, &counters);
+        for (uint64_t j = 0; j <= read_at; j++) {
+            snprintf(key, sizeof(key), PREFIX "e%03d", (int)(j * 37 % 200));
+            if (i == 0 || CbwRandom_Below(&random, 10) != 0) {
+                apply_record(&fleet[i], key, "10.0.0.1:1", 10 + j);
+            }
+        }
+    }
+    while (!agree(fleet) && rounds < 100) {
+        rounds++;
+        for (int i = 0; i < FLEET_HOSTS; i++) {
+            for (int k = 0; k < 3; k++) {
+                size_t to = (size_t)CbwRandom_Below(&random, FLEET_HOSTS);
+                sent += announce(&fleet[to], &fleet[i]);
+            }
+        }
+    }
+    g_test_message("%d rounds, %zu records sent", rounds, sent);
+    g_assert_cmpint(rounds, <=, ROUNDS_MAX);
+    g_assert_cmpuint(sent, <=, (size_t)3 * FLEET_HOSTS * FLEET_RECORDS);
+    for (int i = 0; i < FLEET_HOSTS; i++) {
+        RegistryRecords_Finish(&fleet[i]);
+    }
+}
+
 /* Both hosts announce the same revision with different content: `to` fetches
  * all records of `from`. */
 static void
@@ -379,6 +466,7 @@
     g_test_add_func("/registry/merge-removals", test_merge_removals);
     g_test_add_func("/registry/older-config-is-ignored",
                     test_older_config_is_ignored);
-    g_test_add_func("/registry/reannounce-missed-change",
-                    test_reannounce_missed_change);
+    g_test_add_func("/registry/missed-change-spreads",
+                    test_missed_change_spreads);
+    g_test_add_func("/registry/start-converges", test_start_converges);
 }
