Look up kinds and endpoints without scanning all of them

Cause: a statement looked its kind up among all routes, one after the other; each new configuration compared each registration with each database; each look-up of an owner hashed the database's name once for each host. With thousands of routes and hundreds of databases these cost milliseconds.

Change: kinds of the registry are found by bisection, registrations are handed out in one pass, the hash of the name is made once.

--- a/include/carobwind/inventory.h
+++ b/include/carobwind/inventory.h
@@ -99,6 +99,7 @@
     size_t rank_count;
     cbw_kind_t *kinds;
     size_t kind_count;
+    bool kinds_sorted; /* by name (registry only) */
     /* An open transaction that is idle for longer may be rolled back (registry
      * only); 0: the default. */
     cbw_time_t transaction_idle_timeout;
--- a/include/carobwind/rendezvous.h
+++ b/include/carobwind/rendezvous.h
@@ -9,4 +9,8 @@
  * the first choice, that of the next one its successor. */
 uint64_t CbwRendezvous_Weight(const char *key, const char *host);
 
+/* The same in two steps, for the weights of many hosts for one key. */
+uint64_t CbwRendezvous_Seed(const char *key);
+uint64_t CbwRendezvous_SeededWeight(uint64_t seed, const char *host);
+
 #endif
--- a/src/carobwindd/registry_records.c
+++ b/src/carobwindd/registry_records.c
@@ -65,8 +65,10 @@
                   ((const cbw_endpoint_t *)b)->name);
 }
 
+/* Adds each registration to the database that it names, if it is configured.
+ * The databases are sorted by name. */
 static void
-add_endpoints(const registry_records_t *records, cbw_database_t *database)
+add_endpoints(const registry_records_t *records, cbw_inventory_t *inventory)
 {
     GHashTableIter iterator;
     gpointer value;
@@ -74,22 +76,28 @@
     g_hash_table_iter_init(&iterator, records->registrations);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         const registration_t *registration = value;
-        cbw_endpoint_t *endpoint =
-            &database->endpoints[database->endpoint_count];
-        if (strcmp(registration->database, database->name) != 0) {
+        const cbw_database_t *found =
+            CbwInventory_FindDatabase(inventory, registration->database);
+        cbw_database_t *database;
+        cbw_endpoint_t *endpoint;
+        if (found == NULL) {
             continue;
         }
+        database = &inventory->databases[found - inventory->databases];
         if (database->endpoint_count == Cbw_ENDPOINTS_MAX) {
             CbwLog_Write(CBW_LOG_ERROR, "config", "too-many-endpoints",
                          "database=%s", database->name);
-            break;
+            continue;
         }
+        endpoint = &database->endpoints[database->endpoint_count++];
         *endpoint = registration->endpoint;
         endpoint->connections = database->connections;
-        database->endpoint_count++;
     }
-    qsort(database->endpoints, (size_t)database->endpoint_count,
-          sizeof(cbw_endpoint_t), compare_endpoints);
+    for (size_t i = 0; i < inventory->database_count; i++) {
+        cbw_database_t *database = &inventory->databases[i];
+        qsort(database->endpoints, (size_t)database->endpoint_count,
+              sizeof(cbw_endpoint_t), compare_endpoints);
+    }
 }
 
 static void *
@@ -126,9 +134,7 @@
     inventory->databases = copy_array(records->base_inventory.databases,
                                       records->base_inventory.database_count,
                                       sizeof(cbw_database_t));
-    for (size_t i = 0; i < inventory->database_count; i++) {
-        add_endpoints(records, &inventory->databases[i]);
-    }
+    add_endpoints(records, inventory);
     return config;
 }
 
--- a/src/libcarobwind/inventory.c
+++ b/src/libcarobwind/inventory.c
@@ -455,9 +455,19 @@
                    sizeof(*inventory->databases), compare_name);
 }
 
+static int
+compare_kind_name(const void *name, const void *kind)
+{
+    return strcmp(name, ((const cbw_kind_t *)kind)->name);
+}
+
 const cbw_kind_t *
 CbwInventory_FindKind(const cbw_inventory_t *inventory, const char *name)
 {
+    if (inventory->kinds_sorted && inventory->kind_count > 0) {
+        return bsearch(name, inventory->kinds, inventory->kind_count,
+                       sizeof(*inventory->kinds), compare_kind_name);
+    }
     for (size_t i = 0; i < inventory->kind_count; i++) {
         if (strcmp(inventory->kinds[i].name, name) == 0) {
             return &inventory->kinds[i];
--- a/src/libcarobwind/membership.c
+++ b/src/libcarobwind/membership.c
@@ -686,6 +686,7 @@
 {
     const cbw_member_t *best = NULL;
     uint64_t best_weight = 0;
+    uint64_t seed = CbwRendezvous_Seed(database);
 
     for (size_t i = 0; i < membership->count; i++) {
         const cbw_member_t *member = &membership->members[i];
@@ -697,7 +698,7 @@
              is_excluded(context, member->record.name))) {
             continue;
         }
-        weight = CbwRendezvous_Weight(database, member->record.name);
+        weight = CbwRendezvous_SeededWeight(seed, member->record.name);
         if (best == NULL || weight > best_weight) {
             best = member;
             best_weight = weight;
--- a/src/test_libcarobwind/test_odd_records.c
+++ b/src/test_libcarobwind/test_odd_records.c
@@ -11,6 +11,7 @@
 #include "suites.h"
 
 #define NESTING 100000
+#define MANY_ROUTES 3000
 #define MEGABYTE ((size_t)1 << 20)
 #define PREFIX "servers/"
 #define CONFIG                                                                \
@@ -273,6 +274,40 @@
     }
 }
 
+/* Thousands of routes, in an order of their own: each is found. */
+static void
+test_many_routes(void)
+{
+    GString *text = g_string_new("{\"version\":7,\"routes\":[");
+    cbw_inventory_t inventory;
+    cbw_findings_t findings;
+    char name[16];
+
+    for (int i = 0; i < MANY_ROUTES; i++) {
+        g_string_append_printf(text,
+                               "%s{\"database\":\"d%d\",\"service\":\"s\","
+                               "\"routeType\":\"primary\"}",
+                               i > 0 ? "," : "", i * 7 % MANY_ROUTES);
+    }
+    g_string_append(text, "],\"services\":[{\"name\":\"s\"}]}");
+    CbwFindings_Init(&findings);
+    g_assert_cmpint(
+        platform_driver()->parse_config(text->str, &inventory, &findings), ==,
+        0);
+    for (int i = 0; i < MANY_ROUTES; i++) {
+        const cbw_kind_t *kind;
+        snprintf(name, sizeof(name), "d%d", i);
+        kind = CbwInventory_FindKind(&inventory, name);
+        g_assert_nonnull(kind);
+        g_assert_cmpstr(kind->name, ==, name);
+    }
+    g_assert_null(CbwInventory_FindKind(&inventory, "e"));
+    g_assert_true(inventory.kinds_sorted);
+    CbwInventory_Finish(&inventory);
+    CbwFindings_Finish(&findings);
+    g_string_free(text, TRUE);
+}
+
 void
 Suite_AddOddRecords(void)
 {
@@ -281,6 +316,7 @@
     g_test_add_func("/odd-records/size", test_size);
     g_test_add_func("/odd-records/others-are-followed",
                     test_others_are_followed);
+    g_test_add_func("/odd-records/many-routes", test_many_routes);
     g_test_add_func("/odd-records/configuration-numbers",
                     test_configuration_numbers);
 }
