Let a promoter that was paused read the record before it orders

It could happen here: an owner that paused after it had begun a promotion requested it as soon as the candidates' answers were read, although its tenure had expired and another owner had promoted. The order went out a second time, with an older fencing token.

Change: a promotion is requested under a valid, exclusive tenure only; an expired one is renewed, or found lost, first. /pool/paused-promoter fails on the code before ("e2" was ordered).

--- a/src/libcarobwind/pool_health.c
+++ b/src/libcarobwind/pool_health.c
@@ -540,7 +540,8 @@
     case CBW_POOL_CHOOSING_CANDIDATE:
         request_candidate_states(pool, now);
         CbwTenure_AskToRelinquish(&pool->tenure, now);
-        if (now >= pool->tenure.exclusive_from &&
+        /* Expired after a pause: the record is read again first. */
+        if (CbwTenure_IsExclusive(&pool->tenure, now) &&
             (all_candidates_answered(pool) ||
              now - pool->phase_since > Cbw_POOL_CANDIDATE_STATE_TIMEOUT)) {
             request_promotion(pool, now);
--- a/src/test_libcarobwind/test_pool.c
+++ b/src/test_libcarobwind/test_pool.c
@@ -218,6 +218,43 @@
     PoolWorld_Finish(&world);
 }
 
+/* An owner that pauses after it has begun a promotion must not request it when
+ * it goes on and its tenure has expired: another owner may have promoted
+ * meanwhile, and the order would go out twice. */
+static void
+test_paused_promoter_does_not_order(void)
+{
+    static const uint64_t positions[] = {9, 5, 8};
+    pool_world_t world;
+
+    PoolWorld_Init(&world);
+    take_primary_down(&world);
+    for (int i = 0;
+         i < 10 && world.pool.phase != CBW_POOL_CHOOSING_CANDIDATE; i++) {
+        PoolWorld_Tick(&world, 10 * Cbw_MSEC);
+    }
+    g_assert_cmpint(world.pool.phase, ==, CBW_POOL_CHOOSING_CANDIDATE);
+    CbwPool_Tick(&world.pool, world.now, true);
+    g_assert_nonnull(PoolWorld_LastOpenCall(&world, CBW_CALL_STATE));
+    g_assert_cmpstr(world.promotion_target, ==, "");
+    world.now += 20 * Cbw_SEC;
+    world.record.holder.nonce = 99;
+    world.record.epoch++;
+    world.record.promoting = false;
+    snprintf(world.record.primary, sizeof(world.record.primary), "e1");
+    world.version++;
+    /* The candidates' answers have arrived meanwhile. */
+    answer_state_calls(&world, -1, positions);
+    g_assert_cmpstr(world.promotion_target, ==, "");
+    for (int i = 0; i < 5; i++) {
+        PoolWorld_Tick(&world, 100 * Cbw_MSEC);
+        answer_state_calls(&world, 1, positions);
+    }
+    g_assert_cmpstr(world.promotion_target, ==, "");
+    g_assert_cmpint(world.pool.phase, ==, CBW_POOL_SERVING);
+    PoolWorld_Finish(&world);
+}
+
 /* A candidate that refused the promotion, as it is not running, is not chosen
  * again: the next one is. */
 static void
@@ -462,6 +499,8 @@
                     test_replica_read_carries_position);
     g_test_add_func("/pool/promotes-most-advanced-replica",
                     test_promotes_most_advanced_replica);
+    g_test_add_func("/pool/paused-promoter",
+                    test_paused_promoter_does_not_order);
     g_test_add_func("/pool/promotion-taken-over",
                     test_promotion_taken_over_by_other_owner);
     g_test_add_func("/pool/refused-candidate",
