Roll back at the endpoint what failed at the entry

Noticed by reading: after a statement that is found to be wrong at the entry (an unknown prepared statement, a write in a transaction that reads), the caller's ROLLBACK or COMMIT was answered there, and the endpoint's transaction, with its connection and locks, stayed open until the idle timeout of 3 s. A write inside a transaction advanced the session's token before any commit, and so did the commit of a transaction that only read.

Change: the rollback goes out with the caller's end of the transaction; the token advances with what commits the session's own writes. Tests: /session/local-error-rolls-back and /session/token-advances-with-commit fail on the code before; first-statement-begins commits a write now, as the commit of a read does not advance the token any more.

--- a/include/carobwind/session.h
+++ b/include/carobwind/session.h
@@ -43,8 +43,11 @@
     size_t prepared_count;
     char *encoded_values; /* a line "name value" each; NULL: out of date */
     cbw_session_state_t state;
-    bool reads_only;           /* the open transaction only reads */
-    bool begun;                /* an endpoint has opened the transaction */
+    bool reads_only;  /* the open transaction only reads */
+    bool begun;       /* an endpoint has opened the transaction */
+    bool has_written; /* in the open transaction */
+    /* The transaction failed at the entry; the endpoint still has it open. */
+    bool failed_locally;
     uint64_t transaction;      /* its id; 0: not forwarded yet */
     char token[Cbw_TOKEN_MAX]; /* of this session's latest write or commit */
 } cbw_session_t;
@@ -62,6 +65,9 @@
     cbw_plan_action_t action;
     cbw_cause_t cause;
     const char *reason; /* a static text, for the caller */
+    /* The endpoint's transaction, `transaction` of the request, is to be
+     * rolled back besides. */
+    bool rolls_back;
 } cbw_plan_t;
 
 /* Initializes an empty session. */
--- a/src/carobwindd/session_task.c
+++ b/src/carobwindd/session_task.c
@@ -329,7 +329,6 @@
         break;
     case CBW_PLAN_ROLLBACK:
         answer_locally(session, CBW_CAUSE_NONE, "");
-        send_rollback(session, job->request.transaction);
         break;
     case CBW_PLAN_FORWARD:
         if (fill_request(session, &job->request)) {
@@ -345,6 +344,9 @@
                        "no route has this name");
         break;
     }
+    if (plan.rolls_back) {
+        send_rollback(session, job->request.transaction);
+    }
     Job_Free(job);
 }
 
--- a/src/libcarobwind/session.c
+++ b/src/libcarobwind/session.c
@@ -170,8 +170,9 @@
 {
     if (session->state == CBW_SESSION_IN_TRANSACTION) {
         session->state = CBW_SESSION_FAILED;
+        session->failed_locally = session->begun;
     }
-    *plan = (cbw_plan_t){CBW_PLAN_ERROR, cause, reason};
+    *plan = (cbw_plan_t){CBW_PLAN_ERROR, cause, reason, false};
 }
 
 static void
@@ -180,6 +181,8 @@
     session->state = CBW_SESSION_IDLE;
     session->transaction = 0;
     session->begun = false;
+    session->has_written = false;
+    session->failed_locally = false;
     session->reads_only = false;
 }
 
@@ -226,7 +229,7 @@
     if (session->value_count > 0) {
         request->values = strdup(encode_values(session));
     }
-    *plan = (cbw_plan_t){CBW_PLAN_FORWARD, CBW_CAUSE_NONE, ""};
+    *plan = (cbw_plan_t){CBW_PLAN_FORWARD, CBW_CAUSE_NONE, "", false};
 }
 
 static void
@@ -242,13 +245,15 @@
         return;
     }
     if (session->state == CBW_SESSION_FAILED) {
-        /* No rollback is forwarded: the endpoint rolls back when a statement
-         * fails there. If the error was found locally, its transaction, if
-         * any, stays open until the owner's idle timeout. */
+        /* The endpoint has rolled back when a statement failed there. */
+        plan->rolls_back = session->failed_locally;
+        request->transaction = session->transaction;
+        plan->action = commits            ? CBW_PLAN_ERROR
+                       : plan->rolls_back ? CBW_PLAN_ROLLBACK
+                                          : CBW_PLAN_DONE;
+        plan->cause = commits ? CBW_CAUSE_ABORTED : CBW_CAUSE_NONE;
+        plan->reason = commits ? "the transaction had failed" : "";
         end_transaction(session);
-        *plan = commits ? (cbw_plan_t){CBW_PLAN_ERROR, CBW_CAUSE_ABORTED,
-                                       "the transaction had failed"}
-                        : (cbw_plan_t){CBW_PLAN_DONE, CBW_CAUSE_NONE, ""};
         return;
     }
     if (commits) {
@@ -257,7 +262,7 @@
     }
     request->transaction = session->transaction;
     *plan = (cbw_plan_t){session->begun ? CBW_PLAN_ROLLBACK : CBW_PLAN_DONE,
-                         CBW_CAUSE_NONE, ""};
+                         CBW_CAUSE_NONE, "", session->begun};
     end_transaction(session);
 }
 
@@ -268,7 +273,6 @@
     bool done = false;
     cbw_cause_t cause = CBW_CAUSE_MALFORMED;
 
-    *plan = (cbw_plan_t){CBW_PLAN_DONE, CBW_CAUSE_NONE, ""};
     switch (statement->kind) {
     case CBW_STATEMENT_BEGIN:
     case CBW_STATEMENT_BEGIN_READ:
@@ -306,9 +310,10 @@
     bool ends = statement->kind == CBW_STATEMENT_COMMIT ||
                 statement->kind == CBW_STATEMENT_ROLLBACK;
 
+    *plan = (cbw_plan_t){CBW_PLAN_DONE, CBW_CAUSE_NONE, "", false};
     if (session->state == CBW_SESSION_FAILED && !ends) {
         *plan = (cbw_plan_t){CBW_PLAN_ERROR, CBW_CAUSE_MALFORMED,
-                             "the transaction has failed: end it"};
+                             "the transaction has failed: end it", false};
         return;
     }
     switch (statement->kind) {
@@ -331,11 +336,14 @@
 CbwSession_OnAnswer(cbw_session_t *session, const cbw_request_t *request)
 {
     bool done = request->answer.outcome == CBW_OUTCOME_DONE;
+    bool commits =
+        request->transaction == 0
+            ? request->writes
+            : request->verb == CBW_VERB_COMMIT && session->has_written;
 
-    /* Only the session's own writes and commits advance its token. A read may
-     * have seen an older position, which must not move the token back. */
-    if (done && request->answer.token[0] != '\0' &&
-        (request->writes || request->verb == CBW_VERB_COMMIT)) {
+    /* Only what commits the session's own writes advances its token. A read
+     * may have seen an older position, which must not move the token back. */
+    if (done && request->answer.token[0] != '\0' && commits) {
         memcpy(session->token, request->answer.token, sizeof(session->token));
     }
     if (request->transaction == 0) {
@@ -346,6 +354,7 @@
     }
     else if (done) {
         session->begun = true;
+        session->has_written |= request->writes;
     }
     else {
         session->state = CBW_SESSION_FAILED;
--- a/src/test_libcarobwind/test_session.c
+++ b/src/test_libcarobwind/test_session.c
@@ -107,6 +107,7 @@
 {
     static const step_t begin = {.kind = CBW_STATEMENT_BEGIN, .name = ""};
     static const step_t read = {.kind = CBW_STATEMENT_READ, .name = ""};
+    static const step_t write = {.kind = CBW_STATEMENT_WRITE, .name = ""};
     static const step_t commit = {.kind = CBW_STATEMENT_COMMIT, .name = ""};
     cbw_session_t session;
     cbw_request_t request;
@@ -114,7 +115,7 @@
 
     CbwSession_Init(&session);
     plan(&session, &begin, &request, &result);
-    plan(&session, &read, &request, &result);
+    plan(&session, &write, &request, &result);
     g_assert_true(request.begins);
     g_assert_cmpuint(request.transaction, ==, TRANSACTION);
     request.answer.outcome = CBW_OUTCOME_DONE;
@@ -164,12 +165,126 @@
     CbwSession_Finish(&session);
 }
 
+/* Begins a transaction at the endpoint with a statement of `kind`. */
+static void
+begin_at_endpoint(cbw_session_t *session, cbw_statement_kind_t kind,
+                  const char *token)
+{
+    step_t step = {.kind = CBW_STATEMENT_BEGIN, .name = ""};
+    cbw_request_t request;
+    cbw_plan_t result;
+
+    plan(session, &step, &request, &result);
+    step.kind = kind;
+    plan(session, &step, &request, &result);
+    request.answer.outcome = CBW_OUTCOME_DONE;
+    strcpy(request.answer.token, token);
+    CbwSession_OnAnswer(session, &request);
+    CbwRequest_Finish(&request);
+}
+
+/* A statement that is found to be wrong at the entry fails the transaction,
+ * but the endpoint does not know: its transaction, with its connection, is
+ * rolled back when the caller ends it. */
+static void
+test_local_error_rolls_back(void)
+{
+    static const step_t unknown = {.kind = CBW_STATEMENT_EXECUTE,
+                                   .name = "unknown"};
+    static const struct {
+        cbw_statement_kind_t end;
+        cbw_plan_action_t action;
+    } cases_of_end[] = {
+        {CBW_STATEMENT_ROLLBACK, CBW_PLAN_ROLLBACK},
+        {CBW_STATEMENT_COMMIT, CBW_PLAN_ERROR},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases_of_end); i++) {
+        step_t end = {.kind = cases_of_end[i].end, .name = ""};
+        cbw_session_t session;
+        cbw_request_t request;
+        cbw_plan_t result;
+        CbwSession_Init(&session);
+        begin_at_endpoint(&session, CBW_STATEMENT_WRITE, "");
+        plan(&session, &unknown, &request, &result);
+        g_assert_cmpint(result.cause, ==, CBW_CAUSE_NO_STATEMENT);
+        g_assert_cmpint(session.state, ==, CBW_SESSION_FAILED);
+        plan(&session, &end, &request, &result);
+        g_assert_cmpint(result.action, ==, cases_of_end[i].action);
+        g_assert_true(result.rolls_back);
+        g_assert_cmpuint(request.transaction, ==, TRANSACTION);
+        g_assert_cmpint(session.state, ==, CBW_SESSION_IDLE);
+        CbwRequest_Finish(&request);
+        CbwSession_Finish(&session);
+    }
+}
+
+/* A transaction that failed at the endpoint was rolled back there. */
+static void
+test_endpoint_error_needs_no_rollback(void)
+{
+    static const step_t read = {.kind = CBW_STATEMENT_READ, .name = ""};
+    static const step_t end = {.kind = CBW_STATEMENT_ROLLBACK, .name = ""};
+    cbw_session_t session;
+    cbw_request_t request;
+    cbw_plan_t result;
+
+    CbwSession_Init(&session);
+    begin_at_endpoint(&session, CBW_STATEMENT_READ, "");
+    plan(&session, &read, &request, &result);
+    request.answer.outcome = CBW_OUTCOME_NOTRUN;
+    CbwSession_OnAnswer(&session, &request);
+    CbwRequest_Finish(&request);
+    plan(&session, &end, &request, &result);
+    g_assert_cmpint(result.action, ==, CBW_PLAN_DONE);
+    g_assert_false(result.rolls_back);
+    CbwRequest_Finish(&request);
+    CbwSession_Finish(&session);
+}
+
+/* The token advances with the commit of a transaction that wrote, not with its
+ * writes, and not with a commit after reads, which may come from a replica. */
+static void
+test_token_advances_with_commit(void)
+{
+    static const struct {
+        cbw_statement_kind_t kind;
+        const char *token; /* expected after the commit */
+    } kinds[] = {
+        {CBW_STATEMENT_WRITE, "db:3:9"},
+        {CBW_STATEMENT_READ, ""},
+    };
+    static const step_t commit = {.kind = CBW_STATEMENT_COMMIT, .name = ""};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(kinds); i++) {
+        cbw_session_t session;
+        cbw_request_t request;
+        cbw_plan_t result;
+        CbwSession_Init(&session);
+        begin_at_endpoint(&session, kinds[i].kind, "db:3:7");
+        g_assert_cmpstr(session.token, ==, "");
+        plan(&session, &commit, &request, &result);
+        request.answer.outcome = CBW_OUTCOME_DONE;
+        strcpy(request.answer.token, "db:3:9");
+        CbwSession_OnAnswer(&session, &request);
+        g_assert_cmpstr(session.token, ==, kinds[i].token);
+        CbwRequest_Finish(&request);
+        CbwSession_Finish(&session);
+    }
+}
+
 void
 Suite_AddSession(void)
 {
     g_test_add_func("/session/cases", test_cases);
     g_test_add_func("/session/first-statement-begins",
                     test_first_statement_begins);
+    g_test_add_func("/session/local-error-rolls-back",
+                    test_local_error_rolls_back);
+    g_test_add_func("/session/endpoint-error-needs-no-rollback",
+                    test_endpoint_error_needs_no_rollback);
+    g_test_add_func("/session/token-advances-with-commit",
+                    test_token_advances_with_commit);
     g_test_add_func("/session/values-are-forwarded",
                     test_values_are_forwarded);
 }
