Let hosts agree on the members soon after many of them change

Requests then went to hosts that do not own the database, were handed back every 20 ms, and were refused after half of their target: "no owner answered within the deadline", 320 times from 36 to 41 s.

Change: while more updates wait than one message carries, and in a cold start, a host fetches the whole list of a random member, mostly of its own data centre; otherwise one in 100 ms for each member, which repairs what updates did not reach at a constant cost a second. Members are compared by the hash of their names first. A host without peers in its data centre starts from the records of any other.

--- a/include/carobwind/membership.h
+++ b/include/carobwind/membership.h
@@ -27,8 +27,8 @@
  * either announced its state or been found dead. */
 #define Cbw_MEMBERSHIP_COLD_START_DURATION (2 * Cbw_SEC)
 
-/* Most hosts that CbwMembership_LocalOrder returns. */
-#define Cbw_LOCAL_ORDER_MAX 4
+/* Most hosts that CbwMembership_PeerOrder returns. */
+#define Cbw_PEER_ORDER_MAX 4
 
 /* Most updates that one message carries. */
 #define Cbw_MEMBER_UPDATES_MAX 12
@@ -46,6 +46,7 @@
 /* A member as this host sees it. */
 typedef struct {
     cbw_member_record_t record;
+    uint32_t name_hash;
     cbw_time_t changed_at;    /* when the record last changed */
     int transmissions_left;   /* of the latest update about it */
     cbw_time_t probe_sent_at; /* 0: no probe is outstanding */
@@ -88,6 +89,11 @@
     cbw_time_t cold_start_until; /* 0: there is no cold start, or it is over */
     size_t next_probe_index;
     cbw_time_t next_probe_at;
+    /* See CbwMembership_ChooseListPeer. */
+    cbw_random_t list_random;
+    cbw_time_t next_list_at;
+    cbw_time_t next_regular_list_at;
+    cbw_time_t lists_until; /* many updates are, or were just, on their way */
 } cbw_membership_t;
 
 extern const cbw_membership_settings_t CbwMembership_DefaultSettings;
@@ -106,6 +112,16 @@
 /* Applies an update that a peer sent, if it supersedes the known record. */
 void CbwMembership_ApplyUpdate(cbw_membership_t *membership, cbw_time_t now,
                                const cbw_member_record_t *update);
+/* Returns a member whose whole list of members is to be fetched now, or NULL.
+ * Lists repair what updates did not reach. Messages carry few updates. When
+ * many hosts change their states at once, as at a start of all or when a
+ * partition heals, more are waiting to be sent than the next messages carry,
+ * and the fleet would not agree for many seconds. */
+const cbw_member_t *CbwMembership_ChooseListPeer(cbw_membership_t *membership,
+                                                 cbw_time_t now);
+/* Applies a record of a member list that was fetched. */
+void CbwMembership_ApplyListed(cbw_membership_t *membership, cbw_time_t now,
+                               const cbw_member_record_t *update);
 /* Applies an entry of the platform's host list. As the list lags, an unknown
  * host is added as dead until it answers a probe. A host that is leaving is
  * marked as such. */
@@ -163,13 +179,14 @@
  * `role`. Some roles are taken by the first few members only. */
 int CbwMembership_RoleIndex(const cbw_membership_t *membership,
                             const char *role);
-/* Fills `peers` with at most `limit` hosts of this host's data centre, first
- * in the rendezvous order of `role` first, without this host and those that
- * are known to be dead. Returns their number, and in `rank` how many hosts
- * precede this one in that order. */
-size_t CbwMembership_LocalOrder(const cbw_membership_t *membership,
-                                const char *role, const cbw_member_t **peers,
-                                size_t limit, size_t *rank);
+/* Fills `peers` with at most `limit` hosts of a data centre (NULL: of all),
+ * first in the rendezvous order of `role` first, without this host and those
+ * that are known to be dead. Returns their number, and in `rank` how many
+ * hosts precede this one in that order. */
+size_t CbwMembership_PeerOrder(const cbw_membership_t *membership,
+                               const char *role, const char *data_centre,
+                               const cbw_member_t **peers, size_t limit,
+                               size_t *rank);
 /* Returns the record called `name`, or NULL. */
 const cbw_member_t *CbwMembership_Find(const cbw_membership_t *membership,
                                        const char *name);
--- a/src/carobwindd/member_task.c
+++ b/src/carobwindd/member_task.c
@@ -317,8 +317,13 @@
     if (outbound->answered) {
         const peer_members_result *result = &outbound->result.members;
         self.joined = true;
-        apply_members(result->members.members_val,
-                      result->members.members_len);
+        for (u_int i = 0; i < result->members.members_len; i++) {
+            cbw_member_record_t update;
+            if (decode_member(&update, &result->members.members_val[i])) {
+                CbwMembership_ApplyListed(&self.membership, CbwNet_Now(),
+                                          &update);
+            }
+        }
         announce_peers();
     }
     Outbound_Free(outbound);
@@ -702,6 +707,7 @@
 on_tick(struct ev_loop *loop, ev_timer *watcher, int events)
 {
     cbw_time_t now = CbwNet_Now();
+    const cbw_member_t *list_peer;
 
     (void)loop;
     (void)watcher;
@@ -711,6 +717,10 @@
         !CbwMembership_IsHalfReachable(&self.membership);
     request_host_list(now);
     request_join(now);
+    list_peer = CbwMembership_ChooseListPeer(&self.membership, now);
+    if (list_peer != NULL) {
+        request_members(list_peer->record.address);
+    }
     publish_view();
 }
 
--- a/src/carobwindd/registry_task.c
+++ b/src/carobwindd/registry_task.c
@@ -76,7 +76,7 @@
     registry_records_t records;
     cbw_bootstrap_t bootstrap;
     /* The peers that it asks, in its order. */
-    char bootstrap_peers[Cbw_LOCAL_ORDER_MAX][Cbw_ADDRESS_MAX];
+    char bootstrap_peers[Cbw_PEER_ORDER_MAX][Cbw_ADDRESS_MAX];
     watch_t watches[WATCH_COUNT_];
     bool fetching; /* a fetch from a peer is in flight */
     /* The last fetch of what differs failed: the peer may be of a version
@@ -189,11 +189,17 @@
 static void
 on_peers_known(view_message_t *message)
 {
-    const cbw_member_t *peers[Cbw_LOCAL_ORDER_MAX];
+    const cbw_membership_t *members = &message->view->membership;
+    const cbw_member_t *peers[Cbw_PEER_ORDER_MAX];
     size_t rank;
-    size_t count =
-        CbwMembership_LocalOrder(&message->view->membership, BOOTSTRAP_ROLE,
-                                 peers, Cbw_LOCAL_ORDER_MAX, &rank);
+    size_t count = CbwMembership_PeerOrder(
+        members, BOOTSTRAP_ROLE, members->members[0].record.data_centre, peers,
+        Cbw_PEER_ORDER_MAX, &rank);
+
+    if (count == 0) {
+        count = CbwMembership_PeerOrder(members, BOOTSTRAP_ROLE, NULL, peers,
+                                        Cbw_PEER_ORDER_MAX, &rank);
+    }
 
     for (size_t i = 0; i < count; i++) {
         memcpy(self.bootstrap_peers[i], peers[i]->record.address,
--- a/src/libcarobwind/membership.c
+++ b/src/libcarobwind/membership.c
@@ -5,6 +5,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <xxhash.h>
+
 #include "carobwind/rendezvous.h"
 
 const char *const CbwMembership_StateString[] = {"alive", "suspect", "leaving",
@@ -30,16 +32,42 @@
 /* An update is sent this many times for each bit of the number of members. */
 #define RETRANSMIT_FACTOR 1
 
+/* A host that has more updates to send than this fetches lists, and so does
+ * one in a cold start. A random time of up to the same length is added to the
+ * interval. */
+#define LIST_BACKLOG Cbw_MEMBER_UPDATES_MAX
+#define LIST_INTERVAL (150 * Cbw_MSEC)
+/* How long it goes on after that, for the last changes. */
+#define LIST_LINGER (600 * Cbw_MSEC)
+/* Otherwise it fetches one in this time for each member, which repairs what
+ * the updates did not reach, at the same cost a second in a fleet of any size.
+ */
+#define LIST_PERIOD_PER_MEMBER (100 * Cbw_MSEC)
+/* One list in this many comes from any data centre, the others from the own
+ * one, to spare the links between data centres. */
+#define REMOTE_LIST_DIVISOR 3
+/* How many times an update from a list is sent on: others fetch lists too. */
+#define LIST_TRANSMISSIONS 2
+
 /* First character of the names of endpoint records, which are kept beside the
  * members while the endpoints leave. */
 #define ENDPOINT_NAME_PREFIX '@'
 
+static uint32_t
+hash_name(const char *name)
+{
+    return XXH32(name, strlen(name), 0);
+}
+
 /* Returns the index of a record by name, or -1 when there is none. */
 static long
 find_index(const cbw_membership_t *membership, const char *name)
 {
+    uint32_t hash = hash_name(name);
+
     for (size_t i = 0; i < membership->count; i++) {
-        if (strcmp(membership->members[i].record.name, name) == 0) {
+        if (membership->members[i].name_hash == hash &&
+            strcmp(membership->members[i].record.name, name) == 0) {
             return (long)i;
         }
     }
@@ -86,6 +114,7 @@
     member = &membership->members[index];
     memset(member, 0, sizeof(*member));
     member->record = *record;
+    member->name_hash = hash_name(record->name);
     return member;
 }
 
@@ -106,6 +135,7 @@
     membership->settings = *settings;
     membership->epoch = 1;
     CbwRandom_Init(&membership->random, seed);
+    CbwRandom_Init(&membership->list_random, seed + 1);
     snprintf(self.name, sizeof(self.name), "%s", name);
     snprintf(self.data_centre, sizeof(self.data_centre), "%s", data_centre);
     snprintf(self.address, sizeof(self.address), "%s", address);
@@ -233,6 +263,77 @@
     set_state(membership, now, member, update->state, update->incarnation);
 }
 
+void
+CbwMembership_ApplyListed(cbw_membership_t *membership, cbw_time_t now,
+                          const cbw_member_record_t *update)
+{
+    long index = find_index(membership, update->name);
+    uint64_t incarnation =
+        index > 0 ? membership->members[index].record.incarnation : 0;
+    cbw_member_state_t state =
+        index > 0 ? membership->members[index].record.state : CBW_MEMBER_DEAD;
+
+    CbwMembership_ApplyUpdate(membership, now, update);
+    index = find_index(membership, update->name);
+    if (index > 0 &&
+        (membership->members[index].record.incarnation != incarnation ||
+         membership->members[index].record.state != state)) {
+        membership->members[index].transmissions_left = LIST_TRANSMISSIONS;
+    }
+}
+
+/* Returns whether many updates are on their way. */
+static bool
+has_backlog(const cbw_membership_t *membership)
+{
+    size_t backlog = 0;
+
+    for (size_t i = 0; i < membership->count; i++) {
+        backlog += membership->members[i].transmissions_left > 0;
+    }
+    return backlog > LIST_BACKLOG || membership->cold_start_until != 0;
+}
+
+const cbw_member_t *
+CbwMembership_ChooseListPeer(cbw_membership_t *membership, cbw_time_t now)
+{
+    cbw_random_t *random = &membership->list_random;
+    cbw_time_t interval = LIST_INTERVAL;
+    bool local;
+
+    if (now < membership->next_list_at) {
+        return NULL;
+    }
+    if (has_backlog(membership)) {
+        membership->lists_until = now + LIST_LINGER;
+    }
+    if (now >= membership->lists_until) {
+        if (now < membership->next_regular_list_at) {
+            return NULL;
+        }
+        interval = LIST_PERIOD_PER_MEMBER * (cbw_time_t)membership->count;
+    }
+    interval += (cbw_time_t)CbwRandom_Below(random, (uint64_t)interval);
+    membership->next_list_at =
+        now + LIST_INTERVAL +
+        (cbw_time_t)CbwRandom_Below(random, LIST_INTERVAL);
+    membership->next_regular_list_at = now + interval;
+    local = CbwRandom_Below(random, REMOTE_LIST_DIVISOR) != 0;
+    for (size_t tries = 0; tries < 2 * membership->count; tries++) {
+        const cbw_member_t *member =
+            &membership->members[CbwRandom_Below(random, membership->count)];
+        if (member != &membership->members[0] &&
+            member->record.state != CBW_MEMBER_DEAD &&
+            !CbwMembership_IsEndpoint(&member->record) &&
+            (!local || tries >= membership->count ||
+             strcmp(member->record.data_centre,
+                    membership->members[0].record.data_centre) == 0)) {
+            return member;
+        }
+    }
+    return NULL;
+}
+
 void
 CbwMembership_ApplyListedHost(cbw_membership_t *membership, cbw_time_t now,
                               const cbw_member_record_t *host)
@@ -623,17 +724,17 @@
 }
 
 size_t
-CbwMembership_LocalOrder(const cbw_membership_t *membership, const char *role,
-                         const cbw_member_t **peers, size_t limit,
-                         size_t *rank)
+CbwMembership_PeerOrder(const cbw_membership_t *membership, const char *role,
+                        const char *data_centre, const cbw_member_t **peers,
+                        size_t limit, size_t *rank)
 {
     const cbw_member_record_t *self = &membership->members[0].record;
     uint64_t own_weight = CbwRendezvous_Weight(role, self->name);
-    uint64_t weights[Cbw_LOCAL_ORDER_MAX];
+    uint64_t weights[Cbw_PEER_ORDER_MAX];
     size_t count = 0;
 
     *rank = 0;
-    limit = limit < Cbw_LOCAL_ORDER_MAX ? limit : Cbw_LOCAL_ORDER_MAX;
+    limit = limit < Cbw_PEER_ORDER_MAX ? limit : Cbw_PEER_ORDER_MAX;
     for (size_t i = 1; i < membership->count; i++) {
         const cbw_member_t *member = &membership->members[i];
         uint64_t weight;
@@ -641,7 +742,8 @@
         if (CbwMembership_IsEndpoint(&member->record) ||
             (member->record.state == CBW_MEMBER_DEAD &&
              !is_first_probe_pending(member)) ||
-            strcmp(member->record.data_centre, self->data_centre) != 0) {
+            (data_centre != NULL &&
+             strcmp(member->record.data_centre, data_centre) != 0)) {
             continue;
         }
         weight = CbwRendezvous_Weight(role, member->record.name);
--- a/src/test_libcarobwind/test_membership.c
+++ b/src/test_libcarobwind/test_membership.c
@@ -5,8 +5,9 @@
 #include "carobwind/rendezvous.h"
 #include "suites.h"
 
-#define HOSTS_MAX 24
+#define HOSTS_MAX 96
 #define TICK_INTERVAL (10 * Cbw_MSEC)
+#define SETTLE_TIME (600 * Cbw_MSEC)
 
 /* A simulated fleet in virtual time. Messages are delivered at once, or
  * dropped when a host is down or in another partition. */
@@ -20,6 +21,7 @@
 } fleet_t;
 
 static fleet_t fleet;
+static int lists_fetched;
 
 static int
 host_index(const char *name)
@@ -67,7 +69,7 @@
     int via; /* member that is asked to probe; -1: none */
 } probe_t;
 
-static probe_t probes_in_flight[1024];
+static probe_t probes_in_flight[8192];
 static int probes_in_flight_count;
 
 static void
@@ -155,6 +157,27 @@
     }
 }
 
+/* Hosts that have much to learn fetch the whole list of another one. */
+static void
+exchange_lists(void)
+{
+    for (int i = 0; i < fleet.count; i++) {
+        const cbw_member_t *peer;
+        int from;
+        if (fleet.is_down[i] || (peer = CbwMembership_ChooseListPeer(
+                                     &fleet.members[i], fleet.now)) == NULL) {
+            continue;
+        }
+        from = host_index(peer->record.name);
+        lists_fetched += can_reach(i, from);
+        for (size_t j = 0; can_reach(i, from) && j < fleet.members[from].count;
+             j++) {
+            CbwMembership_ApplyListed(&fleet.members[i], fleet.now,
+                                      &fleet.members[from].members[j].record);
+        }
+    }
+}
+
 static void
 run_for(cbw_time_t length)
 {
@@ -171,6 +194,7 @@
             deliver_probe(&probes_in_flight[i]);
         }
         probes_in_flight_count = 0;
+        exchange_lists();
     }
 }
 
@@ -414,6 +438,34 @@
     finish_fleet();
 }
 
+/* Guards against a cold start of a large fleet after which hosts see others as
+ * joining, or dead, for many seconds: a probe carries a few updates only, and
+ * each host changes its state twice. All hosts must agree shortly after the
+ * end of the cold start, since requests take detours by wrong owners from then
+ * on.
+ */
+static void
+test_cold_start_large(void)
+{
+    start_fleet(95);
+    for (int i = 0; i < fleet.count; i++) {
+        CbwMembership_BeginJoining(&fleet.members[i]);
+        CbwMembership_DetectColdStart(&fleet.members[i], fleet.now);
+    }
+    for (int i = 0; i < fleet.count; i++) {
+        if (i % 2 == 0) {
+            run_for(TICK_INTERVAL);
+        }
+        CbwMembership_FinishJoining(&fleet.members[i], fleet.now);
+    }
+    run_for(fleet.members[0].cold_start_until + SETTLE_TIME - fleet.now);
+    for (int i = 0; i < fleet.count; i++) {
+        g_assert_cmpint(count_observers(i, CBW_MEMBER_ALIVE), ==,
+                        fleet.count - 1);
+    }
+    finish_fleet();
+}
+
 /* In a cold start a listed host that does not come up is no owner any more
  * once its first probe has failed. */
 static void
@@ -457,10 +509,10 @@
  * for itself; dead hosts are left out, those known from a list only are not.
  */
 static void
-test_local_order(void)
+test_peer_order(void)
 {
     cbw_membership_t membership;
-    const cbw_member_t *peers[Cbw_LOCAL_ORDER_MAX];
+    const cbw_member_t *peers[Cbw_PEER_ORDER_MAX];
     size_t rank;
     size_t count;
 
@@ -477,8 +529,8 @@
             CbwMembership_ApplyUpdate(&membership, Cbw_SEC, &record);
         }
     }
-    count = CbwMembership_LocalOrder(&membership, "role", peers,
-                                     G_N_ELEMENTS(peers), &rank);
+    count = CbwMembership_PeerOrder(&membership, "role", "near", peers,
+                                    G_N_ELEMENTS(peers), &rank);
     g_assert_cmpuint(count, ==, 4);
     g_assert_cmpuint(rank, <=, 4);
     for (size_t i = 0; i < count; i++) {
@@ -492,14 +544,25 @@
                         i < rank);
     }
     g_assert_cmpuint(
-        CbwMembership_LocalOrder(&membership, "role", peers, 2, &rank), ==, 2);
+        CbwMembership_PeerOrder(&membership, "role", "near", peers, 2, &rank),
+        ==, 2);
+    g_assert_cmpuint(CbwMembership_PeerOrder(&membership, "role", "far", peers,
+                                             G_N_ELEMENTS(peers), &rank),
+                     ==, 3);
+    g_assert_cmpuint(CbwMembership_PeerOrder(&membership, "role", "none",
+                                             peers, G_N_ELEMENTS(peers),
+                                             &rank),
+                     ==, 0);
+    g_assert_cmpuint(CbwMembership_PeerOrder(&membership, "role", NULL, peers,
+                                             G_N_ELEMENTS(peers), &rank),
+                     ==, Cbw_PEER_ORDER_MAX);
     CbwMembership_Finish(&membership);
 }
 
 void
 Suite_AddMembership(void)
 {
-    g_test_add_func("/membership/local-order", test_local_order);
+    g_test_add_func("/membership/peer-order", test_peer_order);
 
     g_test_add_func("/membership/join", test_hosts_join);
     g_test_add_func("/membership/crash-detected", test_crash_detected);
@@ -512,6 +575,7 @@
                     test_endpoint_leaving_spreads);
     g_test_add_func("/membership/owner-agreement", test_owner_agreement);
     g_test_add_func("/membership/cold-start", test_cold_start);
+    g_test_add_func("/membership/cold-start-large", test_cold_start_large);
     g_test_add_func("/membership/cold-start-missing-host",
                     test_cold_start_missing_host);
     g_test_add_func("/membership/join-is-no-cold-start",
--- a/test/lib/platform_standin.tcl
+++ b/test/lib/platform_standin.tcl
@@ -6,6 +6,7 @@
 # Each line on its control connection is a command, answered by one line:
 #   kill E, start E           stops or starts an endpoint
 #   leave E                   registers an endpoint as draining
+#   withdraw E                removes the registration of an endpoint
 #   config TEXT               stores a configuration
 #   store up|down|reject      the store answers, stays silent or answers 503
 #   deaf 0|1                  watches stay silent and then skip the changes
@@ -20,6 +21,8 @@
 #   long KEY N                the same with N bytes
 #   runs                      returns the executed reads, writes and commits
 #   lists                     returns the number of linearizable range reads
+#   stale 0|1                 reads that may be stale return the present state
+#                             from now on, or the current one again
 #   reads                     returns the number of reads of the configuration
 #   quit                      exits
 
@@ -42,6 +45,7 @@
 set answers_to_lose 0 ;# of writes
 set config_reads 0 ;# reads of the configuration record
 set range_reads 0 ;# linearizable reads of key ranges
+set stale_store "" ;# what reads that may be stale return; "": the store
 set watches_deaf 0 ;# watches miss changes, see expire_watch
 set duplicate_answers 0 ;# each HTTP response is sent twice
 
@@ -66,11 +70,14 @@
     return "\"[string map {\\ \\\\ \" \\\" \n \\n} $text]\""
 }
 
-proc item_json {key} {
-    if {![dict exists $::store $key]} {
+proc item_json {key {contents ""}} {
+    if {$contents eq ""} {
+        set contents $::store
+    }
+    if {![dict exists $contents $key]} {
         return "{\"key\":[quote $key],\"revision\":$::revision,\"deleted\":true}"
     }
-    lassign [dict get $::store $key] value revision created
+    lassign [dict get $contents $key] value revision created
     return "{\"key\":[quote $key],\"value\":\"[binary encode base64 \
         [encoding convertto utf-8 $value]]\",\"revision\":$revision,\"created\":$created,\"lease\":0}"
 }
@@ -185,11 +192,11 @@
 }
 
 # Answers with the page of the records under a prefix that begins after a key.
-proc answer_range {channel prefix after} {
+proc answer_range {channel prefix after contents} {
     set items {}
     set bytes 0
     set more false
-    foreach key [lsort [dict keys $::store $prefix*]] {
+    foreach key [lsort [dict keys $contents $prefix*]] {
         if {[string compare $key $after] <= 0} {
             continue
         }
@@ -197,8 +204,8 @@
             set more true
             break
         }
-        lappend items [item_json $key]
-        incr bytes [string length [lindex [dict get $::store $key] 0]]
+        lappend items [item_json $key $contents]
+        incr bytes [string length [lindex [dict get $contents $key] 0]]
     }
     respond $channel 200 "{\"items\":\[[join $items ,]\],\"hasMore\":$more,\"storeRevision\":$::revision}"
 }
@@ -232,8 +239,12 @@
             respond $channel 200 "$item,\"storeRevision\":$::revision\}"
         }
         /carobwind/kv-range {
+            set contents $::store
+            if {[dict exists $query staleOk] && $::stale_store ne ""} {
+                set contents $::stale_store
+            }
             answer_range $channel [dict get $query prefix] \
-                [expr {[dict exists $query after] ? [dict get $query after] : ""}]
+                [dict get $query after] $contents
         }
         /carobwind/kv-watch {
             set prefix [dict get $query prefix]
@@ -558,11 +569,16 @@
             register $argument
             return ok
         }
+        withdraw { delete_key servers/$argument; return ok }
         config { put_key op/config [string range $line 7 end]; return ok }
         store { set ::store_mode $argument; return ok }
         odd { put_key $argument [lindex $line 2]; return ok }
         deep { put_key $argument [string repeat \[ [lindex $line 2]]; return ok }
         long { put_key $argument [string repeat x [lindex $line 2]]; return ok }
+        stale {
+            set ::stale_store [expr {$argument ? $::store : ""}]
+            return ok
+        }
         deaf { set ::watches_deaf $argument; return ok }
         twice { set ::duplicate_answers $argument; return ok }
         work { set ::service_ms $argument; return ok }
--- a/test/scenarios/wire.tcl
+++ b/test/scenarios/wire.tcl
@@ -513,3 +513,32 @@
     wire::control work 3
     wire::check_writes {k1 done first done} 0
 }
+
+# Reads of the store that may be stale return what has been withdrawn meanwhile. A
+# host that restarts must not use it: neither a route, nor an endpoint that left.
+scenario wire-restart-stale \
+    "a host restarts while the store returns stale lists; nothing old is in use" {
+    wire::fleet
+    after 1500
+    wire::control stale 1
+    wire::control config [string map {{"version":1} {"version":2} {"database":"old"} {"database":"new"}} $wire::config]
+    wire::control leave e-3
+    foreach host {host1 host2 host3} {
+        eventually {![catch {wire::connect $host new}]} 3000
+    }
+    wire::control kill e-3
+    wire::control withdraw e-3
+    after 1000
+    fleet::allow_exit host2
+    kill host2
+    start host2
+    eventually {[wire::is_ready host2]} 8000
+    expect {[catch {wire::connect host2 old}]} "a route that was removed is in use"
+    set channel [wire::connect host2 new]
+    for {set i 0} {$i < 20} {incr i} {
+        expect {[lindex [wire::query $channel "READ k1"] 0] eq "done"}
+    }
+    expect {![regexp {event=registration endpoint=e-3} \
+        [regsub {^.*event=started} [fleet::read_log host2] ""]]} \
+        "an endpoint that left is in use"
+}
