Read the record while another owner promotes; poll over open connections

- An owner that was asked to prepare while the leaving one promoted never read the record again: each tick redirected requests to the promoter first, for 250 ms, and the reading waits for the end of a redirection.
It stayed so until the promoter's host was dead, 2.3 s here, and refused all writes as "no owner answered within the deadline".
The record is read meanwhile now, and the redirection ends with the promotion.
- The candidate was asked each 50 ms whether it leads, over a new connection each time that reads were in flight there.
After 19 of them, the limit of connections, it counted as down ("last heard 19 ms ago"), and another one was ordered: a second promotion.
A connection is opened only where those that exist may be lost.

Tests that fail on the code before: /pool/serves-after-other-promotion, /pool/polls-reuse-connections (20 connections opened, none now).

--- a/include/carobwind/pool.h
+++ b/include/carobwind/pool.h
@@ -319,6 +319,8 @@
     cbw_time_t take_over_until;
     /* Requests go to another owner until then. */
     cbw_time_t redirected_until;
+    /* That one carries out a promotion: the record is read meanwhile. */
+    bool redirected_to_promoter;
     cbw_time_t transaction_idle_timeout;
     bool stopping;
     cbw_pool_decision_t decisions[Cbw_POOL_DECISIONS_MAX]; /* a ring */
--- a/src/libcarobwind/pool.c
+++ b/src/libcarobwind/pool.c
@@ -414,6 +414,7 @@
     if (request->takes_over) {
         pool->take_over_until = now + Cbw_POOL_TAKE_OVER_WINDOW;
         pool->redirected_until = 0;
+        pool->redirected_to_promoter = false;
     }
     request->needs_primary = request->rule == CBW_READ_LATEST ||
                              (request->writes && !request->reads_only) ||
@@ -548,7 +549,8 @@
 CbwPool_Tick(cbw_pool_t *pool, cbw_time_t now, bool hold_tenure)
 {
     CbwPool_RedirectToHolder_(pool, now);
-    if (hold_tenure && !pool->stopping && now >= pool->redirected_until) {
+    if (hold_tenure && !pool->stopping &&
+        (now >= pool->redirected_until || pool->redirected_to_promoter)) {
         const char *primary = "";
         for (int i = 0; i < Cbw_POOL_ENDPOINTS_MAX; i++) {
             if (pool->endpoints[i].used &&
--- a/src/libcarobwind/pool_health.c
+++ b/src/libcarobwind/pool_health.c
@@ -34,6 +34,15 @@
     CbwPool_AbortCalls_(pool, now, endpoint);
 }
 
+/* Whether the endpoint has owed an answer, and sent none, for long. */
+static bool
+is_silent(const cbw_pool_endpoint_t *e, cbw_time_t now)
+{
+    return e->unanswered_since != 0 &&
+           now - e->unanswered_since > Cbw_POOL_STATE_CALL_AFTER &&
+           now - e->last_reply_at > Cbw_POOL_STATE_CALL_AFTER;
+}
+
 void
 CbwPool_SendStateCall_(cbw_pool_t *pool, cbw_time_t now, int endpoint)
 {
@@ -44,10 +53,10 @@
         return;
     }
     CbwCounter_Add(pool->counters, CBW_COUNTER_STATE_CALLS, 1);
-    /* While all endpoints are polled for confirmation, opening connections
-     * would occupy more of their slots than the state calls do. */
-    call.new_connection = e->consecutive_failures > 0 || e->suspect ||
-                          (e->unanswered_since != 0 && !pool->confirming);
+    /* A connection is opened only where those that exist may be lost: opening
+     * one occupies a slot for longer than the call. */
+    call.new_connection =
+        e->consecutive_failures > 0 || e->suspect || is_silent(e, now);
     e->state_call_due_at = now + Cbw_POOL_IDLE_STATE_CALL_INTERVAL;
     e->state_call_id = pool->last_call_id + 1;
     if (!CbwPool_Send_(pool, now, endpoint, &call, NULL,
@@ -68,9 +77,7 @@
     if (e->consecutive_failures > 0 || e->suspect) {
         return true;
     }
-    if (e->unanswered_since != 0 &&
-        now - e->unanswered_since > Cbw_POOL_STATE_CALL_AFTER &&
-        now - e->last_reply_at > Cbw_POOL_STATE_CALL_AFTER) {
+    if (is_silent(e, now)) {
         return true;
     }
     return endpoint == pool->primary && now >= e->state_call_due_at &&
@@ -307,6 +314,11 @@
 on_tenure_changed(cbw_pool_t *pool, cbw_time_t now)
 {
     update_primary(pool, now);
+    if (pool->redirected_to_promoter && pool->tenure.record_known &&
+        !pool->tenure.record.promoting) {
+        pool->redirected_to_promoter = false;
+        pool->redirected_until = 0;
+    }
     if (pool->phase >= CBW_POOL_CLAIMING && !pool->tenure.held) {
         set_phase(pool, now, CBW_POOL_SERVING);
         CbwPool_LogDecision_(pool, now,
@@ -366,6 +378,7 @@
         pool, now, "%s reaches the primary: requests are redirected to it",
         host);
     pool->redirected_until = now + Cbw_POOL_PROMOTION_RETRY_AFTER;
+    pool->redirected_to_promoter = false;
     pool->ops->redirect(pool->context, host, true);
     CbwPool_ReturnUnsent(pool);
 }
@@ -464,9 +477,11 @@
     }
     if (tenure->record.promoting) {
         pool->redirected_until = now + Cbw_TENURE_RETRY_INTERVAL;
+        pool->redirected_to_promoter = true;
     }
     else {
         pool->redirected_until = now + Cbw_POOL_DEFER_INTERVAL;
+        pool->redirected_to_promoter = false;
         CbwTenure_Defer(tenure, pool->redirected_until);
     }
     CbwPool_ReturnUnsent(pool);
--- a/src/test_libcarobwind/test_pool.c
+++ b/src/test_libcarobwind/test_pool.c
@@ -229,8 +229,8 @@
 
     PoolWorld_Init(&world);
     take_primary_down(&world);
-    for (int i = 0;
-         i < 10 && world.pool.phase != CBW_POOL_CHOOSING_CANDIDATE; i++) {
+    for (int i = 0; i < 10 && world.pool.phase != CBW_POOL_CHOOSING_CANDIDATE;
+         i++) {
         PoolWorld_Tick(&world, 10 * Cbw_MSEC);
     }
     g_assert_cmpint(world.pool.phase, ==, CBW_POOL_CHOOSING_CANDIDATE);
@@ -255,6 +255,77 @@
     PoolWorld_Finish(&world);
 }
 
+/* While another owner promotes, requests are redirected to it. This owner must
+ * go on reading the record: it serves as soon as the promotion has ended. */
+static void
+test_serves_after_other_promotion(void)
+{
+    pool_world_t world;
+
+    PoolWorld_Init(&world);
+    world.record.holder.nonce = 99;
+    snprintf(world.record.holder.host, sizeof(world.record.holder.host),
+             "other");
+    world.record.epoch++;
+    world.record.promoting = true;
+    world.version++;
+    PoolWorld_Tick(&world, Cbw_TENURE_RENEW_INTERVAL);
+    g_assert_cmpstr(world.redirected_to, ==, "other");
+    for (int i = 0; i < 50; i++) {
+        PoolWorld_Tick(&world, 20 * Cbw_MSEC);
+    }
+    g_assert_false(CbwTenure_IsValid(&world.pool.tenure, world.now));
+    world.record.promoting = false;
+    snprintf(world.record.primary, sizeof(world.record.primary), "e1");
+    memset(&world.record.holder, 0, sizeof(world.record.holder));
+    world.version++;
+    for (int i = 0; i < 20; i++) {
+        PoolWorld_Tick(&world, 20 * Cbw_MSEC);
+    }
+    g_assert_true(CbwTenure_IsValid(&world.pool.tenure, world.now));
+    g_assert_cmpint(world.pool.primary, ==, 1);
+    g_assert_cmpint(world.pool.redirected_until, <=, world.now);
+    PoolWorld_Finish(&world);
+}
+
+/* Asking the candidate whether it leads by now must not open a connection each
+ * time that it is busy with reads: these would use up the connections, and the
+ * candidate would count as down and another one be ordered. */
+static void
+test_polls_of_candidate_reuse_connections(void)
+{
+    static const uint64_t positions[] = {9, 5, 8};
+    pool_world_t world;
+    cbw_request_t *read;
+    int opened = 0;
+    int polls = 0;
+
+    PoolWorld_Init(&world);
+    take_primary_down(&world);
+    for (int i = 0; i < 10 && world.promotion_target[0] == '\0'; i++) {
+        PoolWorld_Tick(&world, 10 * Cbw_MSEC);
+        answer_state_calls(&world, -1, positions);
+    }
+    CbwPool_OnPromoteReply(&world.pool, world.now, CBW_PROMOTE_ACCEPTED);
+    read = PoolWorld_NewRequest(&world, false, CBW_READ_BOUNDED);
+    for (int i = 0; i < 20; i++) {
+        sent_call_t *sent;
+        /* A read is in flight at the candidate all the time. */
+        world.pool.endpoints[2].unanswered_since = world.now;
+        PoolWorld_Tick(&world, 50 * Cbw_MSEC);
+        while ((sent = PoolWorld_LastOpenCall(&world, CBW_CALL_STATE)) !=
+               NULL) {
+            polls += sent->endpoint == 2;
+            opened += sent->endpoint == 2 && sent->call.new_connection;
+            PoolWorld_Reply(&world, sent, CBW_REPLY_OK, 8);
+        }
+    }
+    g_assert_cmpint(polls, >=, 10);
+    g_assert_cmpint(opened, ==, 0);
+    PoolWorld_Finish(&world);
+    PoolWorld_FreeRequest(read);
+}
+
 /* A candidate that refused the promotion, as it is not running, is not chosen
  * again: the next one is. */
 static void
@@ -501,6 +572,10 @@
                     test_promotes_most_advanced_replica);
     g_test_add_func("/pool/paused-promoter",
                     test_paused_promoter_does_not_order);
+    g_test_add_func("/pool/serves-after-other-promotion",
+                    test_serves_after_other_promotion);
+    g_test_add_func("/pool/polls-reuse-connections",
+                    test_polls_of_candidate_reuse_connections);
     g_test_add_func("/pool/promotion-taken-over",
                     test_promotion_taken_over_by_other_owner);
     g_test_add_func("/pool/refused-candidate",
