Refuse at once what would be given up in the queue

Cause: a pool never knew its throughput, so that its estimate of the wait was 0 and nothing was refused on arrival: under overload each request that could not be served was held until 60 percent of its target had passed.

Change: a gate for each queue (gate.h), apart from input and output. It measures the time between dispatches while there is a backlog; what would wait longer than its target is refused on arrival, and while the queue stands what would wait longer than 40 percent. Retry-After is the time until the request would be let in, spread so that callers do not come back together.

Tests: /gate/* replay an overload of 1.5 times (without the gate 844 given up in the queue and 75 of 1,689 served after less than half their target; with it 21 and 1,623 of 1,692), a burst, an interruption, the end of an overload.

--- a/include/carobwind/pool.h
+++ b/include/carobwind/pool.h
@@ -15,6 +15,7 @@
 
 #include "carobwind/counter.h"
 #include "carobwind/endpoint.h"
+#include "carobwind/gate.h"
 #include "carobwind/inventory.h"
 #include "carobwind/latency.h"
 #include "carobwind/limit.h"
@@ -88,7 +89,7 @@
  * its target divided by this. The users' requirements penalize a service that
  * holds a request for longer without sending it to an endpoint. */
 #define Cbw_POOL_BLOCKED_WAIT_DIVISOR 4
-/* While other requests are served, a queued request is refused after this
+/* While other requests are served, a queued request is given up after this
  * percentage of its target. A statement sent after more than 75 % of the
  * target would miss it. The lower limit leaves time for the caller's retries:
  * with a deadline of three targets, a third attempt is queued for at most half
@@ -277,7 +278,9 @@
     int primary;               /* index of the primary; -1: not listed */
     cbw_queue_t primary_queue; /* writes, and reads of the latest data */
     cbw_queue_t replica_queue; /* other reads */
-    cbw_link_t running;        /* requests in flight */
+    cbw_gate_t primary_gate;   /* of the queues */
+    cbw_gate_t replica_gate;
+    cbw_link_t running; /* requests in flight */
     /* Requests answered by an endpoint that is not yet confirmed to have been
      * the primary. */
     cbw_link_t held_answers;
--- /dev/null
+++ b/src/libcarobwind/gate.c
@@ -0,0 +1,86 @@
+#include "carobwind/gate.h"
+
+/* A dispatch has the reciprocal of this as its weight in the interval. */
+#define SMOOTHING 16
+/* An interval this many times as long as usual, and longer than the allowance,
+ * is an interruption of the service and not its speed. */
+#define INTERRUPTION_FACTOR 10
+#define INTERRUPTION_ALLOWANCE (50 * Cbw_MSEC)
+/* A measurement that is older than this says nothing any more. */
+#define VALID_FOR (2 * Cbw_SEC)
+/* A queue begins to stand when all of its requests have waited for more than
+ * this percentage of their targets, during this many targets, and ends to when
+ * they have waited for less as long. */
+#define STANDING_PERCENT 20
+#define STANDING_TARGETS 2
+/* The golden ratio, in 1/1024: its multiples, modulo 1, spread evenly. */
+#define SPREAD_STEP 633
+#define SPREAD_UNIT 1024
+
+static void
+measure(cbw_gate_t *gate, cbw_time_t now)
+{
+    cbw_time_t interval = now - gate->dispatched_at;
+
+    if (gate->interval == 0) {
+        gate->interval = interval;
+    }
+    else if (interval <=
+             INTERRUPTION_FACTOR * gate->interval + INTERRUPTION_ALLOWANCE) {
+        gate->interval += (interval - gate->interval) / SMOOTHING;
+    }
+    gate->measured_at = now;
+}
+
+static void
+update_standing(cbw_gate_t *gate, cbw_time_t now, bool long_wait,
+                cbw_time_t target)
+{
+    if (long_wait == gate->stands) {
+        gate->changes_since = 0;
+    }
+    else if (gate->changes_since == 0) {
+        gate->changes_since = now;
+    }
+    else if (now - gate->changes_since > STANDING_TARGETS * target) {
+        gate->stands = long_wait;
+        gate->changes_since = 0;
+    }
+}
+
+void
+CbwGate_OnDispatch(cbw_gate_t *gate, cbw_time_t now, cbw_time_t waited,
+                   cbw_time_t target, size_t left)
+{
+    if (gate->has_backlog) {
+        measure(gate, now);
+    }
+    gate->dispatched_at = now;
+    gate->has_backlog = left > 0;
+    if (target > 0) {
+        update_standing(gate, now, waited * 100 > target * STANDING_PERCENT,
+                        target);
+    }
+}
+
+bool
+CbwGate_Admit(cbw_gate_t *gate, cbw_time_t now, size_t ahead,
+              cbw_time_t target, cbw_time_t *retry_after)
+{
+    cbw_time_t longest = target *
+                         (gate->stands ? Cbw_GATE_STANDING_WAIT_PERCENT
+                                       : Cbw_GATE_BURST_WAIT_PERCENT) /
+                         100;
+    cbw_time_t wait = (cbw_time_t)(ahead + 1) * gate->interval;
+
+    if (target <= 0 || ahead == 0 || gate->interval == 0 ||
+        now - gate->measured_at > VALID_FOR || wait <= longest) {
+        return true;
+    }
+    gate->refusals++;
+    *retry_after =
+        wait + wait *
+                   (cbw_time_t)(gate->refusals * SPREAD_STEP % SPREAD_UNIT) /
+                   SPREAD_UNIT;
+    return false;
+}
--- a/src/libcarobwind/pool.c
+++ b/src/libcarobwind/pool.c
@@ -9,10 +9,6 @@
 
 #include "private/pool.h"
 
-/* A request is refused when its estimated wait in the queue exceeds its target
- * divided by this. Without a target, the time until its deadline counts. */
-#define MAX_WAIT_DIVISOR 2
-
 const char *const CbwPool_PromoteStatusString[] = {"taken", "refused", "lost"};
 
 const char *const CbwPool_PhaseString[] = {
@@ -344,21 +340,30 @@
                                   : &pool->replica_queue;
 }
 
+/* Returns how many queued requests go before a new one of `rank`. */
+static size_t
+count_ahead(const cbw_queue_t *queue, int rank)
+{
+    size_t ahead = 0;
+
+    for (int i = 0; i <= rank; i++) {
+        ahead += queue->ranks[i].length;
+    }
+    return ahead;
+}
+
 static bool
 refuse_if_overloaded(cbw_pool_t *pool, cbw_time_t now, cbw_request_t *request)
 {
-    cbw_queue_t *queue = queue_of(pool, request);
-    cbw_time_t estimated_wait =
-        pool->queue_policy->estimate_wait(queue, request->rank);
-
-    cbw_time_t limit =
-        request->target > 0 ? request->target : request->deadline - now;
+    cbw_gate_t *gate =
+        request->needs_primary ? &pool->primary_gate : &pool->replica_gate;
+    size_t ahead = count_ahead(queue_of(pool, request), request->rank);
 
-    if (estimated_wait <= limit / MAX_WAIT_DIVISOR) {
+    if (CbwGate_Admit(gate, now, ahead, request->target,
+                      &request->answer.retry_after)) {
         return false;
     }
     CbwCounter_Add(pool->counters, CBW_COUNTER_REFUSED_BY_OWNER, 1);
-    request->answer.retry_after = estimated_wait;
     CbwPool_Answer_(pool, request, CBW_OUTCOME_NOTRUN, CBW_CAUSE_BUSY,
                     "the queue is too long for the deadline");
     return true;
--- a/src/libcarobwind/pool_dispatch.c
+++ b/src/libcarobwind/pool_dispatch.c
@@ -237,6 +237,10 @@
         return false;
     }
     CbwQueue_OnDispatch(queue, now, request->rank);
+    CbwGate_OnDispatch(queue == &pool->primary_queue ? &pool->primary_gate
+                                                     : &pool->replica_gate,
+                       now, now - request->queued_at, request->target,
+                       queue->length);
     CbwLatency_Add(pool->latencies, CBW_LATENCY_QUEUE, request->rank,
                    now - request->queued_at);
     CbwCounter_Add(pool->counters,
--- a/src/test_libcarobwind/test_main.c
+++ b/src/test_libcarobwind/test_main.c
@@ -12,6 +12,7 @@
     Suite_AddCompression();
     Suite_AddExplorer();
     Suite_AddFuzz();
+    Suite_AddGate();
     Suite_AddInventory();
     Suite_AddLiveness();
     Suite_AddLog();
