--- a/src/test_libcarobwind/test_gate.c
+++ b/src/test_libcarobwind/test_gate.c
@@ -14,8 +14,8 @@
 #define DEADLINE (1500 * Cbw_MSEC)
 #define SERVICE (12 * Cbw_MSEC) /* on average */
 #define TARGET (200 * Cbw_MSEC)
-#define CAPACITY (SLOTS * 1e6 / SERVICE) /* requests a second */
-#define STEP (Cbw_MSEC / 10)
+#define CAPACITY (SLOTS * 1e6 / (double)SERVICE) /* requests a second */
+#define STEP ((cbw_time_t)100) /* microseconds */
 #define QUEUE_MAX 4096
 
 typedef struct {
@@ -77,7 +77,7 @@
 step(replay_t *replay, double rate, bool serves)
 {
     replay->now += STEP;
-    replay->arrivals_due += rate * STEP / 1e6;
+    replay->arrivals_due += rate * (double)STEP / 1e6;
     while (replay->arrivals_due >= 1) {
         /* One or none or two, so that arrivals are uneven. */
         size_t count = (size_t)CbwRandom_Below(&replay->random, 3);
@@ -102,7 +102,7 @@
         waited = replay->now - take(replay);
         share = (double)(1 + CbwRandom_Below(&replay->random, 1000)) / 1001;
         replay->busy_until[i] =
-            replay->now + (cbw_time_t)(-log(share) * SERVICE);
+            replay->now + (cbw_time_t)(-log(share) * (double)SERVICE);
         replay->served++;
         replay->served_soon += waited * 2 <= TARGET;
         CbwGate_OnDispatch(&replay->gate, replay->now, waited, TARGET,
@@ -141,7 +141,7 @@
     g_test_message("arrived %zu served %zu soon %zu refused %zu given up %zu",
                    replay.arrived, replay.served, replay.served_soon,
                    replay.refused, replay.given_up);
-    g_assert_cmpint(replay.slots_busy, >=, SLOTS * 10 * Cbw_SEC * 97 / 100);
+    g_assert_cmpint(replay.slots_busy, >=, 10 * Cbw_SEC * SLOTS * 97 / 100);
     g_assert_cmpuint(replay.given_up * 10, <=, replay.refused);
     g_assert_cmpuint(replay.served_soon * 10, >=, replay.served * 9);
 }
--- a/src/test_libcarobwind/test_session.c
+++ b/src/test_libcarobwind/test_session.c
@@ -1,4 +1,5 @@
 #include <glib.h>
+#include <stdio.h>
 #include <string.h>
 
 #include "carobwind/session.h"
@@ -178,7 +179,7 @@
     step.kind = kind;
     plan(session, &step, &request, &result);
     request.answer.outcome = CBW_OUTCOME_DONE;
-    strcpy(request.answer.token, token);
+    snprintf(request.answer.token, sizeof(request.answer.token), "%s", token);
     CbwSession_OnAnswer(session, &request);
     CbwRequest_Finish(&request);
 }
