--- a/src/test_libcarobwind/test_gate.c
+++ b/src/test_libcarobwind/test_gate.c
@@ -15,7 +15,7 @@
 #define SERVICE (12 * Cbw_MSEC) /* on average */
 #define TARGET (200 * Cbw_MSEC)
 #define CAPACITY (SLOTS * 1e6 / (double)SERVICE) /* requests a second */
-#define STEP ((cbw_time_t)100) /* microseconds */
+#define STEP ((cbw_time_t)100)                   /* microseconds */
 #define QUEUE_MAX 4096
 
 typedef struct {
