Give sessions that were just accepted time for their first message

Report of other operators: during a planned stop under load, requests that had just been accepted were cut off. It could happen here: 3 s after SIGTERM the host took what was left in its backlog and closed all sessions without a statement in flight, however new they were.

Change: the decision is CbwSession_MayClose now, apart from the task; an idle session is closed after 300 ms without a message, whenever that is. /session/close-while-draining is a table of times; the case "accepted at the last moment" fails by the rule before.

--- a/include/carobwind/session.h
+++ b/include/carobwind/session.h
@@ -83,4 +83,17 @@
 /* Updates the session by the answer to a forwarded request. */
 void CbwSession_OnAnswer(cbw_session_t *session, const cbw_request_t *request);
 
+/* How long a drain waits before it closes sessions, and how long a session
+ * must have been quiet: meanwhile the load balancer learns that this host is
+ * not ready, and messages in transit arrive. */
+#define Cbw_SESSION_DRAIN_CLOSE_DELAY (300 * Cbw_MSEC)
+/* Sessions with open transactions are closed this long after a drain began:
+ * half of the grace period that the platform gives a process to stop. */
+#define Cbw_SESSION_DRAIN_TRANSACTION_LIMIT (3 * Cbw_SEC)
+/* Returns whether a host that has been draining for `draining_for` may close a
+ * session that waits for no answer, and from which nothing has come for
+ * `quiet_for`. */
+bool CbwSession_MayClose(cbw_session_state_t state, cbw_time_t draining_for,
+                         cbw_time_t quiet_for);
+
 #endif
--- a/src/carobwindd/session_task.c
+++ b/src/carobwindd/session_task.c
@@ -24,15 +24,6 @@
 
 #define TICK_SECONDS 0.1
 #define SESSIONS_MAX 16384
-/* How long a drain waits before it closes idle sessions: meanwhile the load
- * balancer learns that this host is not ready, and statements in transit
- * arrive. After that, a session without an open transaction is closed right
- * after an answer, or once it has been idle for this long. */
-#define DRAIN_CLOSE_DELAY (300 * Cbw_MSEC)
-/* Sessions with open transactions are closed this long after a drain began:
- * half of the grace period that the platform gives a process to stop. No new
- * sessions are accepted after that. */
-#define DRAIN_TRANSACTION_LIMIT (3 * Cbw_SEC)
 /* New sessions are accepted for at least this long after a drain began. The
  * load balancer sends callers until then: it checks readiness once a second
  * and takes a host out after two failed checks. */
@@ -205,9 +196,10 @@
         Daemon_IsIsolated(self.daemon)) {
         return true;
     }
-    return self.draining && ((session->session.state == CBW_SESSION_IDLE &&
-                              draining_for > DRAIN_CLOSE_DELAY) ||
-                             draining_for > DRAIN_TRANSACTION_LIMIT);
+    return self.draining &&
+           ((session->session.state == CBW_SESSION_IDLE &&
+             draining_for > Cbw_SESSION_DRAIN_CLOSE_DELAY) ||
+            draining_for > Cbw_SESSION_DRAIN_TRANSACTION_LIMIT);
 }
 
 static void
@@ -572,25 +564,23 @@
     }
 }
 
-/* Closes idle sessions and, past DRAIN_TRANSACTION_LIMIT, also those with an
- * open transaction. Called while this host drains or is isolated
- * (Daemon_IsIsolated). */
+/* Closes the sessions that may be closed. Called while this host drains or is
+ * isolated (Daemon_IsIsolated): then its idle sessions are. */
 static void
 close_sessions(cbw_time_t now)
 {
-    bool past_limit =
-        self.draining && now - self.drain_started_at > DRAIN_TRANSACTION_LIMIT;
+    cbw_time_t draining_for = self.draining
+                                  ? now - self.drain_started_at
+                                  : Cbw_SESSION_DRAIN_CLOSE_DELAY + 1;
     cbw_link_t *link;
     cbw_link_t *safe;
 
     Cbw_LIST_FOREACH (&self.sessions, link, safe) {
         session_t *session = Cbw_LIST_ITEM(link, session_t, link);
-        bool idle = session->session.state == CBW_SESSION_IDLE;
-        if (session->job == NULL && (idle || past_limit) &&
-            session->input->len == 0 &&
-            (past_limit ||
-             now - session->last_active_at > DRAIN_CLOSE_DELAY) &&
-            !session->stream.close_when_written) {
+        if (session->job == NULL && session->input->len == 0 &&
+            !session->stream.close_when_written &&
+            CbwSession_MayClose(session->session.state, draining_for,
+                                now - session->last_active_at)) {
             CbwStream_CloseWhenWritten(&session->stream);
         }
     }
@@ -605,12 +595,13 @@
     (void)watcher;
     (void)events;
     retry_pending_starts(now);
-    if ((self.draining && now - self.drain_started_at > DRAIN_CLOSE_DELAY) ||
+    if ((self.draining &&
+         now - self.drain_started_at > Cbw_SESSION_DRAIN_CLOSE_DELAY) ||
         Daemon_IsIsolated(self.daemon)) {
         close_sessions(now);
     }
     if (self.draining &&
-        now - self.drain_started_at > DRAIN_TRANSACTION_LIMIT) {
+        now - self.drain_started_at > Cbw_SESSION_DRAIN_TRANSACTION_LIMIT) {
         stop_listening();
     }
 }
--- a/src/libcarobwind/session.c
+++ b/src/libcarobwind/session.c
@@ -360,3 +360,14 @@
         session->state = CBW_SESSION_FAILED;
     }
 }
+
+bool
+CbwSession_MayClose(cbw_session_state_t state, cbw_time_t draining_for,
+                    cbw_time_t quiet_for)
+{
+    if (state != CBW_SESSION_IDLE) {
+        return draining_for > Cbw_SESSION_DRAIN_TRANSACTION_LIMIT;
+    }
+    return draining_for > Cbw_SESSION_DRAIN_CLOSE_DELAY &&
+           quiet_for > Cbw_SESSION_DRAIN_CLOSE_DELAY;
+}
--- a/src/test_libcarobwind/test_session.c
+++ b/src/test_libcarobwind/test_session.c
@@ -274,6 +274,37 @@
     }
 }
 
+/* When a draining host may close a session to which it owes nothing. Times are
+ * in milliseconds. */
+static void
+test_close_while_draining(void)
+{
+    static const struct {
+        cbw_session_state_t state;
+        int draining_for;
+        int quiet_for;
+        bool closes;
+    } times[] = {
+        {CBW_SESSION_IDLE, 0, 5000, false}, /* the balancer has to learn it */
+        {CBW_SESSION_IDLE, 400, 100, false},
+        {CBW_SESSION_IDLE, 400, 400, true},
+        {CBW_SESSION_IN_TRANSACTION, 2000, 1000, false},
+        {CBW_SESSION_FAILED, 2000, 1000, false},
+        {CBW_SESSION_IN_TRANSACTION, 3100, 10, true},
+        {CBW_SESSION_FAILED, 3100, 10, true},
+        /* Accepted at the last moment: its first message is on its way. */
+        {CBW_SESSION_IDLE, 3100, 10, false},
+        {CBW_SESSION_IDLE, 3400, 310, true},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(times); i++) {
+        g_assert_cmpint(CbwSession_MayClose(times[i].state,
+                                            times[i].draining_for * Cbw_MSEC,
+                                            times[i].quiet_for * Cbw_MSEC),
+                        ==, times[i].closes);
+    }
+}
+
 void
 Suite_AddSession(void)
 {
@@ -286,6 +317,8 @@
                     test_endpoint_error_needs_no_rollback);
     g_test_add_func("/session/token-advances-with-commit",
                     test_token_advances_with_commit);
+    g_test_add_func("/session/close-while-draining",
+                    test_close_while_draining);
     g_test_add_func("/session/values-are-forwarded",
                     test_values_are_forwarded);
 }
