Fetch changes within the data centre where one of its hosts has them

Cause: each host fetched a change from whichever peer announced it first, five times in six across the links between data centres: a configuration of 300 KB to 95 hosts.

A host that has a new configuration tells four hosts of its data centre and two of any.

--- a/src/carobwindd/member_task.c
+++ b/src/carobwindd/member_task.c
@@ -34,6 +34,11 @@
 #define SETTLE_TIME_JOINED (200 * Cbw_MSEC)
 #define SETTLE_TIME_ALONE (1500 * Cbw_MSEC)
 #define STATUS_TEXT_MAX 262144
+/* Members that are probed at once after a change of this host's state, and
+ * after one of its configuration, in its data centre and in any. */
+#define STATE_ANNOUNCEMENTS 5
+#define LOCAL_ANNOUNCEMENTS 4
+#define REMOTE_ANNOUNCEMENTS 2
 
 typedef struct {
     daemon_t *daemon;
@@ -118,8 +123,8 @@
 /* Tells the config task about a peer's configuration when its revision is
  * higher than this host's, or the same with another digest. */
 static void
-report_peer_version(const char *address, int64_t peer_revision,
-                    uint64_t digest)
+report_peer_version(const char *address, const char *data_centre,
+                    int64_t peer_revision, uint64_t digest)
 {
     bool differs =
         peer_revision == self.config_version && digest != self.config_digest;
@@ -136,6 +141,8 @@
     snprintf(message->address, sizeof(message->address), "%s", address);
     message->peer_revision = peer_revision;
     message->digest = digest;
+    message->local =
+        strcmp(data_centre, self.daemon->settings.data_centre) == 0;
     if (digest == self.config_digest) {
         self.config_version = peer_revision; /* as the config task does */
     }
@@ -215,8 +222,11 @@
         const peer_probe_result *result = &outbound->result.probe;
         apply_members(result->changes.changes_val,
                       result->changes.changes_len);
-        report_peer_version(outbound->address, result->config_version,
-                            result->config_digest);
+        if (result->changes.changes_len > 0) {
+            report_peer_version(outbound->address,
+                                result->changes.changes_val[0].data_centre,
+                                result->config_version, result->config_digest);
+        }
     }
     if (reached) {
         CbwMembership_OnAck(&self.membership, CbwNet_Now(), outbound->name);
@@ -491,6 +501,7 @@
     if (args->changes.changes_len > 0) {
         sender = args->changes.changes_val[0].name;
         report_peer_version(args->changes.changes_val[0].address,
+                            args->changes.changes_val[0].data_centre,
                             args->config_version, args->config_digest);
     }
     result->config_version = self.config_version;
@@ -573,20 +584,22 @@
     return now - self.started_at >= settle_time;
 }
 
-/* Probes up to five random members at once: the probes carry this host's new
- * state without waiting for the next probe interval. */
+/* Probes up to `limit` random members at once: the probes carry this host's
+ * new state without waiting for the next probe interval. */
 static void
-probe_random_members(void)
+probe_random_members(bool local, size_t limit)
 {
     size_t sent = 0;
 
-    for (size_t i = 1; i < self.membership.count && sent < 5; i++) {
+    for (size_t i = 1; i < self.membership.count && sent < limit; i++) {
         size_t index = 1 + (size_t)CbwRandom_Below(&self.membership.random,
                                                    self.membership.count - 1);
         const cbw_member_record_t *member =
             &self.membership.members[index].record;
         if (member->state <= CBW_MEMBER_SUSPECT &&
-            !CbwMembership_IsEndpoint(member)) {
+            !CbwMembership_IsEndpoint(member) &&
+            (!local || strcmp(member->data_centre,
+                              self.daemon->settings.data_centre) == 0)) {
             op_probe(NULL, member, NULL);
             sent++;
         }
@@ -605,7 +618,7 @@
     }
     self.service_entry_done = true;
     CbwMembership_FinishJoining(&self.membership, CbwNet_Now());
-    probe_random_members();
+    probe_random_members(false, STATE_ANNOUNCEMENTS);
 }
 
 static void
@@ -646,7 +659,9 @@
     self.config_digest = message->config->digest;
     Config_Unref(message->config);
     free(message);
-    probe_random_members();
+    /* Most hosts wait for one of their own data centre to have a change. */
+    probe_random_members(true, LOCAL_ANNOUNCEMENTS);
+    probe_random_members(false, REMOTE_ANNOUNCEMENTS);
 }
 
 static void
@@ -658,7 +673,7 @@
         write_host_record(NULL);
     }
     CbwMembership_Leave(&self.membership, CbwNet_Now());
-    probe_random_members();
+    probe_random_members(false, STATE_ANNOUNCEMENTS);
 }
 
 static void
--- a/src/carobwindd/messages.h
+++ b/src/carobwindd/messages.h
@@ -94,6 +94,7 @@
     char address[Cbw_ADDRESS_MAX]; /* of the peer */
     int64_t peer_revision;         /* config_t.revision of the peer */
     uint64_t digest;               /* config_t.digest of the peer */
+    bool local;                    /* the peer is in this host's data centre */
 } peer_version_message_t;
 
 /* MESSAGE_DRAIN_REPORT. The main task sends it while the host drains, and the
--- a/src/carobwindd/registry_task.c
+++ b/src/carobwindd/registry_task.c
@@ -17,6 +17,7 @@
 #include "carobwind/log.h"
 #include "carobwind/plugin.h"
 #include "carobwind/random.h"
+#include "carobwind/spread.h"
 #include "drivers.h"
 #include "registry_records.h"
 #include "share/net.h"
@@ -83,7 +84,9 @@
      * that does not know it. The next one fetches all records. */
     bool diff_failed;
     cbw_time_t next_fetch_at;
-    peer_version_message_t *deferred; /* until then; NULL: none */
+    cbw_spread_t spread;
+    /* An announcement to be looked at again; NULL: none. */
+    peer_version_message_t *deferred;
     /* Version of the configuration record as last read from the store; 0: not
      * read. */
     uint64_t config_version;
@@ -333,6 +336,7 @@
     bool useful = outbound->answered && is_useful(outbound);
 
     if (outbound->context != &self.bootstrap) {
+        CbwSpread_OnFetched(&self.spread);
         self.fetching = false;
         self.diff_failed =
             outbound->procedure == PEER_REGISTRY_DIFF && !outbound->answered;
@@ -354,13 +358,15 @@
     Outbound_Free(outbound);
 }
 
-/* Keeps the announcement with the highest revision until the next fetch may
- * start. */
+/* Keeps an announcement until a fetch may start: one from the own data centre
+ * before others, and then that with the highest revision. */
 static void
 defer_fetch(peer_version_message_t *message)
 {
     if (self.deferred != NULL &&
-        self.deferred->peer_revision > message->peer_revision) {
+        (self.deferred->local > message->local ||
+         (self.deferred->local == message->local &&
+          self.deferred->peer_revision > message->peer_revision))) {
         free(message);
         return;
     }
@@ -414,7 +420,8 @@
         free(message);
         return;
     }
-    if (self.fetching || now < self.next_fetch_at) {
+    if (self.fetching || now < self.next_fetch_at ||
+        !CbwSpread_MayFetch(&self.spread, now, message->local)) {
         defer_fetch(message);
         return;
     }
@@ -456,6 +463,17 @@
     Task_Post(TASK_CONFIG, TASK_PEER, MESSAGE_INBOUND_DONE, &inbound->message);
 }
 
+static void
+update_rank(void)
+{
+    const cbw_membership_t *members = &self.view->membership;
+    const cbw_member_t *peers[Cbw_PEER_ORDER_MAX];
+
+    CbwMembership_PeerOrder(members, BOOTSTRAP_ROLE,
+                            members->members[0].record.data_centre, peers,
+                            Cbw_PEER_ORDER_MAX, &self.spread.rank);
+}
+
 static void
 handle(void *state, message_t *message)
 {
@@ -496,6 +514,7 @@
         break;
     case MESSAGE_VIEW:
         View_Replace(&self.view, message);
+        update_rank();
         if (self.first_view_at == 0) {
             self.first_view_at = CbwNet_Now();
         }
@@ -521,7 +540,7 @@
         ev_timer_again(self.daemon->loop, &self.timer);
     }
     poll_store(now);
-    if (self.deferred != NULL && now >= self.next_fetch_at) {
+    if (self.deferred != NULL) {
         peer_version_message_t *deferred = self.deferred;
         self.deferred = NULL;
         on_peer_version(deferred);
--- a/src/test_libcarobwind/suites.h
+++ b/src/test_libcarobwind/suites.h
@@ -21,6 +21,7 @@
 void Suite_AddRegistry(void);
 void Suite_AddPlatform(void);
 void Suite_AddSession(void);
+void Suite_AddSpread(void);
 void Suite_AddTenure(void);
 void Suite_AddTick(void);
 
--- a/src/test_libcarobwind/test_main.c
+++ b/src/test_libcarobwind/test_main.c
@@ -25,6 +25,7 @@
     Suite_AddRegistry();
     Suite_AddPlatform();
     Suite_AddSession();
+    Suite_AddSpread();
     Suite_AddTenure();
     Suite_AddTick();
     return g_test_run();
--- /dev/null
+++ b/src/test_libcarobwind/test_spread.c
@@ -0,0 +1,152 @@
+#include <glib.h>
+#include <string.h>
+
+#include "carobwind/random.h"
+#include "carobwind/spread.h"
+#include "suites.h"
+
+/* Replays how a change spreads over data centres in virtual time. A host that
+ * gets it announces it at once to some hosts of its data centre and to one of
+ * any, and each host announces what it has to one random host in each interval
+ * of probes. */
+
+#define CENTRES 6
+#define HOSTS_PER_CENTRE 16
+#define HOSTS (CENTRES * HOSTS_PER_CENTRE)
+#define STEP (10 * Cbw_MSEC)
+#define PROBE_STEPS 20
+#define LOCAL_ANNOUNCEMENTS 4
+#define RUN_TIME (2 * Cbw_SEC)
+
+typedef struct {
+    cbw_spread_t spread[HOSTS];
+    bool has_change[HOSTS];
+    bool silent[HOSTS];       /* does not respond to others */
+    bool heard_remote[HOSTS]; /* of the change, from another data centre */
+    cbw_random_t random;
+    size_t remote_fetches;
+    cbw_time_t last;
+} world_t;
+
+static void announce(world_t *world, cbw_time_t now, size_t from, size_t to);
+
+static size_t
+random_host(world_t *world, size_t first, size_t count)
+{
+    return first + (size_t)CbwRandom_Below(&world->random, count);
+}
+
+static void
+receive(world_t *world, cbw_time_t now, size_t host, bool local)
+{
+    size_t first = host - host % HOSTS_PER_CENTRE;
+
+    world->has_change[host] = true;
+    world->remote_fetches += !local;
+    world->last = now;
+    CbwSpread_OnFetched(&world->spread[host]);
+    for (int i = 0; i < LOCAL_ANNOUNCEMENTS; i++) {
+        announce(world, now, host,
+                 random_host(world, first, HOSTS_PER_CENTRE));
+    }
+    announce(world, now, host, random_host(world, 0, HOSTS));
+}
+
+static void
+announce(world_t *world, cbw_time_t now, size_t from, size_t to)
+{
+    bool local = from / HOSTS_PER_CENTRE == to / HOSTS_PER_CENTRE;
+
+    if (world->has_change[to] || world->silent[to]) {
+        return;
+    }
+    world->heard_remote[to] |= !local;
+    if (CbwSpread_MayFetch(&world->spread[to], now, local)) {
+        receive(world, now, to, local);
+    }
+}
+
+static void
+run(world_t *world)
+{
+    int steps = 0;
+
+    for (cbw_time_t now = Cbw_SEC; now <= Cbw_SEC + RUN_TIME; now += STEP) {
+        if (steps++ == 0) {
+            receive(world, now, 5, true); /* a watcher learns of it */
+        }
+        for (size_t host = 0; host < HOSTS; host++) {
+            if (world->has_change[host] &&
+                (steps + (int)host) % PROBE_STEPS == 0) {
+                announce(world, now, host, random_host(world, 0, HOSTS));
+            }
+            /* Fetches later what it heard of. */
+            if (!world->has_change[host] && world->heard_remote[host] &&
+                CbwSpread_MayFetch(&world->spread[host], now, false)) {
+                receive(world, now, host, false);
+            }
+        }
+    }
+}
+
+static void
+start(world_t *world)
+{
+    memset(world, 0, sizeof(*world));
+    CbwRandom_Init(&world->random, 61);
+    for (size_t i = 0; i < HOSTS; i++) {
+        world->spread[i].rank = i % HOSTS_PER_CENTRE;
+    }
+}
+
+static size_t
+count_with_change(const world_t *world)
+{
+    size_t count = 0;
+
+    for (size_t i = 0; i < HOSTS; i++) {
+        count += world->has_change[i];
+    }
+    return count;
+}
+
+/* All hosts have the change within a second, and few fetched it from another
+ * data centre; five in six would if each took the first that it hears. */
+static void
+test_change_spreads(void)
+{
+    static world_t world;
+
+    start(&world);
+    run(&world);
+    g_test_message("%zu remote fetches, last after %d ms",
+                   world.remote_fetches,
+                   (int)((world.last - Cbw_SEC) / Cbw_MSEC));
+    g_assert_cmpuint(count_with_change(&world), ==, HOSTS);
+    g_assert_cmpint(world.last - Cbw_SEC, <=, Cbw_SEC);
+    g_assert_cmpuint(world.remote_fetches, <=, HOSTS / 4);
+}
+
+/* The first hosts of the data centres do not respond: the others wait for them
+ * no longer than a moment. */
+static void
+test_first_hosts_silent(void)
+{
+    static world_t world;
+
+    start(&world);
+    for (size_t i = 0; i < HOSTS; i++) {
+        world.silent[i] = i % HOSTS_PER_CENTRE < Cbw_SPREAD_FETCHERS;
+    }
+    run(&world);
+    g_assert_cmpuint(count_with_change(&world), ==,
+                     HOSTS - CENTRES * Cbw_SPREAD_FETCHERS);
+    g_assert_cmpint(world.last - Cbw_SEC, <=, 2 * Cbw_SEC);
+}
+
+void
+Suite_AddSpread(void)
+{
+    g_test_add_func("/spread/change-spreads", test_change_spreads);
+    g_test_add_func("/spread/first-hosts-silent", test_first_hosts_silent);
+}
