Mutants of the new mechanisms; an odd name that is there first

make mutants: drops-silent-peers, takes-odd-names and starts-from-store are found by wire-owner-pauses, wire-odd-name-first and wire-restart-stale.

--- a/test/mutants.tcl
+++ b/test/mutants.tcl
@@ -116,6 +116,19 @@
     "return !pool->stopping && !pool->synchronous" "return pool->primary < -1"
 }
 
+mutant drops-silent-peers wire-owner-pauses {
+    src/carobwindd/peer_task.c
+    "if (!call->patient)" "if (call->timeout > 0)"
+}
+mutant takes-odd-names wire-odd-name-first {
+    platform/registry.c
+    "if (byte <= ' ' || byte == 0x7f)" "if (byte == 0x7f)"
+}
+mutant starts-from-store wire-restart-stale {
+    src/libcarobwind/bootstrap.c
+    "return bootstrap->read || waited >= Cbw_BOOTSTRAP_WAIT ||" "return waited >= 0 ||"
+}
+
 # Replaces a text in a file. Fails if the file does not contain it.
 proc edit {path from to} {
     set file [open $path]
--- a/test/scenarios/wire.tcl
+++ b/test/scenarios/wire.tcl
@@ -22,8 +22,9 @@
 }
 
 # Starts the stand-in and `count` hosts, which join through the address
-# `join_address`, by default that of host1.
-proc wire::fleet {{count 3} {join_address ""}} {
+# `join_address`, by default that of host1. `prepare` is evaluated before the
+# hosts start.
+proc wire::fleet {{count 3} {join_address ""} {prepare ""}} {
     variable control_channel
     variable config
     set fleet::dir [file join $fleet::root build test-run-$fleet::block]
@@ -35,6 +36,7 @@
     fleet::wait_port [network].9.1:7399 standin
     set control_channel [socket [network].9.1 7399]
     control config $config
+    eval $prepare
     set zones {north south west}
     if {$join_address eq ""} {
         set join_address [network].1.1:7100
@@ -542,3 +544,16 @@
         [regsub {^.*event=started} [fleet::read_log host2] ""]]} \
         "an endpoint that left is in use"
 }
+
+# The registration of an endpoint that claims to be the primary has a name with a
+# blank: written to the first tenure record, it would make this unreadable. It names
+# no endpoint, so the real primary stays.
+scenario wire-odd-name-first \
+    "a registration with an odd name is there first; service begins" {
+    wire::fleet 3 "" {
+        wire::control odd "{servers/z blank}" {{{"service":"svc1","address":"127.0.0.1:80","zone":"north","slots":3,"state":"ready","dbRole":"primary"}}}
+    }
+    set a [wire::connect host1 pay]
+    eventually {[lindex [wire::query $a "WRITE first x"] 0] eq "done"} 3000
+    expect {[wire::control primary] eq "e-1"} [wire::control primary]
+}
