--- a/test/scenarios/wire.tcl
+++ b/test/scenarios/wire.tcl
@@ -555,5 +555,9 @@
     }
     set a [wire::connect host1 pay]
     eventually {[lindex [wire::query $a "WRITE first x"] 0] eq "done"} 3000
-    expect {[wire::control primary] eq "e-1"} [wire::control primary]
+    foreach host {host1 host2 host3} {
+        set log [fleet::read_log $host]
+        expect {![string match "*promotion begins*" $log]} $host
+        expect {![string match "*event=registration endpoint=z*" $log]} $host
+    }
 }
