Place databases by what changed, not all anew

Each change of a member, and each new configuration, chose the owners of all databases among all hosts, on each host.

Change: a placement (placement.h) keeps the owner and its weight of each database and looks at the members that changed: one that goes moves the databases that it owned, one that comes is compared once with each owner.

Test: /placement/random-changes, 2,000 random changes of members and data centres: the owners are those of CbwMembership_FindOwner after each.

--- a/include/carobwind/membership.h
+++ b/include/carobwind/membership.h
@@ -172,6 +172,9 @@
  * of milliseconds. */
 void CbwMembership_Tick(cbw_membership_t *membership, cbw_time_t now);
 
+/* Returns whether work may be sent to the member. */
+bool CbwMembership_IsUsable(const cbw_membership_t *membership,
+                            const cbw_member_t *member);
 /* Returns whether the data centre has a usable member. */
 bool CbwMembership_HasUsable(const cbw_membership_t *membership,
                              const char *data_centre);
--- /dev/null
+++ b/include/carobwind/placement.h
@@ -0,0 +1,53 @@
+/* Which host owns each database, kept up to date as members come and go.
+ *
+ * Load pattern: hundreds of hosts restart in turn, or start at once, before
+ * hundreds of databases. Each change of a member may move a few databases. To
+ * choose the owners of all anew at each change costs hosts times databases,
+ * and each of the hosts does so. A placement looks at the members that changed
+ * only.
+ *
+ * The owners are those of CbwMembership_FindOwner. The module does no I/O. */
+#ifndef CAROBWIND_PLACEMENT_H
+#define CAROBWIND_PLACEMENT_H
+
+#include "carobwind/inventory.h"
+#include "carobwind/membership.h"
+
+/* A database and its owner. Hosts and data centres are named by the hashes of
+ * their names. */
+typedef struct {
+    uint64_t seed;        /* of the weights */
+    uint64_t data_centre; /* of its first endpoint */
+    uint64_t owner;       /* 0: none */
+    uint64_t weight;      /* of the owner */
+    bool local;           /* the owner is in `data_centre` */
+} cbw_placed_database_t;
+
+/* A member as the placement saw it last. */
+typedef struct {
+    uint64_t name;
+    uint64_t data_centre;
+    bool usable;
+    bool seen; /* in the membership that is being applied */
+} cbw_placed_member_t;
+
+/* Owns its arrays. Zero is its initial state. */
+typedef struct {
+    cbw_placed_database_t *databases; /* in the inventory's order */
+    size_t database_count;
+    cbw_placed_member_t *members; /* hash table by name */
+    size_t capacity;              /* of the table: a power of two */
+    uint64_t self;
+} cbw_placement_t;
+
+void CbwPlacement_Finish(cbw_placement_t *placement);
+/* Applies a membership and an inventory. `self_usable`: this host counts as
+ * usable whatever its state is. */
+void CbwPlacement_Update(cbw_placement_t *placement,
+                         const cbw_membership_t *membership,
+                         const cbw_inventory_t *inventory, bool self_usable);
+/* Returns whether this host owns the database with that index in the inventory
+ * that was applied last. */
+bool CbwPlacement_IsOwn(const cbw_placement_t *placement, size_t database);
+
+#endif
--- a/src/carobwindd/messages.h
+++ b/src/carobwindd/messages.h
@@ -61,8 +61,7 @@
 /* A snapshot of the membership. Reference-counted. */
 typedef struct {
     int references;
-    /* For look-ups. The pool task changes this host's state in it for the
-     * duration of a look-up. */
+    /* For look-ups. */
     cbw_membership_t membership;
 } view_t;
 
--- a/src/carobwindd/pool_task.c
+++ b/src/carobwindd/pool_task.c
@@ -8,6 +8,7 @@
 #include <string.h>
 
 #include "carobwind/log.h"
+#include "carobwind/placement.h"
 #include "carobwind/plugin.h"
 #include "pool_instance.h"
 #include "share/net.h"
@@ -28,6 +29,8 @@
 #define PREPARE_TIMEOUT (900 * Cbw_MSEC)
 #define EXPLAIN_TEXT_MAX 32768
 
+static cbw_placement_t placement;
+
 static void
 set_tick_interval(double seconds)
 {
@@ -63,26 +66,6 @@
                                         : "";
 }
 
-/* Whether this host owns the database, or will once it takes work. Until then
- * the membership does not count it as usable, so its state is changed for the
- * look-up; all tasks share the view, so it is restored after that. */
-static bool
-is_owned_here(const cbw_database_t *database)
-{
-    cbw_member_t *own_member = &PoolTask_State.view->membership.members[0];
-    cbw_member_state_t state = own_member->record.state;
-    bool owned_here;
-
-    if (!PoolTask_State.prepared) {
-        own_member->record.state = CBW_MEMBER_ALIVE;
-    }
-    owned_here = CbwMembership_FindOwner(
-                     &PoolTask_State.view->membership, database->name,
-                     home_data_centre(database), NULL, NULL) == own_member;
-    own_member->record.state = state;
-    return owned_here;
-}
-
 /* After the start, tells the member task when this host holds the tenure of
  * each database that it will own, or when PREPARE_TIMEOUT has passed. */
 static void
@@ -126,9 +109,13 @@
         return;
     }
     inventory = &PoolTask_State.config->inventory;
+    /* A host that is not prepared yet starts what it will own. */
+    CbwPlacement_Update(&placement, &PoolTask_State.view->membership,
+                        inventory, !PoolTask_State.prepared);
     for (size_t i = 0; i < inventory->database_count; i++) {
         const cbw_database_t *database = &inventory->databases[i];
-        bool owned_here = !PoolTask_State.draining && is_owned_here(database);
+        bool owned_here =
+            !PoolTask_State.draining && CbwPlacement_IsOwn(&placement, i);
         pool_instance_t *instance = PoolInstance_Find(database->name);
         if (owned_here && instance == NULL && database->endpoint_count > 0) {
             instance = PoolInstance_New(database);
--- a/src/libcarobwind/membership.c
+++ b/src/libcarobwind/membership.c
@@ -673,9 +673,9 @@
            (member->last_probe_at == 0 || member->probe_sent_at != 0);
 }
 
-/* Returns whether work may be sent to the member. */
-static bool
-is_usable(const cbw_membership_t *membership, const cbw_member_t *member)
+bool
+CbwMembership_IsUsable(const cbw_membership_t *membership,
+                       const cbw_member_t *member)
 {
     if (CbwMembership_IsEndpoint(&member->record)) {
         return false;
@@ -696,7 +696,7 @@
         const cbw_member_t *member = &membership->members[i];
         if (!CbwMembership_IsEndpoint(&member->record)) {
             total++;
-            usable += is_usable(membership, member);
+            usable += CbwMembership_IsUsable(membership, member);
         }
     }
     if (usable * COLD_START_DIVISOR < total) {
@@ -715,7 +715,7 @@
 
     for (size_t i = 1; i < membership->count; i++) {
         const cbw_member_t *member = &membership->members[i];
-        if (is_usable(membership, member) &&
+        if (CbwMembership_IsUsable(membership, member) &&
             CbwRendezvous_Weight(role, member->record.name) > own_weight) {
             preceding++;
         }
@@ -771,7 +771,7 @@
 {
     for (size_t i = 0; i < membership->count; i++) {
         const cbw_member_t *member = &membership->members[i];
-        if (is_usable(membership, member) &&
+        if (CbwMembership_IsUsable(membership, member) &&
             strcmp(member->record.data_centre, data_centre) == 0) {
             return true;
         }
@@ -793,7 +793,7 @@
     for (size_t i = 0; i < membership->count; i++) {
         const cbw_member_t *member = &membership->members[i];
         uint64_t weight;
-        if (!is_usable(membership, member) ||
+        if (!CbwMembership_IsUsable(membership, member) ||
             (data_centre != NULL &&
              strcmp(member->record.data_centre, data_centre) != 0) ||
             (is_excluded != NULL &&
--- a/src/test_libcarobwind/suites.h
+++ b/src/test_libcarobwind/suites.h
@@ -19,6 +19,7 @@
 void Suite_AddPool(void);
 void Suite_AddPoolConfirm(void);
 void Suite_AddRegistry(void);
+void Suite_AddPlacement(void);
 void Suite_AddPlatform(void);
 void Suite_AddSession(void);
 void Suite_AddSpread(void);
--- a/src/test_libcarobwind/test_main.c
+++ b/src/test_libcarobwind/test_main.c
@@ -23,6 +23,7 @@
     Suite_AddPool();
     Suite_AddPoolConfirm();
     Suite_AddRegistry();
+    Suite_AddPlacement();
     Suite_AddPlatform();
     Suite_AddSession();
     Suite_AddSpread();
