Keep the digests of the records up to date instead of computing them

Change: the sums of hashes by bucket are kept; a change adds and takes away one hash. The digest of all is the sum of these.

Test: /registry/digests-follow-changes, 2,000 random changes, removals and unusable records against a host that fetched the result; without the line for removals it fails.

--- a/src/carobwindd/registry_records.c
+++ b/src/carobwindd/registry_records.c
@@ -161,15 +161,9 @@
 RegistryRecords_Digest(const registry_records_t *records)
 {
     uint64_t digest = (uint64_t)records->base_inventory.version;
-    GHashTableIter iterator;
-    gpointer value;
 
-    g_hash_table_iter_init(&iterator, records->registrations);
-    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        const registration_t *registration = value;
-        if (registration->purge_at == 0) {
-            digest += hash_endpoint(&registration->endpoint);
-        }
+    for (size_t i = 0; i < REGISTRY_BUCKETS; i++) {
+        digest += records->bucket_digests[i];
     }
     return digest;
 }
@@ -180,22 +174,31 @@
     return (size_t)(hash_text(key, 0) % REGISTRY_BUCKETS);
 }
 
+static void
+add_to_digest(registry_records_t *records, const registration_t *registration)
+{
+    if (registration->purge_at == 0) {
+        records->bucket_digests[bucket_of(registration->key)] +=
+            hash_endpoint(&registration->endpoint);
+    }
+}
+
+/* To be called before a registration changes or is removed. */
+static void
+take_from_digest(registry_records_t *records,
+                 const registration_t *registration)
+{
+    if (registration->purge_at == 0) {
+        records->bucket_digests[bucket_of(registration->key)] -=
+            hash_endpoint(&registration->endpoint);
+    }
+}
+
 void
 RegistryRecords_BucketDigests(const registry_records_t *records,
                               uint64_t digests[REGISTRY_BUCKETS])
 {
-    GHashTableIter iterator;
-    gpointer value;
-
-    memset(digests, 0, REGISTRY_BUCKETS * sizeof(*digests));
-    g_hash_table_iter_init(&iterator, records->registrations);
-    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        const registration_t *registration = value;
-        if (registration->purge_at == 0) {
-            digests[bucket_of(registration->key)] +=
-                hash_endpoint(&registration->endpoint);
-        }
-    }
+    memcpy(digests, records->bucket_digests, sizeof(records->bucket_digests));
 }
 
 /* Revisions. */
@@ -359,6 +362,7 @@
                      item->version, error.text);
         if (known != NULL) {
             record_removal(records, known, item->version);
+            take_from_digest(records, known);
             g_hash_table_remove(records->registrations, item->key);
             records->changed = true;
         }
@@ -381,9 +385,13 @@
         snprintf(known->key, sizeof(known->key), "%s", parsed.key);
         g_hash_table_insert(records->registrations, known->key, known);
     }
+    else {
+        take_from_digest(records, known);
+    }
     free(known->text);
     parsed.registry_revision = assign_revision(records, item->version);
     *known = parsed;
+    add_to_digest(records, known);
     known->text = malloc(item->value_size + 1);
     if (known->text == NULL) {
         abort();
@@ -408,6 +416,7 @@
         return;
     }
     record_removal(records, registration, store_revision);
+    take_from_digest(records, registration);
     records->changed = true; /* so that peers fetch the removal */
     /* An endpoint that announced leaving is gone; any other registration may
      * have expired because of a store outage. */
--- a/src/carobwindd/registry_records.h
+++ b/src/carobwindd/registry_records.h
@@ -20,6 +20,9 @@
 /* Number of latest removals that are kept, to answer peers with changes rather
  * than with a complete snapshot. */
 #define REGISTRY_REMOVALS_MAX 512
+/* Number of buckets into which registrations are divided by the hash of their
+ * keys, so that hosts whose records differ exchange only some of them. */
+#define REGISTRY_BUCKETS 128
 
 /* The removal of a registration. Kept so that peers can fetch it, and so that
  * a stale read of the store does not bring the registration back. */
@@ -42,7 +45,9 @@
     uint64_t revision;                 /* of the latest change */
     removal_t removals[REGISTRY_REMOVALS_MAX];
     size_t removal_total; /* since the start; indexes the ring `removals` */
-    GHashTable *registrations;      /* registration_t by key */
+    GHashTable *registrations; /* registration_t by key */
+    /* Sums of the hashes of the registrations that are not removed. */
+    uint64_t bucket_digests[REGISTRY_BUCKETS];
     cbw_inventory_t base_inventory; /* as configured, without endpoints */
     bool configured;                /* a configuration record is known */
     bool changed;                   /* until the registry task clears it */
@@ -92,9 +97,6 @@
  * different content: for each record the later version wins on both hosts. */
 void RegistryRecords_EncodeAll(const registry_records_t *records,
                                peer_store_result *result);
-/* Number of buckets into which registrations are divided by the hash of their
- * keys, so that hosts whose records differ exchange only some of them. */
-#define REGISTRY_BUCKETS 128
 /* Writes a digest of each bucket to `digests`. */
 void RegistryRecords_BucketDigests(const registry_records_t *records,
                                    uint64_t digests[REGISTRY_BUCKETS]);
--- a/src/test_libcarobwind/test_registry.c
+++ b/src/test_libcarobwind/test_registry.c
@@ -451,9 +451,63 @@
     RegistryRecords_Finish(&b);
 }
 
+/* The digests that a host keeps up to date are those of a host that has just
+ * fetched its records, whatever changes led to these. */
+static void
+test_digests_follow_changes(void)
+{
+    cbw_random_t random;
+    registry_records_t changed;
+    uint64_t version = 10;
+    cbw_time_t now = Cbw_SEC;
+
+    CbwRandom_Init(&random, 1);
+    RegistryRecords_Init(&changed, &driver, &counters);
+    for (int step = 0; step < 2000; step++) {
+        char key[32];
+        char text[32];
+        store_item_t item = {.key = key, .value = text, .version = ++version};
+        registry_records_t fresh;
+        peer_store_result result = {0};
+        uint64_t digests[2][REGISTRY_BUCKETS];
+        snprintf(key, sizeof(key), PREFIX "e%d",
+                 (int)CbwRandom_Below(&random, 12));
+        item.value_size = (size_t)snprintf(text, sizeof(text), "10.0.0.%d:1",
+                                           (int)CbwRandom_Below(&random, 3));
+        switch (CbwRandom_Below(&random, 6)) {
+        case 0:
+            item.value = NULL; /* removed */
+            item.value_size = 0;
+            break;
+        case 1:
+            text[3] = '\0'; /* cannot be used */
+            break;
+        default:
+            break;
+        }
+        RegistryRecords_Apply(&changed, &item, now);
+        now += (cbw_time_t)CbwRandom_Below(&random, Cbw_SEC);
+        RegistryRecords_PurgeRemoved(&changed, now);
+        RegistryRecords_Init(&fresh, &driver, &counters);
+        RegistryRecords_EncodeSince(&changed, 0, &result);
+        RegistryRecords_ApplyFetched(&fresh, &result, now);
+        g_assert_cmpuint(RegistryRecords_Digest(&changed), ==,
+                         RegistryRecords_Digest(&fresh));
+        RegistryRecords_BucketDigests(&changed, digests[0]);
+        RegistryRecords_BucketDigests(&fresh, digests[1]);
+        g_assert_cmpmem(digests[0], sizeof(digests[0]), digests[1],
+                        sizeof(digests[1]));
+        xdr_free((xdrproc_t)xdr_peer_store_result, &result);
+        RegistryRecords_Finish(&fresh);
+    }
+    RegistryRecords_Finish(&changed);
+}
+
 void
 Suite_AddRegistry(void)
 {
+    g_test_add_func("/registry/digests-follow-changes",
+                    test_digests_follow_changes);
     g_test_add_func("/registry/fetch-changes", test_fetch_changes);
     g_test_add_func("/registry/same-content-is-not-fetched",
                     test_same_content_is_not_fetched);
