Start large data centres by a tree; ask slow peers for no more

A fetch of what differs that timed out was taken for a peer that does not know it, and was followed by one of all records. A configuration that a host has already was parsed again (11 to 33 percent of the daemons' processor time).

Change: bootstrap.h forms a tree of 8 hosts a peer, its calls get longer while peers answer, and hosts further down wait longer before they read the store. spread.h tells a refused fetch from one that timed out. The same text of a configuration is not parsed.

--- a/include/carobwind/bootstrap.h
+++ b/include/carobwind/bootstrap.h
@@ -6,6 +6,9 @@
  * hosts times the number of records, over the links between data centres. So
  * only the first hosts of a data centre read the store at a start of all, and
  * the others fetch the records from these; in a running fleet nobody reads it.
+ * Two hosts cannot send all records to a hundred in time, and calls that are
+ * given up and made again cost them as much as those that are answered. So the
+ * hosts form a tree by their order, and calls get longer.
  *
  * The module does no I/O, and the time is an argument. */
 #ifndef CAROBWIND_BOOTSTRAP_H
@@ -18,11 +21,18 @@
 
 /* Hosts of a data centre that read the store when their peers have nothing. */
 #define Cbw_BOOTSTRAP_READERS 2
+/* Hosts that ask the same peer. */
+#define Cbw_BOOTSTRAP_FANOUT 8
+/* Time limit of the first call. It doubles with each call that is lost after
+ * some peer answered. */
+#define Cbw_BOOTSTRAP_TIMEOUT (150 * Cbw_MSEC)
+#define Cbw_BOOTSTRAP_TIMEOUT_MAX (600 * Cbw_MSEC)
 /* A host that knows no peer by then reads the store. */
 #define Cbw_BOOTSTRAP_ALONE_AFTER (100 * Cbw_MSEC)
 /* Pause before a peer that has nothing yet is asked again. */
 #define Cbw_BOOTSTRAP_ASK_INTERVAL (30 * Cbw_MSEC)
-/* A host reads the store when its peers have had nothing for this long. */
+/* A host reads the store when its peers have had nothing for this long, times
+ * its level in the tree. */
 #define Cbw_BOOTSTRAP_WAIT (600 * Cbw_MSEC)
 /* The same when no peer has answered by then. All hosts of a fleet start
  * within 0.3 s of each other. */
@@ -47,7 +57,9 @@
     size_t rank;
     size_t peer_count; /* 0: none is known */
     size_t next_peer;
-    bool asking; /* until CbwBootstrap_OnFailure */
+    size_t failures;
+    cbw_time_t timeout; /* of the next call */
+    bool asking;        /* until CbwBootstrap_OnFailure */
     cbw_time_t ask_at;
     bool answered; /* a peer has, if only that it has nothing yet */
     bool read;     /* the store: for good */
--- a/include/carobwind/membership.h
+++ b/include/carobwind/membership.h
@@ -28,7 +28,7 @@
 #define Cbw_MEMBERSHIP_COLD_START_DURATION (2 * Cbw_SEC)
 
 /* Most hosts that CbwMembership_PeerOrder returns. */
-#define Cbw_PEER_ORDER_MAX 4
+#define Cbw_PEER_ORDER_MAX 24
 
 /* Most updates that one message carries. */
 #define Cbw_MEMBER_UPDATES_MAX 12
--- a/include/carobwind/spread.h
+++ b/include/carobwind/spread.h
@@ -19,17 +19,28 @@
 #define Cbw_SPREAD_FETCHERS 2
 /* How long the others wait for a host of their own data centre. */
 #define Cbw_SPREAD_WAIT (300 * Cbw_MSEC)
+/* Time limit of a fetch. */
+#define Cbw_SPREAD_FETCH_TIMEOUT (500 * Cbw_MSEC)
 
 /* One host's state. Zero is its initial state. */
 typedef struct {
     size_t rank;              /* in the order of its data centre */
     cbw_time_t waiting_since; /* a remote peer has announced a change since
                                  then; 0: none has */
+    cbw_time_t sent_at;       /* of the latest fetch */
+    /* The latest fetch was for what differs, and was refused: the peer may be
+     * of a version that does not know this. The next one is for all. */
+    bool diff_refused;
 } cbw_spread_t;
 
 /* Returns whether to fetch from a peer that announced a change: `local` if it
  * is in this host's data centre. */
 bool CbwSpread_MayFetch(cbw_spread_t *spread, cbw_time_t now, bool local);
+/* The host sends a fetch. */
+void CbwSpread_OnSent(cbw_spread_t *spread, cbw_time_t now);
+/* A fetch, `diff` if of what differs, got no answer. A peer that lets it time
+ * out is slow: to ask for all records instead would load it more. */
+void CbwSpread_OnLost(cbw_spread_t *spread, cbw_time_t now, bool diff);
 /* The host has fetched, or knows what was announced. */
 void CbwSpread_OnFetched(cbw_spread_t *spread);
 
--- a/src/carobwindd/registry_records.c
+++ b/src/carobwindd/registry_records.c
@@ -246,6 +246,10 @@
     cbw_inventory_t inventory;
     cbw_findings_t findings;
 
+    if (records->config_text != NULL &&
+        strcmp(records->config_text, text) == 0) {
+        return;
+    }
     CbwFindings_Init(&findings);
     if (records->driver->parse_config(text, &inventory, &findings) != 0) {
         CbwCounter_Add(records->counters, CBW_COUNTER_RECORDS_UNUSABLE, 1);
--- a/src/carobwindd/registry_task.c
+++ b/src/carobwindd/registry_task.c
@@ -34,12 +34,9 @@
  * probes announce most members; until then the records from the initial read
  * of the store are used. */
 #define WATCHER_START_DELAY (1 * Cbw_SEC)
-#define FETCH_TIMEOUT (500 * Cbw_MSEC)
 /* Shortest time between fetches. At a start of all, each endpoint that
  * registers is a change, and each host would fetch each of them by itself. */
 #define FETCH_INTERVAL (250 * Cbw_MSEC)
-/* The same of the first fetch, when this host starts. */
-#define BOOTSTRAP_TIMEOUT (150 * Cbw_MSEC)
 #define BOOTSTRAP_ROLE "records"
 /* Long-poll time of a watch. The deadline of the call detects a watch that
  * gets no answer; until then, polls find the changes. */
@@ -80,9 +77,6 @@
     char bootstrap_peers[Cbw_PEER_ORDER_MAX][Cbw_ADDRESS_MAX];
     watch_t watches[WATCH_COUNT_];
     bool fetching; /* a fetch from a peer is in flight */
-    /* The last fetch of what differs failed: the peer may be of a version
-     * that does not know it. The next one fetches all records. */
-    bool diff_failed;
     cbw_time_t next_fetch_at;
     cbw_spread_t spread;
     /* An announcement to be looked at again; NULL: none. */
@@ -183,7 +177,7 @@
     }
     outbound = Outbound_New(PEER_REGISTRY,
                             self.bootstrap_peers[self.bootstrap.next_peer]);
-    outbound->timeout = BOOTSTRAP_TIMEOUT;
+    outbound->timeout = self.bootstrap.timeout;
     outbound->reply_to = TASK_CONFIG;
     outbound->context = &self.bootstrap;
     Task_Post(TASK_CONFIG, TASK_PEER, MESSAGE_OUTBOUND, &outbound->message);
@@ -338,8 +332,10 @@
     if (outbound->context != &self.bootstrap) {
         CbwSpread_OnFetched(&self.spread);
         self.fetching = false;
-        self.diff_failed =
-            outbound->procedure == PEER_REGISTRY_DIFF && !outbound->answered;
+        if (!outbound->answered) {
+            CbwSpread_OnLost(&self.spread, CbwNet_Now(),
+                             outbound->procedure == PEER_REGISTRY_DIFF);
+        }
     }
     else if (!useful) {
         CbwBootstrap_OnFailure(&self.bootstrap, CbwNet_Now(),
@@ -390,12 +386,12 @@
 static void
 fetch_records(const char *address, registry_need_t need)
 {
-    bool diff = need == REGISTRY_FETCH_ALL && !self.diff_failed;
+    bool diff = need == REGISTRY_FETCH_ALL && !self.spread.diff_refused;
     outbound_t *outbound =
         Outbound_New(diff ? PEER_REGISTRY_DIFF : PEER_REGISTRY, address);
 
     self.fetching = true;
-    self.diff_failed = false;
+    CbwSpread_OnSent(&self.spread, CbwNet_Now());
     if (diff) {
         describe_records(&outbound->args.registry_diff);
     }
@@ -404,7 +400,7 @@
             is_loaded() ? self.records.revision : 0;
         outbound->args.registry.all = need == REGISTRY_FETCH_ALL;
     }
-    outbound->timeout = FETCH_TIMEOUT;
+    outbound->timeout = Cbw_SPREAD_FETCH_TIMEOUT;
     outbound->reply_to = TASK_CONFIG;
     Task_Post(TASK_CONFIG, TASK_PEER, MESSAGE_OUTBOUND, &outbound->message);
 }
@@ -467,11 +463,10 @@
 update_rank(void)
 {
     const cbw_membership_t *members = &self.view->membership;
-    const cbw_member_t *peers[Cbw_PEER_ORDER_MAX];
 
     CbwMembership_PeerOrder(members, BOOTSTRAP_ROLE,
-                            members->members[0].record.data_centre, peers,
-                            Cbw_PEER_ORDER_MAX, &self.spread.rank);
+                            members->members[0].record.data_centre, NULL, 0,
+                            &self.spread.rank);
 }
 
 static void
--- a/src/libcarobwind/bootstrap.c
+++ b/src/libcarobwind/bootstrap.c
@@ -7,22 +7,55 @@
 {
     memset(bootstrap, 0, sizeof(*bootstrap));
     bootstrap->started_at = now;
+    bootstrap->timeout = Cbw_BOOTSTRAP_TIMEOUT;
+}
+
+static size_t
+parent_of(size_t rank)
+{
+    return (rank - Cbw_BOOTSTRAP_READERS) / Cbw_BOOTSTRAP_FANOUT;
+}
+
+/* Returns 1 for the readers and those that ask them, 2 for those that ask the
+ * latter, and so on. */
+static int
+level_of(size_t rank)
+{
+    int level = 1;
+
+    while (rank >= Cbw_BOOTSTRAP_READERS) {
+        rank = parent_of(rank);
+        level += rank >= Cbw_BOOTSTRAP_READERS;
+    }
+    return level;
+}
+
+/* Chooses between two peers by turns. */
+static void
+choose_peer(cbw_bootstrap_t *bootstrap)
+{
+    size_t turn = bootstrap->failures % 2;
+    size_t peer;
+
+    if (bootstrap->rank < Cbw_BOOTSTRAP_READERS) {
+        /* Not first another reader, which may be starting too. */
+        peer = turn == 0 ? Cbw_BOOTSTRAP_READERS - 1 : 0;
+    }
+    else {
+        /* Its neighbour is at the same level, or above it. */
+        peer = parent_of(bootstrap->rank) ^ turn;
+    }
+    bootstrap->next_peer =
+        bootstrap->peer_count > 0 ? peer % bootstrap->peer_count : 0;
 }
 
 void
 CbwBootstrap_SetPeers(cbw_bootstrap_t *bootstrap, size_t rank,
                       size_t peer_count)
 {
-    if (bootstrap->peer_count == 0 && rank < Cbw_BOOTSTRAP_READERS &&
-        peer_count >= Cbw_BOOTSTRAP_READERS) {
-        /* Not another reader, which may be starting too. */
-        bootstrap->next_peer = Cbw_BOOTSTRAP_READERS - 1;
-    }
     bootstrap->rank = rank;
     bootstrap->peer_count = peer_count;
-    if (bootstrap->next_peer >= peer_count) {
-        bootstrap->next_peer = 0;
-    }
+    choose_peer(bootstrap);
 }
 
 static bool
@@ -30,7 +63,8 @@
 {
     cbw_time_t waited = now - bootstrap->started_at;
 
-    return bootstrap->read || waited >= Cbw_BOOTSTRAP_WAIT ||
+    return bootstrap->read ||
+           waited >= Cbw_BOOTSTRAP_WAIT * level_of(bootstrap->rank) ||
            (!bootstrap->answered && waited >= Cbw_BOOTSTRAP_SILENCE) ||
            (bootstrap->peer_count == 0 && waited >= Cbw_BOOTSTRAP_ALONE_AFTER);
 }
@@ -61,10 +95,13 @@
         /* A start of all: this host is one of those that the others ask. */
         bootstrap->read |= bootstrap->rank < Cbw_BOOTSTRAP_READERS;
     }
-    /* The readers, by turns: they come first in the order. */
-    bootstrap->next_peer++;
-    if (bootstrap->next_peer >= bootstrap->peer_count ||
-        bootstrap->next_peer >= Cbw_BOOTSTRAP_READERS) {
-        bootstrap->next_peer = 0;
+    else if (bootstrap->answered) {
+        /* The peer lives: it is slow. */
+        bootstrap->timeout *= 2;
+        if (bootstrap->timeout > Cbw_BOOTSTRAP_TIMEOUT_MAX) {
+            bootstrap->timeout = Cbw_BOOTSTRAP_TIMEOUT_MAX;
+        }
     }
+    bootstrap->failures++;
+    choose_peer(bootstrap);
 }
--- a/src/test_libcarobwind/test_bootstrap.c
+++ b/src/test_libcarobwind/test_bootstrap.c
@@ -7,10 +7,10 @@
 /* Replays starts of the hosts of one data centre in virtual time. */
 
 #define HOSTS 16
+#define HOSTS_MAX 100
 #define STEP Cbw_MSEC
-#define CALL_TIME (2 * Cbw_MSEC)      /* of a call to a peer */
-#define CALL_TIMEOUT (150 * Cbw_MSEC) /* of a call that gets no answer */
-#define STORE_TIME (60 * Cbw_MSEC)    /* of a read of all records */
+#define CALL_TIME (2 * Cbw_MSEC)   /* of a call to a peer */
+#define STORE_TIME (60 * Cbw_MSEC) /* of a read of all records */
 
 typedef struct {
     cbw_bootstrap_t bootstrap;
@@ -20,11 +20,15 @@
     bool reading; /* the store */
     size_t asked;
     cbw_time_t done_at; /* of the call or read in flight; 0: none */
+    bool lost;          /* the call gets no answer in time */
+    cbw_time_t free_at; /* until then this host sends records */
     cbw_time_t loaded_at;
 } host_t;
 
 typedef struct {
-    host_t hosts[HOSTS];
+    host_t hosts[HOSTS_MAX];
+    size_t host_count;
+    cbw_time_t transfer_time; /* of all records from one host to another */
     size_t reads;
 } world_t;
 
@@ -42,29 +46,45 @@
     const host_t *peer = &world->hosts[host->asked];
 
     host->done_at = 0;
-    if (host->reading || (peer->loaded && !peer->silent)) {
+    if (host->reading || (peer->loaded && !host->lost)) {
         host->loaded = true;
         host->loaded_at = now;
         return;
     }
     CbwBootstrap_OnFailure(&host->bootstrap, now,
-                           peer->silent || now < peer->starts_at
+                           host->lost || now < peer->starts_at
                                ? CBW_BOOTSTRAP_LOST
                                : CBW_BOOTSTRAP_EMPTY);
 }
 
+/* Asks a peer. A host sends to one after the other, also what the caller does
+ * not wait for any more. */
+static void
+ask(world_t *world, host_t *host, size_t asked, cbw_time_t now)
+{
+    host_t *peer = &world->hosts[asked];
+    cbw_time_t answered_at = now + CALL_TIME;
+
+    if (peer->loaded && !peer->silent) {
+        peer->free_at = MAX(peer->free_at, now) + world->transfer_time;
+        answered_at = peer->free_at + CALL_TIME;
+    }
+    host->asked = asked;
+    host->lost = peer->silent || answered_at > now + host->bootstrap.timeout;
+    host->done_at = host->lost ? now + host->bootstrap.timeout : answered_at;
+}
+
 static void
 step(world_t *world, size_t index, cbw_time_t now)
 {
     host_t *host = &world->hosts[index];
-    const host_t *peer;
 
     if (host->loaded || now < host->starts_at) {
         return;
     }
     if (now == host->starts_at) {
         CbwBootstrap_Init(&host->bootstrap, now);
-        CbwBootstrap_SetPeers(&host->bootstrap, index, HOSTS - 1);
+        CbwBootstrap_SetPeers(&host->bootstrap, index, world->host_count - 1);
     }
     if (host->done_at != 0) {
         if (now >= host->done_at) {
@@ -79,28 +99,33 @@
         world->reads++;
         break;
     case CBW_BOOTSTRAP_ASK:
-        host->asked = peer_of(index, host->bootstrap.next_peer);
-        peer = &world->hosts[host->asked];
-        host->done_at = now + (peer->silent ? CALL_TIMEOUT : CALL_TIME);
+        ask(world, host, peer_of(index, host->bootstrap.next_peer), now);
         break;
     case CBW_BOOTSTRAP_WAIT:
         break;
     }
 }
 
-/* Runs until all hosts have the records or a second has passed. Returns when
- * the last one got them. */
+static void
+init_world(world_t *world, size_t host_count)
+{
+    memset(world, 0, sizeof(*world));
+    world->host_count = host_count;
+}
+
+/* Runs until all hosts have the records or four seconds have passed. Returns
+ * when the last one got them. */
 static cbw_time_t
 run(world_t *world)
 {
     cbw_time_t last = 0;
 
-    for (cbw_time_t now = STEP; now <= Cbw_SEC; now += STEP) {
-        for (size_t i = 0; i < HOSTS; i++) {
+    for (cbw_time_t now = STEP; now <= 4 * Cbw_SEC; now += STEP) {
+        for (size_t i = 0; i < world->host_count; i++) {
             step(world, i, now);
         }
     }
-    for (size_t i = 0; i < HOSTS; i++) {
+    for (size_t i = 0; i < world->host_count; i++) {
         g_assert_true(world->hosts[i].loaded);
         last = MAX(last, world->hosts[i].loaded_at);
     }
@@ -115,7 +140,7 @@
     static world_t world;
     cbw_time_t last;
 
-    memset(&world, 0, sizeof(world));
+    init_world(&world, HOSTS);
     for (size_t i = 0; i < HOSTS; i++) {
         world.hosts[i].starts_at = STEP;
     }
@@ -126,6 +151,25 @@
                         10 * Cbw_MSEC);
 }
 
+/* All hosts of a large data centre start, and a host needs 20 ms to send the
+ * records to another. Asked by all others, the first two gave up calls and
+ * were asked again until all had read the store. */
+static void
+test_all_start_large(void)
+{
+    static world_t world;
+    cbw_time_t last;
+
+    init_world(&world, HOSTS_MAX);
+    world.transfer_time = 20 * Cbw_MSEC;
+    for (size_t i = 0; i < HOSTS_MAX; i++) {
+        world.hosts[i].starts_at = STEP;
+    }
+    last = run(&world);
+    g_assert_cmpuint(world.reads, ==, Cbw_BOOTSTRAP_READERS);
+    g_assert_cmpint(last, <=, Cbw_SEC);
+}
+
 /* The first hosts start last, 0.3 s after the others: these get the records
  * all the same, and the first hosts then have them at once. */
 static void
@@ -134,7 +178,7 @@
     static world_t world;
     cbw_time_t last;
 
-    memset(&world, 0, sizeof(world));
+    init_world(&world, HOSTS);
     for (size_t i = 0; i < HOSTS; i++) {
         world.hosts[i].starts_at =
             i < Cbw_BOOTSTRAP_READERS ? 300 * Cbw_MSEC : STEP;
@@ -153,7 +197,7 @@
     static world_t world;
 
     for (size_t restarted = 0; restarted < HOSTS; restarted++) {
-        memset(&world, 0, sizeof(world));
+        init_world(&world, HOSTS);
         for (size_t i = 0; i < HOSTS; i++) {
             world.hosts[i].loaded = i != restarted;
             world.hosts[i].starts_at = i == restarted ? STEP : 0;
@@ -170,7 +214,7 @@
 {
     static world_t world;
 
-    memset(&world, 0, sizeof(world));
+    init_world(&world, HOSTS);
     for (size_t i = 0; i < HOSTS; i++) {
         world.hosts[i].loaded = i != 5;
         world.hosts[i].silent = i < 2;
@@ -179,7 +223,7 @@
     run(&world);
     g_assert_cmpuint(world.reads, ==, 1);
     g_assert_cmpint(world.hosts[5].loaded_at, <=,
-                    2 * CALL_TIMEOUT + Cbw_BOOTSTRAP_ASK_INTERVAL +
+                    2 * Cbw_BOOTSTRAP_TIMEOUT + Cbw_BOOTSTRAP_ASK_INTERVAL +
                         STORE_TIME + 10 * Cbw_MSEC);
 }
 
@@ -201,6 +245,7 @@
 Suite_AddBootstrap(void)
 {
     g_test_add_func("/bootstrap/all-start", test_all_start);
+    g_test_add_func("/bootstrap/all-start-large", test_all_start_large);
     g_test_add_func("/bootstrap/readers-start-last", test_readers_start_last);
     g_test_add_func("/bootstrap/one-restarts", test_one_restarts);
     g_test_add_func("/bootstrap/peers-silent", test_peers_silent);
--- a/src/test_libcarobwind/test_membership.c
+++ b/src/test_libcarobwind/test_membership.c
@@ -514,6 +514,7 @@
     cbw_membership_t membership;
     const cbw_member_t *peers[Cbw_PEER_ORDER_MAX];
     size_t rank;
+    size_t own_rank;
     size_t count;
 
     CbwMembership_Init(&membership, &CbwMembership_DefaultSettings, &ops, NULL,
@@ -555,7 +556,11 @@
                      ==, 0);
     g_assert_cmpuint(CbwMembership_PeerOrder(&membership, "role", NULL, peers,
                                              G_N_ELEMENTS(peers), &rank),
-                     ==, Cbw_PEER_ORDER_MAX);
+                     ==, 7);
+    g_assert_cmpuint(
+        CbwMembership_PeerOrder(&membership, "role", NULL, NULL, 0, &own_rank),
+        ==, 0);
+    g_assert_cmpuint(own_rank, ==, rank);
     CbwMembership_Finish(&membership);
 }
 
--- a/src/test_libcarobwind/test_spread.c
+++ b/src/test_libcarobwind/test_spread.c
@@ -144,9 +144,38 @@
     g_assert_cmpint(world.last - Cbw_SEC, <=, 2 * Cbw_SEC);
 }
 
+/* A peer that refuses to say what differs is asked for all records next, one
+ * that lets the fetch time out is not. */
+static void
+test_lost_fetches(void)
+{
+    static const struct {
+        const char *name;
+        cbw_time_t lost_after;
+        bool diff;
+        bool refused;
+    } cases[] = {
+        {"refused", 5 * Cbw_MSEC, true, true},
+        {"timed out", Cbw_SPREAD_FETCH_TIMEOUT, true, false},
+        {"of changes", 5 * Cbw_MSEC, false, false},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        cbw_spread_t spread = {0};
+        g_test_message("%s", cases[i].name);
+        CbwSpread_OnSent(&spread, Cbw_SEC);
+        CbwSpread_OnLost(&spread, Cbw_SEC + cases[i].lost_after,
+                         cases[i].diff);
+        g_assert_cmpint(spread.diff_refused, ==, cases[i].refused);
+        CbwSpread_OnSent(&spread, 2 * Cbw_SEC);
+        g_assert_false(spread.diff_refused);
+    }
+}
+
 void
 Suite_AddSpread(void)
 {
+    g_test_add_func("/spread/lost-fetches", test_lost_fetches);
     g_test_add_func("/spread/change-spreads", test_change_spreads);
     g_test_add_func("/spread/first-hosts-silent", test_first_hosts_silent);
 }
