--- a/src/test_libcarobwind/test_registry.c
+++ b/src/test_libcarobwind/test_registry.c
@@ -466,7 +466,7 @@
     for (int step = 0; step < 2000; step++) {
         char key[32];
         char text[32];
-        store_item_t item = {.key = key, .value = text, .version = ++version};
+        store_item_t item = {.key = key, .value = text, .version = version};
         registry_records_t fresh;
         peer_store_result result = {0};
         uint64_t digests[2][REGISTRY_BUCKETS];
@@ -499,6 +499,7 @@
                         sizeof(digests[1]));
         xdr_free((xdrproc_t)xdr_peer_store_result, &result);
         RegistryRecords_Finish(&fresh);
+        version++;
     }
     RegistryRecords_Finish(&changed);
 }
