--- a/src/test_libcarobwind/test_spread.c
+++ b/src/test_libcarobwind/test_spread.c
@@ -10,7 +10,7 @@
  * any, and each host announces what it has to one random host in each interval
  * of probes. */
 
-#define CENTRES 6
+#define CENTRES ((size_t)6)
 #define HOSTS_PER_CENTRE 16
 #define HOSTS (CENTRES * HOSTS_PER_CENTRE)
 #define STEP (10 * Cbw_MSEC)
