--- a/src/libcarobwind/placement.c
+++ b/src/libcarobwind/placement.c
@@ -42,8 +42,8 @@
 
 /* Chooses the owner among all usable members. */
 static void
-place(const cbw_placement_t *placement, const cbw_membership_t *membership,
-      bool self_usable, cbw_placed_database_t *database)
+place(const cbw_membership_t *membership, bool self_usable,
+      cbw_placed_database_t *database)
 {
     database->owner = 0;
     database->weight = 0;
@@ -69,7 +69,6 @@
             database->local = local;
         }
     }
-    (void)placement;
 }
 
 /* Sets up the databases of the inventory. Those that stay as they were keep
@@ -93,7 +92,7 @@
             *to = placement->databases[i];
         }
         else {
-            place(placement, membership, self_usable, to);
+            place(membership, self_usable, to);
         }
     }
     free(placement->databases);
@@ -152,7 +151,7 @@
         owner = find_slot(placement->members, placement->capacity,
                           database->owner);
         if (owner->name == 0 || !owner->usable) {
-            place(placement, membership, self_usable, database);
+            place(membership, self_usable, database);
         }
     }
 }
