--- a/include/carobwind/placement.h
+++ b/include/carobwind/placement.h
@@ -40,6 +40,7 @@
     uint64_t self;
 } cbw_placement_t;
 
+/* Frees what the placement owns. */
 void CbwPlacement_Finish(cbw_placement_t *placement);
 /* Applies a membership and an inventory. `self_usable`: this host counts as
  * usable whatever its state is. */
--- a/src/libcarobwind/gate.c
+++ b/src/libcarobwind/gate.c
@@ -9,8 +9,8 @@
 /* A measurement that is older than this says nothing any more. */
 #define VALID_FOR (2 * Cbw_SEC)
 /* A queue begins to stand when all of its requests have waited for more than
- * this percentage of their targets, during this many targets, and ends to when
- * they have waited for less as long. */
+ * this percentage of their targets, during this many targets. It no longer
+ * stands when they have waited for less during the same time. */
 #define STANDING_PERCENT 20
 #define STANDING_TARGETS 2
 /* The golden ratio, in 1/1024: its multiples, modulo 1, spread evenly. */
