--- /dev/null
+++ b/review/2/case.c
@@ -0,0 +1,107 @@
+/* Hosts are stopped and started in turn (planned). Then a primary is replaced
+ * (planned), while the owner's path to the promotion service is cut. Checks
+ * the orders that the promotion service receives: no order has a lower fencing
+ * token than one that came before it. */
+#include "load.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#define CUT_MS 12000
+
+static bool trouble;
+static host_t *first_owner;
+static host_t *cut_host;
+static ms_t cut_at;
+static ms_t restart_at;
+
+static void
+end_cut(void *argument)
+{
+    (void)argument;
+    record("the cut between %s and the promotion service ends",
+           cut_host->name);
+    cloud_release();
+}
+
+static void
+replace_primary(void)
+{
+    backend_t *primary = current_primary();
+
+    cut_host = host_by_name(store_holder());
+    if (cut_host == NULL) {
+        world_end(2);
+    }
+    cut_at = now_ms();
+    if (trouble) {
+        record("%s is cut off from the promotion service for %d ms",
+               cut_host->name, CUT_MS);
+        snprintf(cloud_control.cut_host_ip, sizeof(cloud_control.cut_host_ip),
+                 "%.15s", cut_host->ip);
+        after(CUT_MS, end_cut, NULL);
+    }
+    primary->draining = true;
+    record("primary %s is draining", primary->id);
+    backend_register(primary);
+}
+
+int
+main(void)
+{
+    uint64_t highest = 0;
+    int lower = 0;
+    int done = 0;
+
+    trouble = load_has_trouble();
+    world_start(4, 3, load_configuration(0));
+    for (int i = 0; i < 3; i++) {
+        load_client("pay", true, 100);
+        load_client("own", false, 100);
+    }
+    run_until(now_ms() + 4000);
+    first_owner = host_by_name(store_holder());
+    if (first_owner == NULL) {
+        world_end(2);
+    }
+    backend_add(); /* of the release: the new one starts first */
+    host_signal(first_owner, SIGTERM);
+    while (!host_exited(first_owner)) {
+        run_until(now_ms() + 20);
+        if (now_ms() > 15000) {
+            world_end(2);
+        }
+    }
+    restart_at = now_ms() + 500;
+    run_until(now_ms() + 400);
+    replace_primary();
+    run_until(restart_at);
+    host_start(first_owner);
+    run_until(cut_at + CUT_MS + 4000);
+    load_stop();
+    run_until(now_ms() + 500);
+    for (int i = 0; i < order_count; i++) {
+        if (orders[i].fence < highest) {
+            lower++;
+            record("BROKEN: the order of %s to promote %s came at %.3f with "
+                   "token %llu, after one with token %llu",
+                   orders[i].holder, orders[i].backend,
+                   (double)orders[i].at / 1000,
+                   (unsigned long long)orders[i].fence,
+                   (unsigned long long)highest);
+        }
+        else {
+            highest = orders[i].fence;
+        }
+    }
+    for (int i = 0; i < attempt_count; i++) {
+        done += attempts[i].answered_at != 0 && attempts[i].code[0] == '\0';
+    }
+    record("%d writes acknowledged, %d orders, %d with a lower token", done,
+           order_count, lower);
+    if (order_count == 0 || done < 20) {
+        world_end(2);
+    }
+    world_end(lower > 0 ? 1 : 0);
+}
