--- a/review/standin/load.c
+++ b/review/standin/load.c
@@ -10,7 +10,9 @@
     ms_t pause;
     int host;
     session_t *session;
-    int attempt; /* the one in flight */
+    int attempt;   /* the one in flight */
+    char text[32]; /* of the read in flight */
+    ms_t sent_at;
 } client_t;
 
 attempt_t attempts[200000];
@@ -36,8 +38,9 @@
         return;
     }
     if (!client->writes) {
-        snprintf(text, sizeof(text), "READ a%d", rand() % 500);
-        session_query(session, text);
+        snprintf(client->text, sizeof(client->text), "READ a%d", rand() % 500);
+        client->sent_at = now_ms();
+        session_query(session, client->text);
         return;
     }
     if (attempt_count == 200000) {
@@ -77,16 +80,18 @@
         snprintf(attempt->code, sizeof(attempt->code), "%s",
                  failed && session->code[0] == '\0' ? "unsigned"
                                                     : session->code);
-        record("client: %s WRITE %s %s sent at %.3f to %s: %s",
-               attempt->id, attempt->item, attempt->data,
-               (double)attempt->sent_at / 1000, session->host->name,
+        record("client: %s WRITE %s %s sent at %.3f to %s: %s", attempt->id,
+               attempt->item, attempt->data, (double)attempt->sent_at / 1000,
+               session->host->name,
                failed ? attempt->code : session->signature);
     }
-    else if (failed) {
-        reads_failed++;
-    }
     else {
-        reads_done++;
+        reads_failed += failed;
+        reads_done += !failed;
+        record("client: %s %s sent at %.3f to %s: %s", session->query_id,
+               client->text, (double)client->sent_at / 1000,
+               session->host->name,
+               session->code[0] != '\0' ? session->code : session->signature);
     }
     if (failed) {
         move_on(client);
@@ -170,8 +175,7 @@
         "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":262144,"
         "\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000,"
         "\"idleTxMs\":3000}}",
-        service_name, service_name, service_name, service_name,
-        sync_replicas);
+        service_name, service_name, service_name, service_name, sync_replicas);
     return text;
 }
 
--- a/review/standin/world.c
+++ b/review/standin/world.c
@@ -193,8 +193,7 @@
 static void
 consume(connection_t *connection, size_t size)
 {
-    memmove(connection->in, connection->in + size,
-            connection->in_size - size);
+    memmove(connection->in, connection->in + size, connection->in_size - size);
     connection->in_size -= size;
 }
 
@@ -328,8 +327,8 @@
                 struct sockaddr_in peer;
                 socklen_t length = sizeof(peer);
                 char ip[16];
-                int fd = accept(polled[i].fd, (struct sockaddr *)&peer,
-                                &length);
+                int fd =
+                    accept(polled[i].fd, (struct sockaddr *)&peer, &length);
                 if (fd >= 0) {
                     inet_ntop(AF_INET, &peer.sin_addr, ip, sizeof(ip));
                     listeners[i].on_accept(listeners[i].owner, fd, ip);
@@ -342,8 +341,8 @@
             if (!owners[i]->connecting && (polled[i].revents & POLLOUT)) {
                 flush_connection(owners[i]);
             }
-            if (!owners[i]->closed && (owners[i]->connecting ||
-                                       (polled[i].revents & ~POLLOUT))) {
+            if (!owners[i]->closed &&
+                (owners[i]->connecting || (polled[i].revents & ~POLLOUT))) {
                 read_connection(owners[i]);
             }
         }
@@ -390,8 +389,8 @@
 static bool
 take_request(connection_t *connection, request_t *request, char **buffer)
 {
-    char *end = connection->in_size > 0 ? strstr(connection->in, "\r\n\r\n")
-                                        : NULL;
+    char *end =
+        connection->in_size > 0 ? strstr(connection->in, "\r\n\r\n") : NULL;
     char length[24];
     size_t head;
     size_t total;
@@ -679,8 +678,8 @@
         const char *value = json_string_value(json_object_get(put, "value"));
         char *text = decode_base64(value != NULL ? value : "");
         const char *key = json_string_value(json_object_get(put, "key"));
-        lost = key != NULL && store_control.loses_answer(connection->peer_ip,
-                                                         key, text);
+        lost = key != NULL &&
+               store_control.loses_answer(connection->peer_ip, key, text);
         free(text);
     }
     json_array_foreach(json_object_get(root, "expectedRev"), i, row)
@@ -842,7 +841,8 @@
     request_t request;
     char *buffer;
 
-    while (!connection->closed && take_request(connection, &request, &buffer)) {
+    while (!connection->closed &&
+           take_request(connection, &request, &buffer)) {
         delayed_t *delayed = calloc(1, sizeof(*delayed));
         delayed->request = request;
         delayed->buffer = buffer;
@@ -953,8 +953,7 @@
 {
     if (backend->received == backend->capacity) {
         backend->capacity = 2 * backend->capacity + 64;
-        backend->log =
-            grow(backend->log, backend->capacity * sizeof(entry_t));
+        backend->log = grow(backend->log, backend->capacity * sizeof(entry_t));
     }
     backend->log[backend->received++] = *entry;
 }
@@ -1725,7 +1724,8 @@
     request_t request;
     char *buffer;
 
-    while (!connection->closed && take_request(connection, &request, &buffer)) {
+    while (!connection->closed &&
+           take_request(connection, &request, &buffer)) {
         handle_order(connection, &request);
         free(buffer);
     }
@@ -1761,7 +1761,7 @@
 void
 host_start(host_t *host)
 {
-    char log[300];
+    char log[600];
     char text[10][160];
     char seeds[160];
 
@@ -1836,8 +1836,7 @@
     struct timeval limit = {.tv_usec = 200000};
     char text[64] = "";
     int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    const char *question =
-        "GET /carobwind/ready HTTP/1.1\r\nHost: x\r\n\r\n";
+    const char *question = "GET /carobwind/ready HTTP/1.1\r\nHost: x\r\n\r\n";
 
     inet_pton(AF_INET, host->ip, &address.sin_addr);
     setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
@@ -1864,10 +1863,12 @@
     if (getenv("KEEP") == NULL) {
         for (int i = 0; i < host_count; i++) {
             for (int j = 1; j <= hosts[i].starts; j++) {
-                char log[300];
-                snprintf(log, sizeof(log), "%s/%s-%d.log", temporary,
-                         hosts[i].name, j);
-                unlink(log);
+                char *log;
+                if (asprintf(&log, "%s/%s-%d.log", temporary, hosts[i].name,
+                             j) >= 0) {
+                    unlink(log);
+                    free(log);
+                }
             }
         }
         rmdir(temporary);
@@ -1969,8 +1970,7 @@
         }
     }
     else if (strcmp(word, "ERROR") == 0) {
-        snprintf(session->code, sizeof(session->code), "%s",
-                 next_word(&rest));
+        snprintf(session->code, sizeof(session->code), "%s", next_word(&rest));
     }
     else if (strcmp(word, "COMPLETE") == 0) {
         snprintf(session->signature, sizeof(session->signature), "%s", rest);
@@ -2033,9 +2033,8 @@
     session->on_answer = on_answer;
     snprintf(session->database, sizeof(session->database), "%s", database);
     inet_pton(AF_INET, host->ip, &address.sin_addr);
-    session->connection =
-        add_connection(fd, host->ip, session, on_session_input,
-                       on_session_closed);
+    session->connection = add_connection(fd, host->ip, session,
+                                         on_session_input, on_session_closed);
     session->connection->connecting = true;
     connect(fd, (struct sockaddr *)&address, sizeof(address));
     send_text(session->connection, "STARTUP %s u1\r\n", database);
--- a/review/standin/world.h
+++ b/review/standin/world.h
@@ -91,9 +91,9 @@
     char ip[16];
     char zone[32];
     bool primary;
-    bool dark;     /* answers nothing, as after a crash */
+    bool dark; /* answers nothing, as after a crash */
     bool draining;
-    bool deaf;     /* receives nothing from the primary */
+    bool deaf; /* receives nothing from the primary */
     uint64_t term;
     entry_t *log;
     size_t received, applied, capacity;
@@ -159,7 +159,7 @@
     bool ready; /* READY came after STARTUP */
     char state;
     char query_id[64];
-    char code[32];     /* of ERROR; "": none */
+    char code[32]; /* of ERROR; "": none */
     char signature[256];
     char rows[8192];
     bool busy;
