--- a/review/standin/world.c
+++ b/review/standin/world.c
@@ -1603,8 +1603,9 @@
     backend_t *backend = &backends[number];
     backend_t *primary = current_primary();
 
-    snprintf(backend->id, sizeof(backend->id), "i-%06lx%02x",
-             random() & 0xffffff, number);
+    /* Later backends have later ids, so that a case knows their order. */
+    snprintf(backend->id, sizeof(backend->id), "i-%02x%06lx", number,
+             random() & 0xffffff);
     snprintf(backend->ip, sizeof(backend->ip), "%.11s.%d", network,
              11 + number);
     snprintf(backend->zone, sizeof(backend->zone), "%s", zones[number % 4]);
