Take a candidate for promoted only in a term above all known ones

Cause: the owner took a candidate's word that it is the primary for the end of the promotion, in whatever term. A primary that was partitioned from the store alone is unlisted, so nobody told it to step down; when it is listed again and its successor crashes, it has the longest log, is the candidate, and still leads its old term.

Change: the pool keeps the highest term it has seen, and the tenure record the term of its primary (a last word, which earlier versions ignore). The candidate is promoted once it leads a term above these. If it led the highest term already, as in a promotion that was taken over, the order changes nothing: it ends at once if no other endpoint contradicts, else after the time that an accepted order may take. Whoever leads a superseded term is told to step down. The decisions in the log name terms.

The candidate of the tests' world reported its old term after its promotion, which no endpoint does (PROTOCOL: it leads the next term); it now reports the next one.

--- a/include/carobwind/pool.h
+++ b/include/carobwind/pool.h
@@ -290,7 +290,15 @@
     cbw_position_t primary_position; /* highest known of the primary's log */
     /* Log position and term of the present primary at its promotion. */
     cbw_position_t promotion_position;
-    uint64_t promotion_term;                         /* 0: not known */
+    uint64_t promotion_term; /* 0: not known */
+    /* Highest term known to have begun, by any endpoint's reply or by the
+     * record. An endpoint that reports itself as the primary in a lower one
+     * has been superseded. */
+    uint64_t highest_term;
+    /* Term that the record's primary reported, for a record that has none; the
+     * name is that of the endpoint which reported it. */
+    char reported_primary[Cbw_NAME_MAX];
+    uint64_t reported_primary_term;
     cbw_pool_sample_t samples[Cbw_POOL_SAMPLES_MAX]; /* a ring */
     size_t sample_count;                             /* ever written */
     bool synchronous; /* see CbwPool_SetSynchronous */
@@ -309,6 +317,13 @@
     cbw_time_t phase_since;
     bool planned;  /* not used */
     int candidate; /* endpoint to be promoted; -1: none */
+    /* The candidate is the new primary once it leads a term above this one. */
+    uint64_t superseded_term;
+    /* The candidate led the highest known term when it was chosen. If it is
+     * the present primary, its promotion changes nothing, not even the term.
+     */
+    bool candidate_leads;
+    bool promote_accepted; /* the reply to the promotion request */
     /* Mask of the endpoints whose promotion was refused because they were not
      * running. */
     unsigned refused_candidates;
--- a/include/carobwind/tenure.h
+++ b/include/carobwind/tenure.h
@@ -66,6 +66,9 @@
     bool promoting;             /* the holder may have requested a promotion */
     /* The current primary; while promoting, the previous one. */
     char primary[Cbw_NAME_MAX];
+    /* That primary's term, as it reported it; 0: not known. Each promotion
+     * begins a higher term. */
+    uint64_t term;
     /* Holders whose tenure may not have expired when the present one took
      * over. -1: more than can be named. */
     int previous_holder_count;
@@ -77,7 +80,8 @@
 /* Writes the stored form of `record` to `text` of Cbw_TENURE_TEXT_MAX bytes.
  */
 void CbwTenure_FormatRecord(const cbw_tenure_record_t *record, char *text);
-/* Parses the stored form. Returns 0, or -1 when the text is malformed. The
+/* Parses the stored form. `term` is its last word, which earlier versions
+ * neither write nor read. Returns 0, or -1 when the text is malformed. The
  * record then names no holder, more previous holders than can be named, and a
  * promotion under way: an owner that takes it over waits for all tenures and
  * carries out a promotion before it serves. */
@@ -156,11 +160,14 @@
  * Cbw_TENURE_RETRY_INTERVAL. */
 void CbwTenure_RenewEarly(cbw_tenure_t *tenure, cbw_time_t now);
 /* Swap the record: to `promoting` with the next epoch, or to the end of the
- * promotion with its `primary`. Return false when a call is in flight or this
- * owner is not the holder. */
-bool CbwTenure_BeginPromotion(cbw_tenure_t *tenure, cbw_time_t now);
+ * promotion with its `primary`. `term` is that of the record's primary, which
+ * the promotion replaces (0: not known; a term that the record has is kept),
+ * or of the new one. Return false when a call is in flight or this owner is
+ * not the holder. */
+bool CbwTenure_BeginPromotion(cbw_tenure_t *tenure, cbw_time_t now,
+                              uint64_t term);
 bool CbwTenure_EndPromotion(cbw_tenure_t *tenure, cbw_time_t now,
-                            const char *primary);
+                            const char *primary, uint64_t term);
 /* Asks previous holders to relinquish their tenures, which a promotion would
  * otherwise have to wait for. To be called until the tenure is exclusive. */
 void CbwTenure_AskToRelinquish(cbw_tenure_t *tenure, cbw_time_t now);
--- a/src/libcarobwind/include/private/pool.h
+++ b/src/libcarobwind/include/private/pool.h
@@ -74,6 +74,11 @@
 void CbwPool_ReleaseHeldAnswers_(cbw_pool_t *pool, cbw_time_t now);
 /* Fails all held answers. */
 void CbwPool_FailHeldAnswers_(cbw_pool_t *pool, cbw_time_t now);
+/* Records that `term` has begun. */
+void CbwPool_ObserveTerm_(cbw_pool_t *pool, uint64_t term);
+/* Returns the name of the endpoint that the first record of the database is to
+ * name as the primary, or "" if it is not known. */
+const char *CbwPool_FirstPrimary_(const cbw_pool_t *pool);
 /* Records that the primary's log reached `position`, as reported by a call
  * that was sent at `sent`. */
 void CbwPool_ObservePosition_(cbw_pool_t *pool, cbw_time_t sent,
--- a/src/libcarobwind/pool.c
+++ b/src/libcarobwind/pool.c
@@ -556,14 +556,7 @@
     CbwPool_RedirectToHolder_(pool, now);
     if (hold_tenure && !pool->stopping &&
         (now >= pool->redirected_until || pool->redirected_to_promoter)) {
-        const char *primary = "";
-        for (int i = 0; i < Cbw_POOL_ENDPOINTS_MAX; i++) {
-            if (pool->endpoints[i].used &&
-                pool->endpoints[i].info.reports_primary) {
-                primary = pool->endpoints[i].info.name;
-            }
-        }
-        CbwTenure_Tick(&pool->tenure, now, primary);
+        CbwTenure_Tick(&pool->tenure, now, CbwPool_FirstPrimary_(pool));
     }
     expire_calls(pool, now);
     expire_queues(pool, now);
--- a/src/libcarobwind/pool_confirm.c
+++ b/src/libcarobwind/pool_confirm.c
@@ -1,7 +1,9 @@
 /* Service while the store is unresponsive.  A confirmation of the primary by
  * all endpoints replaces the tenure: if one endpoint reports itself as the
  * primary, and every other endpoint of the group reports no higher term, then
- * no other promotion had taken effect when the first of them was asked. */
+ * no other promotion had taken effect when the first of them was asked. An
+ * endpoint that was promoted may not be listed any more: a term below the
+ * highest known one is superseded, whatever the listed endpoints report. */
 
 #include <inttypes.h>
 #include <string.h>
@@ -40,6 +42,7 @@
     for (int i = 0; i < Cbw_POOL_ENDPOINTS_MAX; i++) {
         const cbw_pool_endpoint_t *e = &pool->endpoints[i];
         if (e->used && e->reported_as_of != 0 && e->is_primary &&
+            e->reported_term >= pool->highest_term &&
             (reported < 0 ||
              e->reported_term > pool->endpoints[reported].reported_term)) {
             reported = i;
--- a/src/libcarobwind/pool_health.c
+++ b/src/libcarobwind/pool_health.c
@@ -66,6 +66,39 @@
     }
 }
 
+void
+CbwPool_ObserveTerm_(cbw_pool_t *pool, uint64_t term)
+{
+    if (term > pool->highest_term) {
+        pool->highest_term = term;
+    }
+}
+
+/* Returns the term of the record's primary; 0: not known. */
+static uint64_t
+record_primary_term(const cbw_pool_t *pool)
+{
+    const cbw_tenure_record_t *record = &pool->tenure.record;
+
+    if (record->term != 0) {
+        return record->term;
+    }
+    return strcmp(pool->reported_primary, record->primary) == 0
+               ? pool->reported_primary_term
+               : 0;
+}
+
+/* Whether the registry has the endpoint as a primary though the record names
+ * another one, or none yet. Only the holder looks into that. */
+static bool
+is_doubtful_primary(const cbw_pool_t *pool, int endpoint)
+{
+    return endpoint != pool->primary &&
+           pool->endpoints[endpoint].info.reports_primary &&
+           (pool->tenure.held ||
+            (pool->tenure.record_known && pool->tenure.version == 0));
+}
+
 static bool
 is_state_call_due(const cbw_pool_t *pool, cbw_time_t now, int endpoint)
 {
@@ -80,11 +113,43 @@
     if (is_silent(e, now)) {
         return true;
     }
-    return endpoint == pool->primary && now >= e->state_call_due_at &&
-           now - e->last_reply_at > Cbw_POOL_IDLE_STATE_CALL_INTERVAL;
+    if (now < e->state_call_due_at) {
+        return false;
+    }
+    if (endpoint != pool->primary) {
+        return is_doubtful_primary(pool, endpoint);
+    }
+    return now - e->last_reply_at > Cbw_POOL_IDLE_STATE_CALL_INTERVAL ||
+           (pool->tenure.held && record_primary_term(pool) == 0);
+}
+
+const char *
+CbwPool_FirstPrimary_(const cbw_pool_t *pool)
+{
+    const cbw_pool_endpoint_t *first = NULL;
+    int count = 0;
+    bool all_answered = true;
+
+    for (int i = 0; i < Cbw_POOL_ENDPOINTS_MAX; i++) {
+        const cbw_pool_endpoint_t *e = &pool->endpoints[i];
+        if (!e->used || !e->info.reports_primary) {
+            continue;
+        }
+        count++;
+        all_answered = all_answered && e->reported_as_of != 0;
+        if (first == NULL ||
+            (e->is_primary && (!first->is_primary ||
+                               e->reported_term > first->reported_term))) {
+            first = e;
+        }
+    }
+    if (count == 1 || (count > 1 && all_answered && first->is_primary)) {
+        return first->info.name;
+    }
+    return "";
 }
 
-/* Tells a previous primary to step down. */
+/* Tells a superseded primary to step down. */
 static void
 send_step_down(cbw_pool_t *pool, cbw_time_t now, int endpoint)
 {
@@ -168,7 +233,8 @@
 static void
 start_promotion(cbw_pool_t *pool, cbw_time_t now, const char *reason)
 {
-    if (!CbwTenure_BeginPromotion(&pool->tenure, now)) {
+    if (!CbwTenure_BeginPromotion(&pool->tenure, now,
+                                  record_primary_term(pool))) {
         return;
     }
     snprintf(pool->previous_primary, sizeof(pool->previous_primary), "%s",
@@ -185,9 +251,41 @@
     }
 }
 
+/* Whether the candidate, which reports itself as the primary, is known to be
+ * the present one: it leads a later term than the primary that the promotion
+ * replaces, and no other endpoint reports a higher term. A promotion that was
+ * taken over, or is repeated, may find it so. */
+static bool
+is_present_primary(const cbw_pool_t *pool, int candidate)
+{
+    uint64_t term = pool->endpoints[candidate].reported_term;
+    uint64_t previous_term = record_primary_term(pool);
+    bool previous_answered = pool->previous_primary[0] == '\0';
+
+    if (term < pool->highest_term || term <= previous_term) {
+        return false;
+    }
+    for (int i = 0; i < Cbw_POOL_ENDPOINTS_MAX; i++) {
+        const cbw_pool_endpoint_t *e = &pool->endpoints[i];
+        bool answered = e->reported_as_of >= pool->phase_since;
+        if (!e->used || i == candidate) {
+            continue;
+        }
+        if (strcmp(e->info.name, pool->previous_primary) == 0) {
+            previous_answered = answered;
+        }
+        else if (!answered) {
+            return false;
+        }
+    }
+    return previous_term != 0 || previous_answered;
+}
+
 static void
 request_promotion(cbw_pool_t *pool, cbw_time_t now)
 {
+    const cbw_pool_endpoint_t *e;
+
     pool->candidate = choose_candidate(pool);
     if (pool->candidate < 0) {
         if (now - pool->phase_since > Cbw_POOL_PROMOTION_RETRY_AFTER) {
@@ -197,17 +295,23 @@
         }
         return;
     }
+    e = &pool->endpoints[pool->candidate];
+    pool->candidate_leads =
+        e->is_primary && e->reported_term >= pool->highest_term;
+    pool->superseded_term =
+        pool->candidate_leads && is_present_primary(pool, pool->candidate)
+            ? e->reported_term - 1
+            : pool->highest_term;
     set_phase(pool, now, CBW_POOL_REQUESTING_PROMOTION);
     CbwPool_LogDecision_(
         pool, now,
-        "requests the promotion of %s, position %" PRIu64 ".%" PRIu64
-        ", fencing token %" PRIu64,
-        pool->endpoints[pool->candidate].info.name,
-        pool->endpoints[pool->candidate].reported_position.term,
-        pool->endpoints[pool->candidate].reported_position.index,
-        pool->tenure.version);
-    pool->ops->request_promotion(pool->context,
-                                 pool->endpoints[pool->candidate].info.name,
+        "requests the promotion of %s, %s in term %" PRIu64
+        ", position %" PRIu64 ".%" PRIu64 ", fencing token %" PRIu64
+        ", to lead a term above %" PRIu64,
+        e->info.name, e->is_primary ? "primary" : "replica", e->reported_term,
+        e->reported_position.term, e->reported_position.index,
+        pool->tenure.version, pool->superseded_term);
+    pool->ops->request_promotion(pool->context, e->info.name,
                                  pool->tenure.version);
 }
 
@@ -225,6 +329,7 @@
         set_phase(pool, now, CBW_POOL_CHOOSING_CANDIDATE);
         return;
     }
+    pool->promote_accepted = status == CBW_PROMOTE_ACCEPTED;
     set_phase(pool, now, CBW_POOL_POLLING_CANDIDATE);
 }
 
@@ -235,9 +340,14 @@
 {
     const cbw_pool_endpoint_t *e = &pool->endpoints[pool->candidate];
 
-    if (!CbwTenure_EndPromotion(&pool->tenure, now, e->info.name)) {
+    if (!CbwTenure_EndPromotion(&pool->tenure, now, e->info.name,
+                                e->reported_term)) {
         return;
     }
+    CbwPool_LogDecision_(
+        pool, now, "%s leads term %" PRIu64 ", position %" PRIu64 ".%" PRIu64,
+        e->info.name, e->reported_term, e->reported_position.term,
+        e->reported_position.index);
     set_phase(pool, now, CBW_POOL_PUBLISHING);
     pool->promotion_position = e->reported_position;
     pool->promotion_term = e->reported_term;
@@ -246,6 +356,23 @@
     CbwPool_ObservePosition_(pool, now, e->reported_position);
 }
 
+/* Whether the candidate leads a term that began with its promotion, or an
+ * accepted request had the time to begin one and did not, as the candidate is
+ * the present primary. */
+static bool
+is_candidate_promoted(const cbw_pool_t *pool, cbw_time_t now)
+{
+    const cbw_pool_endpoint_t *e = &pool->endpoints[pool->candidate];
+
+    if (!e->used || !e->is_primary || e->reported_as_of < pool->phase_since) {
+        return false;
+    }
+    return e->reported_term > pool->superseded_term ||
+           (pool->candidate_leads && pool->promote_accepted &&
+            e->reported_term >= pool->highest_term &&
+            now - pool->phase_since > Cbw_POOL_PROMOTION_RETRY_AFTER);
+}
+
 static void
 poll_candidate(cbw_pool_t *pool, cbw_time_t now)
 {
@@ -256,7 +383,7 @@
         return;
     }
     e = &pool->endpoints[pool->candidate];
-    if (e->used && e->is_primary && e->reported_as_of >= pool->phase_since) {
+    if (is_candidate_promoted(pool, now)) {
         on_candidate_promoted(pool, now);
         return;
     }
@@ -282,7 +409,7 @@
                          pool->tenure.record.primary,
                          pool->tenure.record.epoch);
     if (previous >= 0 && previous != pool->primary) {
-        pool->endpoints[previous].step_down_term = pool->primary_position.term;
+        pool->endpoints[previous].step_down_term = pool->promotion_term;
         pool->endpoints[previous].step_down_due_at = now;
     }
 }
@@ -313,6 +440,7 @@
 static void
 on_tenure_changed(cbw_pool_t *pool, cbw_time_t now)
 {
+    CbwPool_ObserveTerm_(pool, pool->tenure.record.term);
     update_primary(pool, now);
     if (pool->redirected_to_promoter && pool->tenure.record_known &&
         !pool->tenure.record.promoting) {
@@ -576,6 +704,39 @@
     }
 }
 
+/* Notes the term of the record's primary, and that of one which has been
+ * superseded without having noticed. */
+static void
+check_reported_primary(cbw_pool_t *pool, cbw_time_t now, int endpoint)
+{
+    cbw_pool_endpoint_t *e = &pool->endpoints[endpoint];
+
+    if (e->step_down_term != 0 &&
+        (!e->is_primary || e->reported_term >= e->step_down_term)) {
+        CbwPool_LogDecision_(
+            pool, now, "%s is %s in term %" PRIu64, e->info.name,
+            e->is_primary ? "primary" : "replica", e->reported_term);
+        e->step_down_term = 0;
+    }
+    if (!e->is_primary) {
+        return;
+    }
+    if (endpoint == pool->primary) {
+        memcpy(pool->reported_primary, e->info.name,
+               sizeof(pool->reported_primary));
+        pool->reported_primary_term = e->reported_term;
+    }
+    else if (e->reported_term < pool->highest_term && e->step_down_term == 0) {
+        CbwPool_LogDecision_(pool, now,
+                             "%s still leads term %" PRIu64
+                             ", which term %" PRIu64 " has superseded",
+                             e->info.name, e->reported_term,
+                             pool->highest_term);
+        e->step_down_term = pool->highest_term;
+        e->step_down_due_at = now;
+    }
+}
+
 void
 CbwPool_OnControlReply_(cbw_pool_t *pool, cbw_time_t now,
                         const cbw_pool_call_t *call, const cbw_reply_t *reply)
@@ -590,11 +751,7 @@
     e->reported_position =
         (cbw_position_t){reply->state.last_term, reply->state.position};
     e->reported_as_of = call->sent_at;
-    if (e->step_down_term != 0 &&
-        (call->verb == CBW_CALL_STEP_DOWN || !e->is_primary)) {
-        e->step_down_term = 0;
-        CbwPool_LogDecision_(pool, now, "%s stepped down", e->info.name);
-    }
+    check_reported_primary(pool, now, call->endpoint);
     CbwPool_UpdateConfirmation_(pool, now);
     run_phase(pool, now);
 }
--- a/src/libcarobwind/pool_reply.c
+++ b/src/libcarobwind/pool_reply.c
@@ -325,9 +325,11 @@
         CbwPool_LogDecision_(pool, now, "endpoint %s is up again",
                              e->info.name);
     }
+    CbwPool_ObserveTerm_(pool, reply->state.term);
     if (position.term == 0) {
         return;
     }
+    CbwPool_ObserveTerm_(pool, position.term);
     e->position = position;
     if (call->endpoint != pool->primary) {
         return;
--- a/src/libcarobwind/tenure.c
+++ b/src/libcarobwind/tenure.c
@@ -27,6 +27,8 @@
             record->previous_holders[i].host,
             record->previous_holders[i].version);
     }
+    snprintf(text + length, (size_t)(Cbw_TENURE_TEXT_MAX - length),
+             " %" PRIu64, record->term);
 }
 
 static int
@@ -48,14 +50,18 @@
     if (strcmp(record->primary, "-") == 0) {
         record->primary[0] = '\0';
     }
+    text += consumed;
     for (int i = 0; i < record->previous_holder_count; i++) {
-        text += consumed;
         if (sscanf(text, "%" SCNu64 " %47s %" SCNu64 "%n",
                    &record->previous_holders[i].nonce,
                    record->previous_holders[i].host,
                    &record->previous_holders[i].version, &consumed) != 3) {
             return -1;
         }
+        text += consumed;
+    }
+    if (sscanf(text, "%" SCNu64, &record->term) != 1) {
+        record->term = 0;
     }
     return 0;
 }
@@ -361,7 +367,7 @@
 }
 
 bool
-CbwTenure_BeginPromotion(cbw_tenure_t *tenure, cbw_time_t now)
+CbwTenure_BeginPromotion(cbw_tenure_t *tenure, cbw_time_t now, uint64_t term)
 {
     cbw_tenure_record_t proposed = tenure->record;
 
@@ -370,6 +376,9 @@
     }
     proposed.epoch++;
     proposed.promoting = true;
+    if (proposed.term == 0) {
+        proposed.term = term;
+    }
     if (now >= tenure->exclusive_from) {
         proposed.previous_holder_count = 0;
     }
@@ -379,7 +388,7 @@
 
 bool
 CbwTenure_EndPromotion(cbw_tenure_t *tenure, cbw_time_t now,
-                       const char *primary)
+                       const char *primary, uint64_t term)
 {
     cbw_tenure_record_t proposed = tenure->record;
 
@@ -387,6 +396,7 @@
         return false;
     }
     proposed.promoting = false;
+    proposed.term = term;
     snprintf(proposed.primary, sizeof(proposed.primary), "%s", primary);
     send_swap(tenure, now, &proposed);
     return true;
--- a/src/test_libcarobwind/pool_world.c
+++ b/src/test_libcarobwind/pool_world.c
@@ -4,12 +4,16 @@
 #include <stdio.h>
 #include <string.h>
 
+/* Step of PoolWorld_Run. */
+#define RUN_STEP (20 * Cbw_MSEC)
+
 static bool
 op_call(void *context, int endpoint, const cbw_call_t *call)
 {
     pool_world_t *world = context;
 
     g_assert_cmpint(world->sent_count, <, CALLS_MAX);
+    world->step_downs += call->verb == CBW_CALL_STEP_DOWN;
     world->sent[world->sent_count++] =
         (sent_call_t){call->id, endpoint, *call, true};
     return true;
@@ -173,25 +177,73 @@
 }
 
 void
-PoolWorld_SetEndpoints(pool_world_t *world, bool primary_leaves)
+PoolWorld_SetEndpoints(pool_world_t *world)
 {
     cbw_endpoint_t endpoints[3];
+    int count = 0;
 
     memset(endpoints, 0, sizeof(endpoints));
     for (int i = 0; i < 3; i++) {
-        snprintf(endpoints[i].name, sizeof(endpoints[i].name), "e%d", i);
-        snprintf(endpoints[i].address, sizeof(endpoints[i].address),
-                 "10.0.0.%d:1", i + 1);
-        endpoints[i].slots = 2;
-        endpoints[i].connections = 40;
-        endpoints[i].reports_primary = i == 0;
-        endpoints[i].leaving = i == 0 && primary_leaves;
+        cbw_endpoint_t *endpoint = &endpoints[count];
+        if (world->unlisted[i]) {
+            continue;
+        }
+        snprintf(endpoint->name, sizeof(endpoint->name), "e%d", i);
+        snprintf(endpoint->address, sizeof(endpoint->address), "10.0.0.%d:1",
+                 i + 1);
+        endpoint->slots = 2;
+        endpoint->connections = 40;
+        endpoint->reports_primary = world->reports_primary[i];
+        endpoint->leaving = world->leaving[i];
+        count++;
     }
-    CbwPool_SetEndpoints(&world->pool, world->now, endpoints, 3);
+    CbwPool_SetEndpoints(&world->pool, world->now, endpoints, count);
 }
 
 void
-PoolWorld_Init(pool_world_t *world)
+PoolWorld_AnswerStates(pool_world_t *world, const endpoint_report_t reports[3])
+{
+    int count = world->sent_count;
+
+    for (int i = 0; i < count; i++) {
+        sent_call_t *sent = &world->sent[i];
+        int endpoint =
+            world->pool.endpoints[sent->endpoint].info.name[1] - '0';
+        const endpoint_report_t *report = &reports[endpoint];
+        cbw_position_t position = report->position.term != 0
+                                      ? report->position
+                                      : (cbw_position_t){3, 9};
+        cbw_reply_t reply = {.status = CBW_REPLY_OK,
+                             .state = {.term = report->term,
+                                       .primary = report->primary,
+                                       .last_term = position.term,
+                                       .position = position.index}};
+        if (!sent->open ||
+            (sent->call.verb != CBW_CALL_STATE &&
+             sent->call.verb != CBW_CALL_STEP_DOWN) ||
+            report->unresponsive) {
+            continue;
+        }
+        sent->open = false;
+        CbwPool_OnReply(&world->pool, world->now, sent->id, &reply);
+    }
+}
+
+static void
+forget_closed_calls(pool_world_t *world)
+{
+    int kept = 0;
+
+    for (int i = 0; i < world->sent_count; i++) {
+        if (world->sent[i].open) {
+            world->sent[kept++] = world->sent[i];
+        }
+    }
+    world->sent_count = kept;
+}
+
+void
+PoolWorld_InitPool(pool_world_t *world)
 {
     memset(world, 0, sizeof(*world));
     world->now = 100 * Cbw_SEC;
@@ -199,10 +251,50 @@
     CbwPool_Init(&world->pool, "db", CbwQueue_Policy("ranked"), ranks,
                  G_N_ELEMENTS(ranks), &ops, world, NONCE, "host", "north",
                  NULL);
-    PoolWorld_SetEndpoints(world, false);
+    world->reports_primary[0] = true;
+}
+
+static const endpoint_report_t first_reports[] = {
+    {.primary = true, .term = 3}, {.term = 3}, {.term = 3}};
+
+void
+PoolWorld_Init(pool_world_t *world)
+{
+    PoolWorld_InitPool(world);
+    PoolWorld_SetEndpoints(world);
     PoolWorld_Tick(world, 0);
+    PoolWorld_AnswerStates(world, first_reports);
     PoolWorld_Tick(world, Cbw_TENURE_RETRY_INTERVAL);
     g_assert_cmpint(world->pool.primary, ==, 0);
+    PoolWorld_AnswerStates(world, first_reports);
+    forget_closed_calls(world);
+}
+
+void
+PoolWorld_Run(pool_world_t *world, cbw_time_t duration,
+              const endpoint_report_t reports[3])
+{
+    cbw_time_t end = world->now + duration;
+
+    while (world->now < end) {
+        PoolWorld_Tick(world, RUN_STEP);
+        PoolWorld_AnswerStates(world, reports);
+        PoolWorld_ServeStore(world);
+        forget_closed_calls(world);
+    }
+}
+
+bool
+PoolWorld_RunUntilOrder(pool_world_t *world, cbw_time_t limit,
+                        const endpoint_report_t reports[3])
+{
+    cbw_time_t end = world->now + limit;
+
+    world->promotion_target[0] = '\0';
+    while (world->promotion_target[0] == '\0' && world->now < end) {
+        PoolWorld_Run(world, RUN_STEP, reports);
+    }
+    return world->promotion_target[0] != '\0';
 }
 
 void
--- a/src/test_libcarobwind/pool_world.h
+++ b/src/test_libcarobwind/pool_world.h
@@ -8,6 +8,14 @@
 #define CALLS_MAX 64
 #define NONCE 42
 
+/* What an endpoint reports in reply to a state call or a step-down call. */
+typedef struct {
+    bool unresponsive;
+    bool primary;
+    uint64_t term;
+    cbw_position_t position; /* term 0: 3.9 */
+} endpoint_report_t;
+
 /* A call that the pool sent. */
 typedef struct {
     uint64_t id;
@@ -21,6 +29,10 @@
     cbw_time_t now;
     sent_call_t sent[CALLS_MAX];
     int sent_count;
+    /* The inventory's entries of the endpoints. */
+    bool unlisted[3];
+    bool leaving[3];
+    bool reports_primary[3];
     bool abort_may_have_sent; /* result of ops.abort: whether the endpoint may
                                  have received the aborted call */
     cbw_request_t *last_answered;
@@ -32,14 +44,20 @@
     char promotion_target[Cbw_NAME_MAX];
     uint64_t fence;
     int relinquish_requests;
+    int step_downs; /* step-down calls sent */
     char redirected_to[Cbw_NAME_MAX];
 } pool_world_t;
 
+/* Initializes the world without endpoints and without a record. */
+void PoolWorld_InitPool(pool_world_t *world);
+/* Initializes the world and has the pool acquire the tenure. */
 void PoolWorld_Init(pool_world_t *world);
 void PoolWorld_Finish(pool_world_t *world);
-/* Passes the three endpoints to the pool; `primary_leaves` marks e0 as
- * leaving. */
-void PoolWorld_SetEndpoints(pool_world_t *world, bool primary_leaves);
+/* Passes the endpoints that are listed to the pool. */
+void PoolWorld_SetEndpoints(pool_world_t *world);
+/* Answers the open state calls and step-down calls. */
+void PoolWorld_AnswerStates(pool_world_t *world,
+                            const endpoint_report_t reports[3]);
 /* Answers the pending calls to the store, and those that the pool makes
  * thereupon. */
 void PoolWorld_ServeStore(pool_world_t *world);
@@ -47,6 +65,13 @@
  * tenure, and answers its calls to the store, and does both once more, since
  * the pool acts on the answers in the next tick. */
 void PoolWorld_Tick(pool_world_t *world, cbw_time_t step);
+/* Ticks for `duration`, answering the store and the state calls. */
+void PoolWorld_Run(pool_world_t *world, cbw_time_t duration,
+                   const endpoint_report_t reports[3]);
+/* As PoolWorld_Run, until the pool requests a promotion, for `limit` at the
+ * most. Returns whether it did: of world->promotion_target. */
+bool PoolWorld_RunUntilOrder(pool_world_t *world, cbw_time_t limit,
+                             const endpoint_report_t reports[3]);
 /* Creates a request, to be freed with PoolWorld_FreeRequest. `writes` alone
  * makes it a write: the statement's text is always the same. */
 cbw_request_t *PoolWorld_NewRequest(pool_world_t *world, bool writes,
--- a/src/test_libcarobwind/test_pool.c
+++ b/src/test_libcarobwind/test_pool.c
@@ -124,8 +124,8 @@
     PoolWorld_FreeRequest(read);
 }
 
-/* Answers all state calls: `primary` reports itself as such (-1: none), and
- * `positions` are the endpoints' log positions. */
+/* Answers all state calls: `primary` reports itself as such (-1: none), in term
+ * 4 if it was promoted, and `positions` are the endpoints' log positions. */
 static void
 answer_state_calls(pool_world_t *world, int primary, const uint64_t *positions)
 {
@@ -134,7 +134,7 @@
     while ((sent = PoolWorld_LastOpenCall(world, CBW_CALL_STATE)) != NULL) {
         cbw_reply_t reply = {.status = CBW_REPLY_OK,
                              .state = {.primary = sent->endpoint == primary,
-                                       .term = 3,
+                                       .term = primary > 0 ? 4 : 3,
                                        .last_term = 3,
                                        .position = positions[sent->endpoint]}};
         sent->open = false;
@@ -388,7 +388,8 @@
     PoolWorld_Init(&world);
     write = PoolWorld_NewRequest(&world, true, CBW_READ_LATEST);
     PoolWorld_Submit(&world, write);
-    PoolWorld_SetEndpoints(&world, true);
+    world.leaving[0] = true;
+    PoolWorld_SetEndpoints(&world);
     PoolWorld_Tick(&world, 10 * Cbw_MSEC);
     second = PoolWorld_NewRequest(&world, true, CBW_READ_LATEST);
     PoolWorld_Submit(&world, second);
--- a/src/test_libcarobwind/test_pool_confirm.c
+++ b/src/test_libcarobwind/test_pool_confirm.c
@@ -3,39 +3,10 @@
 #include "pool_world.h"
 #include "suites.h"
 
-/* The state that an endpoint reports. */
-typedef struct {
-    bool unresponsive;
-    bool primary;
-    uint64_t term;
-} endpoint_report_t;
-
 /* A term below the primary's does not contradict it. */
 static const endpoint_report_t none_disagrees[] = {
     {.primary = true, .term = 3}, {.term = 3}, {.term = 2}};
 
-static void
-answer_state_calls(pool_world_t *world, const endpoint_report_t *reports)
-{
-    int count = world->sent_count;
-
-    for (int i = 0; i < count; i++) {
-        sent_call_t *sent = &world->sent[i];
-        const endpoint_report_t *report = &reports[sent->endpoint];
-        cbw_reply_t reply = {.status = CBW_REPLY_OK,
-                             .state = {.term = report->term,
-                                       .primary = report->primary,
-                                       .last_term = 3,
-                                       .position = 9}};
-        if (!sent->open || sent->call.verb != CBW_CALL_STATE ||
-            report->unresponsive) {
-            continue;
-        }
-        sent->open = false;
-        CbwPool_OnReply(&world->pool, world->now, sent->id, &reply);
-    }
-}
-
 /* The store gives no answer for longer than the tenure lasts. */
 static void
 expire_tenure(pool_world_t *world)
@@ -43,7 +14,7 @@
     for (int i = 0; i < 120; i++) {
         world->now += 100 * Cbw_MSEC;
         CbwPool_Tick(&world->pool, world->now, true);
-        answer_state_calls(world, none_disagrees);
+        PoolWorld_AnswerStates(world, none_disagrees);
         world->sent_count = 0;
         if (world->read_pending) {
             world->read_pending = false;
@@ -61,7 +32,7 @@
 {
     world->now += Cbw_POOL_CONFIRM_INTERVAL;
     CbwPool_Tick(&world->pool, world->now, true);
-    answer_state_calls(world, reports);
+    PoolWorld_AnswerStates(world, reports);
 }
 
 typedef struct {
--- a/src/test_libcarobwind/test_tenure.c
+++ b/src/test_libcarobwind/test_tenure.c
@@ -201,13 +201,13 @@
     acquire(&model, 0);
     g_assert_true(tenure->held);
     g_assert_false(CbwTenure_IsValid(tenure, model.now));
-    g_assert_true(CbwTenure_BeginPromotion(tenure, model.now));
+    g_assert_true(CbwTenure_BeginPromotion(tenure, model.now, 3));
     complete_calls(&model);
     g_assert_false(CbwTenure_IsExclusive(tenure, model.now));
     model.now += Cbw_TENURE_VALID_FOR - Cbw_SEC;
     acquire(&model, 0);
     g_assert_true(CbwTenure_IsExclusive(tenure, model.now + Cbw_SEC));
-    g_assert_true(CbwTenure_EndPromotion(tenure, model.now, "p"));
+    g_assert_true(CbwTenure_EndPromotion(tenure, model.now, "p", 4));
     complete_calls(&model);
     g_assert_true(CbwTenure_IsValid(tenure, model.now));
     g_assert_cmpstr(model.record.holder.host, ==, "h0");
@@ -250,7 +250,7 @@
     acquire(&model, 1);
     g_assert_true(CbwTenure_IsValid(second, model.now));
     g_assert_false(CbwTenure_IsExclusive(second, model.now));
-    g_assert_true(CbwTenure_BeginPromotion(second, model.now));
+    g_assert_true(CbwTenure_BeginPromotion(second, model.now, 3));
     complete_calls(&model);
     CbwTenure_AskToRelinquish(second, model.now);
     g_assert_cmpuint(model.relinquish_asked[1], ==, 1);
@@ -365,7 +365,7 @@
     init_model(&model, 5);
     acquire(&model, 0);
     g_assert_true(
-        CbwTenure_BeginPromotion(&model.owners[0].tenure, model.now));
+        CbwTenure_BeginPromotion(&model.owners[0].tenure, model.now, 3));
     complete_calls(&model);
     CbwTenure_Tick(second, model.now, "p");
     complete_calls(&model);
@@ -425,11 +425,11 @@
             !waits_for_expiry || model->now >= tenure->exclusive_from;
     }
     else if (CbwRandom_Below(&model->random, 40) == 0 && tenure->held) {
-        owner->promoting = CbwTenure_BeginPromotion(tenure, model->now);
+        owner->promoting = CbwTenure_BeginPromotion(tenure, model->now, 3);
     }
     if (owner->promotion_requested && !tenure->call_in_flight &&
         CbwRandom_Below(&model->random, 8) == 0 &&
-        CbwTenure_EndPromotion(tenure, model->now, "p")) {
+        CbwTenure_EndPromotion(tenure, model->now, "p", 4)) {
         owner->promoting = false;
         owner->promotion_requested = false;
     }
@@ -541,6 +541,7 @@
         .holder = {9, "host-1", 0},
         .promoting = true,
         .primary = "i-1",
+        .term = 12,
         .previous_holder_count = 2,
         .previous_holders = {{3, "a", 5}, {4, "b", 6}}};
     cbw_tenure_record_t parsed;
@@ -559,6 +560,12 @@
     for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
         g_assert_cmpint(CbwTenure_ParseRecord(&parsed, bad[i]), ==, -1);
     }
+    /* Earlier versions write no term. */
+    g_assert_cmpint(
+        CbwTenure_ParseRecord(&parsed, "7 9 host-1 1 i-1 2 3 a 5 4 b 6"), ==,
+        0);
+    g_assert_cmpuint(parsed.previous_holders[1].version, ==, 6);
+    g_assert_cmpuint(parsed.term, ==, 0);
     CbwRandom_Init(&random, 6);
     for (int i = 0; i < 20000; i++) {
         snprintf(mutated, sizeof(mutated), "%s", text);
@@ -570,6 +577,32 @@
     }
 }
 
+/* The record has the term of its primary: of the one that a promotion replaces
+ * until it ends, also if another owner repeats the promotion. */
+static void
+test_record_term(void)
+{
+    static tenure_model_t model;
+    cbw_tenure_t *first = &model.owners[0].tenure;
+    cbw_tenure_t *second = &model.owners[1].tenure;
+
+    init_model(&model, 9);
+    acquire(&model, 0);
+    g_assert_true(CbwTenure_BeginPromotion(first, model.now, 3));
+    complete_calls(&model);
+    g_assert_cmpuint(model.record.term, ==, 3);
+    model.now += Cbw_TENURE_VALID_FOR + Cbw_TENURE_PROMOTION_TIMEOUT;
+    acquire(&model, 1);
+    model.now += Cbw_TENURE_PROMOTION_TIMEOUT;
+    acquire(&model, 1);
+    g_assert_true(CbwTenure_BeginPromotion(second, model.now, 4));
+    complete_calls(&model);
+    g_assert_cmpuint(model.record.term, ==, 3);
+    g_assert_true(CbwTenure_EndPromotion(second, model.now, "q", 5));
+    complete_calls(&model);
+    g_assert_cmpuint(model.record.term, ==, 5);
+}
+
 void
 Suite_AddTenure(void)
 {
@@ -591,5 +624,6 @@
     g_test_add_func("/tenure/checker-detects-missing-wait",
                     test_checker_detects_missing_wait);
     g_test_add_func("/tenure/record-format", test_record_format);
+    g_test_add_func("/tenure/record-term", test_record_term);
     g_test_add_func("/tenure/unreadable-record", test_unreadable_record);
 }
