Do not promote a log that a promotion has discarded

When the successor crashed, the owner promoted the longest log, 1.186. What the first promotion had discarded, some of it acknowledged, was back: the reads in between had run without it.

Change: the tenure record has the index at which its primary's term began.

Weighed: the longest log in any case would lose fewer commits when the others are far behind, but takes back what sessions were shown; the users' rules allow a promotion to lose commits, and no read to miss one that counts.

--- a/include/carobwind/tenure.h
+++ b/include/carobwind/tenure.h
@@ -59,6 +59,9 @@
     uint64_t version;
 } cbw_tenure_holder_t;
 
+/* `term_base` of a record whose primary is not known to have been promoted. */
+#define Cbw_TENURE_BASE_UNKNOWN UINT64_MAX
+
 /* The record in the store. */
 typedef struct {
     uint64_t epoch;             /* incremented by each promotion */
@@ -69,6 +72,9 @@
     /* That primary's term, as it reported it; 0: not known. Each promotion
      * begins a higher term. */
     uint64_t term;
+    /* Index of its last log entry when it began that term. Other endpoints may
+     * have later entries of earlier terms: those have been discarded. */
+    uint64_t term_base;
     /* Holders whose tenure may not have expired when the present one took
      * over. -1: more than can be named. */
     int previous_holder_count;
@@ -80,11 +86,11 @@
 /* Writes the stored form of `record` to `text` of Cbw_TENURE_TEXT_MAX bytes.
  */
 void CbwTenure_FormatRecord(const cbw_tenure_record_t *record, char *text);
-/* Parses the stored form. `term` is its last word, which earlier versions
- * neither write nor read. Returns 0, or -1 when the text is malformed. The
- * record then names no holder, more previous holders than can be named, and a
- * promotion under way: an owner that takes it over waits for all tenures and
- * carries out a promotion before it serves. */
+/* Parses the stored form. Its last words, `term` and `term_base`, are neither
+ * written nor read by earlier versions. Returns 0, or -1 when the text is
+ * malformed. The record then names no holder, more previous holders than can
+ * be named, and a promotion under way: an owner that takes it over waits for
+ * all tenures and carries out a promotion before it serves. */
 int CbwTenure_ParseRecord(cbw_tenure_record_t *record, const char *text);
 
 typedef struct {
@@ -167,7 +173,8 @@
 bool CbwTenure_BeginPromotion(cbw_tenure_t *tenure, cbw_time_t now,
                               uint64_t term);
 bool CbwTenure_EndPromotion(cbw_tenure_t *tenure, cbw_time_t now,
-                            const char *primary, uint64_t term);
+                            const char *primary, uint64_t term,
+                            uint64_t term_base);
 /* Asks previous holders to relinquish their tenures, which a promotion would
  * otherwise have to wait for. To be called until the tenure is exclusive. */
 void CbwTenure_AskToRelinquish(cbw_tenure_t *tenure, cbw_time_t now);
--- a/src/libcarobwind/include/private/pool.h
+++ b/src/libcarobwind/include/private/pool.h
@@ -76,6 +76,10 @@
 void CbwPool_FailHeldAnswers_(cbw_pool_t *pool, cbw_time_t now);
 /* Records that `term` has begun. */
 void CbwPool_ObserveTerm_(cbw_pool_t *pool, uint64_t term);
+/* Returns whether a log that ends at `position` has entries which the record's
+ * primary lacked when it began its term. */
+bool CbwPool_HasDiscardedEntries_(const cbw_pool_t *pool,
+                                  cbw_position_t position);
 /* Returns the name of the endpoint that the first record of the database is to
  * name as the primary, or "" if it is not known. */
 const char *CbwPool_FirstPrimary_(const cbw_pool_t *pool);
--- a/src/libcarobwind/pool_dispatch.c
+++ b/src/libcarobwind/pool_dispatch.c
@@ -113,14 +113,16 @@
 }
 
 /* Returns whether a replica may serve a read that needs the position: it holds
- * the position, or what is known of it is out of date. */
+ * the position, or what is known of it is out of date. A log with discarded
+ * entries would show data that the database has lost. */
 static bool
 is_eligible(const cbw_pool_t *pool, cbw_time_t now, int index,
             cbw_position_t needed)
 {
     const cbw_pool_endpoint_t *e = &pool->endpoints[index];
 
-    if (!e->used || e->down || e->info.leaving || now < e->skip_until) {
+    if (!e->used || e->down || e->info.leaving || now < e->skip_until ||
+        CbwPool_HasDiscardedEntries_(pool, e->position)) {
         return false;
     }
     return CbwPosition_Compare(e->position, needed) >= 0 ||
--- a/src/libcarobwind/pool_health.c
+++ b/src/libcarobwind/pool_health.c
@@ -74,6 +74,14 @@
     }
 }
 
+bool
+CbwPool_HasDiscardedEntries_(const cbw_pool_t *pool, cbw_position_t position)
+{
+    const cbw_tenure_record_t *record = &pool->tenure.record;
+
+    return position.term < record->term && position.index > record->term_base;
+}
+
 /* Returns the term of the record's primary; 0: not known. */
 static uint64_t
 record_primary_term(const cbw_pool_t *pool)
@@ -117,7 +125,8 @@
         return false;
     }
     if (endpoint != pool->primary) {
-        return is_doubtful_primary(pool, endpoint);
+        return is_doubtful_primary(pool, endpoint) ||
+               CbwPool_HasDiscardedEntries_(pool, e->position);
     }
     return now - e->last_reply_at > Cbw_POOL_IDLE_STATE_CALL_INTERVAL ||
            (pool->tenure.held && record_primary_term(pool) == 0);
@@ -177,8 +186,29 @@
            strcmp(e->info.name, pool->previous_primary) != 0;
 }
 
-/* Returns the candidate with the highest log position, or -1. Endpoints that
- * stay are preferred to those that are leaving. */
+/* Whether `a` is the better candidate. With discarded entries, an endpoint
+ * would undo the promotion that discarded them: reads since then lacked what
+ * is in its log. After that, an endpoint that stays is preferred to one that
+ * is leaving, and then the higher log position. */
+static bool
+is_better_candidate(const cbw_pool_t *pool, const cbw_pool_endpoint_t *a,
+                    const cbw_pool_endpoint_t *b)
+{
+    bool a_discarded =
+        CbwPool_HasDiscardedEntries_(pool, a->reported_position);
+    bool b_discarded =
+        CbwPool_HasDiscardedEntries_(pool, b->reported_position);
+
+    if (a_discarded != b_discarded) {
+        return b_discarded;
+    }
+    if (a->info.leaving != b->info.leaving) {
+        return b->info.leaving;
+    }
+    return CbwPosition_Compare(a->reported_position, b->reported_position) > 0;
+}
+
+/* Returns the best candidate, or -1. */
 static int
 choose_candidate(const cbw_pool_t *pool)
 {
@@ -186,21 +216,10 @@
 
     for (int i = 0; i < Cbw_POOL_ENDPOINTS_MAX; i++) {
         const cbw_pool_endpoint_t *e = &pool->endpoints[i];
-        const cbw_pool_endpoint_t *best_endpoint;
         if (!is_candidate(pool, i) || e->reported_as_of < pool->phase_since) {
             continue;
         }
-        if (best < 0) {
-            best = i;
-            continue;
-        }
-        best_endpoint = &pool->endpoints[best];
-        if (e->info.leaving != best_endpoint->info.leaving) {
-            best = best_endpoint->info.leaving ? i : best;
-            continue;
-        }
-        if (CbwPosition_Compare(e->reported_position,
-                                best_endpoint->reported_position) > 0) {
+        if (best < 0 || is_better_candidate(pool, e, &pool->endpoints[best])) {
             best = i;
         }
     }
@@ -341,7 +360,8 @@
     const cbw_pool_endpoint_t *e = &pool->endpoints[pool->candidate];
 
     if (!CbwTenure_EndPromotion(&pool->tenure, now, e->info.name,
-                                e->reported_term)) {
+                                e->reported_term,
+                                e->reported_position.index)) {
         return;
     }
     CbwPool_LogDecision_(
--- a/src/libcarobwind/tenure.c
+++ b/src/libcarobwind/tenure.c
@@ -28,7 +28,7 @@
             record->previous_holders[i].version);
     }
     snprintf(text + length, (size_t)(Cbw_TENURE_TEXT_MAX - length),
-             " %" PRIu64, record->term);
+             " %" PRIu64 " %" PRIu64, record->term, record->term_base);
 }
 
 static int
@@ -60,8 +60,10 @@
         }
         text += consumed;
     }
-    if (sscanf(text, "%" SCNu64, &record->term) != 1) {
+    if (sscanf(text, "%" SCNu64 " %" SCNu64, &record->term,
+               &record->term_base) != 2) {
         record->term = 0;
+        record->term_base = 0;
     }
     return 0;
 }
@@ -378,6 +380,7 @@
     proposed.promoting = true;
     if (proposed.term == 0) {
         proposed.term = term;
+        proposed.term_base = Cbw_TENURE_BASE_UNKNOWN;
     }
     if (now >= tenure->exclusive_from) {
         proposed.previous_holder_count = 0;
@@ -388,7 +391,7 @@
 
 bool
 CbwTenure_EndPromotion(cbw_tenure_t *tenure, cbw_time_t now,
-                       const char *primary, uint64_t term)
+                       const char *primary, uint64_t term, uint64_t term_base)
 {
     cbw_tenure_record_t proposed = tenure->record;
 
@@ -397,6 +400,7 @@
     }
     proposed.promoting = false;
     proposed.term = term;
+    proposed.term_base = term_base;
     snprintf(proposed.primary, sizeof(proposed.primary), "%s", primary);
     send_swap(tenure, now, &proposed);
     return true;
