With synchronous commits, promote the longest log

Cause: the choice of a candidate put an endpoint that stays before one that is leaving, whatever their logs. With synchronous commits the leaving one counts: what it received was acknowledged.

Change: with synchronous commits the log position comes first, without entries that an earlier promotion discarded; among equals, the old order holds. Without them nothing changes: a draining endpoint that leads must be replaced within drainMs, for a log that guarantees nothing.

/pool/longest-log-is-promoted failed before.

--- a/src/libcarobwind/pool_health.c
+++ b/src/libcarobwind/pool_health.c
@@ -186,10 +186,24 @@
            strcmp(e->info.name, pool->previous_primary) != 0;
 }
 
+/* Returns the end of the endpoint's log without discarded entries. */
+static cbw_position_t
+valid_position(const cbw_pool_t *pool, const cbw_pool_endpoint_t *e)
+{
+    cbw_position_t position = e->reported_position;
+
+    if (CbwPool_HasDiscardedEntries_(pool, position)) {
+        position.index = pool->tenure.record.term_base;
+    }
+    return position;
+}
+
 /* Whether `a` is the better candidate. With discarded entries, an endpoint
  * would undo the promotion that discarded them: reads since then lacked what
  * is in its log. After that, an endpoint that stays is preferred to one that
- * is leaving, and then the higher log position. */
+ * is leaving, and then the higher log position. With synchronous commits, one
+ * replica may be the only one that received what was acknowledged: its log
+ * position comes before all else. */
 static bool
 is_better_candidate(const cbw_pool_t *pool, const cbw_pool_endpoint_t *a,
                     const cbw_pool_endpoint_t *b)
@@ -198,7 +212,12 @@
         CbwPool_HasDiscardedEntries_(pool, a->reported_position);
     bool b_discarded =
         CbwPool_HasDiscardedEntries_(pool, b->reported_position);
+    int order =
+        CbwPosition_Compare(valid_position(pool, a), valid_position(pool, b));
 
+    if (pool->synchronous && order != 0) {
+        return order > 0;
+    }
     if (a_discarded != b_discarded) {
         return b_discarded;
     }
--- a/src/test_libcarobwind/test_main.c
+++ b/src/test_libcarobwind/test_main.c
@@ -22,6 +22,7 @@
     Suite_AddPolicies();
     Suite_AddPool();
     Suite_AddPoolConfirm();
+    Suite_AddPoolSynchronous();
     Suite_AddPoolTerms();
     Suite_AddRegistry();
     Suite_AddPlacement();
