With synchronous commits, choose among the logs of all listed endpoints

Change: with synchronous commits the choice waits for the state of each listed endpoint but the primary that is replaced. The log says whose state is awaited.

/pool/silent-replica-is-awaited and /pool/refused-candidate-is-awaited failed before.

--- a/include/carobwind/pool.h
+++ b/include/carobwind/pool.h
@@ -65,7 +65,8 @@
 /* How long a switchover waits for running writes and transactions, and for a
  * replica to catch up. */
 #define Cbw_POOL_DRAIN_TIMEOUT (1500 * Cbw_MSEC)
-/* How long the candidates' states are awaited before one is chosen. */
+/* How long the candidates' states are awaited before one is chosen, without
+ * synchronous commits. */
 #define Cbw_POOL_CANDIDATE_STATE_TIMEOUT (80 * Cbw_MSEC)
 /* How often a candidate is asked whether it has become the primary, and a
  * replica whether it has caught up. */
@@ -201,7 +202,8 @@
     CBW_POOL_CLAIMING,
     /* Waits until the tenures of previous holders have ended, and until the
      * candidates have reported their states or
-     * Cbw_POOL_CANDIDATE_STATE_TIMEOUT has passed; then chooses one. */
+     * Cbw_POOL_CANDIDATE_STATE_TIMEOUT has passed; then chooses one. With
+     * synchronous commits it waits for the states of all endpoints. */
     CBW_POOL_CHOOSING_CANDIDATE,
     /* A promotion request is in flight. */
     CBW_POOL_REQUESTING_PROMOTION,
@@ -315,8 +317,9 @@
     cbw_time_t last_submit_at; /* when the last request arrived */
     cbw_pool_phase_t phase;
     cbw_time_t phase_since;
-    bool planned;  /* not used */
-    int candidate; /* endpoint to be promoted; -1: none */
+    bool wait_logged; /* in this phase: whose state is awaited */
+    bool planned;     /* not used */
+    int candidate;    /* endpoint to be promoted; -1: none */
     /* The candidate is the new primary once it leads a term above this one. */
     uint64_t superseded_term;
     /* The candidate led the highest known term when it was chosen. If it is
--- a/src/libcarobwind/pool_health.c
+++ b/src/libcarobwind/pool_health.c
@@ -10,6 +10,7 @@
 {
     pool->phase = phase;
     pool->phase_since = now;
+    pool->wait_logged = false;
 }
 
 /* Failures of endpoints. */
@@ -227,7 +228,22 @@
     return CbwPosition_Compare(a->reported_position, b->reported_position) > 0;
 }
 
-/* Returns the best candidate, or -1. */
+/* Whether the choice of a candidate waits for the endpoint's state. With
+ * synchronous commits it waits for any endpoint that is listed, down or not:
+ * it may be the only one that received what was acknowledged. */
+static bool
+is_awaited(const cbw_pool_t *pool, int index)
+{
+    const cbw_pool_endpoint_t *e = &pool->endpoints[index];
+
+    if (!pool->synchronous) {
+        return is_candidate(pool, index);
+    }
+    return e->used && strcmp(e->info.name, pool->previous_primary) != 0;
+}
+
+/* Returns the best of the endpoints that have reported their states, or -1 if
+ * there is none or it is no candidate at present. */
 static int
 choose_candidate(const cbw_pool_t *pool)
 {
@@ -235,37 +251,59 @@
 
     for (int i = 0; i < Cbw_POOL_ENDPOINTS_MAX; i++) {
         const cbw_pool_endpoint_t *e = &pool->endpoints[i];
-        if (!is_candidate(pool, i) || e->reported_as_of < pool->phase_since) {
+        if (!is_awaited(pool, i) || e->reported_as_of < pool->phase_since) {
             continue;
         }
         if (best < 0 || is_better_candidate(pool, e, &pool->endpoints[best])) {
             best = i;
         }
     }
-    return best;
+    return best >= 0 && is_candidate(pool, best) ? best : -1;
 }
 
 static void
 request_candidate_states(cbw_pool_t *pool, cbw_time_t now)
 {
     for (int i = 0; i < Cbw_POOL_ENDPOINTS_MAX; i++) {
-        if (is_candidate(pool, i) &&
+        if (is_awaited(pool, i) && !pool->endpoints[i].down &&
             pool->endpoints[i].reported_as_of < pool->phase_since) {
             CbwPool_SendStateCall_(pool, now, i);
         }
     }
 }
 
-static bool
-all_candidates_answered(const cbw_pool_t *pool)
+/* Returns an endpoint whose state is awaited, or -1. */
+static int
+find_unanswered_candidate(const cbw_pool_t *pool)
 {
     for (int i = 0; i < Cbw_POOL_ENDPOINTS_MAX; i++) {
-        if (is_candidate(pool, i) &&
+        if (is_awaited(pool, i) &&
             pool->endpoints[i].reported_as_of < pool->phase_since) {
-            return false;
+            return i;
         }
     }
-    return true;
+    return -1;
+}
+
+/* Whether a candidate may be chosen. Without synchronous commits, endpoints
+ * that do not answer in time are passed over. */
+static bool
+is_choice_ready(cbw_pool_t *pool, cbw_time_t now)
+{
+    int unanswered = find_unanswered_candidate(pool);
+    bool late = now - pool->phase_since > Cbw_POOL_CANDIDATE_STATE_TIMEOUT;
+
+    if (unanswered < 0) {
+        return true;
+    }
+    if (late && pool->synchronous && !pool->wait_logged) {
+        pool->wait_logged = true;
+        CbwPool_LogDecision_(pool, now,
+                             "waits for the state of %s: it may have commits "
+                             "that no other endpoint has",
+                             pool->endpoints[unanswered].info.name);
+    }
+    return late && !pool->synchronous;
 }
 
 static void
@@ -724,8 +762,7 @@
         CbwTenure_AskToRelinquish(&pool->tenure, now);
         /* Expired after a pause: the record is read again first. */
         if (CbwTenure_IsExclusive(&pool->tenure, now) &&
-            (all_candidates_answered(pool) ||
-             now - pool->phase_since > Cbw_POOL_CANDIDATE_STATE_TIMEOUT)) {
+            is_choice_ready(pool, now)) {
             request_promotion(pool, now);
         }
         break;
--- a/src/test_libcarobwind/test_pool_synchronous.c
+++ b/src/test_libcarobwind/test_pool_synchronous.c
@@ -7,6 +7,17 @@
 #include "pool_world.h"
 #include "suites.h"
 
+/* Longer than the candidates' states are awaited without synchronous commits,
+ * and than state calls take to find an endpoint down. */
+#define LONG_WAIT (2 * Cbw_SEC)
+
+static void
+init_synchronous(pool_world_t *world)
+{
+    PoolWorld_Init(world);
+    CbwPool_SetSynchronous(&world->pool, true);
+}
+
 /* The choice between e1, which is leaving, and e2, after a crash of e0. */
 typedef struct {
     const char *name;
@@ -47,9 +58,64 @@
     }
 }
 
+/* A replica that does not answer may be the only one that received the last
+ * commits: it is awaited as long as it is listed. */
+static void
+test_silent_replica_is_awaited(void)
+{
+    static const endpoint_report_t silent[] = {
+        {.unresponsive = true},
+        {.unresponsive = true},
+        {.term = 3, .position = {3, 7}}};
+    static const endpoint_report_t answers[] = {
+        {.unresponsive = true}, {.term = 3}, {.term = 3, .position = {3, 7}}};
+
+    for (int unlisted = 0; unlisted < 2; unlisted++) {
+        pool_world_t world;
+
+        init_synchronous(&world);
+        g_assert_false(
+            PoolWorld_RunUntilOrder(&world, 4 * Cbw_SEC + LONG_WAIT, silent));
+        g_assert_true(world.record.promoting);
+        world.unlisted[1] = unlisted;
+        PoolWorld_SetEndpoints(&world);
+        g_assert_true(PoolWorld_RunUntilOrder(&world, Cbw_SEC,
+                                              unlisted ? silent : answers));
+        g_assert_cmpstr(world.promotion_target, ==, unlisted ? "e2" : "e1");
+        PoolWorld_Finish(&world);
+    }
+}
+
+/* A candidate that refuses, as it does not run, may be the only one that
+ * received the last commits: no shorter log is promoted in its place. */
+static void
+test_refused_candidate_is_awaited(void)
+{
+    static const endpoint_report_t reports[] = {
+        {.unresponsive = true}, {.term = 3}, {.term = 3, .position = {3, 7}}};
+    static const endpoint_report_t stopped[] = {
+        {.unresponsive = true},
+        {.unresponsive = true},
+        {.term = 3, .position = {3, 7}}};
+    pool_world_t world;
+
+    init_synchronous(&world);
+    g_assert_true(PoolWorld_RunUntilOrder(&world, 4 * Cbw_SEC, reports));
+    g_assert_cmpstr(world.promotion_target, ==, "e1");
+    CbwPool_OnPromoteReply(&world.pool, world.now, CBW_PROMOTE_REFUSED);
+    g_assert_false(PoolWorld_RunUntilOrder(&world, LONG_WAIT, stopped));
+    g_assert_true(PoolWorld_RunUntilOrder(&world, 4 * Cbw_SEC, reports));
+    g_assert_cmpstr(world.promotion_target, ==, "e1");
+    PoolWorld_Finish(&world);
+}
+
 void
 Suite_AddPoolSynchronous(void)
 {
     g_test_add_func("/pool/longest-log-is-promoted",
                     test_longest_log_is_promoted);
+    g_test_add_func("/pool/silent-replica-is-awaited",
+                    test_silent_replica_is_awaited);
+    g_test_add_func("/pool/refused-candidate-is-awaited",
+                    test_refused_candidate_is_awaited);
 }
