Ask a leaving primary how far its log goes before it is replaced

A planned change of primary could lose acknowledged commits: an owner that has just taken the database over, and has no reply of the primary yet, compared the replicas with position 0.0 and took any for caught up.

Change: while the primary is drained it is asked for its state first; the replicas must reach that position, or a later one that this owner knows.

--- a/src/libcarobwind/pool_health.c
+++ b/src/libcarobwind/pool_health.c
@@ -613,20 +613,29 @@
 }
 
 /* Returns whether a replica that is not leaving has received everything that
- * the primary wrote; otherwise polls the replicas. */
+ * the primary wrote; otherwise polls the replicas. The primary is asked first:
+ * other owners may have written more than this one knows of. */
 static bool
 has_caught_up_replica(cbw_pool_t *pool, cbw_time_t now)
 {
+    const cbw_pool_endpoint_t *primary = &pool->endpoints[pool->primary];
+    cbw_position_t end = pool->primary_position;
     bool found = false;
 
+    if (primary->reported_as_of < pool->phase_since) {
+        CbwPool_SendStateCall_(pool, now, pool->primary);
+        return false;
+    }
+    if (CbwPosition_Compare(primary->reported_position, end) > 0) {
+        end = primary->reported_position;
+    }
     for (int i = 0; i < Cbw_POOL_ENDPOINTS_MAX; i++) {
         cbw_pool_endpoint_t *e = &pool->endpoints[i];
         if (i == pool->primary || !e->used || e->down || e->info.leaving) {
             continue;
         }
-        if (CbwPosition_Compare(e->reported_position,
-                                pool->primary_position) >= 0 ||
-            CbwPosition_Compare(e->position, pool->primary_position) >= 0) {
+        if (CbwPosition_Compare(e->reported_position, end) >= 0 ||
+            CbwPosition_Compare(e->position, end) >= 0) {
             found = true;
         }
         else if (now - e->reported_as_of >= Cbw_POOL_STATE_POLL_INTERVAL) {
--- a/src/test_libcarobwind/test_pool.c
+++ b/src/test_libcarobwind/test_pool.c
@@ -411,6 +411,31 @@
     PoolWorld_FreeRequest(second);
 }
 
+/* A new owner does not know how far the log of a leaving primary goes: a
+ * replica counts as caught up only once the primary was asked. */
+static void
+test_new_owner_drains_primary(void)
+{
+    static const endpoint_report_t behind[] = {
+        {.primary = true, .term = 3},
+        {.term = 3, .position = {3, 7}},
+        {.term = 3, .position = {3, 7}}};
+    static const endpoint_report_t caught_up[] = {
+        {.primary = true, .term = 3},
+        {.term = 3, .position = {3, 7}},
+        {.term = 3}};
+    pool_world_t world;
+
+    PoolWorld_Init(&world);
+    world.leaving[0] = true;
+    PoolWorld_SetEndpoints(&world);
+    g_assert_false(PoolWorld_RunUntilOrder(
+        &world, Cbw_POOL_DRAIN_TIMEOUT - 200 * Cbw_MSEC, behind));
+    g_assert_true(PoolWorld_RunUntilOrder(&world, 150 * Cbw_MSEC, caught_up));
+    g_assert_cmpstr(world.promotion_target, ==, "e2");
+    PoolWorld_Finish(&world);
+}
+
 /* While its queue cannot be served, a request is refused after a quarter of
  * its latency target (Cbw_POOL_BLOCKED_WAIT_DIVISOR). */
 static void
@@ -585,6 +610,8 @@
     g_test_add_func("/pool/lost-answer-does-not-mark-down",
                     test_lost_answer_does_not_mark_down);
     g_test_add_func("/pool/leaving-primary", test_leaving_primary_is_drained);
+    g_test_add_func("/pool/new-owner-drains-primary",
+                    test_new_owner_drains_primary);
     g_test_add_func("/pool/long-wait-is-refused-early",
                     test_long_wait_is_refused_early);
     g_test_add_func("/pool/blocked-is-refused-early",
