With synchronous commits, replace a leaving primary by its like only

Change: with synchronous commits, if no replica that stays has the log of the leaving primary after the wait, that one leads on, and the change is tried again 2.5 s later. Replicas are polled during the wait even if writes run, so that one long transaction does not keep the answer unknown.

A draining primary then serves as long as it runs, if its replicas receive nothing: losing commits is worse than a late request.

/pool/leaving-primary-leads-on failed before.

--- a/include/carobwind/pool.h
+++ b/include/carobwind/pool.h
@@ -317,9 +317,10 @@
     cbw_time_t last_submit_at; /* when the last request arrived */
     cbw_pool_phase_t phase;
     cbw_time_t phase_since;
-    bool wait_logged; /* in this phase: whose state is awaited */
-    bool planned;     /* not used */
-    int candidate;    /* endpoint to be promoted; -1: none */
+    bool wait_logged;        /* in this phase: whose state is awaited */
+    bool planned;            /* not used */
+    cbw_time_t drain_due_at; /* a leaving primary is not drained before */
+    int candidate;           /* endpoint to be promoted; -1: none */
     /* The candidate is the new primary once it leads a term above this one. */
     uint64_t superseded_term;
     /* The candidate led the highest known term when it was chosen. If it is
--- a/src/libcarobwind/pool_health.c
+++ b/src/libcarobwind/pool_health.c
@@ -731,7 +731,8 @@
         pool->ops->ask_reach(pool->context, pool->primary);
         return;
     }
-    if (e->info.leaving && has_remaining_replica(pool)) {
+    if (e->info.leaving && now >= pool->drain_due_at &&
+        has_remaining_replica(pool)) {
         set_phase(pool, now, CBW_POOL_DRAINING);
         CbwPool_LogDecision_(pool, now, "%s is leaving: new writes wait",
                              e->info.name);
@@ -741,14 +742,30 @@
 static void
 drain_primary(cbw_pool_t *pool, cbw_time_t now)
 {
+    bool caught_up;
+
     if (pool->primary < 0 || pool->endpoints[pool->primary].down) {
         set_phase(pool, now, CBW_POOL_SERVING);
         return;
     }
-    if ((!has_running_writes(pool) && has_caught_up_replica(pool, now)) ||
-        now - pool->phase_since > Cbw_POOL_DRAIN_TIMEOUT) {
+    caught_up = has_caught_up_replica(pool, now);
+    if (caught_up && !has_running_writes(pool)) {
         start_promotion(pool, now, "the primary is leaving");
+        return;
+    }
+    if (now - pool->phase_since <= Cbw_POOL_DRAIN_TIMEOUT) {
+        return;
+    }
+    if (pool->synchronous && !caught_up) {
+        /* A replica without its log would lose what was acknowledged. */
+        set_phase(pool, now, CBW_POOL_SERVING);
+        pool->drain_due_at = now + Cbw_POOL_PROMOTION_RETRY_AFTER;
+        CbwPool_LogDecision_(pool, now,
+                             "%s leads on: no replica that stays has its log",
+                             pool->endpoints[pool->primary].info.name);
+        return;
     }
+    start_promotion(pool, now, "the primary is leaving");
 }
 
 static void
--- a/src/test_libcarobwind/test_pool_synchronous.c
+++ b/src/test_libcarobwind/test_pool_synchronous.c
@@ -109,6 +109,43 @@
     PoolWorld_Finish(&world);
 }
 
+/* A leaving primary is replaced by a replica that stays only when one has its
+ * log, and leads on until then. */
+static void
+test_leaving_primary_leads_on(void)
+{
+    static const endpoint_report_t behind[] = {
+        {.primary = true, .term = 3},
+        {.term = 3, .position = {3, 7}},
+        {.term = 3, .position = {3, 7}}};
+    static const endpoint_report_t caught_up[] = {
+        {.primary = true, .term = 3},
+        {.term = 3, .position = {3, 7}},
+        {.term = 3}};
+    pool_world_t world;
+    cbw_request_t *write;
+
+    init_synchronous(&world);
+    world.leaving[0] = true;
+    PoolWorld_SetEndpoints(&world);
+    g_assert_false(PoolWorld_RunUntilOrder(
+        &world, Cbw_POOL_DRAIN_TIMEOUT + LONG_WAIT, behind));
+    g_assert_false(world.record.promoting);
+    write = PoolWorld_NewRequest(&world, true, CBW_READ_LATEST);
+    write->deadline = world.now + 10 * Cbw_SEC;
+    PoolWorld_Submit(&world, write);
+    PoolWorld_Run(&world, Cbw_POOL_DRAIN_TIMEOUT + 100 * Cbw_MSEC, behind);
+    g_assert_nonnull(PoolWorld_LastOpenCall(&world, CBW_CALL_RUN));
+    PoolWorld_Reply(&world, PoolWorld_LastOpenCall(&world, CBW_CALL_RUN),
+                    CBW_REPLY_OK, 9);
+    g_assert_cmpint(write->answer.outcome, ==, CBW_OUTCOME_DONE);
+    g_assert_true(PoolWorld_RunUntilOrder(
+        &world, Cbw_POOL_DRAIN_TIMEOUT + 2 * LONG_WAIT, caught_up));
+    g_assert_cmpstr(world.promotion_target, ==, "e2");
+    PoolWorld_Finish(&world);
+    PoolWorld_FreeRequest(write);
+}
+
 void
 Suite_AddPoolSynchronous(void)
 {
@@ -118,4 +155,6 @@
                     test_silent_replica_is_awaited);
     g_test_add_func("/pool/refused-candidate-is-awaited",
                     test_refused_candidate_is_awaited);
+    g_test_add_func("/pool/leaving-primary-leads-on",
+                    test_leaving_primary_leads_on);
 }
