Choose a candidate by logs that are reported after the last tenure ended

An owner that takes a database over asks the candidates for their states at once, and may wait for up to 6 s until the previous holder's tenure has ended. That one goes on acknowledging commits meanwhile, and the choice was made by the logs as they were before: with synchronous commits, a replica that receives nothing since could be promoted though another has all commits.

Change: when the tenure becomes exclusive, the states are asked for anew. The previous primary, if its term is not known, is asked in the same step, so that a promotion which took effect already need not be waited for.

/pool/choice-follows-last-tenure failed before.

--- a/src/libcarobwind/pool_health.c
+++ b/src/libcarobwind/pool_health.c
@@ -177,6 +177,12 @@
 
 /* Promotion. */
 
+static bool
+is_previous_primary(const cbw_pool_t *pool, const cbw_pool_endpoint_t *e)
+{
+    return strcmp(e->info.name, pool->previous_primary) == 0;
+}
+
 static bool
 is_candidate(const cbw_pool_t *pool, int index)
 {
@@ -184,7 +190,7 @@
 
     return e->used && !e->down &&
            (pool->refused_candidates & (1U << index)) == 0 &&
-           strcmp(e->info.name, pool->previous_primary) != 0;
+           !is_previous_primary(pool, e);
 }
 
 /* Returns the end of the endpoint's log without discarded entries. */
@@ -230,16 +236,17 @@
 
 /* Whether the choice of a candidate waits for the endpoint's state. With
  * synchronous commits it waits for any endpoint that is listed, down or not:
- * it may be the only one that received what was acknowledged. */
+ * it may be the only one that received what was acknowledged. The previous
+ * primary is asked only for its term, see is_present_primary. */
 static bool
 is_awaited(const cbw_pool_t *pool, int index)
 {
     const cbw_pool_endpoint_t *e = &pool->endpoints[index];
 
-    if (!pool->synchronous) {
-        return is_candidate(pool, index);
+    if (e->used && is_previous_primary(pool, e)) {
+        return !e->down && record_primary_term(pool) == 0;
     }
-    return e->used && strcmp(e->info.name, pool->previous_primary) != 0;
+    return pool->synchronous ? e->used : is_candidate(pool, index);
 }
 
 /* Returns the best of the endpoints that have reported their states, or -1 if
@@ -251,7 +258,8 @@
 
     for (int i = 0; i < Cbw_POOL_ENDPOINTS_MAX; i++) {
         const cbw_pool_endpoint_t *e = &pool->endpoints[i];
-        if (!is_awaited(pool, i) || e->reported_as_of < pool->phase_since) {
+        if (!is_awaited(pool, i) || is_previous_primary(pool, e) ||
+            e->reported_as_of < pool->phase_since) {
             continue;
         }
         if (best < 0 || is_better_candidate(pool, e, &pool->endpoints[best])) {
@@ -347,7 +355,7 @@
         if (!e->used || i == candidate) {
             continue;
         }
-        if (strcmp(e->info.name, pool->previous_primary) == 0) {
+        if (is_previous_primary(pool, e)) {
             previous_answered = answered;
         }
         else if (!answered) {
@@ -768,6 +776,25 @@
     start_promotion(pool, now, "the primary is leaving");
 }
 
+static void
+choose_when_ready(cbw_pool_t *pool, cbw_time_t now)
+{
+    CbwTenure_AskToRelinquish(&pool->tenure, now);
+    /* Expired after a pause: the record is read again first. */
+    if (CbwTenure_IsExclusive(&pool->tenure, now)) {
+        if (pool->phase_since < pool->tenure.exclusive_from) {
+            /* Until then previous holders acknowledged commits, which earlier
+             * reports lack. */
+            set_phase(pool, now, CBW_POOL_CHOOSING_CANDIDATE);
+        }
+        else if (is_choice_ready(pool, now)) {
+            request_promotion(pool, now);
+            return;
+        }
+    }
+    request_candidate_states(pool, now);
+}
+
 static void
 run_phase(cbw_pool_t *pool, cbw_time_t now)
 {
@@ -784,13 +811,7 @@
         drain_primary(pool, now);
         break;
     case CBW_POOL_CHOOSING_CANDIDATE:
-        request_candidate_states(pool, now);
-        CbwTenure_AskToRelinquish(&pool->tenure, now);
-        /* Expired after a pause: the record is read again first. */
-        if (CbwTenure_IsExclusive(&pool->tenure, now) &&
-            is_choice_ready(pool, now)) {
-            request_promotion(pool, now);
-        }
+        choose_when_ready(pool, now);
         break;
     case CBW_POOL_REQUESTING_PROMOTION:
         if (now - pool->phase_since > Cbw_POOL_PROMOTION_RETRY_AFTER) {
--- a/src/test_libcarobwind/test_pool_synchronous.c
+++ b/src/test_libcarobwind/test_pool_synchronous.c
@@ -146,9 +146,43 @@
     PoolWorld_FreeRequest(write);
 }
 
+/* The previous holder acknowledges commits until its tenure ends: logs that
+ * were reported before then do not decide. */
+static void
+test_choice_follows_last_tenure(void)
+{
+    static const endpoint_report_t early[] = {
+        {.unresponsive = true}, {.term = 3}, {.term = 3, .position = {3, 7}}};
+    static const endpoint_report_t late[] = {
+        {.unresponsive = true}, {.term = 3}, {.term = 3, .position = {3, 40}}};
+    pool_world_t world;
+    cbw_time_t taken_over_at;
+
+    PoolWorld_InitPool(&world);
+    CbwPool_SetSynchronous(&world.pool, true);
+    world.version = 1;
+    world.record = (cbw_tenure_record_t){
+        .holder = {.nonce = 99, .host = "other"}, .primary = "e0"};
+    world.unlisted[0] = true;
+    PoolWorld_SetEndpoints(&world);
+    while (!world.record.promoting) {
+        PoolWorld_Run(&world, 20 * Cbw_MSEC, early);
+    }
+    taken_over_at = world.now;
+    g_assert_false(PoolWorld_RunUntilOrder(
+        &world, Cbw_TENURE_VALID_FOR - 500 * Cbw_MSEC, early));
+    g_assert_true(PoolWorld_RunUntilOrder(&world, 4 * Cbw_SEC, late));
+    g_assert_cmpint(world.now, >=,
+                    taken_over_at + Cbw_TENURE_VALID_FOR - 500 * Cbw_MSEC);
+    g_assert_cmpstr(world.promotion_target, ==, "e2");
+    PoolWorld_Finish(&world);
+}
+
 void
 Suite_AddPoolSynchronous(void)
 {
+    g_test_add_func("/pool/choice-follows-last-tenure",
+                    test_choice_follows_last_tenure);
     g_test_add_func("/pool/longest-log-is-promoted",
                     test_longest_log_is_promoted);
     g_test_add_func("/pool/silent-replica-is-awaited",
