Acknowledge no commit of a superseded term

An owner judges an answer by the primary of the record as it is now. Where a primary was replaced and is promoted again, an answer from before counts as one of the present primary: a write that it ran in its old term, and whose answer was slow, would be acknowledged by an owner that has not seen the change.

Change: the position in the answer has the term of the commit. Below the highest known term, the outcome is unknown.

/pool/commit-of-superseded-term failed before.

--- a/src/libcarobwind/pool_reply.c
+++ b/src/libcarobwind/pool_reply.c
@@ -95,11 +95,17 @@
 }
 
 /* Acknowledges a commit if no promotion has begun and the tenure is valid.
- * Otherwise the answer is held until a later confirmation. */
+ * Otherwise the answer is held until a later confirmation. `term` is that of
+ * the commit; 0: not known. */
 static void
 on_committed(cbw_pool_t *pool, cbw_time_t now, cbw_request_t *request,
-             int endpoint)
+             int endpoint, uint64_t term)
 {
+    if (term != 0 && term < pool->highest_term) {
+        CbwPool_Answer_(pool, request, CBW_OUTCOME_UNKNOWN, CBW_CAUSE_IN_DOUBT,
+                        "it was committed in a superseded term");
+        return;
+    }
     if (is_superseded(pool, now, endpoint)) {
         CbwPool_Answer_(pool, request, CBW_OUTCOME_UNKNOWN, CBW_CAUSE_IN_DOUBT,
                         "a promotion began before the answer came");
@@ -188,7 +194,8 @@
 {
     set_result(pool, request, reply);
     if (is_commit(request)) {
-        on_committed(pool, now, request, call->endpoint);
+        on_committed(pool, now, request, call->endpoint,
+                     reply->state.last_term);
         return;
     }
     if (is_answer_unconfirmed(pool, now, request, call)) {
--- a/src/test_libcarobwind/test_pool_terms.c
+++ b/src/test_libcarobwind/test_pool_terms.c
@@ -315,9 +315,43 @@
     PoolWorld_FreeRequest(read);
 }
 
+/* The position in the answer tells in which term a commit was made: one of a
+ * superseded term is not acknowledged, whoever is the primary by now. */
+static void
+test_commit_of_superseded_term(void)
+{
+    static const endpoint_report_t reports[] = {
+        {.term = 4}, {.primary = true, .term = 4}, {.term = 4}};
+
+    for (uint64_t term = 3; term <= 4; term++) {
+        pool_world_t world;
+        cbw_request_t *write;
+        sent_call_t *sent;
+        cbw_reply_t reply = {.status = CBW_REPLY_OK,
+                             .result = "",
+                             .state = {.last_term = term, .position = 12}};
+
+        promote_e1(&world);
+        PoolWorld_Run(&world, POLLS, reports);
+        write = PoolWorld_NewRequest(&world, true, CBW_READ_LATEST);
+        PoolWorld_Submit(&world, write);
+        sent = PoolWorld_LastOpenCall(&world, CBW_CALL_RUN);
+        g_assert_nonnull(sent);
+        sent->open = false;
+        CbwPool_OnReply(&world.pool, world.now, sent->id, &reply);
+        g_assert_true(world.last_answered == write);
+        g_assert_cmpint(write->answer.outcome, ==,
+                        term < 4 ? CBW_OUTCOME_UNKNOWN : CBW_OUTCOME_DONE);
+        PoolWorld_Finish(&world);
+        PoolWorld_FreeRequest(write);
+    }
+}
+
 void
 Suite_AddPoolTerms(void)
 {
+    g_test_add_func("/pool/commit-of-superseded-term",
+                    test_commit_of_superseded_term);
     g_test_add_func("/pool/discarded-entries", test_discarded_entries);
     g_test_add_func("/pool/superseded-candidate", test_superseded_candidate);
     g_test_add_func("/pool/superseded-candidate-after-take-over",
