Send nothing to a leaving endpoint past its time

Change: the registry notes when it learned that an endpoint is leaving, and the daemon has the time for which such an endpoint receives statements (--endpoint-drain-ms, from the platform's bound; 1 s less, for late news). After that a leaving primary is not used, requests are refused at once as without a primary, and it is replaced as soon as a replica that stays has its log, without the pause between two tries. Open transactions go on. Without the flag nothing changes.

/pool/leaving-primary-time-is-over failed without the check; /registry/leaving-since covers the time.

--- a/include/carobwind/inventory.h
+++ b/include/carobwind/inventory.h
@@ -46,6 +46,9 @@
     int connections;               /* allowance for all hosts together */
     int slots;                     /* statements that it runs at once */
     bool leaving;                  /* is being drained: receives no new work */
+    /* When this host learned that it is leaving; 0: not known (registry only).
+     */
+    cbw_time_t leaving_since;
     /* Its registration names it as the primary (registry only). */
     bool reports_primary;
     /* When this incarnation started, by the endpoint's clock; 0: unknown
--- a/include/carobwind/pool.h
+++ b/include/carobwind/pool.h
@@ -344,6 +344,7 @@
     /* That one carries out a promotion: the record is read meanwhile. */
     bool redirected_to_promoter;
     cbw_time_t transaction_idle_timeout;
+    cbw_time_t leaving_limit; /* see CbwPool_SetLeavingLimit */
     bool stopping;
     cbw_pool_decision_t decisions[Cbw_POOL_DECISIONS_MAX]; /* a ring */
     size_t decision_count;                                 /* ever made */
@@ -372,6 +373,9 @@
 /* Sets how long an open transaction may stay without a statement;
  * 0: Cbw_POOL_TRANSACTION_IDLE_TIMEOUT. */
 void CbwPool_SetTransactionIdleTimeout(cbw_pool_t *pool, cbw_time_t timeout);
+/* Sets how long an endpoint that is leaving receives statements, other than
+ * those of transactions that are open; 0: while it is listed. */
+void CbwPool_SetLeavingLimit(cbw_pool_t *pool, cbw_time_t limit);
 /* Sets whether a replica holds each commit before it is answered. Such commits
  * must survive a promotion, so this owner may acknowledge nothing once another
  * owner has begun to choose a candidate. Endpoints do not know of that choice:
--- a/src/carobwindd/pool_instance.c
+++ b/src/carobwindd/pool_instance.c
@@ -20,6 +20,9 @@
  * requests and control calls together. */
 #define CONTROL_CONNECTIONS 3
 #define RECORD_KEY_FORMAT "group/%s"
+/* How late this host may learn that an endpoint is leaving, and a request may
+ * reach it. */
+#define LEAVING_NOTICE_DELAY (1 * Cbw_SEC)
 
 pool_task_t PoolTask_State;
 
@@ -376,6 +379,12 @@
     CbwPool_SetTransactionIdleTimeout(
         &instance->pool,
         PoolTask_State.config->inventory.transaction_idle_timeout);
+    if (PoolTask_State.daemon->settings.endpoint_drain >
+        LEAVING_NOTICE_DELAY) {
+        CbwPool_SetLeavingLimit(
+            &instance->pool, PoolTask_State.daemon->settings.endpoint_drain -
+                                 LEAVING_NOTICE_DELAY);
+    }
     if (database != NULL) {
         CbwPool_SetSynchronous(&instance->pool, database->synchronous);
         CbwPool_SetEndpoints(&instance->pool, CbwNet_Now(),
--- a/src/carobwindd/registry_records.c
+++ b/src/carobwindd/registry_records.c
@@ -336,8 +336,25 @@
            a->started_at == b->started_at;
 }
 
+/* Notes since when the endpoint has been leaving: `known` is its previous
+ * registration, or NULL. */
 static void
-apply_registration(registry_records_t *records, const store_item_t *item)
+note_leaving(const registration_t *known, registration_t *parsed,
+             cbw_time_t now)
+{
+    bool was_leaving =
+        known != NULL && known->endpoint.leaving &&
+        known->endpoint.started_at == parsed->endpoint.started_at;
+
+    if (parsed->endpoint.leaving) {
+        parsed->endpoint.leaving_since =
+            was_leaving ? known->endpoint.leaving_since : now;
+    }
+}
+
+static void
+apply_registration(registry_records_t *records, const store_item_t *item,
+                   cbw_time_t now)
 {
     registration_t *known =
         g_hash_table_lookup(records->registrations, item->key);
@@ -381,6 +398,7 @@
         known->version = item->version;
         return;
     }
+    note_leaving(known, &parsed, now);
     if (known == NULL) {
         known = calloc(1, sizeof(*known));
         if (known == NULL) {
@@ -506,7 +524,7 @@
         return;
     }
     if (item->value != NULL) {
-        apply_registration(records, item);
+        apply_registration(records, item, now);
         return;
     }
     known = g_hash_table_lookup(records->registrations, item->key);
--- a/src/carobwindd/settings.c
+++ b/src/carobwindd/settings.c
@@ -1,5 +1,6 @@
 #include "settings.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 #include "carobwind/log.h"
@@ -7,6 +8,8 @@
 #include "share/net.h"
 #include "share/options.h"
 
+#define DRAIN_MAX_MS 3600000
+
 static settings_t values = {
     .name = "",
     .data_centre = "",
@@ -28,6 +31,7 @@
     .metrics_address = "",
     .owner_policy = "owner",
     .drain_seconds = 15,
+    .endpoint_drain_ms = "",
 };
 
 static const cbw_option_t options[] = {
@@ -77,6 +81,10 @@
     {CBW_OPTION_INTEGER, "drain-seconds", "N",
      "longest graceful shutdown, 1 to 3600 seconds", &values.drain_seconds, 1,
      3600},
+    {CBW_OPTION_STRING, "endpoint-drain-ms", "N",
+     "how long a leaving endpoint receives requests; unset: while it is "
+     "listed",
+     &values.endpoint_drain_ms, 0, 0},
     {CBW_OPTION_FLAG, "test-faults", NULL,
      "allow the FAULT command (tests only)", &values.test_faults, 0, 0},
 };
@@ -121,6 +129,24 @@
     }
 }
 
+/* Parses a number of milliseconds, which may be a fraction. */
+static void
+check_milliseconds(const char *flag, const char *value, cbw_time_t *parsed,
+                   cbw_findings_t *findings)
+{
+    char *end;
+    double milliseconds = strtod(value, &end);
+
+    *parsed = 0;
+    if (*end != '\0' || !(milliseconds >= 0 && milliseconds <= DRAIN_MAX_MS)) {
+        CbwFindings_Add(findings, flag, 0,
+                        "\"%s\" is not a number from 0 to %d", value,
+                        DRAIN_MAX_MS);
+        return;
+    }
+    *parsed = (cbw_time_t)(milliseconds * (double)Cbw_MSEC);
+}
+
 int
 Settings_Parse(settings_t *settings, int argc, char **argv,
                cbw_findings_t *findings)
@@ -163,6 +189,8 @@
     if (values.metrics_address[0] != '\0') {
         check_address("--metrics", values.metrics_address, findings);
     }
+    check_milliseconds("--endpoint-drain-ms", values.endpoint_drain_ms,
+                       &values.endpoint_drain, findings);
     if (CbwLog_LevelFromString(values.log_level) < 0) {
         CbwFindings_Add(findings, "--log-level", 0,
                         "\"%s\" is none of debug, info, warning, error",
--- a/src/carobwindd/settings.h
+++ b/src/carobwindd/settings.h
@@ -30,7 +30,11 @@
      * for comparison in measurements. */
     const char *owner_policy;
     long drain_seconds; /* longest graceful shutdown */
-    bool test_faults;   /* allows the FAULT command */
+    /* How long an endpoint that is leaving receives requests; 0: while it is
+     * listed. As text, "" for 0, and parsed. */
+    const char *endpoint_drain_ms;
+    cbw_time_t endpoint_drain;
+    bool test_faults; /* allows the FAULT command */
 } settings_t;
 
 /* Parses the flags and the environment. Returns 0, or -1 with all errors in
--- a/src/libcarobwind/include/private/pool.h
+++ b/src/libcarobwind/include/private/pool.h
@@ -62,6 +62,8 @@
                               cbw_pool_transaction_t *transaction, bool clean);
 /* Aborts all calls in flight to an endpoint and drops its transactions. */
 void CbwPool_AbortCalls_(cbw_pool_t *pool, cbw_time_t now, int endpoint);
+/* Returns whether the endpoint is leaving and receives no more statements. */
+bool CbwPool_HasLeft_(const cbw_pool_t *pool, cbw_time_t now, int endpoint);
 /* Returns the index of the primary if statements may be sent to it now,
  * else -1. */
 int CbwPool_UsablePrimary_(const cbw_pool_t *pool, cbw_time_t now);
--- a/src/libcarobwind/pool.c
+++ b/src/libcarobwind/pool.c
@@ -93,6 +93,12 @@
         timeout > 0 ? timeout : Cbw_POOL_TRANSACTION_IDLE_TIMEOUT;
 }
 
+void
+CbwPool_SetLeavingLimit(cbw_pool_t *pool, cbw_time_t limit)
+{
+    pool->leaving_limit = limit;
+}
+
 void
 CbwPool_SetSynchronous(cbw_pool_t *pool, bool synchronous)
 {
--- a/src/libcarobwind/pool_dispatch.c
+++ b/src/libcarobwind/pool_dispatch.c
@@ -5,13 +5,24 @@
 #include "carobwind/token.h"
 #include "private/pool.h"
 
+bool
+CbwPool_HasLeft_(const cbw_pool_t *pool, cbw_time_t now, int endpoint)
+{
+    const cbw_endpoint_t *info = &pool->endpoints[endpoint].info;
+
+    return info->leaving && info->leaving_since != 0 &&
+           pool->leaving_limit != 0 &&
+           now - info->leaving_since >= pool->leaving_limit;
+}
+
 int
 CbwPool_UsablePrimary_(const cbw_pool_t *pool, cbw_time_t now)
 {
     int primary = pool->primary;
 
     if (primary < 0 || pool->endpoints[primary].down ||
-        now < pool->redirected_until || !CbwPool_MayServe_(pool, now) ||
+        CbwPool_HasLeft_(pool, now, primary) || now < pool->redirected_until ||
+        !CbwPool_MayServe_(pool, now) ||
         (pool->tenure.record.promoting &&
          !CbwPool_IsConfirmedByEndpoints_(pool, now))) {
         return -1;
--- a/src/libcarobwind/pool_health.c
+++ b/src/libcarobwind/pool_health.c
@@ -739,14 +739,30 @@
         pool->ops->ask_reach(pool->context, pool->primary);
         return;
     }
-    if (e->info.leaving && now >= pool->drain_due_at &&
-        has_remaining_replica(pool)) {
+    if (e->info.leaving && has_remaining_replica(pool) &&
+        (now >= pool->drain_due_at ||
+         CbwPool_HasLeft_(pool, now, pool->primary))) {
         set_phase(pool, now, CBW_POOL_DRAINING);
         CbwPool_LogDecision_(pool, now, "%s is leaving: new writes wait",
                              e->info.name);
     }
 }
 
+/* The leaving primary serves for a while before it is drained again, unless
+ * its time is over. */
+static void
+lead_on(cbw_pool_t *pool, cbw_time_t now)
+{
+    if (CbwPool_HasLeft_(pool, now, pool->primary)) {
+        return;
+    }
+    set_phase(pool, now, CBW_POOL_SERVING);
+    pool->drain_due_at = now + Cbw_POOL_PROMOTION_RETRY_AFTER;
+    CbwPool_LogDecision_(pool, now,
+                         "%s leads on: no replica that stays has its log",
+                         pool->endpoints[pool->primary].info.name);
+}
+
 static void
 drain_primary(cbw_pool_t *pool, cbw_time_t now)
 {
@@ -766,11 +782,7 @@
     }
     if (pool->synchronous && !caught_up) {
         /* A replica without its log would lose what was acknowledged. */
-        set_phase(pool, now, CBW_POOL_SERVING);
-        pool->drain_due_at = now + Cbw_POOL_PROMOTION_RETRY_AFTER;
-        CbwPool_LogDecision_(pool, now,
-                             "%s leads on: no replica that stays has its log",
-                             pool->endpoints[pool->primary].info.name);
+        lead_on(pool, now);
         return;
     }
     start_promotion(pool, now, "the primary is leaving");
--- a/src/test_libcarobwind/pool_world.c
+++ b/src/test_libcarobwind/pool_world.c
@@ -195,6 +195,10 @@
         endpoint->connections = 40;
         endpoint->reports_primary = world->reports_primary[i];
         endpoint->leaving = world->leaving[i];
+        if (world->leaving[i] && world->leaving_since[i] == 0) {
+            world->leaving_since[i] = world->now;
+        }
+        endpoint->leaving_since = world->leaving_since[i];
         count++;
     }
     CbwPool_SetEndpoints(&world->pool, world->now, endpoints, count);
--- a/src/test_libcarobwind/pool_world.h
+++ b/src/test_libcarobwind/pool_world.h
@@ -32,6 +32,7 @@
     /* The inventory's entries of the endpoints. */
     bool unlisted[3];
     bool leaving[3];
+    cbw_time_t leaving_since[3]; /* set by PoolWorld_SetEndpoints */
     bool reports_primary[3];
     bool abort_may_have_sent; /* result of ops.abort: whether the endpoint may
                                  have received the aborted call */
--- a/src/test_libcarobwind/test_pool_synchronous.c
+++ b/src/test_libcarobwind/test_pool_synchronous.c
@@ -11,6 +11,9 @@
  * and than state calls take to find an endpoint down. */
 #define LONG_WAIT (2 * Cbw_SEC)
 
+/* Long enough for several polls. */
+#define POLLS (200 * Cbw_MSEC)
+
 static void
 init_synchronous(pool_world_t *world)
 {
@@ -146,6 +149,39 @@
     PoolWorld_FreeRequest(write);
 }
 
+/* A leaving endpoint receives nothing past its time, though no other one can
+ * be the primary, and is replaced as soon as one can. */
+static void
+test_leaving_primary_time_is_over(void)
+{
+    static const endpoint_report_t behind[] = {
+        {.primary = true, .term = 3},
+        {.term = 3, .position = {3, 7}},
+        {.term = 3, .position = {3, 7}}};
+    static const endpoint_report_t caught_up[] = {
+        {.primary = true, .term = 3},
+        {.term = 3, .position = {3, 7}},
+        {.term = 3}};
+    pool_world_t world;
+    cbw_request_t *write;
+
+    init_synchronous(&world);
+    CbwPool_SetLeavingLimit(&world.pool, 6 * Cbw_SEC);
+    world.leaving[0] = true;
+    PoolWorld_SetEndpoints(&world);
+    g_assert_false(
+        PoolWorld_RunUntilOrder(&world, 6 * Cbw_SEC + LONG_WAIT, behind));
+    write = PoolWorld_NewRequest(&world, true, CBW_READ_LATEST);
+    write->deadline = world.now + 10 * Cbw_SEC;
+    PoolWorld_Submit(&world, write);
+    PoolWorld_Run(&world, 3 * LONG_WAIT, behind);
+    g_assert_cmpint(write->attempts, ==, 0);
+    g_assert_true(PoolWorld_RunUntilOrder(&world, POLLS, caught_up));
+    g_assert_cmpstr(world.promotion_target, ==, "e2");
+    PoolWorld_Finish(&world);
+    PoolWorld_FreeRequest(write);
+}
+
 /* The previous holder acknowledges commits until its tenure ends: logs that
  * were reported before then do not decide. */
 static void
@@ -181,6 +217,8 @@
 void
 Suite_AddPoolSynchronous(void)
 {
+    g_test_add_func("/pool/leaving-primary-time-is-over",
+                    test_leaving_primary_time_is_over);
     g_test_add_func("/pool/choice-follows-last-tenure",
                     test_choice_follows_last_tenure);
     g_test_add_func("/pool/longest-log-is-promoted",
--- a/src/test_libcarobwind/test_registry.c
+++ b/src/test_libcarobwind/test_registry.c
@@ -28,6 +28,7 @@
     (void)error;
     snprintf(endpoint->name, sizeof(endpoint->name), "%s", name);
     snprintf(endpoint->address, sizeof(endpoint->address), "%s", text);
+    endpoint->leaving = strstr(text, "leaving") != NULL;
     snprintf(database, Cbw_NAME_MAX, "db");
     return 0;
 }
@@ -504,9 +505,52 @@
     RegistryRecords_Finish(&changed);
 }
 
+/* An endpoint's time to leave runs from the first registration that says so:
+ * later ones do not prolong it. */
+static void
+test_leaving_since(void)
+{
+    static const struct {
+        const char *text;
+        cbw_time_t applied_at;
+        cbw_time_t leaving_since;
+    } steps[] = {
+        {"address", 1 * Cbw_SEC, 0},
+        {"address leaving", 2 * Cbw_SEC, 2 * Cbw_SEC},
+        {"other address leaving", 5 * Cbw_SEC, 2 * Cbw_SEC},
+        {"other address", 6 * Cbw_SEC, 0},
+        {"other address leaving", 7 * Cbw_SEC, 7 * Cbw_SEC},
+    };
+    cbw_database_t database = {.name = "db"};
+    registry_records_t records;
+
+    RegistryRecords_Init(&records, &driver, &counters);
+    apply_record(&records, CONFIG_KEY, "1", 1);
+    records.base_inventory.databases = &database;
+    records.base_inventory.database_count = 1;
+    for (size_t i = 0; i < G_N_ELEMENTS(steps); i++) {
+        store_item_t item = {.key = (char *)PREFIX "a",
+                             .value = (char *)steps[i].text,
+                             .value_size = strlen(steps[i].text),
+                             .version = 2 + i};
+        config_t *config;
+        RegistryRecords_Apply(&records, &item, steps[i].applied_at);
+        config = RegistryRecords_MakeConfig(&records);
+        g_assert_cmpint(config->inventory.databases[0].endpoint_count, ==, 1);
+        g_assert_cmpint(
+            config->inventory.databases[0].endpoints[0].leaving_since, ==,
+            steps[i].leaving_since);
+        Config_Unref(config);
+    }
+    records.base_inventory.databases = NULL;
+    records.base_inventory.database_count = 0;
+    RegistryRecords_Finish(&records);
+}
+
 void
 Suite_AddRegistry(void)
 {
+    g_test_add_func("/registry/leaving-since", test_leaving_since);
     g_test_add_func("/registry/digests-follow-changes",
                     test_digests_follow_changes);
     g_test_add_func("/registry/fetch-changes", test_fetch_changes);
