Forget a group's terms with its record

Terms that only grow would keep a group that was set up anew, with low terms, out of service: no candidate leads a term above the old ones, and no commit is acknowledged. Operators delete the record then (OPERATIONS.md); the pool now forgets terms, positions and samples when there is no record.

/pool/removed-record-resets-terms failed before: the commit was in doubt.

--- a/src/libcarobwind/pool_health.c
+++ b/src/libcarobwind/pool_health.c
@@ -522,10 +522,28 @@
                          index < 0 ? " (not listed)" : "");
 }
 
+/* There is no record, or it was removed, as operators do for a group that was
+ * set up anew: its terms and positions begin again. */
+static void
+forget_history(cbw_pool_t *pool)
+{
+    pool->highest_term = 0;
+    pool->reported_primary[0] = '\0';
+    pool->primary_position = (cbw_position_t){0, 0};
+    pool->promotion_position = (cbw_position_t){0, 0};
+    pool->promotion_term = 0;
+    pool->sample_count = 0;
+}
+
 static void
 on_tenure_changed(cbw_pool_t *pool, cbw_time_t now)
 {
-    CbwPool_ObserveTerm_(pool, pool->tenure.record.term);
+    if (pool->tenure.record_known && pool->tenure.version == 0) {
+        forget_history(pool);
+    }
+    else {
+        CbwPool_ObserveTerm_(pool, pool->tenure.record.term);
+    }
     update_primary(pool, now);
     if (pool->redirected_to_promoter && pool->tenure.record_known &&
         !pool->tenure.record.promoting) {
--- a/src/test_libcarobwind/test_pool_terms.c
+++ b/src/test_libcarobwind/test_pool_terms.c
@@ -347,9 +347,44 @@
     }
 }
 
+/* A group that was set up anew begins with a low term: removing its record
+ * makes the owner forget the terms of before. */
+static void
+test_removed_record_resets_terms(void)
+{
+    static const endpoint_report_t reports[] = {
+        {.primary = true, .term = 1, .position = {1, 1}},
+        {.term = 1, .position = {1, 1}},
+        {.term = 1, .position = {1, 1}}};
+    pool_world_t world;
+    cbw_request_t *write;
+    sent_call_t *sent;
+    cbw_reply_t reply = {.status = CBW_REPLY_OK,
+                         .result = "",
+                         .state = {.last_term = 1, .position = 2}};
+
+    promote_e1(&world);
+    world.reports_primary[1] = false;
+    PoolWorld_SetEndpoints(&world);
+    world.version = 0;
+    PoolWorld_Run(&world, 3 * Cbw_SEC, reports);
+    g_assert_cmpstr(world.record.primary, ==, "e0");
+    write = PoolWorld_NewRequest(&world, true, CBW_READ_LATEST);
+    PoolWorld_Submit(&world, write);
+    sent = PoolWorld_LastOpenCall(&world, CBW_CALL_RUN);
+    g_assert_nonnull(sent);
+    sent->open = false;
+    CbwPool_OnReply(&world.pool, world.now, sent->id, &reply);
+    g_assert_cmpint(write->answer.outcome, ==, CBW_OUTCOME_DONE);
+    PoolWorld_Finish(&world);
+    PoolWorld_FreeRequest(write);
+}
+
 void
 Suite_AddPoolTerms(void)
 {
+    g_test_add_func("/pool/removed-record-resets-terms",
+                    test_removed_record_resets_terms);
     g_test_add_func("/pool/commit-of-superseded-term",
                     test_commit_of_superseded_term);
     g_test_add_func("/pool/discarded-entries", test_discarded_entries);
