Promote the previous primary if no other endpoint can be

It was never a candidate of the promotion that it had caused: the database was refused until another endpoint came back.

What holds for any other candidate holds for it: it is the primary once it leads a higher term, or is shown to be the present one.

/pool/previous-primary-is-last-resort failed before.

--- a/include/carobwind/pool.h
+++ b/include/carobwind/pool.h
@@ -332,6 +332,9 @@
      * running. */
     unsigned refused_candidates;
     char previous_primary[Cbw_NAME_MAX];
+    /* No other endpoint could be promoted: the previous primary may be, if it
+     * answers by now. */
+    bool previous_allowed;
     uint64_t previous_primary_term;
     /* No peer reached the primary; this result holds until then. */
     cbw_time_t primary_unreachable_until;
--- a/src/libcarobwind/pool_health.c
+++ b/src/libcarobwind/pool_health.c
@@ -190,7 +190,7 @@
 
     return e->used && !e->down &&
            (pool->refused_candidates & (1U << index)) == 0 &&
-           !is_previous_primary(pool, e);
+           (pool->previous_allowed || !is_previous_primary(pool, e));
 }
 
 /* Returns the end of the endpoint's log without discarded entries. */
@@ -205,12 +205,13 @@
     return position;
 }
 
-/* Whether `a` is the better candidate. With discarded entries, an endpoint
- * would undo the promotion that discarded them: reads since then lacked what
- * is in its log. After that, an endpoint that stays is preferred to one that
- * is leaving, and then the higher log position. With synchronous commits, one
- * replica may be the only one that received what was acknowledged: its log
- * position comes before all else. */
+/* Whether `a` is the better candidate. The previous primary, if allowed, comes
+ * last: the promotion began because it was lost or leaves. With discarded
+ * entries, an endpoint would undo the promotion that discarded them: reads
+ * since then lacked what is in its log. After that, an endpoint that stays is
+ * preferred to one that is leaving, and then the higher log position. With
+ * synchronous commits, one replica may be the only one that received what was
+ * acknowledged: its log position comes before all else. */
 static bool
 is_better_candidate(const cbw_pool_t *pool, const cbw_pool_endpoint_t *a,
                     const cbw_pool_endpoint_t *b)
@@ -222,6 +223,9 @@
     int order =
         CbwPosition_Compare(valid_position(pool, a), valid_position(pool, b));
 
+    if (is_previous_primary(pool, a) != is_previous_primary(pool, b)) {
+        return is_previous_primary(pool, b);
+    }
     if (pool->synchronous && order != 0) {
         return order > 0;
     }
@@ -237,14 +241,16 @@
 /* Whether the choice of a candidate waits for the endpoint's state. With
  * synchronous commits it waits for any endpoint that is listed, down or not:
  * it may be the only one that received what was acknowledged. The previous
- * primary is asked only for its term, see is_present_primary. */
+ * primary, unless it is a candidate, is asked only for its term, see
+ * is_present_primary. */
 static bool
 is_awaited(const cbw_pool_t *pool, int index)
 {
     const cbw_pool_endpoint_t *e = &pool->endpoints[index];
 
     if (e->used && is_previous_primary(pool, e)) {
-        return !e->down && record_primary_term(pool) == 0;
+        return !e->down &&
+               (pool->previous_allowed || record_primary_term(pool) == 0);
     }
     return pool->synchronous ? e->used : is_candidate(pool, index);
 }
@@ -258,8 +264,8 @@
 
     for (int i = 0; i < Cbw_POOL_ENDPOINTS_MAX; i++) {
         const cbw_pool_endpoint_t *e = &pool->endpoints[i];
-        if (!is_awaited(pool, i) || is_previous_primary(pool, e) ||
-            e->reported_as_of < pool->phase_since) {
+        if (!is_awaited(pool, i) || e->reported_as_of < pool->phase_since ||
+            (is_previous_primary(pool, e) && !pool->previous_allowed)) {
             continue;
         }
         if (best < 0 || is_better_candidate(pool, e, &pool->endpoints[best])) {
@@ -325,6 +331,7 @@
              pool->tenure.record.primary);
     pool->previous_primary_term = pool->primary_position.term;
     pool->refused_candidates = 0;
+    pool->previous_allowed = false;
     pool->candidate = -1;
     set_phase(pool, now, CBW_POOL_CLAIMING);
     CbwCounter_Add(pool->counters, CBW_COUNTER_PROMOTIONS_STARTED, 1);
@@ -374,6 +381,7 @@
     if (pool->candidate < 0) {
         if (now - pool->phase_since > Cbw_POOL_PROMOTION_RETRY_AFTER) {
             pool->refused_candidates = 0;
+            pool->previous_allowed = true;
             /* Requests the states of all candidates again. */
             set_phase(pool, now, CBW_POOL_CHOOSING_CANDIDATE);
         }
--- a/src/test_libcarobwind/test_pool_terms.c
+++ b/src/test_libcarobwind/test_pool_terms.c
@@ -347,6 +347,41 @@
     }
 }
 
+/* A primary that was unlisted, and returns when no other endpoint is left in
+ * its unfinished promotion, is promoted itself: nothing else could serve. */
+static void
+test_previous_primary_is_last_resort(void)
+{
+    static const endpoint_report_t before[] = {
+        {.unresponsive = true}, {.term = 3}, {.term = 3}};
+    static const endpoint_report_t alone[] = {
+        {.primary = true, .term = 3}, {.unresponsive = true}, {0}};
+    static const endpoint_report_t promoted[] = {
+        {.primary = true, .term = 5}, {.unresponsive = true}, {0}};
+    pool_world_t world;
+
+    PoolWorld_Init(&world);
+    world.unlisted[0] = true;
+    PoolWorld_SetEndpoints(&world);
+    g_assert_true(PoolWorld_RunUntilOrder(&world, Cbw_SEC, before));
+    CbwPool_OnPromoteReply(&world.pool, world.now, CBW_PROMOTE_ACCEPTED);
+    world.unlisted[0] = false;
+    world.unlisted[2] = true;
+    PoolWorld_SetEndpoints(&world);
+    g_assert_false(PoolWorld_RunUntilOrder(
+        &world, Cbw_POOL_PROMOTION_RETRY_AFTER - 100 * Cbw_MSEC, alone));
+    g_assert_true(PoolWorld_RunUntilOrder(
+        &world, 2 * Cbw_POOL_PROMOTION_RETRY_AFTER, alone));
+    g_assert_cmpstr(world.promotion_target, ==, "e0");
+    CbwPool_OnPromoteReply(&world.pool, world.now, CBW_PROMOTE_ACCEPTED);
+    PoolWorld_Run(&world, POLLS, alone);
+    g_assert_true(world.record.promoting);
+    PoolWorld_Run(&world, POLLS, promoted);
+    g_assert_cmpstr(world.record.primary, ==, "e0");
+    g_assert_false(world.record.promoting);
+    PoolWorld_Finish(&world);
+}
+
 /* A group that was set up anew begins with a low term: removing its record
  * makes the owner forget the terms of before. */
 static void
@@ -383,6 +418,8 @@
 void
 Suite_AddPoolTerms(void)
 {
+    g_test_add_func("/pool/previous-primary-is-last-resort",
+                    test_previous_primary_is_last_resort);
     g_test_add_func("/pool/removed-record-resets-terms",
                     test_removed_record_resets_terms);
     g_test_add_func("/pool/commit-of-superseded-term",
