Play a replaced primary that returns with real processes

wire-primary-returns and wire-primary-steps-down: the primary is unlisted and goes on, another is promoted, the first is listed again and the second killed, at once or 0.6 s later. No write that an endpoint commits after a higher term has begun may be acknowledged.

The stand-in can leave a replaced primary unaware, promotes into the term above the highest one, replicates within a term, and does not publish endpoints that were withdrawn when it promotes another.

--- a/test/lib/platform_standin.tcl
+++ b/test/lib/platform_standin.tcl
@@ -24,6 +24,11 @@
 #   stale 0|1                 reads that may be stale return the present state
 #                             from now on, or the current one again
 #   reads                     returns the number of reads of the configuration
+#   unaware 0|1               a primary that is replaced does not notice it until
+#                             it is told to step down
+#   register NAME             publishes the record of an endpoint
+#   late                      returns the keys that were written at an endpoint
+#                             after another one had begun a higher term
 #   quit                      exits
 
 package require json
@@ -43,6 +48,8 @@
 set watches {}
 set store_mode up
 set answers_to_lose 0 ;# of writes
+set unaware 0 ;# see the command
+set late_keys {}
 set config_reads 0 ;# reads of the configuration record
 set range_reads 0 ;# linearizable reads of key ranges
 set stale_store "" ;# what reads that may be stale return; "": the store
@@ -328,12 +335,32 @@
 }
 
 proc find_primary {} {
+    set found ""
     dict for {name endpoint} $::endpoints {
-        if {[dict get $endpoint role] eq "primary" && [dict get $endpoint up]} {
-            return $name
+        if {[dict get $endpoint role] eq "primary" && [dict get $endpoint up] &&
+            ($found eq "" || [dict get $endpoint term] > [dict get $::endpoints $found term])} {
+            set found $name
         }
     }
-    return ""
+    return $found
+}
+
+proc highest_term {} {
+    set highest 0
+    dict for {name endpoint} $::endpoints {
+        set highest [expr {max($highest, [dict get $endpoint term])}]
+    }
+    return $highest
+}
+
+# An endpoint becomes a replica of the primary, if that is up.
+proc follow_primary {name} {
+    dict set ::endpoints $name role replica
+    set primary [find_primary]
+    if {$primary ne ""} {
+        dict set ::endpoints $name term [dict get $::endpoints $primary term]
+        dict set ::endpoints $name log [dict get $::endpoints $primary log]
+    }
 }
 
 # Accepts a promotion request; the promotion takes effect after `promote_ms`.
@@ -347,14 +374,18 @@
     after $::promote_ms [list make_primary $name]
 }
 
-# Makes an endpoint primary in a new term. The other endpoints adopt its log, also
-# those that are stopped.
+# Makes an endpoint primary in a new term, unless it is the present one. The other
+# endpoints adopt its log, also those that are stopped, but no unaware primary.
 proc make_primary {name} {
-    if {[dict get $::endpoints $name role] eq "primary"} {
+    if {[find_primary] eq $name} {
         return
     }
-    set term [expr {[dict get $::endpoints $name term] + 1}]
+    set term [expr {[highest_term] + 1}]
     dict for {other endpoint} $::endpoints {
+        if {$::unaware && $other ne $name && [dict get $endpoint up] &&
+            [dict get $endpoint role] eq "primary"} {
+            continue
+        }
         dict set ::endpoints $other role replica
         dict set ::endpoints $other term $term
         if {$other ne $name} {
@@ -363,7 +394,9 @@
     }
     dict set ::endpoints $name role primary
     foreach other [dict keys $::endpoints] {
-        register $other
+        if {[dict exists $::store servers/$other]} {
+            register $other
+        }
     }
 }
 
@@ -386,6 +419,9 @@
 
 proc commit {name writes} {
     foreach write $writes {
+        if {[dict get $::endpoints $name term] < [highest_term]} {
+            lappend ::late_keys [lindex $write 0]
+        }
         set entry [linsert $write 0 [dict get $::endpoints $name term]]
         set log [dict get $::endpoints $name log]
         lappend log $entry
@@ -394,14 +430,16 @@
     after $::lag_ms replicate $name
 }
 
-# Copies the log of an endpoint to the running replicas, unless it is no longer
-# the primary.
+# Copies the log of an endpoint to the running replicas of its term, unless it is
+# no longer the primary.
 proc replicate {name} {
     if {[dict get $::endpoints $name role] ne "primary"} {
         return
     }
     dict for {other endpoint} $::endpoints {
-        if {$other ne $name && [dict get $endpoint up]} {
+        if {$other ne $name && [dict get $endpoint up] &&
+            [dict get $endpoint role] eq "replica" &&
+            [dict get $endpoint term] == [dict get $::endpoints $name term]} {
             dict set ::endpoints $other log [dict get $::endpoints $name log]
         }
     }
@@ -534,7 +572,8 @@
         STATUS - STEPDOWN {
             if {[lindex $words 0] eq "STEPDOWN" && $is_primary &&
                 [lindex $words 1] > [dict get $::endpoints $name term]} {
-                dict set ::endpoints $name role replica
+                follow_primary $name
+                register $name
             }
             return "DATAROW [dict get $::endpoints $name role] [dict get $::endpoints $name term] [position $name] [dict get $::endpoints $name term] 0 0 1\r\nCOMPLETE -\r\n"
         }
@@ -597,6 +636,9 @@
         lists { return $::range_reads }
         reads { return $::config_reads }
         lose { set ::answers_to_lose $argument; return ok }
+        unaware { set ::unaware $argument; return ok }
+        register { register $argument; return ok }
+        late { return $::late_keys }
         log { return [dict get $::endpoints $argument log] }
         quit { exit }
     }
--- a/test/scenarios/wire.tcl
+++ b/test/scenarios/wire.tcl
@@ -255,6 +255,41 @@
     expect {[lsort -unique $late] eq "done"} $late
 }
 
+# Under load, the primary e-1 is unlisted and does not notice that e-2 is promoted.
+# It is listed again, and after `pause` ms e-2 is killed. No write is acknowledged
+# that e-1 committed after that promotion, and e-1 serves once it was promoted.
+proc wire::replace_unlisted_primary {pause} {
+    fleet
+    control kill e-3
+    control withdraw e-3
+    lassign [write_under_load 9 {
+        control unaware 1
+        control withdraw e-1
+        eventually {[wire::control primary] eq "e-2"} 6000
+        after 500 ;# until the owner has noticed that e-2 leads
+        control register e-1
+        after $pause
+        control kill e-2
+    }] outcomes
+    # Replication is asynchronous: e-2's own writes are lost.
+    check_writes $outcomes 1
+    foreach key [control late] {
+        expect {[dict get $outcomes $key] ne "done"} "$key is acknowledged"
+    }
+    expect {[control primary] eq "e-1"}
+    expect {[lindex [dict values $outcomes] end] eq "done"}
+}
+
+scenario wire-primary-returns \
+    "a primary that was replaced unnoticed is listed again as its successor is killed" {
+    wire::replace_unlisted_primary 0
+}
+
+scenario wire-primary-steps-down \
+    "a primary that was replaced unnoticed returns before its successor is killed" {
+    wire::replace_unlisted_primary 600
+}
+
 scenario wire-primary-leaves \
     "the primary leaves under load; no session is closed, no write lost" {
     wire::fleet
