--- a/test/mutants.tcl
+++ b/test/mutants.tcl
@@ -97,6 +97,14 @@
 }
 
 # Mutants for the scenarios on the platform's protocols.
+mutant trusts-old-terms wire-primary-returns {
+    src/libcarobwind/pool_health.c
+    "return e->reported_term > pool->superseded_term ||" "return true ||"
+    src/libcarobwind/pool_health.c
+    "else if (e->reported_term < pool->highest_term &&" "else if (e->reported_term < 1 &&"
+    src/libcarobwind/pool_reply.c
+    "if (term != 0 && term < pool->highest_term)" "if (term == UINT64_MAX)"
+}
 mutant no-endpoints-word wire-store-long-away {
     src/libcarobwind/pool_confirm.c
     "return !pool->stopping && !pool->synchronous" "return pool->primary < -1"
