Split the promotion off from the pool's health

pool_promotion.c: choice of the candidate, request, polling; pool_health.c keeps failures, terms, the tenure's changes and the phases. Moved, not changed. The tests of synchronous commits share their reports.

--- a/src/libcarobwind/include/private/pool.h
+++ b/src/libcarobwind/include/private/pool.h
@@ -116,6 +116,19 @@
  * do not tell which came first. */
 bool CbwPool_WasPrimaryAt_(const cbw_pool_t *pool, cbw_time_t now,
                            cbw_time_t time);
+void CbwPool_SetPhase_(cbw_pool_t *pool, cbw_time_t now,
+                       cbw_pool_phase_t phase);
+/* Returns the term of the record's primary; 0: not known. */
+uint64_t CbwPool_RecordPrimaryTerm_(const cbw_pool_t *pool);
+/* Begins a promotion, unless the tenure does not allow it now. */
+void CbwPool_StartPromotion_(cbw_pool_t *pool, cbw_time_t now,
+                             const char *reason);
+/* Chooses a candidate and requests its promotion, as soon as the tenure is
+ * exclusive and the endpoints' states allow the choice. */
+void CbwPool_ChooseWhenReady_(cbw_pool_t *pool, cbw_time_t now);
+/* Asks the candidate whether it leads by now. Chooses again if that takes too
+ * long. */
+void CbwPool_PollCandidate_(cbw_pool_t *pool, cbw_time_t now);
 /* Sends the state calls that are due, and advances the promotion. */
 void CbwPool_TickHealth_(cbw_pool_t *pool, cbw_time_t now);
 /* Redirects queued requests to the record's holder if this owner defers to
--- a/src/libcarobwind/pool_health.c
+++ b/src/libcarobwind/pool_health.c
@@ -5,8 +5,8 @@
 #include "carobwind/pool.h"
 #include "private/pool.h"
 
-static void
-set_phase(cbw_pool_t *pool, cbw_time_t now, cbw_pool_phase_t phase)
+void
+CbwPool_SetPhase_(cbw_pool_t *pool, cbw_time_t now, cbw_pool_phase_t phase)
 {
     pool->phase = phase;
     pool->phase_since = now;
@@ -83,9 +83,8 @@
     return position.term < record->term && position.index > record->term_base;
 }
 
-/* Returns the term of the record's primary; 0: not known. */
-static uint64_t
-record_primary_term(const cbw_pool_t *pool)
+uint64_t
+CbwPool_RecordPrimaryTerm_(const cbw_pool_t *pool)
 {
     const cbw_tenure_record_t *record = &pool->tenure.record;
 
@@ -130,7 +129,7 @@
                CbwPool_HasDiscardedEntries_(pool, e->position);
     }
     return now - e->last_reply_at > Cbw_POOL_IDLE_STATE_CALL_INTERVAL ||
-           (pool->tenure.held && record_primary_term(pool) == 0);
+           (pool->tenure.held && CbwPool_RecordPrimaryTerm_(pool) == 0);
 }
 
 const char *
@@ -175,328 +174,12 @@
                   Cbw_POOL_STATE_CALL_TIMEOUT);
 }
 
-/* Promotion. */
-
-static bool
-is_previous_primary(const cbw_pool_t *pool, const cbw_pool_endpoint_t *e)
-{
-    return strcmp(e->info.name, pool->previous_primary) == 0;
-}
-
-static bool
-is_candidate(const cbw_pool_t *pool, int index)
-{
-    const cbw_pool_endpoint_t *e = &pool->endpoints[index];
-
-    return e->used && !e->down &&
-           (pool->refused_candidates & (1U << index)) == 0 &&
-           (pool->previous_allowed || !is_previous_primary(pool, e));
-}
-
-/* Returns the end of the endpoint's log without discarded entries. */
-static cbw_position_t
-valid_position(const cbw_pool_t *pool, const cbw_pool_endpoint_t *e)
-{
-    cbw_position_t position = e->reported_position;
-
-    if (CbwPool_HasDiscardedEntries_(pool, position)) {
-        position.index = pool->tenure.record.term_base;
-    }
-    return position;
-}
-
-/* Whether `a` is the better candidate. The previous primary, if allowed, comes
- * last: the promotion began because it was lost or leaves. With discarded
- * entries, an endpoint would undo the promotion that discarded them: reads
- * since then lacked what is in its log. After that, an endpoint that stays is
- * preferred to one that is leaving, and then the higher log position. With
- * synchronous commits, one replica may be the only one that received what was
- * acknowledged: its log position comes before all else. */
-static bool
-is_better_candidate(const cbw_pool_t *pool, const cbw_pool_endpoint_t *a,
-                    const cbw_pool_endpoint_t *b)
-{
-    bool a_discarded =
-        CbwPool_HasDiscardedEntries_(pool, a->reported_position);
-    bool b_discarded =
-        CbwPool_HasDiscardedEntries_(pool, b->reported_position);
-    int order =
-        CbwPosition_Compare(valid_position(pool, a), valid_position(pool, b));
-
-    if (is_previous_primary(pool, a) != is_previous_primary(pool, b)) {
-        return is_previous_primary(pool, b);
-    }
-    if (pool->synchronous && order != 0) {
-        return order > 0;
-    }
-    if (a_discarded != b_discarded) {
-        return b_discarded;
-    }
-    if (a->info.leaving != b->info.leaving) {
-        return b->info.leaving;
-    }
-    return CbwPosition_Compare(a->reported_position, b->reported_position) > 0;
-}
-
-/* Whether the choice of a candidate waits for the endpoint's state. With
- * synchronous commits it waits for any endpoint that is listed, down or not:
- * it may be the only one that received what was acknowledged. The previous
- * primary, unless it is a candidate, is asked only for its term, see
- * is_present_primary. */
-static bool
-is_awaited(const cbw_pool_t *pool, int index)
-{
-    const cbw_pool_endpoint_t *e = &pool->endpoints[index];
-
-    if (e->used && is_previous_primary(pool, e)) {
-        return !e->down &&
-               (pool->previous_allowed || record_primary_term(pool) == 0);
-    }
-    return pool->synchronous ? e->used : is_candidate(pool, index);
-}
-
-/* Returns the best of the endpoints that have reported their states, or -1 if
- * there is none or it is no candidate at present. */
-static int
-choose_candidate(const cbw_pool_t *pool)
-{
-    int best = -1;
-
-    for (int i = 0; i < Cbw_POOL_ENDPOINTS_MAX; i++) {
-        const cbw_pool_endpoint_t *e = &pool->endpoints[i];
-        if (!is_awaited(pool, i) || e->reported_as_of < pool->phase_since ||
-            (is_previous_primary(pool, e) && !pool->previous_allowed)) {
-            continue;
-        }
-        if (best < 0 || is_better_candidate(pool, e, &pool->endpoints[best])) {
-            best = i;
-        }
-    }
-    return best >= 0 && is_candidate(pool, best) ? best : -1;
-}
-
-static void
-request_candidate_states(cbw_pool_t *pool, cbw_time_t now)
-{
-    for (int i = 0; i < Cbw_POOL_ENDPOINTS_MAX; i++) {
-        if (is_awaited(pool, i) && !pool->endpoints[i].down &&
-            pool->endpoints[i].reported_as_of < pool->phase_since) {
-            CbwPool_SendStateCall_(pool, now, i);
-        }
-    }
-}
-
-/* Returns an endpoint whose state is awaited, or -1. */
-static int
-find_unanswered_candidate(const cbw_pool_t *pool)
-{
-    for (int i = 0; i < Cbw_POOL_ENDPOINTS_MAX; i++) {
-        if (is_awaited(pool, i) &&
-            pool->endpoints[i].reported_as_of < pool->phase_since) {
-            return i;
-        }
-    }
-    return -1;
-}
-
-/* Whether a candidate may be chosen. Without synchronous commits, endpoints
- * that do not answer in time are passed over. */
-static bool
-is_choice_ready(cbw_pool_t *pool, cbw_time_t now)
-{
-    int unanswered = find_unanswered_candidate(pool);
-    bool late = now - pool->phase_since > Cbw_POOL_CANDIDATE_STATE_TIMEOUT;
-
-    if (unanswered < 0) {
-        return true;
-    }
-    if (late && pool->synchronous && !pool->wait_logged) {
-        pool->wait_logged = true;
-        CbwPool_LogDecision_(pool, now,
-                             "waits for the state of %s: it may have commits "
-                             "that no other endpoint has",
-                             pool->endpoints[unanswered].info.name);
-    }
-    return late && !pool->synchronous;
-}
-
-static void
-start_promotion(cbw_pool_t *pool, cbw_time_t now, const char *reason)
-{
-    if (!CbwTenure_BeginPromotion(&pool->tenure, now,
-                                  record_primary_term(pool))) {
-        return;
-    }
-    snprintf(pool->previous_primary, sizeof(pool->previous_primary), "%s",
-             pool->tenure.record.primary);
-    pool->previous_primary_term = pool->primary_position.term;
-    pool->refused_candidates = 0;
-    pool->previous_allowed = false;
-    pool->candidate = -1;
-    set_phase(pool, now, CBW_POOL_CLAIMING);
-    CbwCounter_Add(pool->counters, CBW_COUNTER_PROMOTIONS_STARTED, 1);
-    CbwPool_LogDecision_(pool, now, "promotion begins: %s", reason);
-    /* From here on, nothing that the previous primary did is acknowledged. */
-    if (pool->primary >= 0) {
-        CbwPool_AbortCalls_(pool, now, pool->primary);
-    }
-}
-
-/* Whether the candidate, which reports itself as the primary, is known to be
- * the present one: it leads a later term than the primary that the promotion
- * replaces, and no other endpoint reports a higher term. A promotion that was
- * taken over, or is repeated, may find it so. */
-static bool
-is_present_primary(const cbw_pool_t *pool, int candidate)
-{
-    uint64_t term = pool->endpoints[candidate].reported_term;
-    uint64_t previous_term = record_primary_term(pool);
-    bool previous_answered = pool->previous_primary[0] == '\0';
-
-    if (term < pool->highest_term || term <= previous_term) {
-        return false;
-    }
-    for (int i = 0; i < Cbw_POOL_ENDPOINTS_MAX; i++) {
-        const cbw_pool_endpoint_t *e = &pool->endpoints[i];
-        bool answered = e->reported_as_of >= pool->phase_since;
-        if (!e->used || i == candidate) {
-            continue;
-        }
-        if (is_previous_primary(pool, e)) {
-            previous_answered = answered;
-        }
-        else if (!answered) {
-            return false;
-        }
-    }
-    return previous_term != 0 || previous_answered;
-}
-
-static void
-request_promotion(cbw_pool_t *pool, cbw_time_t now)
-{
-    const cbw_pool_endpoint_t *e;
-
-    pool->candidate = choose_candidate(pool);
-    if (pool->candidate < 0) {
-        if (now - pool->phase_since > Cbw_POOL_PROMOTION_RETRY_AFTER) {
-            pool->refused_candidates = 0;
-            pool->previous_allowed = true;
-            /* Requests the states of all candidates again. */
-            set_phase(pool, now, CBW_POOL_CHOOSING_CANDIDATE);
-        }
-        return;
-    }
-    e = &pool->endpoints[pool->candidate];
-    pool->candidate_leads =
-        e->is_primary && e->reported_term >= pool->highest_term;
-    pool->superseded_term =
-        pool->candidate_leads && is_present_primary(pool, pool->candidate)
-            ? e->reported_term - 1
-            : pool->highest_term;
-    set_phase(pool, now, CBW_POOL_REQUESTING_PROMOTION);
-    CbwPool_LogDecision_(
-        pool, now,
-        "requests the promotion of %s, %s in term %" PRIu64
-        ", position %" PRIu64 ".%" PRIu64 ", fencing token %" PRIu64
-        ", to lead a term above %" PRIu64,
-        e->info.name, e->is_primary ? "primary" : "replica", e->reported_term,
-        e->reported_position.term, e->reported_position.index,
-        pool->tenure.version, pool->superseded_term);
-    pool->ops->request_promotion(pool->context, e->info.name,
-                                 pool->tenure.version);
-}
-
-void
-CbwPool_OnPromoteReply(cbw_pool_t *pool, cbw_time_t now,
-                       cbw_promote_status_t status)
-{
-    if (pool->phase != CBW_POOL_REQUESTING_PROMOTION) {
-        return;
-    }
-    CbwPool_LogDecision_(pool, now, "promotion request: %s",
-                         CbwPool_PromoteStatusString[status]);
-    if (status == CBW_PROMOTE_REFUSED) {
-        pool->refused_candidates |= 1U << pool->candidate;
-        set_phase(pool, now, CBW_POOL_CHOOSING_CANDIDATE);
-        return;
-    }
-    pool->promote_accepted = status == CBW_PROMOTE_ACCEPTED;
-    set_phase(pool, now, CBW_POOL_POLLING_CANDIDATE);
-}
-
-/* The candidate has become the primary. The new term begins with the log that
- * it has received so far. */
-static void
-on_candidate_promoted(cbw_pool_t *pool, cbw_time_t now)
-{
-    const cbw_pool_endpoint_t *e = &pool->endpoints[pool->candidate];
-
-    if (!CbwTenure_EndPromotion(&pool->tenure, now, e->info.name,
-                                e->reported_term,
-                                e->reported_position.index)) {
-        return;
-    }
-    CbwPool_LogDecision_(
-        pool, now, "%s leads term %" PRIu64 ", position %" PRIu64 ".%" PRIu64,
-        e->info.name, e->reported_term, e->reported_position.term,
-        e->reported_position.index);
-    set_phase(pool, now, CBW_POOL_PUBLISHING);
-    pool->promotion_position = e->reported_position;
-    pool->promotion_term = e->reported_term;
-    pool->primary_position = e->reported_position;
-    pool->sample_count = 0;
-    CbwPool_ObservePosition_(pool, now, e->reported_position);
-}
-
-/* Whether the candidate leads a term that began with its promotion, or an
- * accepted request had the time to begin one and did not, as the candidate is
- * the present primary. */
-static bool
-is_candidate_promoted(const cbw_pool_t *pool, cbw_time_t now)
-{
-    const cbw_pool_endpoint_t *e = &pool->endpoints[pool->candidate];
-
-    if (!e->used || !e->is_primary || e->reported_as_of < pool->phase_since) {
-        return false;
-    }
-    return e->reported_term > pool->superseded_term ||
-           (pool->candidate_leads && pool->promote_accepted &&
-            e->reported_term >= pool->highest_term &&
-            now - pool->phase_since > Cbw_POOL_PROMOTION_RETRY_AFTER);
-}
-
-static void
-poll_candidate(cbw_pool_t *pool, cbw_time_t now)
-{
-    const cbw_pool_endpoint_t *e;
-
-    if (pool->candidate < 0) {
-        set_phase(pool, now, CBW_POOL_CHOOSING_CANDIDATE);
-        return;
-    }
-    e = &pool->endpoints[pool->candidate];
-    if (is_candidate_promoted(pool, now)) {
-        on_candidate_promoted(pool, now);
-        return;
-    }
-    if (!e->used || e->down ||
-        now - pool->phase_since > Cbw_POOL_PROMOTION_RETRY_AFTER) {
-        set_phase(pool, now, CBW_POOL_CHOOSING_CANDIDATE);
-        return;
-    }
-    if (e->state_call_id == 0 &&
-        now - e->reported_as_of >= Cbw_POOL_STATE_POLL_INTERVAL) {
-        CbwPool_SendStateCall_(pool, now, pool->candidate);
-    }
-}
-
 static void
 on_promotion_published(cbw_pool_t *pool, cbw_time_t now)
 {
     int previous = CbwPool_FindEndpoint_(pool, pool->previous_primary);
 
-    set_phase(pool, now, CBW_POOL_SERVING);
+    CbwPool_SetPhase_(pool, now, CBW_POOL_SERVING);
     CbwCounter_Add(pool->counters, CBW_COUNTER_PROMOTIONS_WON, 1);
     CbwPool_LogDecision_(pool, now, "primary is %s, epoch %" PRIu64,
                          pool->tenure.record.primary,
@@ -559,15 +242,16 @@
         pool->redirected_until = 0;
     }
     if (pool->phase >= CBW_POOL_CLAIMING && !pool->tenure.held) {
-        set_phase(pool, now, CBW_POOL_SERVING);
+        CbwPool_SetPhase_(pool, now, CBW_POOL_SERVING);
         CbwPool_LogDecision_(pool, now,
                              "another owner took over the promotion");
         return;
     }
     if (pool->phase == CBW_POOL_CLAIMING && !pool->tenure.call_in_flight) {
-        set_phase(pool, now,
-                  pool->tenure.record.promoting ? CBW_POOL_CHOOSING_CANDIDATE
-                                                : CBW_POOL_SERVING);
+        CbwPool_SetPhase_(pool, now,
+                          pool->tenure.record.promoting
+                              ? CBW_POOL_CHOOSING_CANDIDATE
+                              : CBW_POOL_SERVING);
     }
     if (pool->phase == CBW_POOL_PUBLISHING && !pool->tenure.call_in_flight &&
         pool->tenure.record_known) {
@@ -575,7 +259,7 @@
             on_promotion_published(pool, now);
         }
         else {
-            set_phase(pool, now, CBW_POOL_POLLING_CANDIDATE);
+            CbwPool_SetPhase_(pool, now, CBW_POOL_POLLING_CANDIDATE);
         }
     }
 }
@@ -608,7 +292,7 @@
     if (pool->phase != CBW_POOL_ASKING_REACH) {
         return;
     }
-    set_phase(pool, now, CBW_POOL_SERVING);
+    CbwPool_SetPhase_(pool, now, CBW_POOL_SERVING);
     if (host == NULL) {
         pool->primary_unreachable_until = now + Cbw_POOL_PROMOTION_RETRY_AFTER;
         return;
@@ -744,7 +428,8 @@
         return;
     }
     if (pool->tenure.inherited_promotion) {
-        start_promotion(pool, now, "another owner's promotion is unfinished");
+        CbwPool_StartPromotion_(pool, now,
+                                "another owner's promotion is unfinished");
         return;
     }
     if (!CbwTenure_IsValid(&pool->tenure, now) ||
@@ -752,23 +437,23 @@
         return;
     }
     if (pool->primary < 0) {
-        start_promotion(pool, now, "the primary is no longer listed");
+        CbwPool_StartPromotion_(pool, now, "the primary is no longer listed");
         return;
     }
     e = &pool->endpoints[pool->primary];
     if (e->down) {
         if (now < pool->primary_unreachable_until) {
-            start_promotion(pool, now, "no peer reaches the primary");
+            CbwPool_StartPromotion_(pool, now, "no peer reaches the primary");
             return;
         }
-        set_phase(pool, now, CBW_POOL_ASKING_REACH);
+        CbwPool_SetPhase_(pool, now, CBW_POOL_ASKING_REACH);
         pool->ops->ask_reach(pool->context, pool->primary);
         return;
     }
     if (e->info.leaving && has_remaining_replica(pool) &&
         (now >= pool->drain_due_at ||
          CbwPool_HasLeft_(pool, now, pool->primary))) {
-        set_phase(pool, now, CBW_POOL_DRAINING);
+        CbwPool_SetPhase_(pool, now, CBW_POOL_DRAINING);
         CbwPool_LogDecision_(pool, now, "%s is leaving: new writes wait",
                              e->info.name);
     }
@@ -782,7 +467,7 @@
     if (CbwPool_HasLeft_(pool, now, pool->primary)) {
         return;
     }
-    set_phase(pool, now, CBW_POOL_SERVING);
+    CbwPool_SetPhase_(pool, now, CBW_POOL_SERVING);
     pool->drain_due_at = now + Cbw_POOL_PROMOTION_RETRY_AFTER;
     CbwPool_LogDecision_(pool, now,
                          "%s leads on: no replica that stays has its log",
@@ -795,12 +480,12 @@
     bool caught_up;
 
     if (pool->primary < 0 || pool->endpoints[pool->primary].down) {
-        set_phase(pool, now, CBW_POOL_SERVING);
+        CbwPool_SetPhase_(pool, now, CBW_POOL_SERVING);
         return;
     }
     caught_up = has_caught_up_replica(pool, now);
     if (caught_up && !has_running_writes(pool)) {
-        start_promotion(pool, now, "the primary is leaving");
+        CbwPool_StartPromotion_(pool, now, "the primary is leaving");
         return;
     }
     if (now - pool->phase_since <= Cbw_POOL_DRAIN_TIMEOUT) {
@@ -811,26 +496,7 @@
         lead_on(pool, now);
         return;
     }
-    start_promotion(pool, now, "the primary is leaving");
-}
-
-static void
-choose_when_ready(cbw_pool_t *pool, cbw_time_t now)
-{
-    CbwTenure_AskToRelinquish(&pool->tenure, now);
-    /* Expired after a pause: the record is read again first. */
-    if (CbwTenure_IsExclusive(&pool->tenure, now)) {
-        if (pool->phase_since < pool->tenure.exclusive_from) {
-            /* Until then previous holders acknowledged commits, which earlier
-             * reports lack. */
-            set_phase(pool, now, CBW_POOL_CHOOSING_CANDIDATE);
-        }
-        else if (is_choice_ready(pool, now)) {
-            request_promotion(pool, now);
-            return;
-        }
-    }
-    request_candidate_states(pool, now);
+    CbwPool_StartPromotion_(pool, now, "the primary is leaving");
 }
 
 static void
@@ -849,7 +515,7 @@
         drain_primary(pool, now);
         break;
     case CBW_POOL_CHOOSING_CANDIDATE:
-        choose_when_ready(pool, now);
+        CbwPool_ChooseWhenReady_(pool, now);
         break;
     case CBW_POOL_REQUESTING_PROMOTION:
         if (now - pool->phase_since > Cbw_POOL_PROMOTION_RETRY_AFTER) {
@@ -857,7 +523,7 @@
         }
         break;
     case CBW_POOL_POLLING_CANDIDATE:
-        poll_candidate(pool, now);
+        CbwPool_PollCandidate_(pool, now);
         break;
     case CBW_POOL_CLAIMING:
     case CBW_POOL_PUBLISHING:
--- /dev/null
+++ b/src/libcarobwind/pool_promotion.c
@@ -0,0 +1,342 @@
+/* A promotion, from its start to the moment at which the candidate leads:
+ * which endpoint is chosen, and how it is told that it leads a new term. */
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "carobwind/pool.h"
+#include "private/pool.h"
+
+static bool
+is_previous_primary(const cbw_pool_t *pool, const cbw_pool_endpoint_t *e)
+{
+    return strcmp(e->info.name, pool->previous_primary) == 0;
+}
+
+static bool
+is_candidate(const cbw_pool_t *pool, int index)
+{
+    const cbw_pool_endpoint_t *e = &pool->endpoints[index];
+
+    return e->used && !e->down &&
+           (pool->refused_candidates & (1U << index)) == 0 &&
+           (pool->previous_allowed || !is_previous_primary(pool, e));
+}
+
+/* Returns the end of the endpoint's log without discarded entries. */
+static cbw_position_t
+valid_position(const cbw_pool_t *pool, const cbw_pool_endpoint_t *e)
+{
+    cbw_position_t position = e->reported_position;
+
+    if (CbwPool_HasDiscardedEntries_(pool, position)) {
+        position.index = pool->tenure.record.term_base;
+    }
+    return position;
+}
+
+/* Whether `a` is the better candidate. The previous primary, if allowed, comes
+ * last: the promotion began because it was lost or leaves. With discarded
+ * entries, an endpoint would undo the promotion that discarded them: reads
+ * since then lacked what is in its log. After that, an endpoint that stays is
+ * preferred to one that is leaving, and then the higher log position. With
+ * synchronous commits, one replica may be the only one that received what was
+ * acknowledged: its log position comes before all else. */
+static bool
+is_better_candidate(const cbw_pool_t *pool, const cbw_pool_endpoint_t *a,
+                    const cbw_pool_endpoint_t *b)
+{
+    bool a_discarded =
+        CbwPool_HasDiscardedEntries_(pool, a->reported_position);
+    bool b_discarded =
+        CbwPool_HasDiscardedEntries_(pool, b->reported_position);
+    int order =
+        CbwPosition_Compare(valid_position(pool, a), valid_position(pool, b));
+
+    if (is_previous_primary(pool, a) != is_previous_primary(pool, b)) {
+        return is_previous_primary(pool, b);
+    }
+    if (pool->synchronous && order != 0) {
+        return order > 0;
+    }
+    if (a_discarded != b_discarded) {
+        return b_discarded;
+    }
+    if (a->info.leaving != b->info.leaving) {
+        return b->info.leaving;
+    }
+    return CbwPosition_Compare(a->reported_position, b->reported_position) > 0;
+}
+
+/* Whether the choice of a candidate waits for the endpoint's state. With
+ * synchronous commits it waits for any endpoint that is listed, down or not:
+ * it may be the only one that received what was acknowledged. The previous
+ * primary, unless it is a candidate, is asked only for its term, see
+ * is_present_primary. */
+static bool
+is_awaited(const cbw_pool_t *pool, int index)
+{
+    const cbw_pool_endpoint_t *e = &pool->endpoints[index];
+
+    if (e->used && is_previous_primary(pool, e)) {
+        return !e->down && (pool->previous_allowed ||
+                            CbwPool_RecordPrimaryTerm_(pool) == 0);
+    }
+    return pool->synchronous ? e->used : is_candidate(pool, index);
+}
+
+/* Returns the best of the endpoints that have reported their states, or -1 if
+ * there is none or it is no candidate at present. */
+static int
+choose_candidate(const cbw_pool_t *pool)
+{
+    int best = -1;
+
+    for (int i = 0; i < Cbw_POOL_ENDPOINTS_MAX; i++) {
+        const cbw_pool_endpoint_t *e = &pool->endpoints[i];
+        if (!is_awaited(pool, i) || e->reported_as_of < pool->phase_since ||
+            (is_previous_primary(pool, e) && !pool->previous_allowed)) {
+            continue;
+        }
+        if (best < 0 || is_better_candidate(pool, e, &pool->endpoints[best])) {
+            best = i;
+        }
+    }
+    return best >= 0 && is_candidate(pool, best) ? best : -1;
+}
+
+static void
+request_candidate_states(cbw_pool_t *pool, cbw_time_t now)
+{
+    for (int i = 0; i < Cbw_POOL_ENDPOINTS_MAX; i++) {
+        if (is_awaited(pool, i) && !pool->endpoints[i].down &&
+            pool->endpoints[i].reported_as_of < pool->phase_since) {
+            CbwPool_SendStateCall_(pool, now, i);
+        }
+    }
+}
+
+/* Returns an endpoint whose state is awaited, or -1. */
+static int
+find_unanswered_candidate(const cbw_pool_t *pool)
+{
+    for (int i = 0; i < Cbw_POOL_ENDPOINTS_MAX; i++) {
+        if (is_awaited(pool, i) &&
+            pool->endpoints[i].reported_as_of < pool->phase_since) {
+            return i;
+        }
+    }
+    return -1;
+}
+
+/* Whether a candidate may be chosen. Without synchronous commits, endpoints
+ * that do not answer in time are passed over. */
+static bool
+is_choice_ready(cbw_pool_t *pool, cbw_time_t now)
+{
+    int unanswered = find_unanswered_candidate(pool);
+    bool late = now - pool->phase_since > Cbw_POOL_CANDIDATE_STATE_TIMEOUT;
+
+    if (unanswered < 0) {
+        return true;
+    }
+    if (late && pool->synchronous && !pool->wait_logged) {
+        pool->wait_logged = true;
+        CbwPool_LogDecision_(pool, now,
+                             "waits for the state of %s: it may have commits "
+                             "that no other endpoint has",
+                             pool->endpoints[unanswered].info.name);
+    }
+    return late && !pool->synchronous;
+}
+
+void
+CbwPool_StartPromotion_(cbw_pool_t *pool, cbw_time_t now, const char *reason)
+{
+    if (!CbwTenure_BeginPromotion(&pool->tenure, now,
+                                  CbwPool_RecordPrimaryTerm_(pool))) {
+        return;
+    }
+    snprintf(pool->previous_primary, sizeof(pool->previous_primary), "%s",
+             pool->tenure.record.primary);
+    pool->previous_primary_term = pool->primary_position.term;
+    pool->refused_candidates = 0;
+    pool->previous_allowed = false;
+    pool->candidate = -1;
+    CbwPool_SetPhase_(pool, now, CBW_POOL_CLAIMING);
+    CbwCounter_Add(pool->counters, CBW_COUNTER_PROMOTIONS_STARTED, 1);
+    CbwPool_LogDecision_(pool, now, "promotion begins: %s", reason);
+    /* From here on, nothing that the previous primary did is acknowledged. */
+    if (pool->primary >= 0) {
+        CbwPool_AbortCalls_(pool, now, pool->primary);
+    }
+}
+
+/* Whether the candidate, which reports itself as the primary, is known to be
+ * the present one: it leads a later term than the primary that the promotion
+ * replaces, and no other endpoint reports a higher term. A promotion that was
+ * taken over, or is repeated, may find it so. */
+static bool
+is_present_primary(const cbw_pool_t *pool, int candidate)
+{
+    uint64_t term = pool->endpoints[candidate].reported_term;
+    uint64_t previous_term = CbwPool_RecordPrimaryTerm_(pool);
+    bool previous_answered = pool->previous_primary[0] == '\0';
+
+    if (term < pool->highest_term || term <= previous_term) {
+        return false;
+    }
+    for (int i = 0; i < Cbw_POOL_ENDPOINTS_MAX; i++) {
+        const cbw_pool_endpoint_t *e = &pool->endpoints[i];
+        bool answered = e->reported_as_of >= pool->phase_since;
+        if (!e->used || i == candidate) {
+            continue;
+        }
+        if (is_previous_primary(pool, e)) {
+            previous_answered = answered;
+        }
+        else if (!answered) {
+            return false;
+        }
+    }
+    return previous_term != 0 || previous_answered;
+}
+
+static void
+request_promotion(cbw_pool_t *pool, cbw_time_t now)
+{
+    const cbw_pool_endpoint_t *e;
+
+    pool->candidate = choose_candidate(pool);
+    if (pool->candidate < 0) {
+        if (now - pool->phase_since > Cbw_POOL_PROMOTION_RETRY_AFTER) {
+            pool->refused_candidates = 0;
+            pool->previous_allowed = true;
+            /* Requests the states of all candidates again. */
+            CbwPool_SetPhase_(pool, now, CBW_POOL_CHOOSING_CANDIDATE);
+        }
+        return;
+    }
+    e = &pool->endpoints[pool->candidate];
+    pool->candidate_leads =
+        e->is_primary && e->reported_term >= pool->highest_term;
+    pool->superseded_term =
+        pool->candidate_leads && is_present_primary(pool, pool->candidate)
+            ? e->reported_term - 1
+            : pool->highest_term;
+    CbwPool_SetPhase_(pool, now, CBW_POOL_REQUESTING_PROMOTION);
+    CbwPool_LogDecision_(
+        pool, now,
+        "requests the promotion of %s, %s in term %" PRIu64
+        ", position %" PRIu64 ".%" PRIu64 ", fencing token %" PRIu64
+        ", to lead a term above %" PRIu64,
+        e->info.name, e->is_primary ? "primary" : "replica", e->reported_term,
+        e->reported_position.term, e->reported_position.index,
+        pool->tenure.version, pool->superseded_term);
+    pool->ops->request_promotion(pool->context, e->info.name,
+                                 pool->tenure.version);
+}
+
+void
+CbwPool_OnPromoteReply(cbw_pool_t *pool, cbw_time_t now,
+                       cbw_promote_status_t status)
+{
+    if (pool->phase != CBW_POOL_REQUESTING_PROMOTION) {
+        return;
+    }
+    CbwPool_LogDecision_(pool, now, "promotion request: %s",
+                         CbwPool_PromoteStatusString[status]);
+    if (status == CBW_PROMOTE_REFUSED) {
+        pool->refused_candidates |= 1U << pool->candidate;
+        CbwPool_SetPhase_(pool, now, CBW_POOL_CHOOSING_CANDIDATE);
+        return;
+    }
+    pool->promote_accepted = status == CBW_PROMOTE_ACCEPTED;
+    CbwPool_SetPhase_(pool, now, CBW_POOL_POLLING_CANDIDATE);
+}
+
+/* The candidate has become the primary. The new term begins with the log that
+ * it has received so far. */
+static void
+on_candidate_promoted(cbw_pool_t *pool, cbw_time_t now)
+{
+    const cbw_pool_endpoint_t *e = &pool->endpoints[pool->candidate];
+
+    if (!CbwTenure_EndPromotion(&pool->tenure, now, e->info.name,
+                                e->reported_term,
+                                e->reported_position.index)) {
+        return;
+    }
+    CbwPool_LogDecision_(
+        pool, now, "%s leads term %" PRIu64 ", position %" PRIu64 ".%" PRIu64,
+        e->info.name, e->reported_term, e->reported_position.term,
+        e->reported_position.index);
+    CbwPool_SetPhase_(pool, now, CBW_POOL_PUBLISHING);
+    pool->promotion_position = e->reported_position;
+    pool->promotion_term = e->reported_term;
+    pool->primary_position = e->reported_position;
+    pool->sample_count = 0;
+    CbwPool_ObservePosition_(pool, now, e->reported_position);
+}
+
+/* Whether the candidate leads a term that began with its promotion, or an
+ * accepted request had the time to begin one and did not, as the candidate is
+ * the present primary. */
+static bool
+is_candidate_promoted(const cbw_pool_t *pool, cbw_time_t now)
+{
+    const cbw_pool_endpoint_t *e = &pool->endpoints[pool->candidate];
+
+    if (!e->used || !e->is_primary || e->reported_as_of < pool->phase_since) {
+        return false;
+    }
+    return e->reported_term > pool->superseded_term ||
+           (pool->candidate_leads && pool->promote_accepted &&
+            e->reported_term >= pool->highest_term &&
+            now - pool->phase_since > Cbw_POOL_PROMOTION_RETRY_AFTER);
+}
+
+void
+CbwPool_PollCandidate_(cbw_pool_t *pool, cbw_time_t now)
+{
+    const cbw_pool_endpoint_t *e;
+
+    if (pool->candidate < 0) {
+        CbwPool_SetPhase_(pool, now, CBW_POOL_CHOOSING_CANDIDATE);
+        return;
+    }
+    e = &pool->endpoints[pool->candidate];
+    if (is_candidate_promoted(pool, now)) {
+        on_candidate_promoted(pool, now);
+        return;
+    }
+    if (!e->used || e->down ||
+        now - pool->phase_since > Cbw_POOL_PROMOTION_RETRY_AFTER) {
+        CbwPool_SetPhase_(pool, now, CBW_POOL_CHOOSING_CANDIDATE);
+        return;
+    }
+    if (e->state_call_id == 0 &&
+        now - e->reported_as_of >= Cbw_POOL_STATE_POLL_INTERVAL) {
+        CbwPool_SendStateCall_(pool, now, pool->candidate);
+    }
+}
+
+void
+CbwPool_ChooseWhenReady_(cbw_pool_t *pool, cbw_time_t now)
+{
+    CbwTenure_AskToRelinquish(&pool->tenure, now);
+    /* Expired after a pause: the record is read again first. */
+    if (CbwTenure_IsExclusive(&pool->tenure, now)) {
+        if (pool->phase_since < pool->tenure.exclusive_from) {
+            /* Until then previous holders acknowledged commits, which earlier
+             * reports lack. */
+            CbwPool_SetPhase_(pool, now, CBW_POOL_CHOOSING_CANDIDATE);
+        }
+        else if (is_choice_ready(pool, now)) {
+            request_promotion(pool, now);
+            return;
+        }
+    }
+    request_candidate_states(pool, now);
+}
--- a/src/test_libcarobwind/test_pool_synchronous.c
+++ b/src/test_libcarobwind/test_pool_synchronous.c
@@ -14,6 +14,14 @@
 /* Long enough for several polls. */
 #define POLLS (200 * Cbw_MSEC)
 
+/* Both replicas lack what the primary has, and then e1 alone. */
+static const endpoint_report_t behind[] = {{.primary = true, .term = 3},
+                                           {.term = 3, .position = {3, 7}},
+                                           {.term = 3, .position = {3, 7}}};
+static const endpoint_report_t caught_up[] = {{.primary = true, .term = 3},
+                                              {.term = 3, .position = {3, 7}},
+                                              {.term = 3}};
+
 static void
 init_synchronous(pool_world_t *world)
 {
@@ -117,14 +125,6 @@
 static void
 test_leaving_primary_leads_on(void)
 {
-    static const endpoint_report_t behind[] = {
-        {.primary = true, .term = 3},
-        {.term = 3, .position = {3, 7}},
-        {.term = 3, .position = {3, 7}}};
-    static const endpoint_report_t caught_up[] = {
-        {.primary = true, .term = 3},
-        {.term = 3, .position = {3, 7}},
-        {.term = 3}};
     pool_world_t world;
     cbw_request_t *write;
 
@@ -154,14 +154,6 @@
 static void
 test_leaving_primary_time_is_over(void)
 {
-    static const endpoint_report_t behind[] = {
-        {.primary = true, .term = 3},
-        {.term = 3, .position = {3, 7}},
-        {.term = 3, .position = {3, 7}}};
-    static const endpoint_report_t caught_up[] = {
-        {.primary = true, .term = 3},
-        {.term = 3, .position = {3, 7}},
-        {.term = 3}};
     pool_world_t world;
     cbw_request_t *write;
 
--- a/test/mutants.tcl
+++ b/test/mutants.tcl
@@ -98,7 +98,7 @@
 
 # Mutants for the scenarios on the platform's protocols.
 mutant trusts-old-terms wire-primary-returns {
-    src/libcarobwind/pool_health.c
+    src/libcarobwind/pool_promotion.c
     "return e->reported_term > pool->superseded_term ||" "return true ||"
     src/libcarobwind/pool_health.c
     "else if (e->reported_term < pool->highest_term &&" "else if (e->reported_term < 1 &&"
