Ask endpoints that are listed during a promotion at once

Found by reading the split file: since the states are asked for anew at the end of the last tenure, an endpoint that was listed while a promotion had no candidate was asked only when the choice began again, up to 2.5 s later.

Change: the order of before, states first; the choice begins anew before them.

/pool/new-endpoint-is-promoted failed before.

--- a/src/libcarobwind/pool_promotion.c
+++ b/src/libcarobwind/pool_promotion.c
@@ -325,18 +325,17 @@
 void
 CbwPool_ChooseWhenReady_(cbw_pool_t *pool, cbw_time_t now)
 {
+    /* An expired tenure, after a pause: the record is read again first. */
+    bool exclusive = CbwTenure_IsExclusive(&pool->tenure, now);
+
     CbwTenure_AskToRelinquish(&pool->tenure, now);
-    /* Expired after a pause: the record is read again first. */
-    if (CbwTenure_IsExclusive(&pool->tenure, now)) {
-        if (pool->phase_since < pool->tenure.exclusive_from) {
-            /* Until then previous holders acknowledged commits, which earlier
-             * reports lack. */
-            CbwPool_SetPhase_(pool, now, CBW_POOL_CHOOSING_CANDIDATE);
-        }
-        else if (is_choice_ready(pool, now)) {
-            request_promotion(pool, now);
-            return;
-        }
+    if (exclusive && pool->phase_since < pool->tenure.exclusive_from) {
+        /* Until then previous holders acknowledged commits, which earlier
+         * reports lack. */
+        CbwPool_SetPhase_(pool, now, CBW_POOL_CHOOSING_CANDIDATE);
     }
     request_candidate_states(pool, now);
+    if (exclusive && is_choice_ready(pool, now)) {
+        request_promotion(pool, now);
+    }
 }
--- a/src/test_libcarobwind/test_pool.c
+++ b/src/test_libcarobwind/test_pool.c
@@ -411,6 +411,30 @@
     PoolWorld_FreeRequest(second);
 }
 
+/* An endpoint that is listed while a promotion has no candidate is asked, and
+ * ordered, at once. */
+static void
+test_new_endpoint_is_promoted(void)
+{
+    static const endpoint_report_t reports[] = {
+        {.unresponsive = true}, {.unresponsive = true}, {.term = 3}};
+    pool_world_t world;
+
+    PoolWorld_Init(&world);
+    world.unlisted[1] = true;
+    world.unlisted[2] = true;
+    PoolWorld_SetEndpoints(&world);
+    while (!world.record.promoting) {
+        PoolWorld_Run(&world, 20 * Cbw_MSEC, reports);
+    }
+    PoolWorld_Run(&world, 500 * Cbw_MSEC, reports);
+    world.unlisted[2] = false;
+    PoolWorld_SetEndpoints(&world);
+    g_assert_true(PoolWorld_RunUntilOrder(&world, 100 * Cbw_MSEC, reports));
+    g_assert_cmpstr(world.promotion_target, ==, "e2");
+    PoolWorld_Finish(&world);
+}
+
 /* A new owner does not know how far the log of a leaving primary goes: a
  * replica counts as caught up only once the primary was asked. */
 static void
@@ -610,6 +634,8 @@
     g_test_add_func("/pool/lost-answer-does-not-mark-down",
                     test_lost_answer_does_not_mark_down);
     g_test_add_func("/pool/leaving-primary", test_leaving_primary_is_drained);
+    g_test_add_func("/pool/new-endpoint-is-promoted",
+                    test_new_endpoint_is_promoted);
     g_test_add_func("/pool/new-owner-drains-primary",
                     test_new_owner_drains_primary);
     g_test_add_func("/pool/long-wait-is-refused-early",
