Ask a leaving primary only when its log is not known

A planned change of primary waited for the primary's state each time. An owner that has had a reply of the primary since the last other tenure ended knows how far its log goes; it now asks the replicas at once, as before, and without synchronous commits only once the running writes have ended.

--- a/src/libcarobwind/pool_health.c
+++ b/src/libcarobwind/pool_health.c
@@ -330,9 +330,21 @@
     return !CbwList_IsEmpty(&pool->held_answers);
 }
 
+/* Whether this owner knows a position of the primary's log that covers what
+ * previous holders of the tenure acknowledged. */
+static bool
+knows_primary_position(const cbw_pool_t *pool)
+{
+    size_t last = pool->sample_count + Cbw_POOL_SAMPLES_MAX - 1;
+
+    return pool->sample_count > 0 &&
+           pool->samples[last % Cbw_POOL_SAMPLES_MAX].time >=
+               pool->tenure.exclusive_from;
+}
+
 /* Returns whether a replica that is not leaving has received everything that
- * the primary wrote; otherwise polls the replicas. The primary is asked first:
- * other owners may have written more than this one knows of. */
+ * the primary wrote; otherwise polls the replicas. An owner that does not know
+ * how far that goes asks the primary first. */
 static bool
 has_caught_up_replica(cbw_pool_t *pool, cbw_time_t now)
 {
@@ -340,7 +352,8 @@
     cbw_position_t end = pool->primary_position;
     bool found = false;
 
-    if (primary->reported_as_of < pool->phase_since) {
+    if (!knows_primary_position(pool) &&
+        primary->reported_as_of < pool->phase_since) {
         CbwPool_SendStateCall_(pool, now, pool->primary);
         return false;
     }
@@ -477,14 +490,19 @@
 static void
 drain_primary(cbw_pool_t *pool, cbw_time_t now)
 {
-    bool caught_up;
+    bool caught_up = false;
+    bool idle;
 
     if (pool->primary < 0 || pool->endpoints[pool->primary].down) {
         CbwPool_SetPhase_(pool, now, CBW_POOL_SERVING);
         return;
     }
-    caught_up = has_caught_up_replica(pool, now);
-    if (caught_up && !has_running_writes(pool)) {
+    idle = !has_running_writes(pool);
+    /* With synchronous commits the answer counts also if writes run on. */
+    if (idle || pool->synchronous) {
+        caught_up = has_caught_up_replica(pool, now);
+    }
+    if (caught_up && idle) {
         CbwPool_StartPromotion_(pool, now, "the primary is leaving");
         return;
     }
