--- a/include/carobwind/tenure.h
+++ b/include/carobwind/tenure.h
@@ -168,8 +168,9 @@
 /* Swap the record: to `promoting` with the next epoch, or to the end of the
  * promotion with its `primary`. `term` is that of the record's primary, which
  * the promotion replaces (0: not known; a term that the record has is kept),
- * or of the new one. Return false when a call is in flight or this owner is
- * not the holder. */
+ * or of the new one, and `term_base` the index of the new one's last log entry
+ * then. Return false when a call is in flight or this owner is not the holder.
+ */
 bool CbwTenure_BeginPromotion(cbw_tenure_t *tenure, cbw_time_t now,
                               uint64_t term);
 bool CbwTenure_EndPromotion(cbw_tenure_t *tenure, cbw_time_t now,
--- a/src/libcarobwind/include/private/pool.h
+++ b/src/libcarobwind/include/private/pool.h
@@ -62,8 +62,10 @@
                               cbw_pool_transaction_t *transaction, bool clean);
 /* Aborts all calls in flight to an endpoint and drops its transactions. */
 void CbwPool_AbortCalls_(cbw_pool_t *pool, cbw_time_t now, int endpoint);
-/* Returns whether the endpoint is leaving and receives no more statements. */
-bool CbwPool_HasLeft_(const cbw_pool_t *pool, cbw_time_t now, int endpoint);
+/* Returns whether the endpoint is leaving and its time for statements is over,
+ * see CbwPool_SetLeavingLimit. */
+bool CbwPool_IsDrainOver_(const cbw_pool_t *pool, cbw_time_t now,
+                          int endpoint);
 /* Returns the index of the primary if statements may be sent to it now,
  * else -1. */
 int CbwPool_UsablePrimary_(const cbw_pool_t *pool, cbw_time_t now);
@@ -116,6 +118,8 @@
  * do not tell which came first. */
 bool CbwPool_WasPrimaryAt_(const cbw_pool_t *pool, cbw_time_t now,
                            cbw_time_t time);
+/* Enters a phase, also again: `phase_since` is then the time from which states
+ * of endpoints count. */
 void CbwPool_SetPhase_(cbw_pool_t *pool, cbw_time_t now,
                        cbw_pool_phase_t phase);
 /* Returns the term of the record's primary; 0: not known. */
--- a/src/libcarobwind/pool_dispatch.c
+++ b/src/libcarobwind/pool_dispatch.c
@@ -6,7 +6,7 @@
 #include "private/pool.h"
 
 bool
-CbwPool_HasLeft_(const cbw_pool_t *pool, cbw_time_t now, int endpoint)
+CbwPool_IsDrainOver_(const cbw_pool_t *pool, cbw_time_t now, int endpoint)
 {
     const cbw_endpoint_t *info = &pool->endpoints[endpoint].info;
 
@@ -21,8 +21,8 @@
     int primary = pool->primary;
 
     if (primary < 0 || pool->endpoints[primary].down ||
-        CbwPool_HasLeft_(pool, now, primary) || now < pool->redirected_until ||
-        !CbwPool_MayServe_(pool, now) ||
+        CbwPool_IsDrainOver_(pool, now, primary) ||
+        now < pool->redirected_until || !CbwPool_MayServe_(pool, now) ||
         (pool->tenure.record.promoting &&
          !CbwPool_IsConfirmedByEndpoints_(pool, now))) {
         return -1;
--- a/src/libcarobwind/pool_health.c
+++ b/src/libcarobwind/pool_health.c
@@ -465,7 +465,7 @@
     }
     if (e->info.leaving && has_remaining_replica(pool) &&
         (now >= pool->drain_due_at ||
-         CbwPool_HasLeft_(pool, now, pool->primary))) {
+         CbwPool_IsDrainOver_(pool, now, pool->primary))) {
         CbwPool_SetPhase_(pool, now, CBW_POOL_DRAINING);
         CbwPool_LogDecision_(pool, now, "%s is leaving: new writes wait",
                              e->info.name);
@@ -477,7 +477,7 @@
 static void
 lead_on(cbw_pool_t *pool, cbw_time_t now)
 {
-    if (CbwPool_HasLeft_(pool, now, pool->primary)) {
+    if (CbwPool_IsDrainOver_(pool, now, pool->primary)) {
         return;
     }
     CbwPool_SetPhase_(pool, now, CBW_POOL_SERVING);
--- a/src/test_libcarobwind/test_pool_terms.c
+++ b/src/test_libcarobwind/test_pool_terms.c
@@ -10,6 +10,12 @@
 /* Long enough for several polls, and shorter than any wait of a promotion. */
 #define POLLS (400 * Cbw_MSEC)
 
+/* e0, which leads a superseded term, alone answers. */
+static const endpoint_report_t superseded[] = {
+    {.primary = true, .term = 3, .position = {3, 12}},
+    {.unresponsive = true},
+    {.unresponsive = true}};
+
 /* e1 is promoted to term 4 after e0 was unlisted, and e0 is listed again. It
  * still leads term 3, where its log has gone on. */
 static void
@@ -39,10 +45,6 @@
 static void
 test_superseded_candidate(void)
 {
-    static const endpoint_report_t outdated[] = {
-        {.primary = true, .term = 3, .position = {3, 12}},
-        {.unresponsive = true},
-        {.unresponsive = true}};
     static const endpoint_report_t promoted[] = {
         {.primary = true, .term = 5, .position = {3, 12}},
         {.unresponsive = true},
@@ -51,12 +53,12 @@
     cbw_request_t *write;
 
     promote_e1(&world);
-    g_assert_true(PoolWorld_RunUntilOrder(&world, 3 * Cbw_SEC, outdated));
+    g_assert_true(PoolWorld_RunUntilOrder(&world, 3 * Cbw_SEC, superseded));
     g_assert_cmpstr(world.promotion_target, ==, "e0");
     CbwPool_OnPromoteReply(&world.pool, world.now, CBW_PROMOTE_ACCEPTED);
     write = PoolWorld_NewRequest(&world, true, CBW_READ_LATEST);
     PoolWorld_Submit(&world, write);
-    PoolWorld_Run(&world, POLLS, outdated);
+    PoolWorld_Run(&world, POLLS, superseded);
     g_assert_true(world.record.promoting);
     g_assert_null(PoolWorld_LastOpenCall(&world, CBW_CALL_RUN));
     PoolWorld_Run(&world, POLLS, promoted);
@@ -72,10 +74,6 @@
 static void
 test_superseded_candidate_after_take_over(void)
 {
-    static const endpoint_report_t outdated[] = {
-        {.primary = true, .term = 3, .position = {3, 12}},
-        {.unresponsive = true},
-        {.unresponsive = true}};
     pool_world_t world;
 
     PoolWorld_Init(&world);
@@ -84,11 +82,11 @@
     world.record.term_base = 9;
     g_strlcpy(world.record.primary, "e1", sizeof(world.record.primary));
     world.version++;
-    g_assert_true(PoolWorld_RunUntilOrder(&world, 4 * Cbw_SEC, outdated));
+    g_assert_true(PoolWorld_RunUntilOrder(&world, 4 * Cbw_SEC, superseded));
     g_assert_cmpstr(world.promotion_target, ==, "e0");
     CbwPool_OnPromoteReply(&world.pool, world.now, CBW_PROMOTE_ACCEPTED);
     /* Neither after the wait for an order that changes nothing. */
-    PoolWorld_Run(&world, Cbw_POOL_PROMOTION_RETRY_AFTER + POLLS, outdated);
+    PoolWorld_Run(&world, Cbw_POOL_PROMOTION_RETRY_AFTER + POLLS, superseded);
     g_assert_true(world.record.promoting);
     PoolWorld_Finish(&world);
 }
