--- /dev/null
+++ b/src/test_libcarobwind/pool_fleet.h
@@ -0,0 +1,48 @@
+/* A fleet in virtual time: several pools of one database, each the owner on
+ * its host, with the store, the promotion service, the endpoints and callers
+ * between them. Each seed draws its own disruptions. The world notes when
+ * promotions take effect and checks what callers are told against that. */
+#ifndef TEST_LIBCAROBWIND_POOL_FLEET_H
+#define TEST_LIBCAROBWIND_POOL_FLEET_H
+
+#include "carobwind/types.h"
+
+/* What may happen in a run. */
+typedef struct {
+    const char *name;
+    bool store_cuts;       /* hosts lose the store, or it is down for all */
+    bool lost_swaps;       /* answers of the store are lost; swaps run late */
+    bool endpoint_crashes; /* endpoints crash and come back with their log */
+    bool endpoint_cuts;    /* between hosts and endpoints */
+    bool group_cuts;       /* between the endpoints */
+    bool host_cuts;        /* between hosts */
+    bool restarts;         /* hosts are killed, or stopped and started */
+    bool pauses;           /* hosts pause */
+    bool releases;         /* endpoints leave and are replaced */
+    bool late_orders;      /* promotion requests arrive up to seconds late */
+    bool lost_orders;      /* answers of the promotion service are lost */
+} fleet_troubles_t;
+
+typedef struct {
+    int commits_acknowledged;
+    int reads_done;
+    int promotions; /* that took effect */
+    int orders;
+    /* Commits at a replaced primary that were acknowledged. */
+    int superseded_commits;
+    /* Reads of the latest data that lack an acknowledged commit. */
+    int stale_reads;
+    int lower_fences; /* promotion requests with a token below an earlier one's
+                       */
+    int orders_in_turn; /* requests of two hosts within the lease of 3 s */
+    int quiet_failures; /* requests that failed after all troubles had ended */
+    int quiet_successes;
+    char first_fault[256];
+} fleet_result_t;
+
+/* Plays `duration` with `troubles`, then some quiet seconds. `verbose` prints
+ * each event. */
+void PoolFleet_Play(uint64_t seed, const fleet_troubles_t *troubles,
+                    cbw_time_t duration, bool verbose, fleet_result_t *result);
+
+#endif
--- a/src/test_libcarobwind/suites.h
+++ b/src/test_libcarobwind/suites.h
@@ -18,6 +18,8 @@
 void Suite_AddPolicies(void);
 void Suite_AddPool(void);
 void Suite_AddPoolConfirm(void);
+void Suite_AddPoolFleet(void);
+void Suite_AddPoolOrders(void);
 void Suite_AddPoolSynchronous(void);
 void Suite_AddPoolTerms(void);
 void Suite_AddRegistry(void);
--- a/src/test_libcarobwind/test_main.c
+++ b/src/test_libcarobwind/test_main.c
@@ -22,6 +22,8 @@
     Suite_AddPolicies();
     Suite_AddPool();
     Suite_AddPoolConfirm();
+    Suite_AddPoolFleet();
+    Suite_AddPoolOrders();
     Suite_AddPoolSynchronous();
     Suite_AddPoolTerms();
     Suite_AddRegistry();
--- /dev/null
+++ b/src/test_libcarobwind/test_pool_orders.c
@@ -0,0 +1,187 @@
+/* Tests of what may still take effect after the pool has gone on: a promotion
+ * request without an answer, and a swap of the record without one. */
+
+#include <glib.h>
+
+#include "pool_world.h"
+#include "suites.h"
+
+static const endpoint_report_t primary_lost[] = {
+    {.unresponsive = true}, {.term = 3}, {.term = 3}};
+
+/* The primary e0 is unlisted, and the pool requests the promotion of e1. */
+static void
+request_e1(pool_world_t *world)
+{
+    PoolWorld_Init(world);
+    world->unlisted[0] = true;
+    PoolWorld_SetEndpoints(world);
+    g_assert_true(PoolWorld_RunUntilOrder(world, Cbw_SEC, primary_lost));
+    g_assert_cmpstr(world->promotion_target, ==, "e1");
+}
+
+/* The swap that publishes e1 has no answer, and e1 does not respond any more.
+ * While the store may still carry the swap out, a promotion of e2 would take
+ * effect at a database whose record names e1. */
+static void
+test_late_publication(void)
+{
+    static const endpoint_report_t promoted[] = {
+        {.unresponsive = true}, {.primary = true, .term = 4}, {.term = 3}};
+    static const endpoint_report_t lost[] = {
+        {.unresponsive = true}, {.unresponsive = true}, {.term = 4}};
+    pool_world_t world;
+    uint64_t version;
+
+    request_e1(&world);
+    CbwPool_OnPromoteReply(&world.pool, world.now, CBW_PROMOTE_ACCEPTED);
+    version = world.version;
+    while (world.pool.phase != CBW_POOL_PUBLISHING) {
+        world.now += 20 * Cbw_MSEC;
+        CbwPool_Tick(&world.pool, world.now, true);
+        PoolWorld_AnswerStates(&world, promoted);
+    }
+    g_assert_true(world.swap_pending);
+    world.swap_pending = false;
+    world.record.promoting = true; /* the record as it was */
+    g_strlcpy(world.record.primary, "e0", sizeof(world.record.primary));
+    world.record.term = world.pool.tenure.record.term;
+    world.record.term_base = world.pool.tenure.record.term_base;
+    CbwPool_OnSwap(&world.pool, world.now, CBW_STORE_LOST, 0);
+    g_assert_true(PoolWorld_RunUntilOrder(&world, 10 * Cbw_SEC, lost));
+    g_assert_cmpstr(world.promotion_target, ==, "e2");
+    /* Another version: the swap without an answer fails from now on. */
+    g_assert_cmpuint(world.version, >, version);
+    PoolWorld_Finish(&world);
+}
+
+/* The swap that begins a promotion is carried out, but its answer is lost, and
+ * the primary is listed again: the promotion goes on nevertheless, since the
+ * record says that it has begun. */
+static void
+test_unanswered_claim(void)
+{
+    static const endpoint_report_t back[] = {
+        {.primary = true, .term = 3}, {.term = 3}, {.term = 3}};
+    pool_world_t world;
+
+    PoolWorld_Init(&world);
+    world.unlisted[0] = true;
+    PoolWorld_SetEndpoints(&world);
+    while (!world.swap_pending) {
+        world.now += 20 * Cbw_MSEC;
+        CbwPool_Tick(&world.pool, world.now, true);
+        PoolWorld_AnswerStates(&world, primary_lost);
+    }
+    g_assert_true(world.record.promoting);
+    world.swap_pending = false;
+    world.version++;
+    CbwPool_OnSwap(&world.pool, world.now, CBW_STORE_LOST, 0);
+    world.unlisted[0] = false;
+    PoolWorld_SetEndpoints(&world);
+    g_assert_true(PoolWorld_RunUntilOrder(&world, 5 * Cbw_SEC, back));
+    PoolWorld_Finish(&world);
+}
+
+typedef struct {
+    const char *name;
+    cbw_promote_status_t status;
+    bool answered;
+} order_case_t;
+
+static const order_case_t order_cases[] = {
+    {"no answer", CBW_PROMOTE_LOST, false},
+    {"lost", CBW_PROMOTE_LOST, true},
+    {"accepted", CBW_PROMOTE_ACCEPTED, true},
+};
+
+/* A request that may still take effect keeps the pool from promoting another
+ * endpoint until that is over. */
+static void
+test_order_may_take_effect(void)
+{
+    static const endpoint_report_t e1_lost[] = {
+        {.unresponsive = true}, {.unresponsive = true}, {.term = 3}};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(order_cases); i++) {
+        const order_case_t *item = &order_cases[i];
+        cbw_time_t over = Cbw_SEC; /* "some hundred ms" after its arrival */
+        pool_world_t world;
+        cbw_time_t ordered_at;
+
+        g_test_message("%s", item->name);
+        request_e1(&world);
+        ordered_at = world.now;
+        if (item->answered) {
+            CbwPool_OnPromoteReply(&world.pool, world.now, item->status);
+        }
+        else {
+            over += Cbw_SEC; /* until it is given up */
+        }
+        world.unlisted[1] = true;
+        PoolWorld_SetEndpoints(&world);
+        g_assert_true(PoolWorld_RunUntilOrder(&world, 10 * Cbw_SEC, e1_lost));
+        g_assert_cmpstr(world.promotion_target, ==, "e2");
+        g_assert_cmpint(world.now - ordered_at, >=, over);
+        PoolWorld_Finish(&world);
+    }
+}
+
+/* Nor does the pool let another owner promote meanwhile. */
+static void
+test_order_keeps_tenure(void)
+{
+    static const endpoint_report_t promoted[] = {
+        {.unresponsive = true}, {.primary = true, .term = 4}, {.term = 4}};
+    pool_world_t world;
+    cbw_time_t ordered_at;
+
+    request_e1(&world);
+    ordered_at = world.now;
+    CbwPool_OnPromoteReply(&world.pool, world.now, CBW_PROMOTE_ACCEPTED);
+    PoolWorld_Run(&world, 400 * Cbw_MSEC, promoted);
+    g_assert_cmpint(world.pool.phase, ==, CBW_POOL_SERVING);
+    g_assert_false(CbwPool_Relinquish(&world.pool, world.now));
+    PoolWorld_Run(&world, ordered_at + 3 * Cbw_SEC - world.now, promoted);
+    g_assert_true(CbwPool_Relinquish(&world.pool, world.now));
+    PoolWorld_Finish(&world);
+}
+
+/* A tenure that is about to end does not cover a request. */
+static void
+test_order_near_end_of_tenure(void)
+{
+    pool_world_t world;
+
+    PoolWorld_Init(&world);
+    world.unlisted[0] = true;
+    PoolWorld_SetEndpoints(&world);
+    while (world.pool.phase != CBW_POOL_CHOOSING_CANDIDATE) {
+        PoolWorld_Tick(&world, 20 * Cbw_MSEC);
+    }
+    /* The store does not answer for a while, nor do the endpoints. */
+    while (world.now + 2 * Cbw_SEC < world.pool.tenure.valid_until) {
+        world.now += 50 * Cbw_MSEC;
+        CbwPool_Tick(&world.pool, world.now, true);
+    }
+    for (int i = 0; i < 20; i++) {
+        world.now += 50 * Cbw_MSEC;
+        CbwPool_Tick(&world.pool, world.now, true);
+        PoolWorld_AnswerStates(&world, primary_lost);
+    }
+    g_assert_true(CbwTenure_IsExclusive(&world.pool.tenure, world.now));
+    g_assert_cmpstr(world.promotion_target, ==, "");
+    g_assert_true(PoolWorld_RunUntilOrder(&world, 5 * Cbw_SEC, primary_lost));
+    PoolWorld_Finish(&world);
+}
+
+void
+Suite_AddPoolOrders(void)
+{
+    g_test_add_func("/pool/late-publication", test_late_publication);
+    g_test_add_func("/pool/unanswered-claim", test_unanswered_claim);
+    g_test_add_func("/pool/order-may-take-effect", test_order_may_take_effect);
+    g_test_add_func("/pool/order-keeps-tenure", test_order_keeps_tenure);
+    g_test_add_func("/pool/order-near-end-of-tenure",
+                    test_order_near_end_of_tenure);
+}
