Order a promotion only once no earlier swap of the record can take effect

Cause: a swap without an answer counted as not done as soon as the record was read once. The store may carry it out later, while the record has the version that the swap expected.

The tenure now knows of such a swap. Until the record has another version it is not exclusive, so that no order goes out, and the holder gives the record another version by a swap of its own. If the swap was the release of the tenure, reads do not renew it either.

--- a/include/carobwind/tenure.h
+++ b/include/carobwind/tenure.h
@@ -119,6 +119,11 @@
     cbw_tenure_record_t proposed; /* of the last swap */
     cbw_time_t call_sent_at;
     bool last_call_lost; /* the last call got no answer */
+    /* A swap got no answer: the store may yet carry it out as long as the
+     * record has the version that the swap expected. */
+    bool swap_unsettled;
+    uint64_t unsettled_version;
+    bool release_unsettled; /* that swap removes this owner from the record */
     cbw_time_t next_call_at;
     cbw_time_t valid_until; /* end of this owner's tenure; 0: none */
     /* This owner became the record's holder, and has neither relinquished the
@@ -155,7 +160,8 @@
 /* Returns whether this owner has a valid tenure: no promotion that it did not
  * request has taken effect before `now`. */
 bool CbwTenure_IsValid(const cbw_tenure_t *tenure, cbw_time_t now);
-/* Returns whether it has a valid tenure and no other owner has one. */
+/* Returns whether it has a valid tenure, no other owner has one, and no swap
+ * of its own may still change the record. */
 bool CbwTenure_IsExclusive(const cbw_tenure_t *tenure, cbw_time_t now);
 /* Returns whether the store does not answer this owner. */
 bool CbwTenure_IsStoreUnresponsive(const cbw_tenure_t *tenure, cbw_time_t now);
--- a/src/libcarobwind/tenure.c
+++ b/src/libcarobwind/tenure.c
@@ -101,7 +101,7 @@
 CbwTenure_IsExclusive(const cbw_tenure_t *tenure, cbw_time_t now)
 {
     return CbwTenure_IsValid(tenure, now) && tenure->held &&
-           now >= tenure->exclusive_from;
+           !tenure->swap_unsettled && now >= tenure->exclusive_from;
 }
 
 bool
@@ -183,29 +183,42 @@
     }
 }
 
+/* Notes the record's version in the store: a swap that expected another one
+ * fails. */
 static void
-take_over(cbw_tenure_t *tenure, cbw_time_t now, const char *primary)
+settle_swap(cbw_tenure_t *tenure, uint64_t version)
+{
+    if (tenure->swap_unsettled && version != tenure->unsettled_version) {
+        tenure->swap_unsettled = false;
+        tenure->release_unsettled = false;
+    }
+}
+
+/* Gives the record another version, so that an earlier swap without an answer
+ * fails. */
+static void
+renew_version(cbw_tenure_t *tenure, cbw_time_t now)
 {
     cbw_tenure_record_t proposed = tenure->record;
 
-    if (tenure->version == 0) {
-        memset(&proposed, 0, sizeof(proposed));
-        snprintf(proposed.primary, sizeof(proposed.primary), "%s", primary);
+    if (now >= tenure->exclusive_from) {
+        proposed.previous_holder_count = 0;
     }
-    add_previous_holder(&proposed, tenure->version);
-    remove_previous_holder(&proposed, tenure->self.nonce);
-    proposed.holder = tenure->self;
     send_swap(tenure, now, &proposed);
 }
 
-/* Removes the previous holders from the record, as their tenures have ended.
- */
 static void
-clear_previous_holders(cbw_tenure_t *tenure, cbw_time_t now)
+take_over(cbw_tenure_t *tenure, cbw_time_t now, const char *primary)
 {
     cbw_tenure_record_t proposed = tenure->record;
 
-    proposed.previous_holder_count = 0;
+    if (tenure->version == 0) {
+        memset(&proposed, 0, sizeof(proposed));
+        snprintf(proposed.primary, sizeof(proposed.primary), "%s", primary);
+    }
+    add_previous_holder(&proposed, tenure->version);
+    remove_previous_holder(&proposed, tenure->self.nonce);
+    proposed.holder = tenure->self;
     send_swap(tenure, now, &proposed);
 }
 
@@ -231,9 +244,10 @@
     if (tenure->call_in_flight || now < tenure->next_call_at) {
         return;
     }
-    if (is_holder(tenure) && tenure->record.previous_holder_count != 0 &&
-        now >= tenure->exclusive_from) {
-        clear_previous_holders(tenure, now);
+    if (is_holder(tenure) && (tenure->swap_unsettled ||
+                              (tenure->record.previous_holder_count != 0 &&
+                               now >= tenure->exclusive_from))) {
+        renew_version(tenure, now);
         return;
     }
     if (!tenure->record_known || is_holder(tenure) ||
@@ -449,6 +463,7 @@
     tenure->record_known = true;
     tenure->version = version;
     tenure->record = *record;
+    settle_swap(tenure, version);
     note_previous_holders(tenure, now);
     if (is_holder(tenure)) {
         if (!tenure->held) {
@@ -456,7 +471,12 @@
             begin_holding(tenure, now);
             tenure->inherited_promotion = record->promoting;
         }
-        tenure->valid_until = tenure->call_sent_at + Cbw_TENURE_VALID_FOR;
+        if (!tenure->release_unsettled) {
+            tenure->valid_until = tenure->call_sent_at + Cbw_TENURE_VALID_FOR;
+        }
+        if (tenure->swap_unsettled) {
+            tenure->next_call_at = now;
+        }
         return;
     }
     tenure->held = false;
@@ -485,6 +505,14 @@
 
     tenure->call_in_flight = false;
     tenure->last_call_lost = status == CBW_STORE_LOST;
+    if (status == CBW_STORE_LOST) {
+        bool repeated = tenure->swap_unsettled &&
+                        tenure->unsettled_version == tenure->version;
+        tenure->release_unsettled = tenure->proposed.holder.nonce == 0 ||
+                                    (repeated && tenure->release_unsettled);
+        tenure->swap_unsettled = true;
+        tenure->unsettled_version = tenure->version;
+    }
     if (tenure->relinquished_at >= tenure->call_sent_at) {
         return; /* the record is read again */
     }
@@ -500,6 +528,7 @@
         /* This owner's own promotion supersedes the inherited one. */
         tenure->inherited_promotion = false;
     }
+    settle_swap(tenure, version);
     tenure->version = version;
     tenure->record = tenure->proposed;
     note_previous_holders(tenure, now);
