Carry on a promotion whose first swap has no answer

The owner now resumes from what the record says, whichever half was done: a promotion that has begun goes on, one that has been published ends. A claim without an answer is never taken for this owner's own.

/pool/unanswered-claim fails before and passes after.

--- a/src/libcarobwind/pool_health.c
+++ b/src/libcarobwind/pool_health.c
@@ -226,6 +226,31 @@
     pool->sample_count = 0;
 }
 
+/* Whether the record has this owner's own promotion. */
+static bool
+is_promotion_claimed(const cbw_pool_t *pool)
+{
+    return pool->tenure.record_known && pool->tenure.record.promoting &&
+           !pool->tenure.inherited_promotion;
+}
+
+/* The record shows what became of a swap that had no answer: a promotion has
+ * begun or ended. */
+static void
+resume_from_record(cbw_pool_t *pool, cbw_time_t now)
+{
+    if (!pool->tenure.held || !pool->tenure.record_known ||
+        pool->tenure.call_in_flight) {
+        return;
+    }
+    if (pool->tenure.record.promoting) {
+        pool->tenure.inherited_promotion |= pool->phase < CBW_POOL_CLAIMING;
+    }
+    else if (pool->phase > CBW_POOL_CLAIMING) {
+        on_promotion_published(pool, now);
+    }
+}
+
 static void
 on_tenure_changed(cbw_pool_t *pool, cbw_time_t now)
 {
@@ -249,18 +274,14 @@
     }
     if (pool->phase == CBW_POOL_CLAIMING && !pool->tenure.call_in_flight) {
         CbwPool_SetPhase_(pool, now,
-                          pool->tenure.record.promoting
+                          is_promotion_claimed(pool)
                               ? CBW_POOL_CHOOSING_CANDIDATE
                               : CBW_POOL_SERVING);
     }
+    resume_from_record(pool, now);
     if (pool->phase == CBW_POOL_PUBLISHING && !pool->tenure.call_in_flight &&
         pool->tenure.record_known) {
-        if (!pool->tenure.record.promoting) {
-            on_promotion_published(pool, now);
-        }
-        else {
-            CbwPool_SetPhase_(pool, now, CBW_POOL_POLLING_CANDIDATE);
-        }
+        CbwPool_SetPhase_(pool, now, CBW_POOL_POLLING_CANDIDATE);
     }
 }
 
