End a promotion request before anyone else may promote

The owner, or the next one, finished the promotion with another endpoint; then the request arrived and promoted its own. Nothing accounted for it: not the owner that chose another candidate, not the release or the relinquishment of the tenure, not a take-over.

A request now has an end: it is cancelled after 1 s without a reply, takes effect within 1 s of its arrival, and until then binds the owner to its endpoint. It is sent only if the tenure lasts beyond it and beyond its lease of 3 s, in which no other owner may promote; meanwhile the tenure is neither relinquished nor released.

/pool/promotion-taken-over expected the tenure to be relinquished while the owner's request was still under way, which the simulation shows to be the fault. It now expects the request to be cancelled, the refusal until the lease is over, and the relinquishment then.

The daemon's driver cannot cancel yet.

--- a/include/carobwind/pool.h
+++ b/include/carobwind/pool.h
@@ -79,6 +79,16 @@
  * time: either a failover may start, as no peer reaches it, or requests are
  * redirected to a peer that does. */
 #define Cbw_POOL_PROMOTION_RETRY_AFTER (2500 * Cbw_MSEC)
+/* A promotion request without a reply is cancelled after this time. Longer
+ * than the slowest answers that the users specify. */
+#define Cbw_POOL_ORDER_TIMEOUT Cbw_SEC
+/* A promotion takes effect within this time after its request has arrived; the
+ * users specify some hundred ms. */
+#define Cbw_POOL_ORDER_EFFECT Cbw_SEC
+/* No other owner may request a promotion for this long after the last moment
+ * at which this one's request can have arrived. Longer than
+ * Cbw_POOL_ORDER_EFFECT; the users' rules ask for 3 s. */
+#define Cbw_POOL_ORDER_LEASE (3 * Cbw_SEC)
 /* How long peers' answers to whether they reach the primary are awaited. */
 #define Cbw_POOL_REACH_TIMEOUT (300 * Cbw_MSEC)
 /* A transaction without a statement for this long is rolled back, unless the
@@ -161,6 +171,9 @@
      * answered by CbwPool_OnPromoteReply. */
     void (*request_promotion)(void *context, const char *endpoint,
                               uint64_t fence);
+    /* Ends a request without a reply: it takes effect within
+     * Cbw_POOL_ORDER_EFFECT or never, and no reply follows. */
+    void (*cancel_promotion)(void *context);
     /* Asks peers whether they reach the endpoint; answered by
      * CbwPool_OnReach. */
     void (*ask_reach)(void *context, int endpoint);
@@ -328,6 +341,13 @@
      */
     bool candidate_leads;
     bool promote_accepted; /* the reply to the promotion request */
+    bool order_in_flight;  /* the request has no reply yet */
+    /* The endpoint of the latest request. Until `order_settled_at` it may
+     * still be promoted, and no other endpoint is requested. */
+    char ordered[Cbw_NAME_MAX];
+    cbw_time_t order_settled_at;
+    cbw_time_t earlier_order_settled_at; /* of earlier requests for it */
+    cbw_time_t order_ended_at;           /* answered or cancelled; 0: never */
     /* Mask of the endpoints whose promotion was refused because they were not
      * running. */
     unsigned refused_candidates;
@@ -409,16 +429,21 @@
 /* Runs everything that is due. `hold_tenure`: whether this owner should
  * acquire and renew the tenure. */
 void CbwPool_Tick(cbw_pool_t *pool, cbw_time_t now, bool hold_tenure);
+/* Returns whether this owner has requested a promotion and waits for it, or
+ * has requested one so recently that no other owner may do so yet. */
+bool CbwPool_IsPromoting(const cbw_pool_t *pool, cbw_time_t now);
 /* Another owner asks this one to relinquish its tenure. Returns whether it
- * did; it refuses while it carries out a promotion. */
+ * did; it refuses while it carries out a promotion, and while
+ * CbwPool_IsPromoting. */
 bool CbwPool_Relinquish(cbw_pool_t *pool, cbw_time_t now);
 /* Handle the answer to ops->ask_to_relinquish: the host of the holder with
  * `nonce` is not a member or is dead, or the holder has no tenure any more. */
 void CbwPool_OnHolderUnreachable(cbw_pool_t *pool, cbw_time_t now,
                                  uint64_t nonce);
 void CbwPool_OnRelinquished(cbw_pool_t *pool, cbw_time_t now, uint64_t nonce);
-/* Releases the tenure and stops: this host no longer owns the database. */
-void CbwPool_Release(cbw_pool_t *pool, cbw_time_t now);
+/* Releases the tenure and stops: this host no longer owns the database.
+ * Returns whether it did; it refuses while CbwPool_IsPromoting. */
+bool CbwPool_Release(cbw_pool_t *pool, cbw_time_t now);
 /* Returns whether the pool has no request and no open transaction. */
 bool CbwPool_IsIdle(const cbw_pool_t *pool);
 /* Writes a description for operators to `text` of `size` bytes. Returns its
--- a/src/carobwindd/pool_instance.c
+++ b/src/carobwindd/pool_instance.c
@@ -214,6 +214,12 @@
         (void *)(uintptr_t)instance->id);
 }
 
+static void
+op_cancel_promotion(void *context)
+{
+    (void)context;
+}
+
 static void
 op_log_decision(void *context, const char *text)
 {
@@ -362,6 +368,7 @@
     .swap_record = op_swap_record,
     .ask_to_relinquish = op_ask_to_relinquish,
     .request_promotion = op_request_promotion,
+    .cancel_promotion = op_cancel_promotion,
     .ask_reach = op_ask_reach,
     .redirect = op_redirect,
     .log_decision = op_log_decision,
--- a/src/libcarobwind/include/private/pool.h
+++ b/src/libcarobwind/include/private/pool.h
@@ -130,6 +130,8 @@
 /* Chooses a candidate and requests its promotion, as soon as the tenure is
  * exclusive and the endpoints' states allow the choice. */
 void CbwPool_ChooseWhenReady_(cbw_pool_t *pool, cbw_time_t now);
+/* Cancels a promotion request that has no reply. */
+void CbwPool_CancelOrder_(cbw_pool_t *pool, cbw_time_t now);
 /* Asks the candidate whether it leads by now. Chooses again if that takes too
  * long. */
 void CbwPool_PollCandidate_(cbw_pool_t *pool, cbw_time_t now);
--- a/src/libcarobwind/pool.c
+++ b/src/libcarobwind/pool.c
@@ -121,6 +121,7 @@
 {
     cbw_link_t *link;
 
+    CbwPool_CancelOrder_(pool, now);
     fail_queued(pool, &pool->primary_queue, CBW_OUTCOME_NOTRUN);
     fail_queued(pool, &pool->replica_queue, CBW_OUTCOME_NOTRUN);
     for (int i = 0; i < Cbw_POOL_ENDPOINTS_MAX; i++) {
@@ -575,7 +576,7 @@
 bool
 CbwPool_Relinquish(cbw_pool_t *pool, cbw_time_t now)
 {
-    if (pool->phase >= CBW_POOL_CLAIMING) {
+    if (pool->phase >= CBW_POOL_CLAIMING || CbwPool_IsPromoting(pool, now)) {
         return false;
     }
     CbwTenure_Relinquish(&pool->tenure, now);
@@ -596,10 +597,14 @@
     CbwTenure_OnRelinquished(&pool->tenure, now, nonce);
 }
 
-void
+bool
 CbwPool_Release(cbw_pool_t *pool, cbw_time_t now)
 {
+    if (CbwPool_IsPromoting(pool, now)) {
+        return false;
+    }
     CbwTenure_Release(&pool->tenure, now);
     pool->phase = CBW_POOL_SERVING;
     pool->stopping = true;
+    return true;
 }
--- a/src/libcarobwind/pool_health.c
+++ b/src/libcarobwind/pool_health.c
@@ -267,6 +267,7 @@
         pool->redirected_until = 0;
     }
     if (pool->phase >= CBW_POOL_CLAIMING && !pool->tenure.held) {
+        CbwPool_CancelOrder_(pool, now);
         CbwPool_SetPhase_(pool, now, CBW_POOL_SERVING);
         CbwPool_LogDecision_(pool, now,
                              "another owner took over the promotion");
@@ -557,7 +558,8 @@
         CbwPool_ChooseWhenReady_(pool, now);
         break;
     case CBW_POOL_REQUESTING_PROMOTION:
-        if (now - pool->phase_since > Cbw_POOL_PROMOTION_RETRY_AFTER) {
+        if (now - pool->phase_since >= Cbw_POOL_ORDER_TIMEOUT) {
+            CbwPool_CancelOrder_(pool, now);
             CbwPool_OnPromoteReply(pool, now, CBW_PROMOTE_LOST);
         }
         break;
--- a/src/libcarobwind/pool_promotion.c
+++ b/src/libcarobwind/pool_promotion.c
@@ -14,12 +14,44 @@
     return strcmp(e->info.name, pool->previous_primary) == 0;
 }
 
+bool
+CbwPool_IsPromoting(const cbw_pool_t *pool, cbw_time_t now)
+{
+    bool leased = pool->order_ended_at != 0 &&
+                  now - pool->order_ended_at < Cbw_POOL_ORDER_LEASE;
+
+    return leased || pool->order_in_flight ||
+           (pool->phase >= CBW_POOL_REQUESTING_PROMOTION &&
+            now < pool->tenure.valid_until);
+}
+
+void
+CbwPool_CancelOrder_(cbw_pool_t *pool, cbw_time_t now)
+{
+    if (!pool->order_in_flight) {
+        return;
+    }
+    pool->ops->cancel_promotion(pool->context);
+    pool->order_in_flight = false;
+    pool->order_ended_at = now;
+    pool->order_settled_at = now + Cbw_POOL_ORDER_EFFECT;
+}
+
+/* Whether an earlier request may still promote another endpoint than `e`. */
+static bool
+is_order_pending(const cbw_pool_t *pool, cbw_time_t now,
+                 const cbw_pool_endpoint_t *e)
+{
+    return now < pool->order_settled_at &&
+           strcmp(pool->ordered, e->info.name) != 0;
+}
+
 static bool
-is_candidate(const cbw_pool_t *pool, int index)
+is_candidate(const cbw_pool_t *pool, cbw_time_t now, int index)
 {
     const cbw_pool_endpoint_t *e = &pool->endpoints[index];
 
-    return e->used && !e->down &&
+    return e->used && !e->down && !is_order_pending(pool, now, e) &&
            (pool->refused_candidates & (1U << index)) == 0 &&
            (pool->previous_allowed || !is_previous_primary(pool, e));
 }
@@ -75,7 +107,7 @@
  * primary, unless it is a candidate, is asked only for its term, see
  * is_present_primary. */
 static bool
-is_awaited(const cbw_pool_t *pool, int index)
+is_awaited(const cbw_pool_t *pool, cbw_time_t now, int index)
 {
     const cbw_pool_endpoint_t *e = &pool->endpoints[index];
 
@@ -83,19 +115,20 @@
         return !e->down && (pool->previous_allowed ||
                             CbwPool_RecordPrimaryTerm_(pool) == 0);
     }
-    return pool->synchronous ? e->used : is_candidate(pool, index);
+    return pool->synchronous ? e->used : is_candidate(pool, now, index);
 }
 
 /* Returns the best of the endpoints that have reported their states, or -1 if
  * there is none or it is no candidate at present. */
 static int
-choose_candidate(const cbw_pool_t *pool)
+choose_candidate(const cbw_pool_t *pool, cbw_time_t now)
 {
     int best = -1;
 
     for (int i = 0; i < Cbw_POOL_ENDPOINTS_MAX; i++) {
         const cbw_pool_endpoint_t *e = &pool->endpoints[i];
-        if (!is_awaited(pool, i) || e->reported_as_of < pool->phase_since ||
+        if (!is_awaited(pool, now, i) ||
+            e->reported_as_of < pool->phase_since ||
             (is_previous_primary(pool, e) && !pool->previous_allowed)) {
             continue;
         }
@@ -103,14 +136,14 @@
             best = i;
         }
     }
-    return best >= 0 && is_candidate(pool, best) ? best : -1;
+    return best >= 0 && is_candidate(pool, now, best) ? best : -1;
 }
 
 static void
 request_candidate_states(cbw_pool_t *pool, cbw_time_t now)
 {
     for (int i = 0; i < Cbw_POOL_ENDPOINTS_MAX; i++) {
-        if (is_awaited(pool, i) && !pool->endpoints[i].down &&
+        if (is_awaited(pool, now, i) && !pool->endpoints[i].down &&
             pool->endpoints[i].reported_as_of < pool->phase_since) {
             CbwPool_SendStateCall_(pool, now, i);
         }
@@ -119,10 +152,10 @@
 
 /* Returns an endpoint whose state is awaited, or -1. */
 static int
-find_unanswered_candidate(const cbw_pool_t *pool)
+find_unanswered_candidate(const cbw_pool_t *pool, cbw_time_t now)
 {
     for (int i = 0; i < Cbw_POOL_ENDPOINTS_MAX; i++) {
-        if (is_awaited(pool, i) &&
+        if (is_awaited(pool, now, i) &&
             pool->endpoints[i].reported_as_of < pool->phase_since) {
             return i;
         }
@@ -135,7 +168,7 @@
 static bool
 is_choice_ready(cbw_pool_t *pool, cbw_time_t now)
 {
-    int unanswered = find_unanswered_candidate(pool);
+    int unanswered = find_unanswered_candidate(pool, now);
     bool late = now - pool->phase_since > Cbw_POOL_CANDIDATE_STATE_TIMEOUT;
 
     if (unanswered < 0) {
@@ -208,7 +241,12 @@
 {
     const cbw_pool_endpoint_t *e;
 
-    pool->candidate = choose_candidate(pool);
+    if (now + Cbw_POOL_ORDER_TIMEOUT + Cbw_POOL_ORDER_LEASE >
+        pool->tenure.valid_until) {
+        CbwTenure_RenewEarly(&pool->tenure, now);
+        return;
+    }
+    pool->candidate = choose_candidate(pool, now);
     if (pool->candidate < 0) {
         if (now - pool->phase_since > Cbw_POOL_PROMOTION_RETRY_AFTER) {
             pool->refused_candidates = 0;
@@ -234,6 +272,12 @@
         e->info.name, e->is_primary ? "primary" : "replica", e->reported_term,
         e->reported_position.term, e->reported_position.index,
         pool->tenure.version, pool->superseded_term);
+    pool->earlier_order_settled_at =
+        strcmp(pool->ordered, e->info.name) == 0 ? pool->order_settled_at : 0;
+    snprintf(pool->ordered, sizeof(pool->ordered), "%s", e->info.name);
+    pool->order_settled_at =
+        now + Cbw_POOL_ORDER_TIMEOUT + Cbw_POOL_ORDER_EFFECT;
+    pool->order_in_flight = true;
     pool->ops->request_promotion(pool->context, e->info.name,
                                  pool->tenure.version);
 }
@@ -245,6 +289,11 @@
     if (pool->phase != CBW_POOL_REQUESTING_PROMOTION) {
         return;
     }
+    pool->order_in_flight = false;
+    pool->order_ended_at = now;
+    pool->order_settled_at = status == CBW_PROMOTE_REFUSED
+                                 ? pool->earlier_order_settled_at
+                                 : now + Cbw_POOL_ORDER_EFFECT;
     CbwPool_LogDecision_(pool, now, "promotion request: %s",
                          CbwPool_PromoteStatusString[status]);
     if (status == CBW_PROMOTE_REFUSED) {
@@ -312,6 +361,7 @@
         return;
     }
     if (!e->used || e->down ||
+        (!pool->promote_accepted && now >= pool->order_settled_at) ||
         now - pool->phase_since > Cbw_POOL_PROMOTION_RETRY_AFTER) {
         CbwPool_SetPhase_(pool, now, CBW_POOL_CHOOSING_CANDIDATE);
         return;
@@ -327,11 +377,16 @@
 {
     /* An expired tenure, after a pause: the record is read again first. */
     bool exclusive = CbwTenure_IsExclusive(&pool->tenure, now);
+    /* Until then previous holders acknowledged commits, or an earlier request
+     * of this owner could take effect, which earlier reports lack. */
+    cbw_time_t reports_from = pool->tenure.exclusive_from;
 
     CbwTenure_AskToRelinquish(&pool->tenure, now);
-    if (exclusive && pool->phase_since < pool->tenure.exclusive_from) {
-        /* Until then previous holders acknowledged commits, which earlier
-         * reports lack. */
+    if (pool->order_settled_at > reports_from &&
+        now >= pool->order_settled_at) {
+        reports_from = pool->order_settled_at;
+    }
+    if (exclusive && pool->phase_since < reports_from) {
         CbwPool_SetPhase_(pool, now, CBW_POOL_CHOOSING_CANDIDATE);
     }
     request_candidate_states(pool, now);
--- a/src/test_libcarobwind/pool_fleet.c
+++ b/src/test_libcarobwind/pool_fleet.c
@@ -17,8 +17,12 @@
 /* Two hosts may not order within it. */
 #define ORDER_LEASE (3 * Cbw_SEC)
 #define STEP_DOWN_AFTER Cbw_SEC
+/* TCP gives up bytes that are not acknowledged by then. */
+#define UNACKNOWLEDGED_MAX (2 * Cbw_SEC)
 #define STORE_CALL_TIMEOUT (700 * Cbw_MSEC)
 #define PEER_CALL_TIMEOUT (250 * Cbw_MSEC)
+/* A host that stops has ended by then. */
+#define STOP_LIMIT (6 * Cbw_SEC)
 #define DEAD_AFTER (1200 * Cbw_MSEC)
 #define UNLISTED_AFTER (3600 * Cbw_MSEC)
 #define QUIET_TIME (25 * Cbw_SEC)
@@ -88,6 +92,8 @@
     bool moved_takes;
     cbw_time_t moved_at;
     bool endpoints_changed;
+    uint64_t order; /* count of orders; a reply to another one is ignored */
+    cbw_time_t started_at;
 } host_t;
 
 /* How a statement ran at an endpoint. */
@@ -567,7 +573,8 @@
 {
     bool kept;
 
-    if (is_deliverable(fleet, event, &kept)) {
+    if (is_deliverable(fleet, event, &kept) &&
+        fleet->hosts[event->host].order == event->id) {
         CbwPool_OnPromoteReply(&fleet->hosts[event->host].pool, fleet->now,
                                event->promote_status);
     }
@@ -636,10 +643,43 @@
     event->endpoint = endpoint[1] - '0';
     event->version = (uint64_t)fleet->endpoints[event->endpoint].incarnation;
     event->fence = fence;
+    event->id = ++host->order;
     fleet->result->orders++;
+    if (delay > UNACKNOWLEDGED_MAX) {
+        g_free(event);
+        return;
+    }
     schedule(fleet, delay, event);
 }
 
+/* What is held up on the way is lost when its sender ends the call, or ends.
+ */
+static void
+drop_orders_on_the_way(fleet_t *fleet, const host_t *host)
+{
+    GList *link = fleet->events.head;
+
+    while (link != NULL) {
+        GList *next = link->next;
+        event_t *event = link->data;
+        if (event->run == receive_order && event->host == host->index) {
+            g_queue_delete_link(&fleet->events, link);
+            g_free(event);
+        }
+        link = next;
+    }
+}
+
+static void
+op_cancel_promotion(void *context)
+{
+    host_t *host = context;
+
+    trace(host->fleet, "h%d cancels its order", host->index);
+    drop_orders_on_the_way(host->fleet, host);
+    host->order++;
+}
+
 /* Hosts among each other. */
 
 static bool
@@ -684,7 +724,7 @@
     answer->run = deliver_relinquished;
     answer->flag = peer->pool.tenure.self.nonce == event->nonce
                        ? CbwPool_Relinquish(&peer->pool, fleet->now)
-                       : true;
+                       : fleet->now - peer->started_at >= ORDER_LEASE;
     schedule(fleet, network_delay(fleet), answer);
 }
 
@@ -1013,6 +1053,7 @@
     .swap_record = op_swap_record,
     .ask_to_relinquish = op_ask_to_relinquish,
     .request_promotion = op_request_promotion,
+    .cancel_promotion = op_cancel_promotion,
     .ask_reach = op_ask_reach,
     .redirect = op_redirect,
     .log_decision = op_log_decision,
@@ -1053,6 +1094,7 @@
     host->released = false;
     host->paused = false;
     host->moved_to = -1;
+    host->started_at = fleet->now;
     host->generation = ++fleet->next_generation;
     fleet->host_lost_at[host->index] = 0;
     CbwPool_Init(&host->pool, "db", CbwQueue_Policy("ranked"), ranks,
@@ -1069,6 +1111,7 @@
     event_t *event;
 
     trace(fleet, "h%d ends", host->index);
+    drop_orders_on_the_way(fleet, host);
     host->paused = false;
     host->running = false;
     host->generation = 0; /* nothing reaches it while it ends */
@@ -1135,16 +1178,17 @@
     CbwPool_SetAssigned(&host->pool, host->assigned && !host->stopping);
     CbwPool_Tick(&host->pool, fleet->now, needed && !host->stopping);
     if (CbwPool_IsIdle(&host->pool) && !needed && !host->released) {
-        host->released = true;
-        CbwPool_Release(&host->pool, fleet->now);
+        host->released = CbwPool_Release(&host->pool, fleet->now);
     }
     else if (needed && host->released) {
         host->released = false;
         host->pool.stopping = false;
     }
-    if (host->stopping && CbwPool_IsIdle(&host->pool) &&
-        !host->pool.tenure.call_in_flight &&
-        fleet->now - host->stopping_since > 2 * Cbw_SEC) {
+    if (host->stopping && ((CbwPool_IsIdle(&host->pool) &&
+                            !CbwPool_IsPromoting(&host->pool, fleet->now) &&
+                            !host->pool.tenure.call_in_flight &&
+                            fleet->now - host->stopping_since > 2 * Cbw_SEC) ||
+                           fleet->now - host->stopping_since > STOP_LIMIT)) {
         end_host(fleet, host);
         event = new_event(restart_host, host->index, 0);
         schedule(fleet, between(fleet, 50 * Cbw_MSEC, 900 * Cbw_MSEC), event);
--- a/src/test_libcarobwind/pool_world.c
+++ b/src/test_libcarobwind/pool_world.c
@@ -101,6 +101,12 @@
     world->fence = fence;
 }
 
+static void
+op_cancel_promotion(void *context)
+{
+    ((pool_world_t *)context)->cancelled_orders++;
+}
+
 static void
 op_ask_reach(void *context, int endpoint)
 {
@@ -138,6 +144,7 @@
     .swap_record = op_swap_record,
     .ask_to_relinquish = op_ask_to_relinquish,
     .request_promotion = op_request_promotion,
+    .cancel_promotion = op_cancel_promotion,
     .ask_reach = op_ask_reach,
     .redirect = op_redirect,
     .log_decision = op_log_decision,
--- a/src/test_libcarobwind/pool_world.h
+++ b/src/test_libcarobwind/pool_world.h
@@ -44,6 +44,7 @@
     cbw_tenure_record_t record;
     char promotion_target[Cbw_NAME_MAX];
     uint64_t fence;
+    int cancelled_orders;
     int relinquish_requests;
     int step_downs; /* step-down calls sent */
     char redirected_to[Cbw_NAME_MAX];
--- a/src/test_libcarobwind/test_pool.c
+++ b/src/test_libcarobwind/test_pool.c
@@ -194,9 +194,9 @@
 }
 
 /* Once another owner has taken over the promotion, the owner that began it
- * must return to serving and relinquish its tenure. If it kept its promotion
- * phase and refused, the other owner would wait 6 s for the tenure to expire.
- */
+ * must return to serving, cancel its request and relinquish its tenure as soon
+ * as the request's lease is over. If it kept its promotion phase and refused,
+ * the other owner would wait 6 s for the tenure to expire. */
 static void
 test_promotion_taken_over_by_other_owner(void)
 {
@@ -215,6 +215,9 @@
     world.version++;
     PoolWorld_Tick(&world, Cbw_TENURE_RENEW_INTERVAL);
     g_assert_cmpint(world.pool.phase, ==, CBW_POOL_SERVING);
+    g_assert_cmpint(world.cancelled_orders, ==, 1);
+    g_assert_false(CbwPool_Relinquish(&world.pool, world.now));
+    PoolWorld_Tick(&world, Cbw_POOL_ORDER_LEASE);
     g_assert_true(CbwPool_Relinquish(&world.pool, world.now));
     PoolWorld_Finish(&world);
 }
