--- a/src/libcarobwind/pool_health.c
+++ b/src/libcarobwind/pool_health.c
@@ -301,6 +301,9 @@
                uint64_t version)
 {
     CbwTenure_OnSwap(&pool->tenure, now, status, version);
+    if (status == CBW_STORE_LOST) {
+        CbwCounter_Add(pool->counters, CBW_COUNTER_SWAPS_UNANSWERED, 1);
+    }
     CbwPool_LogDecision_(pool, now, "record swap: %s, version %" PRIu64,
                          CbwPromotion_StoreStatusString[status], version);
     on_tenure_changed(pool, now);
--- a/src/libcarobwind/pool_promotion.c
+++ b/src/libcarobwind/pool_promotion.c
@@ -32,6 +32,12 @@
         return;
     }
     pool->ops->cancel_promotion(pool->context);
+    CbwCounter_Add(pool->counters, CBW_COUNTER_ORDERS_CANCELLED, 1);
+    CbwPool_LogDecision_(pool, now,
+                         "cancels the request to promote %s: it may take "
+                         "effect for %d ms",
+                         pool->ordered,
+                         (int)(Cbw_POOL_ORDER_EFFECT / Cbw_MSEC));
     pool->order_in_flight = false;
     pool->order_ended_at = now;
     pool->order_settled_at = now + Cbw_POOL_ORDER_EFFECT;
--- a/src/libcarobwind/pool_reply.c
+++ b/src/libcarobwind/pool_reply.c
@@ -102,11 +102,13 @@
              int endpoint, uint64_t term)
 {
     if (term != 0 && term < pool->highest_term) {
+        CbwCounter_Add(pool->counters, CBW_COUNTER_COMMITS_SUPERSEDED, 1);
         CbwPool_Answer_(pool, request, CBW_OUTCOME_UNKNOWN, CBW_CAUSE_IN_DOUBT,
                         "it was committed in a superseded term");
         return;
     }
     if (is_superseded(pool, now, endpoint)) {
+        CbwCounter_Add(pool->counters, CBW_COUNTER_COMMITS_SUPERSEDED, 1);
         CbwPool_Answer_(pool, request, CBW_OUTCOME_UNKNOWN, CBW_CAUSE_IN_DOUBT,
                         "a promotion began before the answer came");
         return;
