An order to promote can be cancelled for good

Cause: nothing ended the call of an order. platform/duty.c kept no handle, its connections were kept and reused, and a close, also that of a killed process, leaves the bytes that TCP holds to the kernel, which sends them on.

Change: order_driver_t.promote returns the order, and cancel ends it. The pool does not cancel yet.

--- a/src/carobwindd/drivers.h
+++ b/src/carobwindd/drivers.h
@@ -54,17 +54,27 @@
     int (*count_connections)(const endpoint_link_t *link);
 } endpoint_driver_t;
 
+/* An order that has not ended; opaque to its users. */
+typedef struct order order_t;
+
 /* Orders promotions from the platform, where endpoints do not take such orders
  * directly. */
 typedef struct {
     /* Asks for `endpoint` to become the primary of `database`. `holder` and
      * `fence` are the lease holder and fencing token to present. `done` is
-     * called exactly once, after this function has returned, also when no
-     * answer arrives. */
-    void (*promote)(daemon_t *daemon, const char *database,
-                    const char *endpoint, const char *holder, uint64_t fence,
-                    void (*done)(void *context, cbw_promote_status_t status),
-                    void *context);
+     * called exactly once, after this function has returned, also when the
+     * connection fails, but not when the platform stays silent. Returns the
+     * order, which is valid until `done` is called. */
+    order_t *(*promote)(daemon_t *daemon, const char *database,
+                        const char *endpoint, const char *holder,
+                        uint64_t fence,
+                        void (*done)(void *context,
+                                     cbw_promote_status_t status),
+                        void *context);
+    /* Gives up an order; `done` is not called. What the platform has not
+     * received of it by now never reaches it. An order that it has received in
+     * full may still be carried out. */
+    void (*cancel)(order_t *order);
 } order_driver_t;
 
 /* The answer to a caller's statement, before encoding. */
--- a/src/share/net.c
+++ b/src/share/net.c
@@ -105,11 +105,39 @@
     return bind(fd, (struct sockaddr *)&local, sizeof(local));
 }
 
+void
+CbwNet_ResetOnClose(int fd)
+{
+    struct linger linger = {.l_onoff = 1, .l_linger = 0};
+
+    setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+}
+
+static void
+set_options(int fd, const cbw_net_options_t *options)
+{
+    int enable = 1;
+
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &enable, sizeof(enable));
+    if (options == NULL) {
+        return;
+    }
+    if (options->reset_on_close) {
+        CbwNet_ResetOnClose(fd);
+    }
+    if (options->acknowledge_timeout > 0) {
+        unsigned timeout_ms =
+            (unsigned)(options->acknowledge_timeout / Cbw_MSEC);
+        setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
+                   sizeof(timeout_ms));
+    }
+}
+
 int
-CbwNet_Connect(const char *local_ip, const char *text, cbw_error_t *error)
+CbwNet_Connect(const char *local_ip, const char *text,
+               const cbw_net_options_t *options, cbw_error_t *error)
 {
     struct sockaddr_in address;
-    int enable = 1;
     int fd;
 
     if (CbwNet_ParseAddress(text, &address, error) != 0) {
@@ -119,7 +147,7 @@
     if (fd < 0) {
         return close_with_error(fd, "socket for", text, error);
     }
-    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &enable, sizeof(enable));
+    set_options(fd, options);
     if (bind_local(fd, local_ip) != 0) {
         return close_with_error(fd, "cannot bind to", local_ip, error);
     }
--- a/src/share/net.h
+++ b/src/share/net.h
@@ -10,6 +10,17 @@
 /* Size of a buffer for a dotted IPv4 address, with the terminating NUL. */
 #define CbwNet_IP_MAX 16
 
+/* What becomes of the bytes that a connection's remote end has not received.
+ */
+typedef struct {
+    /* They are discarded by a reset when the socket is closed, also when the
+     * process is killed. Otherwise the kernel goes on sending them. */
+    bool reset_on_close;
+    /* The kernel gives up the connection once they are unacknowledged for this
+     * long; 0: its default, many minutes. */
+    cbw_time_t acknowledge_timeout;
+} cbw_net_options_t;
+
 /* The current monotonic time, which includes the time that the host was
  * suspended. */
 cbw_time_t CbwNet_Now(void);
@@ -20,9 +31,12 @@
  * socket, or -1 with `error` set. */
 int CbwNet_Listen(const char *address, cbw_error_t *error);
 /* Starts a non-blocking connection from `local_ip` ("" for any) to `address`
- * ("ip:port"). Returns the socket, or -1 with `error` set. */
+ * ("ip:port"). `options` may be NULL. Returns the socket, or -1 with `error`
+ * set. */
 int CbwNet_Connect(const char *local_ip, const char *address,
-                   cbw_error_t *error);
+                   const cbw_net_options_t *options, cbw_error_t *error);
+/* Makes the close of a socket reset its connection, see cbw_net_options_t. */
+void CbwNet_ResetOnClose(int fd);
 /* Accepts a connection without blocking and writes the remote IP address to
  * `ip`, a buffer of CbwNet_IP_MAX bytes. Returns the socket, or -1 when there
  * is none to accept. */
--- a/src/share/resp.c
+++ b/src/share/resp.c
@@ -327,8 +327,8 @@
     if (init_resp(resp, limits, ops, context) != 0) {
         return CbwError_Set(error, CBW_ERROR_MEMORY, "out of memory");
     }
-    if (CbwStream_Connect(&resp->stream, loop, local_ip, address, &stream_ops,
-                          resp, error) != 0) {
+    if (CbwStream_Connect(&resp->stream, loop, local_ip, address, NULL,
+                          &stream_ops, resp, error) != 0) {
         CbwRespDecoder_Finish(&resp->decoder);
         return -1;
     }
--- a/src/share/rpc.c
+++ b/src/share/rpc.c
@@ -402,7 +402,7 @@
     memset(rpc, 0, sizeof(*rpc));
     rpc->ops = ops;
     rpc->context = context;
-    return CbwStream_Connect(&rpc->stream, loop, local_ip, address,
+    return CbwStream_Connect(&rpc->stream, loop, local_ip, address, NULL,
                              &stream_ops, rpc, error);
 }
 
--- a/src/share/stream.c
+++ b/src/share/stream.c
@@ -36,6 +36,15 @@
     stream->output_capacity = 0;
 }
 
+void
+CbwStream_Reset(cbw_stream_t *stream)
+{
+    if (stream->fd >= 0) {
+        CbwNet_ResetOnClose(stream->fd);
+    }
+    CbwStream_Close(stream);
+}
+
 /* Closes the stream and reports `reason`, an error or an orderly close. */
 static void
 close_with_reason(cbw_stream_t *stream, const char *reason)
@@ -173,6 +182,7 @@
 int
 CbwStream_Connect(cbw_stream_t *stream, struct ev_loop *loop,
                   const char *local_ip, const char *address,
+                  const cbw_net_options_t *options,
                   const cbw_stream_ops_t *ops, void *context,
                   cbw_error_t *error)
 {
@@ -181,7 +191,7 @@
     int fd;
 
     stream->fd = -1;
-    fd = CbwNet_Connect(local_ip, address, error);
+    fd = CbwNet_Connect(local_ip, address, options, error);
     if (fd < 0) {
         return -1;
     }
--- a/src/share/stream.h
+++ b/src/share/stream.h
@@ -47,10 +47,11 @@
 void CbwStream_Accept(cbw_stream_t *stream, struct ev_loop *loop, int fd,
                       const char *ip, const cbw_stream_ops_t *ops,
                       void *context);
-/* Starts connecting. Returns 0, or -1 with `error` set and the stream
- * closed. */
+/* Starts connecting. `options` may be NULL. Returns 0, or -1 with `error` set
+ * and the stream closed. */
 int CbwStream_Connect(cbw_stream_t *stream, struct ev_loop *loop,
                       const char *local_ip, const char *address,
+                      const cbw_net_options_t *options,
                       const cbw_stream_ops_t *ops, void *context,
                       cbw_error_t *error);
 /* Writes or buffers bytes. No effect on a closed stream. */
@@ -58,6 +59,9 @@
 /* Closes at once without calling on_close and discards buffered output. No
  * effect when closed already. */
 void CbwStream_Close(cbw_stream_t *stream);
+/* Like CbwStream_Close, but also resets the connection, so that the kernel
+ * discards what the remote end has not received. */
+void CbwStream_Reset(cbw_stream_t *stream);
 /* Stops reading and closes once the buffered output is written; on_close is
  * then called. */
 void CbwStream_CloseWhenWritten(cbw_stream_t *stream);
--- a/src/test_libcarobwind/suites.h
+++ b/src/test_libcarobwind/suites.h
@@ -9,6 +9,7 @@
 void Suite_AddExplorer(void);
 void Suite_AddFuzz(void);
 void Suite_AddGate(void);
+void Suite_AddGivenUpCalls(void);
 void Suite_AddInventory(void);
 void Suite_AddLiveness(void);
 void Suite_AddLog(void);
--- a/src/test_libcarobwind/test_main.c
+++ b/src/test_libcarobwind/test_main.c
@@ -13,6 +13,7 @@
     Suite_AddExplorer();
     Suite_AddFuzz();
     Suite_AddGate();
+    Suite_AddGivenUpCalls();
     Suite_AddInventory();
     Suite_AddLiveness();
     Suite_AddLog();
