A cancelled call to the store is reset

Cause: at its time-out a call's connection was closed in an orderly way. The kernel then still sends what it holds of the call, and a write that was given up is executed once the store reads again, if its condition holds.

Two answered calls still share one connection.

--- a/src/test_libcarobwind/test_given_up_calls.c
+++ b/src/test_libcarobwind/test_given_up_calls.c
@@ -30,6 +30,7 @@
 static char *large_text; /* TEXT_SIZE letters */
 static int answers;
 static cbw_promote_status_t answer;
+static cbw_store_status_t store_answer;
 
 /* The server. Nothing accepts or reads unless a test does. */
 
@@ -69,6 +70,18 @@
     return fd;
 }
 
+static bool
+has_waiting_connection(int listener)
+{
+    char ip[CbwNet_IP_MAX];
+    int fd = CbwNet_Accept(listener, ip);
+
+    if (fd >= 0) {
+        close(fd);
+    }
+    return fd >= 0;
+}
+
 static void
 wait_for_bytes(int fd)
 {
@@ -330,6 +343,89 @@
     }
 }
 
+/* Calls to the store. */
+
+static void
+on_store_done(store_call_t *call)
+{
+    answers++;
+    store_answer = call->status;
+}
+
+static const store_driver_t *
+open_store(int *listener)
+{
+    static const store_events_t events = {.on_done = on_store_done};
+    static char address[Cbw_ADDRESS_MAX];
+    const store_driver_t *driver =
+        CbwPlugin_Find(CBW_PLUGIN_STORE_DRIVER, "kv");
+    /* The driver keeps its client, so that it is opened once. */
+    static int fd = -1;
+
+    answers = 0;
+    if (fd < 0) {
+        fd = start_server(address);
+        remote.settings.platform_address = address;
+        driver->open(&remote, &events);
+    }
+    *listener = fd;
+    return driver;
+}
+
+/* A write that is cancelled while TCP holds a part of it never arrives in
+ * full. */
+static void
+test_store_write_cancelled(void)
+{
+    int listener;
+    const store_driver_t *driver = open_store(&listener);
+    store_call_t *call = StoreCall_New(STORE_SWAP, "group/g");
+    int fd;
+
+    call->value = strdup(large_text);
+    driver->call(call);
+    fd = accept_connection(listener);
+    wait_for_bytes(fd);
+    check_acknowledge_timeout(find_other_end(fd));
+    driver->cancel(call);
+    check_discarded(fd);
+    g_assert_cmpint(answers, ==, 0);
+    StoreCall_Free(call);
+}
+
+/* Calls that are answered share a connection. */
+static void
+test_store_connections(void)
+{
+    int listener;
+    const store_driver_t *driver = open_store(&listener);
+    int fd = -1;
+
+    for (int i = 1; i <= 2; i++) {
+        store_call_t *call = StoreCall_New(STORE_DELETE, "group/g");
+        driver->call(call);
+        if (fd < 0) {
+            fd = accept_connection(listener);
+        }
+        wait_for_bytes(fd);
+        while (read(fd, (char[4096]){0}, 4096) > 0) {
+        }
+        answer_with(fd, "HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\n"
+                        "{\"revision\":5}");
+        for (int j = 0; j < ROUNDS_MAX && answers < i; j++) {
+            run_loop();
+        }
+        g_assert_cmpint(answers, ==, i);
+        g_assert_cmpint(store_answer, ==, CBW_STORE_OK);
+        StoreCall_Free(call);
+    }
+    g_assert_false(has_waiting_connection(listener));
+    close(fd);
+    for (int i = 0; i < 10; i++) {
+        run_loop(); /* the driver drops the connection */
+    }
+}
+
 void
 Suite_AddGivenUpCalls(void)
 {
@@ -346,4 +442,8 @@
     g_test_add_func("/given-up-calls/order-options", test_order_options);
     g_test_add_func("/given-up-calls/order-connections",
                     test_order_connections);
+    g_test_add_func("/given-up-calls/store-write-cancelled",
+                    test_store_write_cancelled);
+    g_test_add_func("/given-up-calls/store-connections",
+                    test_store_connections);
 }
