A statement that was given up never reaches its endpoint

Cause: an aborted call and a transaction that its caller left ended with an orderly close, after which the kernel still sends what it holds: a WRITE or COMMIT that was given up could arrive seconds later at a primary, also after the process was killed.

--- a/src/test_libcarobwind/test_given_up_calls.c
+++ b/src/test_libcarobwind/test_given_up_calls.c
@@ -426,6 +426,108 @@
     }
 }
 
+/* Statements on endpoints. */
+
+static void
+on_endpoint_reply(void *context, uint64_t id, const cbw_reply_t *reply)
+{
+    (void)context;
+    (void)id;
+    (void)reply;
+    answers++;
+}
+
+/* Sends a write on a connection that has started, as the last statement of
+ * transaction 9 or on its own, and returns the endpoint's end. */
+static int
+start_write(const endpoint_driver_t *driver, endpoint_link_t *endpoint_link,
+            int listener, uint64_t transaction)
+{
+    const cbw_call_t call = {.id = 1,
+                             .verb = CBW_CALL_RUN,
+                             .writes = true,
+                             .key = "",
+                             .statement = large_text,
+                             .statement_size = TEXT_SIZE,
+                             .transaction = transaction,
+                             .begins = transaction != 0,
+                             .trace = "t",
+                             .values = "",
+                             .shape = ""};
+    int fd;
+
+    g_assert_true(driver->call(endpoint_link, &call));
+    fd = accept_connection(listener);
+    wait_for_bytes(fd);
+    while (read(fd, (char[4096]){0}, 4096) > 0) {
+    }
+    answer_with(fd, "READY I -\r\n");
+    if (transaction != 0) {
+        wait_for_bytes(fd);
+        while (read(fd, (char[4096]){0}, 4096) > 0) {
+        }
+        answer_with(fd, "COMPLETE -\r\nREADY T 1.1\r\n");
+    }
+    wait_for_bytes(fd);
+    return fd;
+}
+
+static endpoint_link_t *
+open_endpoint(const endpoint_driver_t *driver, int *listener)
+{
+    static const endpoint_events_t events = {.on_reply = on_endpoint_reply};
+    static cbw_endpoint_t endpoint = {.name = "ep1"};
+
+    answers = 0;
+    *listener = start_server(endpoint.address);
+    return driver->open(&remote, "db", &endpoint, 4, &events, NULL);
+}
+
+static void
+close_endpoint(const endpoint_driver_t *driver, endpoint_link_t *endpoint_link,
+               int listener)
+{
+    driver->close(endpoint_link);
+    close(listener);
+    run_loop();
+}
+
+/* A write that is aborted while TCP holds a part of it never arrives in
+ * full. */
+static void
+test_write_aborted(void)
+{
+    const endpoint_driver_t *driver =
+        CbwPlugin_Find(CBW_PLUGIN_ENDPOINT_DRIVER, "wire");
+    int listener;
+    endpoint_link_t *endpoint_link = open_endpoint(driver, &listener);
+    int fd = start_write(driver, endpoint_link, listener, 0);
+    int other_end = find_other_end(fd);
+
+    check_reset_on_close(other_end);
+    check_acknowledge_timeout(other_end);
+    g_assert_true(driver->abort(endpoint_link, 1));
+    check_discarded(fd);
+    g_assert_cmpint(answers, ==, 0);
+    close_endpoint(driver, endpoint_link, listener);
+}
+
+/* The same when a transaction ends without its caller. */
+static void
+test_transaction_ended(void)
+{
+    const endpoint_driver_t *driver =
+        CbwPlugin_Find(CBW_PLUGIN_ENDPOINT_DRIVER, "wire");
+    int listener;
+    endpoint_link_t *endpoint_link = open_endpoint(driver, &listener);
+    int fd = start_write(driver, endpoint_link, listener, 9);
+
+    driver->end_transaction(endpoint_link, 9, false);
+    check_discarded(fd);
+    g_assert_cmpint(answers, ==, 0);
+    close_endpoint(driver, endpoint_link, listener);
+}
+
 void
 Suite_AddGivenUpCalls(void)
 {
@@ -446,4 +548,7 @@
                     test_store_write_cancelled);
     g_test_add_func("/given-up-calls/store-connections",
                     test_store_connections);
+    g_test_add_func("/given-up-calls/write-aborted", test_write_aborted);
+    g_test_add_func("/given-up-calls/transaction-ended",
+                    test_transaction_ended);
 }
