Cancel at the platform the promotion requests that the pool has given up

The pool cancels a request without a reply after 1 s, and when another owner takes over; the daemon now ends the call, so that what the platform has not received by then never reaches it. A reply to an earlier request can no longer be taken for that to a later one.

--- a/src/carobwindd/pool_instance.c
+++ b/src/carobwindd/pool_instance.c
@@ -199,6 +199,7 @@
     pool_instance_t *instance = find_by_id((uint64_t)(uintptr_t)context);
 
     if (instance != NULL) {
+        instance->order = NULL;
         CbwPool_OnPromoteReply(&instance->pool, CbwNet_Now(), status);
     }
 }
@@ -208,7 +209,7 @@
 {
     pool_instance_t *instance = context;
 
-    PoolTask_State.promotion_driver->promote(
+    instance->order = PoolTask_State.promotion_driver->promote(
         PoolTask_State.daemon, instance->pool.database, endpoint,
         PoolTask_State.daemon->settings.name, fence, on_promote_reply,
         (void *)(uintptr_t)instance->id);
@@ -217,7 +218,12 @@
 static void
 op_cancel_promotion(void *context)
 {
-    (void)context;
+    pool_instance_t *instance = context;
+
+    if (instance->order != NULL) {
+        PoolTask_State.promotion_driver->cancel(instance->order);
+        instance->order = NULL;
+    }
 }
 
 static void
--- a/src/carobwindd/pool_instance.h
+++ b/src/carobwindd/pool_instance.h
@@ -36,6 +36,7 @@
     bool moved_takes;
     cbw_time_t moved_at; /* when `moved_to` was set */
     int reach_calls_pending;
+    order_t *order;              /* promotion request in flight; NULL: none */
     inbound_t *prepare_call;     /* PEER_PREPARE call of a host that is about
                                     to leave, answered once this one can
                                     serve; NULL: none */
