Send no promotion request after a suspension

A request waits for its connection. If the process was suspended meanwhile, the connection was up when it went on, and the request left before anything could cancel it, whatever had become of the tenure.

--- a/src/test_libcarobwind/test_given_up_calls.c
+++ b/src/test_libcarobwind/test_given_up_calls.c
@@ -296,6 +296,25 @@
     g_assert_cmpint(answers, ==, 0);
 }
 
+/* An order whose connection was established while this process was suspended
+ * is not sent any more. */
+static void
+test_order_after_suspension(void)
+{
+    int listener;
+    const order_driver_t *driver = find_order_driver(&listener);
+    int fd;
+    int error;
+
+    start_order(driver, "ep1");
+    g_usleep((gulong)(Cbw_POOL_ORDER_TIMEOUT + 50 * Cbw_MSEC));
+    fd = accept_connection(listener);
+    g_assert_cmpuint(read_to_end(fd, &error), ==, 0);
+    g_assert_cmpint(answers, ==, 1);
+    g_assert_cmpint(answer, ==, CBW_PROMOTE_LOST);
+    close(fd);
+}
+
 /* The options under which the kernel discards a part of an order that it holds
  * when the process is killed or suspended. */
 static void
@@ -541,6 +560,8 @@
     g_test_add_func("/given-up-calls/order-cancelled", test_order_cancelled);
     g_test_add_func("/given-up-calls/order-cancelled-at-once",
                     test_order_cancelled_at_once);
+    g_test_add_func("/given-up-calls/order-after-suspension",
+                    test_order_after_suspension);
     g_test_add_func("/given-up-calls/order-options", test_order_options);
     g_test_add_func("/given-up-calls/order-connections",
                     test_order_connections);
