Answer for ended owners of the own address alone

Cause: a host that was asked to relinquish a tenure said that it had ended whenever it did not know its nonce. The member list maps a name to one address; a process there knows nothing of an owner elsewhere that has, or had, the name. It also said so of a process that was killed a moment ago, whose order for a promotion may still take effect.

Change: the upper half of an owner's nonce is a hash of the address at which its process listens for peers, which only one process can do at a time. A host answers for owners of its own address alone, and not within 2 s after its start or after it freed an owner. Other tenures are waited for. The nonces have a seed of their own with 31 random bits and room for 2^31 owners; daemon->nonce remains random in all its bits for ids, transactions, and the owners that add id << 20, which would overflow into the upper half.

--- a/src/carobwindd/main.c
+++ b/src/carobwindd/main.c
@@ -9,6 +9,7 @@
 #include <unistd.h>
 
 #include "carobwind/log.h"
+#include "carobwind/nonce.h"
 #include "carobwind/plugin.h"
 #include "drivers.h"
 #include "messages.h"
@@ -166,6 +167,7 @@
         sizeof(daemon->nonce)) {
         abort();
     }
+    daemon->owner_nonce = CbwNonce_New(peers, daemon->nonce);
     CbwLog_SetLevel(
         (cbw_log_level_t)CbwLog_LevelFromString(daemon->settings.log_level));
     if (daemon->settings.test_faults) {
--- a/src/carobwindd/messages.h
+++ b/src/carobwindd/messages.h
@@ -19,8 +19,10 @@
 typedef struct {
     struct ev_loop *loop;
     settings_t settings;
-    char local_ip[16]; /* source address of outgoing connections */
-    uint64_t nonce;    /* random, differs with each start of the process */
+    char local_ip[16];    /* source address of outgoing connections */
+    uint64_t nonce;       /* random, differs with each start of the process */
+    uint64_t owner_nonce; /* from which owners that hold tenures are numbered;
+                             see nonce.h */
     cbw_counters_t counters;
     cbw_latencies_t latencies;
     cbw_trace_ring_t traces;
--- a/src/carobwindd/pool_instance.c
+++ b/src/carobwindd/pool_instance.c
@@ -408,7 +408,7 @@
     CbwPool_Init(&instance->pool, database->name,
                  CbwQueue_Policy(PoolTask_State.daemon->settings.queue_policy),
                  inventory->ranks, inventory->rank_count, &pool_ops, instance,
-                 PoolTask_State.daemon->nonce + instance->id,
+                 PoolTask_State.daemon->owner_nonce + instance->id,
                  PoolTask_State.daemon->settings.name,
                  PoolTask_State.daemon->settings.data_centre,
                  &PoolTask_State.daemon->counters);
@@ -427,7 +427,8 @@
     if (instance->prepare_call != NULL) {
         PoolInstance_AnswerPrepare(instance);
     }
-    CbwPool_Finish(&instance->pool, CbwNet_Now());
+    PoolTask_State.orders_until = CbwNet_Now();
+    CbwPool_Finish(&instance->pool, PoolTask_State.orders_until);
     CbwList_Remove(&instance->link);
     free(instance);
 }
--- a/src/carobwindd/pool_instance.h
+++ b/src/carobwindd/pool_instance.h
@@ -50,6 +50,9 @@
     view_t *view; /* NULL until the members are known */
     cbw_link_t instances;
     uint64_t next_id;
+    /* Owners at this address that have ended sent orders until then: those of
+     * a former process until this one started, and those freed since then. */
+    cbw_time_t orders_until;
     bool draining;
     bool prepared; /* startup is complete: this host takes work as an owner */
     cbw_time_t startup_deadline; /* when startup completes at the latest; 0:
--- a/src/carobwindd/pool_task.c
+++ b/src/carobwindd/pool_task.c
@@ -8,6 +8,7 @@
 #include <string.h>
 
 #include "carobwind/log.h"
+#include "carobwind/nonce.h"
 #include "carobwind/placement.h"
 #include "carobwind/plugin.h"
 #include "pool_instance.h"
@@ -40,22 +41,29 @@
     }
 }
 
-/* Answers PEER_GIVE_UP: whether the pool with that nonce has relinquished its
- * tenure. TRUE also when that pool does not run here any more, as it then
- * holds no tenure. */
-static void
-answer_relinquish(inbound_t *inbound)
+/* Has the pool with a nonce relinquish its tenure. Returns whether that pool
+ * has no tenure any more. */
+static bool
+relinquish(uint64_t nonce, cbw_time_t now)
 {
     cbw_link_t *link = PoolTask_State.instances.next;
 
-    inbound->result.flag = TRUE;
     for (; link != &PoolTask_State.instances; link = link->next) {
         pool_instance_t *instance = Cbw_LIST_ITEM(link, pool_instance_t, link);
-        if (instance->pool.tenure.self.nonce == inbound->args.give_up.nonce) {
-            inbound->result.flag =
-                CbwPool_Relinquish(&instance->pool, CbwNet_Now());
+        if (instance->pool.tenure.self.nonce == nonce) {
+            return CbwPool_Relinquish(&instance->pool, now);
         }
     }
+    return CbwNonce_HasEnded(nonce, PoolTask_State.daemon->owner_nonce, now,
+                             PoolTask_State.orders_until);
+}
+
+/* Answers PEER_GIVE_UP. */
+static void
+answer_relinquish(inbound_t *inbound)
+{
+    inbound->result.flag =
+        relinquish(inbound->args.give_up.nonce, CbwNet_Now());
     Task_Post(TASK_OWNER, TASK_PEER, MESSAGE_INBOUND_DONE, &inbound->message);
 }
 
@@ -529,6 +537,7 @@
     const settings_t *settings = &daemon->settings;
 
     PoolTask_State.daemon = daemon;
+    PoolTask_State.orders_until = CbwNet_Now();
     daemon->prepares_before_serving = true;
     PoolTask_State.driver =
         CbwPlugin_Find(CBW_PLUGIN_ENDPOINT_DRIVER, settings->endpoint_driver);
--- a/src/test_libcarobwind/test_main.c
+++ b/src/test_libcarobwind/test_main.c
@@ -17,6 +17,7 @@
     Suite_AddLiveness();
     Suite_AddLog();
     Suite_AddMembership();
+    Suite_AddNonce();
     Suite_AddOddRecords();
     Suite_AddOwner();
     Suite_AddPolicies();
--- a/test/check.tcl
+++ b/test/check.tcl
@@ -184,7 +184,7 @@
     run_glib kernel [file join $root build bin test_libcarobwind]
     run_glib sanitized [file join $root build-asan bin test_libcarobwind] \
         -p /fuzz -p /inventory -p /membership -p /owner -p /queue -p /token \
-        -p /tenure -p /pool -p /registry -p /placement -p /spread -p /gate -p /liveness -p /bootstrap -p /odd-records -p /session -p /platform -p /limit -p /route -p /delta -p /admission -p /confirm
+        -p /tenure -p /pool -p /registry -p /placement -p /spread -p /gate -p /liveness -p /nonce -p /bootstrap -p /odd-records -p /session -p /platform -p /limit -p /route -p /delta -p /admission -p /confirm
 }
 run_scenarios
 if {$only eq "*"} {
--- a/test/lib/platform_standin.tcl
+++ b/test/lib/platform_standin.tcl
@@ -14,6 +14,7 @@
 #   twice 0|1                 each HTTP response is sent twice
 #   lose N                    N answers of executed writes are lost
 #   work MS                   sets the service time of statements
+#   promotion MS              sets the time that a promotion takes
 #   primary, log E            returns the primary, or the log of an endpoint
 #   odd KEY TEXT              another writer stores TEXT, a list element with
 #                             escapes, under KEY
@@ -631,6 +632,7 @@
         deaf { set ::watches_deaf $argument; return ok }
         twice { set ::duplicate_answers $argument; return ok }
         work { set ::service_ms $argument; return ok }
+        promotion { set ::promote_ms $argument; return ok }
         primary { return [find_primary] }
         runs { return $::executed }
         lists { return $::range_reads }
--- a/test/scenarios/wire.tcl
+++ b/test/scenarios/wire.tcl
@@ -42,22 +42,28 @@
         set join_address [network].1.1:7100
     }
     for {set i 1} {$i <= $count} {incr i} {
-        set ip [network].1.$i
-        dict set fleet::settings host$i [dict create program carobwindd \
-            address $ip:7000 arguments [list --name=host$i \
-            --data-centre=[lindex $zones [expr {($i - 1) % 3}]] \
-            --callers=$ip:7000 --peers=$ip:7100 --readiness=$ip:7200 \
-            --metrics=$ip:7201 --platform=[network].9.1:7300 \
-            --orders=[network].9.1:7300 --join=$join_address \
-            --caller-driver=wire --endpoint-driver=wire --store-driver=kv \
-            --registry-driver=platform --order-driver=duty --drain-seconds=5]]
-        start host$i
+        start_host host$i host$i $i [lindex $zones [expr {($i - 1) % 3}]] \
+            $join_address
     }
     for {set i 1} {$i <= $count} {incr i} {
         eventually {[wire::is_ready host$i]} 8000
     }
 }
 
+# Starts a process of the fleet, a host that is called `name`, at the address of
+# a number.
+proc wire::start_host {process name number zone join_address} {
+    set ip [network].1.$number
+    dict set fleet::settings $process [dict create program carobwindd \
+        address $ip:7000 arguments [list --name=$name --data-centre=$zone \
+        --callers=$ip:7000 --peers=$ip:7100 --readiness=$ip:7200 \
+        --metrics=$ip:7201 --platform=[network].9.1:7300 \
+        --orders=[network].9.1:7300 --join=$join_address \
+        --caller-driver=wire --endpoint-driver=wire --store-driver=kv \
+        --registry-driver=platform --order-driver=duty --drain-seconds=5]]
+    start $process
+}
+
 # Returns the answer to a GET request to a host, or "" if it does not listen.
 proc wire::http_get {host port path} {
     if {[catch {socket [fleet::ip $host] $port} channel]} {
@@ -599,3 +605,56 @@
         expect {![string match "*event=registration endpoint=z*" $log]} $host
     }
 }
+
+# Returns when processes made the decisions that begin with `decision`, in
+# milliseconds, the earliest first.
+proc wire::decision_times {processes decision} {
+    set times {}
+    foreach process $processes {
+        foreach {- seconds fraction} [regexp -all -inline -line \
+            "^(\\S+)\\.(\\d{3})Z .*what=\"$decision" [fleet::read_log $process]] {
+            lappend times [expr {[clock scan $seconds -gmt 1] * 1000 +
+                [scan $fraction %d]}]
+        }
+    }
+    return [lsort -integer $times]
+}
+
+# The member list maps the name to the new process, which knows nothing of the
+# tenure of the former one.
+scenario wire-name-twice \
+    "a host is replaced under its name while it is frozen; the promotion waits" {
+    wire::fleet 3 [wire::network].1.2:7100
+    set channel [wire::connect host1 pay]
+    eventually {[lindex [wire::query $channel "WRITE first x"] 0] eq "done"} 5000
+    fleet::signal host1 STOP
+    wire::start_host twin host1 4 north [wire::network].1.2:7100
+    eventually {[llength [wire::decision_times twin "record swap: ok"]] > 0} 5000
+    wire::control kill e-1
+    set order "requests the promotion"
+    eventually {[llength [wire::decision_times twin $order]] > 0} 12000
+    # The tenure of the frozen process lasts for 6 s at the most.
+    set waited [expr {[lindex [wire::decision_times twin $order] 0] -
+        [lindex [wire::decision_times twin "record swap: ok"] 0]}]
+    expect {$waited >= 6000} $waited
+}
+
+# The order of the killed process takes effect after its end. The process that
+# starts at its address knows that its tenure has ended, which lasts for up to 6 s.
+scenario wire-owner-killed-promoting \
+    "the owner is killed right after its order and starts again; the next order waits" {
+    wire::fleet 3 [wire::network].1.2:7100
+    set channel [wire::connect host1 pay]
+    eventually {[lindex [wire::query $channel "WRITE first x"] 0] eq "done"} 5000
+    wire::control promotion 1500
+    wire::control kill e-1
+    set order "requests the promotion"
+    eventually {[llength [wire::decision_times host1 $order]] == 1} 5000
+    kill host1
+    set started [clock milliseconds]
+    start host1
+    set hosts {host1 host2 host3}
+    eventually {[llength [wire::decision_times $hosts $order]] == 2} 12000
+    set waited [expr {[lindex [wire::decision_times $hosts $order] 1] - $started}]
+    expect {$waited >= 2000 && $waited < 4500} $waited
+}
