Keep a pool until its promotion ends

What would be seen: a host that stops, or does not own the database any more, leaves an order for a promotion behind; the next owner orders at once, and the two orders take effect one after the other.

Cause: an idle pool that is not needed any more was released and freed in any phase. CbwPool_Release leaves a record with a promotion under way and without a holder, so that the next owner waits for nobody. The drain counted requests and store calls as work, not promotions.

Change: a pool is needed, and the drain is busy, while CbwPool_IsPromoting; the drain limit still ends the process. A promotion for a database that is not configured any more is given up with its tenure, without CbwPool_Release: that the owner has ended is answered 2 s after it was freed.

--- a/include/carobwind/pool.h
+++ b/include/carobwind/pool.h
@@ -421,6 +421,9 @@
 void CbwPool_Release(cbw_pool_t *pool, cbw_time_t now);
 /* Returns whether the pool has no request and no open transaction. */
 bool CbwPool_IsIdle(const cbw_pool_t *pool);
+/* Returns whether a promotion is under way: an order may take effect at any
+ * moment. The pool is neither to be released nor to be freed. */
+bool CbwPool_IsPromoting(const cbw_pool_t *pool);
 /* Writes a description for operators to `text` of `size` bytes. Returns its
  * length. */
 size_t CbwPool_Explain(const cbw_pool_t *pool, cbw_time_t now, char *text,
--- a/src/carobwindd/pool_task.c
+++ b/src/carobwindd/pool_task.c
@@ -349,6 +349,7 @@
         const pool_instance_t *instance =
             Cbw_LIST_ITEM(link, pool_instance_t, link);
         report->busy_count += !CbwPool_IsIdle(&instance->pool) ||
+                              CbwPool_IsPromoting(&instance->pool) ||
                               instance->pool.tenure.call_in_flight;
     }
     Task_Post(TASK_OWNER, TASK_MAIN, MESSAGE_DRAIN_REPORT, request);
@@ -474,6 +475,17 @@
     }
 }
 
+/* Returns whether the instance carries out a promotion that must end before
+ * the instance does. That of a database which is not configured any more may
+ * never end, and nobody waits for it: it is given up with its tenure. */
+static bool
+has_promotion_to_end(const pool_instance_t *instance, cbw_time_t now)
+{
+    return CbwPool_IsPromoting(&instance->pool) &&
+           (!instance->unconfigured ||
+            CbwTenure_IsValid(&instance->pool.tenure, now));
+}
+
 /* Returns whether the instance has work to do. */
 static bool
 tick_instance(pool_instance_t *instance, cbw_time_t now)
@@ -493,8 +505,10 @@
          now >= instance->prepare_deadline)) {
         PoolInstance_AnswerPrepare(instance);
     }
+    needed = needed || has_promotion_to_end(instance, now);
     idle = CbwPool_IsIdle(&instance->pool);
-    if (idle && !needed && !instance->released) {
+    if (idle && !needed && !instance->released &&
+        !CbwPool_IsPromoting(&instance->pool)) {
         /* The next owner then need not wait for the tenure to expire. */
         instance->released = true;
         CbwPool_Release(&instance->pool, now);
--- a/src/libcarobwind/pool.c
+++ b/src/libcarobwind/pool.c
@@ -471,6 +471,12 @@
            CbwList_IsEmpty(&pool->transactions);
 }
 
+bool
+CbwPool_IsPromoting(const cbw_pool_t *pool)
+{
+    return pool->phase >= CBW_POOL_CLAIMING;
+}
+
 /* Timeouts. */
 
 static void
--- a/src/test_libcarobwind/test_pool.c
+++ b/src/test_libcarobwind/test_pool.c
@@ -193,6 +193,37 @@
     PoolWorld_FreeRequest(write);
 }
 
+/* A pool promotes from its claim, before the order, until the new primary is
+ * in the record. */
+static void
+test_promoting_until_published(void)
+{
+    static const endpoint_report_t lost[] = {
+        {.unresponsive = true}, {.term = 3}, {.term = 3}};
+    static const endpoint_report_t promoted[] = {
+        {.unresponsive = true}, {.primary = true, .term = 4}, {.term = 3}};
+    pool_world_t world;
+
+    PoolWorld_Init(&world);
+    g_assert_false(CbwPool_IsPromoting(&world.pool));
+    take_primary_down(&world);
+    for (int i = 0; i < 50 && !world.record.promoting; i++) {
+        g_assert_false(CbwPool_IsPromoting(&world.pool));
+        PoolWorld_Tick(&world, 10 * Cbw_MSEC);
+    }
+    g_assert_cmpstr(world.promotion_target, ==, "");
+    g_assert_true(CbwPool_IsPromoting(&world.pool));
+    g_assert_true(PoolWorld_RunUntilOrder(&world, Cbw_SEC, lost));
+    g_assert_true(CbwPool_IsPromoting(&world.pool));
+    CbwPool_OnPromoteReply(&world.pool, world.now, CBW_PROMOTE_ACCEPTED);
+    PoolWorld_Run(&world, Cbw_SEC, lost);
+    g_assert_true(CbwPool_IsPromoting(&world.pool));
+    PoolWorld_Run(&world, Cbw_SEC, promoted);
+    g_assert_false(world.record.promoting);
+    g_assert_false(CbwPool_IsPromoting(&world.pool));
+    PoolWorld_Finish(&world);
+}
+
 /* Once another owner has taken over the promotion, the owner that began it
  * must return to serving and relinquish its tenure. If it kept its promotion
  * phase and refused, the other owner would wait 6 s for the tenure to expire.
@@ -621,6 +652,8 @@
                     test_replica_read_carries_position);
     g_test_add_func("/pool/promotes-most-advanced-replica",
                     test_promotes_most_advanced_replica);
+    g_test_add_func("/pool/promoting-until-published",
+                    test_promoting_until_published);
     g_test_add_func("/pool/paused-promoter",
                     test_paused_promoter_does_not_order);
     g_test_add_func("/pool/serves-after-other-promotion",
--- a/test/mutants.tcl
+++ b/test/mutants.tcl
@@ -132,6 +132,26 @@
     platform/registry.c
     "if (byte <= ' ' || byte == 0x7f)" "if (byte == 0x7f)"
 }
+mutant answers-for-any-nonce wire-name-twice {
+    src/libcarobwind/nonce.c
+    "nonce >> 32 == own >> 32" "(nonce | own) != 0"
+}
+mutant forgets-orders wire-owner-killed-promoting {
+    src/libcarobwind/nonce.c
+    "orders_until + Cbw_NONCE_ORDER_TIME" "orders_until"
+}
+mutant releases-while-promoting wire-owner-stops-promoting {
+    src/carobwindd/pool_task.c
+    "needed = needed || has_promotion_to_end(instance, now);"
+    "needed = needed || (has_promotion_to_end(instance, now) && now == 0);"
+    src/carobwindd/pool_task.c
+    "!instance->released &&\n        !CbwPool_IsPromoting(&instance->pool)" "!instance->released"
+}
+mutant exits-while-promoting wire-owner-stops-promoting-slowly {
+    src/carobwindd/pool_task.c
+    "CbwPool_IsPromoting(&instance->pool) ||\n                              instance->pool.tenure.call_in_flight"
+    "instance->pool.tenure.call_in_flight"
+}
 mutant starts-from-store wire-restart-stale {
     src/libcarobwind/bootstrap.c
     "return bootstrap->read || waited >= Cbw_BOOTSTRAP_WAIT ||" "return waited >= 0 ||"
--- a/test/scenarios/wire.tcl
+++ b/test/scenarios/wire.tcl
@@ -658,3 +658,38 @@
     set waited [expr {[lindex [wire::decision_times $hosts $order] 1] - $started}]
     expect {$waited >= 2000 && $waited < 4500} $waited
 }
+
+# Sends SIGTERM to the owner host1 right after its order for a promotion, which
+# takes `promotion` ms. `body` is evaluated 1 s later. No other host orders: an
+# order that takes effect after another one, for another endpoint, would replace
+# the primary that serves by then.
+proc wire::stop_promoting_owner {promotion {body ""}} {
+    fleet
+    set channel [connect host1 pay]
+    eventually {[lindex [wire::query $channel "WRITE first x"] 0] eq "done"} 5000
+    close $channel
+    control promotion $promotion
+    control kill e-1
+    set order "requests the promotion"
+    eventually {[llength [wire::decision_times host1 $order]] == 1} 5000
+    fleet::signal host1 TERM
+    after 1000
+    eval $body
+    eventually {![fleet::is_running host1]} 8000
+    set channel [connect host2 pay]
+    eventually {[lindex [wire::query $channel "WRITE second x"] 0] eq "done"} 8000
+    expect {[decision_times {host2 host3} $order] eq {}}
+    expect {[llength [decision_times host1 "e-. leads term"]] > 0}
+    expect {![string match "*event=drain-limit*" [fleet::read_log host1]]}
+}
+
+scenario wire-owner-stops-promoting \
+    "SIGTERM to the owner right after its order; the promotion ends" {
+    wire::stop_promoting_owner 1500
+}
+
+# Longer than a host without work takes to stop.
+scenario wire-owner-stops-promoting-slowly \
+    "SIGTERM to the owner right after its order, which takes 3 s" {
+    wire::stop_promoting_owner 3000
+}
