Renew the tenure of a draining host until its promotion ends

What would be seen: a host that stops in the middle of a promotion, and whose record write gets no answer, hangs until the drain limit and leaves the promotion unfinished; writes are refused until the next owner has waited for its tenure and repeated the promotion.

Cause: a draining host does not renew its tenure. A promotion's own record swaps renew it too, for 6 s, but after a lost swap the record must be read again, which only a renewal does; and one that waits for candidates longer than 6 s could not go on.

Change: while a promotion is under way the tenure is renewed; then it is released as before.

The mutant drains-without-tenure is found.

--- a/src/carobwindd/pool_task.c
+++ b/src/carobwindd/pool_task.c
@@ -495,11 +495,12 @@
 
     CbwPool_SetAssigned(&instance->pool,
                         instance->owned || instance->prepare_call != NULL);
-    /* A draining host goes on serving under the tenure that it holds, but does
-     * not renew it. */
+    /* A draining host goes on serving under the tenure that it holds, but
+     * renews it only to end a promotion. */
     CbwPool_Tick(&instance->pool, now,
-                 needed && !instance->unconfigured &&
-                     !PoolTask_State.draining);
+                 !instance->unconfigured &&
+                     ((needed && !PoolTask_State.draining) ||
+                      instance->pool.phase >= CBW_POOL_CLAIMING));
     if (instance->prepare_call != NULL &&
         (CbwTenure_IsValid(&instance->pool.tenure, now) ||
          now >= instance->prepare_deadline)) {
--- a/test/mutants.tcl
+++ b/test/mutants.tcl
@@ -152,6 +152,10 @@
     "CbwPool_IsPromoting(&instance->pool) ||\n                              instance->pool.tenure.call_in_flight"
     "instance->pool.tenure.call_in_flight"
 }
+mutant drains-without-tenure wire-owner-stops-promoting-store-away {
+    src/carobwindd/pool_task.c
+    "instance->pool.phase >= CBW_POOL_CLAIMING" "instance->pool.phase < CBW_POOL_SERVING"
+}
 mutant starts-from-store wire-restart-stale {
     src/libcarobwind/bootstrap.c
     "return bootstrap->read || waited >= Cbw_BOOTSTRAP_WAIT ||" "return waited >= 0 ||"
--- a/test/scenarios/wire.tcl
+++ b/test/scenarios/wire.tcl
@@ -693,3 +693,12 @@
     "SIGTERM to the owner right after its order, which takes 3 s" {
     wire::stop_promoting_owner 3000
 }
+
+scenario wire-owner-stops-promoting-store-away \
+    "SIGTERM to the owner right after its order; the store is away as it ends" {
+    wire::stop_promoting_owner 1500 {
+        wire::control store down
+        after 2200
+        wire::control store up
+    }
+}
