--- a/include/carobwind/pool.h
+++ b/include/carobwind/pool.h
@@ -430,7 +430,8 @@
  * acquire and renew the tenure. */
 void CbwPool_Tick(cbw_pool_t *pool, cbw_time_t now, bool hold_tenure);
 /* Returns whether this owner has requested a promotion and waits for it, or
- * has requested one so recently that no other owner may do so yet. */
+ * has requested one so recently that no other owner may do so yet. The pool is
+ * not to be freed then. */
 bool CbwPool_IsPromoting(const cbw_pool_t *pool, cbw_time_t now);
 /* Another owner asks this one to relinquish its tenure. Returns whether it
  * did; it refuses while it carries out a promotion, and while
--- a/src/carobwindd/pool_instance.c
+++ b/src/carobwindd/pool_instance.c
@@ -421,7 +421,7 @@
     CbwPool_Init(&instance->pool, database->name,
                  CbwQueue_Policy(PoolTask_State.daemon->settings.queue_policy),
                  inventory->ranks, inventory->rank_count, &pool_ops, instance,
-                 PoolTask_State.daemon->nonce + instance->id,
+                 PoolTask_State.daemon->owner_nonce + instance->id,
                  PoolTask_State.daemon->settings.name,
                  PoolTask_State.daemon->settings.data_centre,
                  &PoolTask_State.daemon->counters);
@@ -435,12 +435,17 @@
 void
 PoolInstance_Free(pool_instance_t *instance)
 {
+    cbw_time_t now = CbwNet_Now();
+
     CbwLog_Write(CBW_LOG_INFO, "owner", "stopped", "database=%s",
                  instance->pool.database);
     if (instance->prepare_call != NULL) {
         PoolInstance_AnswerPrepare(instance);
     }
-    CbwPool_Finish(&instance->pool, CbwNet_Now());
+    if (CbwPool_IsPromoting(&instance->pool, now)) {
+        PoolTask_State.orders_until = now;
+    }
+    CbwPool_Finish(&instance->pool, now);
     CbwList_Remove(&instance->link);
     free(instance);
 }
--- a/src/carobwindd/pool_task.c
+++ b/src/carobwindd/pool_task.c
@@ -8,6 +8,7 @@
 #include <string.h>
 
 #include "carobwind/log.h"
+#include "carobwind/nonce.h"
 #include "carobwind/placement.h"
 #include "carobwind/plugin.h"
 #include "pool_instance.h"
@@ -40,22 +41,29 @@
     }
 }
 
-/* Answers PEER_GIVE_UP: whether the pool with that nonce has relinquished its
- * tenure. TRUE also when that pool does not run here any more, as it then
- * holds no tenure. */
-static void
-answer_relinquish(inbound_t *inbound)
+/* Has the pool with a nonce relinquish its tenure. Returns whether that pool
+ * has no tenure any more. */
+static bool
+relinquish(uint64_t nonce, cbw_time_t now)
 {
     cbw_link_t *link = PoolTask_State.instances.next;
 
-    inbound->result.flag = TRUE;
     for (; link != &PoolTask_State.instances; link = link->next) {
         pool_instance_t *instance = Cbw_LIST_ITEM(link, pool_instance_t, link);
-        if (instance->pool.tenure.self.nonce == inbound->args.give_up.nonce) {
-            inbound->result.flag =
-                CbwPool_Relinquish(&instance->pool, CbwNet_Now());
+        if (instance->pool.tenure.self.nonce == nonce) {
+            return CbwPool_Relinquish(&instance->pool, now);
         }
     }
+    return CbwNonce_HasEnded(nonce, PoolTask_State.daemon->owner_nonce, now,
+                             PoolTask_State.orders_until);
+}
+
+/* Answers PEER_GIVE_UP. */
+static void
+answer_relinquish(inbound_t *inbound)
+{
+    inbound->result.flag =
+        relinquish(inbound->args.give_up.nonce, CbwNet_Now());
     Task_Post(TASK_OWNER, TASK_PEER, MESSAGE_INBOUND_DONE, &inbound->message);
 }
 
@@ -340,8 +348,12 @@
     for (; link != &PoolTask_State.instances; link = link->next) {
         const pool_instance_t *instance =
             Cbw_LIST_ITEM(link, pool_instance_t, link);
-        report->busy_count += !CbwPool_IsIdle(&instance->pool) ||
-                              instance->pool.tenure.call_in_flight;
+        /* The lease of a promotion request that has ended is not waited for:
+         * the tenure is kept in the record then. */
+        report->busy_count +=
+            !CbwPool_IsIdle(&instance->pool) ||
+            instance->pool.phase >= CBW_POOL_REQUESTING_PROMOTION ||
+            instance->pool.tenure.call_in_flight;
     }
     Task_Post(TASK_OWNER, TASK_MAIN, MESSAGE_DRAIN_REPORT, request);
 }
@@ -466,6 +478,17 @@
     }
 }
 
+/* Returns whether the instance carries out a promotion that must end before
+ * the instance does. That of a database which is not configured any more may
+ * never end, and nobody waits for it: it is given up with its tenure. */
+static bool
+has_promotion_to_end(const pool_instance_t *instance, cbw_time_t now)
+{
+    return CbwPool_IsPromoting(&instance->pool, now) &&
+           (!instance->unconfigured ||
+            CbwTenure_IsValid(&instance->pool.tenure, now));
+}
+
 /* Returns whether the instance has work to do. */
 static bool
 tick_instance(pool_instance_t *instance, cbw_time_t now)
@@ -475,21 +498,23 @@
 
     CbwPool_SetAssigned(&instance->pool,
                         instance->owned || instance->prepare_call != NULL);
-    /* A draining host goes on serving under the tenure that it holds, but does
-     * not renew it. */
+    /* A draining host goes on serving under the tenure that it holds, but
+     * renews it only to end a promotion. */
     CbwPool_Tick(&instance->pool, now,
-                 needed && !instance->unconfigured &&
-                     !PoolTask_State.draining);
+                 !instance->unconfigured &&
+                     ((needed && !PoolTask_State.draining) ||
+                      instance->pool.phase >= CBW_POOL_CLAIMING));
     if (instance->prepare_call != NULL &&
         (CbwTenure_IsValid(&instance->pool.tenure, now) ||
          now >= instance->prepare_deadline)) {
         PoolInstance_AnswerPrepare(instance);
     }
+    needed = needed || has_promotion_to_end(instance, now);
     idle = CbwPool_IsIdle(&instance->pool);
-    if (idle && !needed && !instance->released) {
+    if (idle && !needed && !instance->released &&
+        CbwPool_Release(&instance->pool, now)) {
         /* The next owner then need not wait for the tenure to expire. */
         instance->released = true;
-        CbwPool_Release(&instance->pool, now);
         return true;
     }
     if (needed && instance->released) {
@@ -529,6 +554,7 @@
     const settings_t *settings = &daemon->settings;
 
     PoolTask_State.daemon = daemon;
+    PoolTask_State.orders_until = CbwNet_Now();
     daemon->prepares_before_serving = true;
     PoolTask_State.driver =
         CbwPlugin_Find(CBW_PLUGIN_ENDPOINT_DRIVER, settings->endpoint_driver);
--- a/src/test_libcarobwind/test_pool.c
+++ b/src/test_libcarobwind/test_pool.c
@@ -193,6 +193,40 @@
     PoolWorld_FreeRequest(write);
 }
 
+/* A pool promotes from its request until the new primary is in the record, and
+ * at least until the request's lease is over. */
+static void
+test_promoting_until_published(void)
+{
+    static const endpoint_report_t lost[] = {
+        {.unresponsive = true}, {.term = 3}, {.term = 3}};
+    static const endpoint_report_t promoted[] = {
+        {.unresponsive = true}, {.primary = true, .term = 4}, {.term = 3}};
+    pool_world_t world;
+    cbw_time_t answered_at;
+
+    PoolWorld_Init(&world);
+    take_primary_down(&world);
+    g_assert_false(CbwPool_IsPromoting(&world.pool, world.now));
+    g_assert_true(PoolWorld_RunUntilOrder(&world, Cbw_SEC, lost));
+    g_assert_true(CbwPool_IsPromoting(&world.pool, world.now));
+    g_assert_false(CbwPool_Release(&world.pool, world.now));
+    CbwPool_OnPromoteReply(&world.pool, world.now, CBW_PROMOTE_ACCEPTED);
+    answered_at = world.now;
+    PoolWorld_Run(&world, Cbw_SEC, lost);
+    g_assert_true(CbwPool_IsPromoting(&world.pool, world.now));
+    PoolWorld_Run(&world, 200 * Cbw_MSEC, promoted);
+    g_assert_false(world.record.promoting);
+    while (world.now < answered_at + Cbw_POOL_ORDER_LEASE) {
+        g_assert_true(CbwPool_IsPromoting(&world.pool, world.now));
+        g_assert_false(CbwPool_Release(&world.pool, world.now));
+        PoolWorld_Run(&world, 20 * Cbw_MSEC, promoted);
+    }
+    g_assert_false(CbwPool_IsPromoting(&world.pool, world.now));
+    g_assert_true(CbwPool_Release(&world.pool, world.now));
+    PoolWorld_Finish(&world);
+}
+
 /* Once another owner has taken over the promotion, the owner that began it
  * must return to serving, cancel its request and relinquish its tenure as soon
  * as the request's lease is over. If it kept its promotion phase and refused,
@@ -624,6 +658,8 @@
                     test_replica_read_carries_position);
     g_test_add_func("/pool/promotes-most-advanced-replica",
                     test_promotes_most_advanced_replica);
+    g_test_add_func("/pool/promoting-until-published",
+                    test_promoting_until_published);
     g_test_add_func("/pool/paused-promoter",
                     test_paused_promoter_does_not_order);
     g_test_add_func("/pool/serves-after-other-promotion",
