Stand-in: hold promotion requests up, check promotions and commits

Cause: the stand-in of the platform answered each promotion request at once, so that no scenario could show what a request does that arrives after its sender gave it up, or whose answer is lost. Nothing checked that a commit at a replaced primary isn't acknowledged, other than one list of keys.

Change: `hold`, `held` and `deliver` hold up the requests of one host; such a request is lost if its sender resets the connection, not if it closes it in order, as DEPLOY.md says of a partition. `promote`, `unanswered` and `overlap` set when a promotion takes effect, how its answer is lost and how long a replaced primary goes on. `events` returns all orders, promotions and commits in their order. checker::check_promotions finds a commit that was acknowledged though another endpoint led a higher term before it, a fencing token lower than an earlier one, and one that two holders used.

--- a/test/lib/checker.tcl
+++ b/test/lib/checker.tcl
@@ -162,3 +162,45 @@
     }
     return $violations
 }
+
+# Checks the events of the platform's stand-in, in the order in which they
+# happened, against the callers' outcomes, a dictionary from key to outcome. No
+# commit of a term is acknowledged if another endpoint led a higher one before it.
+# Fencing tokens don't decrease, and two holders don't use the same.
+proc checker::check_promotions {events outcomes} {
+    set violations {}
+    set promoted ""
+    set promoted_term 0
+    set highest_fence 0
+    set highest_holder ""
+    foreach event $events {
+        set fields [lassign $event time type]
+        switch -- $type {
+            order {
+                lassign $fields holder endpoint fence
+                if {$fence < $highest_fence} {
+                    lappend violations "$holder orders the promotion of\
+                        $endpoint with token $fence after token $highest_fence"
+                } elseif {$fence == $highest_fence &&
+                    $holder ne $highest_holder} {
+                    lappend violations "$holder and $highest_holder order with\
+                        token $fence"
+                } else {
+                    set highest_fence $fence
+                    set highest_holder $holder
+                }
+            }
+            promotion { lassign $fields promoted promoted_term }
+            commit {
+                lassign $fields endpoint term key
+                if {$term < $promoted_term && [dict exists $outcomes $key] &&
+                    [dict get $outcomes $key] eq "done"} {
+                    lappend violations "committed at $endpoint in term $term\
+                        after the promotion of $promoted in term\
+                        $promoted_term, and acknowledged: $key"
+                }
+            }
+        }
+    }
+    return $violations
+}
--- a/test/lib/platform_standin.tcl
+++ b/test/lib/platform_standin.tcl
@@ -26,7 +26,17 @@
 #   reads                     returns the number of reads of the configuration
 #   unaware 0|1               a primary that is replaced does not notice it until
 #                             it is told to step down
+#   overlap MS                the same, but it also notices it after MS
 #   register NAME             publishes the record of an endpoint
+#   hold HOST                 promotion requests of HOST from now on are held up
+#                             on the way; "none": of no host
+#   held                      returns the requests held up: {holder endpoint fence}
+#   deliver                   the requests held up arrive; holds up none any more
+#   promote MS                sets the time from a promotion request to its effect
+#   unanswered N close|silent N promotion requests are accepted, but not answered:
+#                             the connection is closed or stays silent
+#   events                    returns the orders, promotions and commits in the
+#                             order in which they happened, see `note`
 #   late                      returns the keys that were written at an endpoint
 #                             after another one had begun a higher term
 #   quit                      exits
@@ -50,6 +60,12 @@
 set answers_to_lose 0 ;# of writes
 set unaware 0 ;# see the command
 set late_keys {}
+set notice_ms "" ;# see the command `overlap`; "": never
+set held_host none
+set held {} ;# channels whose next request is a promotion request held up
+set answers_to_omit 0 ;# of promotion requests
+set omission close
+set events {}
 set config_reads 0 ;# reads of the configuration record
 set range_reads 0 ;# linearizable reads of key ranges
 set stale_store "" ;# what reads that may be stale return; "": the store
@@ -226,11 +242,11 @@
     respond $channel 200 "{\"items\":\[[join $items ,]\],\"hasMore\":$more,\"storeRevision\":$::revision}"
 }
 
-proc handle_http {channel method path body} {
+proc handle_http {channel head path body} {
     set query [parse_query $path]
     set route [lindex [split $path ?] 0]
     if {$route eq "/failover"} {
-        handle_promotion $channel [json::json2dict $body]
+        handle_promotion $channel {*}[parse_order $head $body]
         return
     }
     if {$::store_mode eq "down"} {
@@ -274,29 +290,103 @@
     }
 }
 
+# Returns the holder, the endpoint and the fencing token of a promotion request.
+proc parse_order {head body} {
+    set holder ""
+    set fence 0
+    regexp -nocase {X-Lease-Holder: ([^\r]*)} $head -> holder
+    regexp -nocase {X-Fencing-Token: (\d+)} $head -> fence
+    return [list $holder [dict get [json::json2dict $body] id] $fence]
+}
+
+# Returns whether the connection of a channel at its end was reset, which Tcl
+# doesn't report: it has no remote end any more.
+proc is_reset {channel} {
+    return [catch {fconfigure $channel -peername}]
+}
+
 proc on_http {channel} {
+    append ::buffer($channel) [read $channel]
+    if {![eof $channel]} {
+        serve_requests $channel
+    } elseif {$channel in $::held && ![is_reset $channel]} {
+        # A sender that closes its connection without a reset still transmits
+        # what it wrote.
+        fileevent $channel readable {}
+    } else {
+        close_http $channel
+    }
+}
+
+proc close_http {channel} {
+    close $channel
+    drop_watch $channel
+    unset -nocomplain ::buffer($channel)
+    set ::held [lsearch -all -inline -not -exact $::held $channel]
+}
+
+# Returns the first request in the input of a channel as a list: head, path, body,
+# size in bytes; empty if it is incomplete.
+proc first_request {channel} {
     upvar #0 buffer($channel) buffer
-    append buffer [read $channel]
-    if {[eof $channel]} {
-        close $channel
-        drop_watch $channel
-        unset -nocomplain buffer
-        return
+    set end [string first "\r\n\r\n" $buffer]
+    if {$end < 0} {
+        return {}
     }
-    while {[set end [string first "\r\n\r\n" $buffer]] >= 0} {
-        set head [string range $buffer 0 $end]
-        set size 0
-        regexp -nocase {Content-Length: (\d+)} $head -> size
-        if {[string length $buffer] < $end + 4 + $size} {
+    set head [string range $buffer 0 $end]
+    set size 0
+    regexp -nocase {Content-Length: (\d+)} $head -> size
+    if {[string length $buffer] < $end + 4 + $size} {
+        return {}
+    }
+    set body [string range $buffer [expr {$end + 4}] [expr {$end + 3 + $size}]]
+    set path [lindex [split [lindex [split $head \r] 0] " "] 1]
+    return [list $head $path $body [expr {$end + 4 + $size}]]
+}
+
+proc serve_requests {channel} {
+    upvar #0 buffer($channel) buffer
+    while {[info exists buffer] && $channel ni $::held &&
+        [llength [set request [first_request $channel]]] > 0} {
+        lassign $request head path body size
+        if {$path eq "/failover" &&
+            [lindex [parse_order $head $body] 0] eq $::held_host} {
+            lappend ::held $channel
             return
         }
-        set body [string range $buffer [expr {$end + 4}] [expr {$end + 3 + $size}]]
-        set buffer [string range $buffer [expr {$end + 4 + $size}] end]
-        lassign [split [lindex [split $head \r] 0] " "] method path
-        handle_http $channel $method $path $body
+        set buffer [string range $buffer $size end]
+        handle_http $channel $head $path $body
     }
 }
 
+proc list_held {} {
+    set orders {}
+    foreach channel $::held {
+        lassign [first_request $channel] head - body
+        lappend orders [parse_order $head $body]
+    }
+    return $orders
+}
+
+proc deliver_held {} {
+    set ::held_host none
+    set channels $::held
+    set ::held {}
+    foreach channel $channels {
+        serve_requests $channel
+        if {[info exists ::buffer($channel)] &&
+            [fileevent $channel readable] eq ""} {
+            close_http $channel
+        }
+    }
+}
+
+# Appends an event: {TIME order HOLDER ENDPOINT FENCE}, {TIME promotion ENDPOINT
+# TERM} or {TIME commit ENDPOINT TERM KEY}, with the time in ms.
+proc note {args} {
+    lappend ::events [list [clock milliseconds] {*}$args]
+}
+
 # Endpoints: name to a dictionary of its state. `executed` lists the reads, writes
 # and commits that ran: {query command endpoint variables}, of a commit {query
 # commit endpoint count}, where `count` is the number of its writes.
@@ -363,15 +453,31 @@
     }
 }
 
+# Makes a primary of a term below `term` a replica.
+proc step_down {name term} {
+    if {[dict get $::endpoints $name role] eq "primary" &&
+        $term > [dict get $::endpoints $name term]} {
+        follow_primary $name
+        register $name
+    }
+}
+
 # Accepts a promotion request; the promotion takes effect after `promote_ms`.
-proc handle_promotion {channel request} {
-    set name [dict get $request id]
+proc handle_promotion {channel holder name fence} {
+    note order $holder $name $fence
     if {![dict exists $::endpoints $name] || ![dict get $::endpoints $name up]} {
         respond $channel 409 "{}"
         return
     }
-    respond $channel 200 "{}"
     after $::promote_ms [list make_primary $name]
+    if {$::answers_to_omit == 0} {
+        respond $channel 200 "{}"
+        return
+    }
+    incr ::answers_to_omit -1
+    if {$::omission eq "close"} {
+        close_http $channel
+    }
 }
 
 # Makes an endpoint primary in a new term, unless it is the present one. The other
@@ -384,6 +490,9 @@
     dict for {other endpoint} $::endpoints {
         if {$::unaware && $other ne $name && [dict get $endpoint up] &&
             [dict get $endpoint role] eq "primary"} {
+            if {$::notice_ms ne ""} {
+                after $::notice_ms [list step_down $other $term]
+            }
             continue
         }
         dict set ::endpoints $other role replica
@@ -393,6 +502,7 @@
         }
     }
     dict set ::endpoints $name role primary
+    note promotion $name $term
     foreach other [dict keys $::endpoints] {
         if {[dict exists $::store servers/$other]} {
             register $other
@@ -426,6 +536,7 @@
         set log [dict get $::endpoints $name log]
         lappend log $entry
         dict set ::endpoints $name log $log
+        note commit $name [dict get $::endpoints $name term] [lindex $write 0]
     }
     after $::lag_ms replicate $name
 }
@@ -570,10 +681,8 @@
             return "COMPLETE -\r\n"
         }
         STATUS - STEPDOWN {
-            if {[lindex $words 0] eq "STEPDOWN" && $is_primary &&
-                [lindex $words 1] > [dict get $::endpoints $name term]} {
-                follow_primary $name
-                register $name
+            if {[lindex $words 0] eq "STEPDOWN"} {
+                step_down $name [lindex $words 1]
             }
             return "DATAROW [dict get $::endpoints $name role] [dict get $::endpoints $name term] [position $name] [dict get $::endpoints $name term] 0 0 1\r\nCOMPLETE -\r\n"
         }
@@ -637,6 +746,21 @@
         reads { return $::config_reads }
         lose { set ::answers_to_lose $argument; return ok }
         unaware { set ::unaware $argument; return ok }
+        overlap {
+            set ::unaware 1
+            set ::notice_ms $argument
+            return ok
+        }
+        hold { set ::held_host $argument; return ok }
+        held { return [list_held] }
+        deliver { deliver_held; return ok }
+        promote { set ::promote_ms $argument; return ok }
+        unanswered {
+            set ::answers_to_omit $argument
+            set ::omission [lindex $line 2]
+            return ok
+        }
+        events { return $::events }
         register { register $argument; return ok }
         late { return $::late_keys }
         log { return [dict get $::endpoints $argument log] }
