--- a/test/scenarios/wire.tcl
+++ b/test/scenarios/wire.tcl
@@ -599,3 +599,90 @@
         expect {![string match "*event=registration endpoint=z*" $log]} $host
     }
 }
+
+# Checks the stand-in's orders, promotions and commits, and that the last writes
+# are served.
+proc wire::check_promotions {outcomes} {
+    set events [control events]
+    set file [open [fleet::log_file events] w]
+    puts $file [join $events \n]
+    close $file
+    # Replication is asynchronous: writes that only the old primary held are lost.
+    check_writes $outcomes 1
+    set violations [checker::check_promotions $events $outcomes]
+    expect {[llength $violations] == 0} \
+        "[llength $violations]: [join [lrange $violations 0 2] {; }]"
+    set late [lrange [dict values $outcomes] end-20 end]
+    expect {[lsort -unique $late] eq "done"} $late
+}
+
+# The primary is killed, and the order to promote another endpoint is held up. This
+# endpoint is unlisted until, after `replace_owner`, the third one is promoted. After
+# `restore_owner` and `pause` ms under load, the order arrives, unless its
+# connection was reset.
+proc wire::deliver_late_order {seconds replace_owner restore_owner pause} {
+    fleet
+    lassign [write_under_load $seconds {
+        control overlap 1000 ;# see PROTOCOL, the old primary after a promotion
+        control hold host1
+        control kill e-1
+        eventually {[llength [wire::control held]] == 1} 5000
+        control hold none
+        set candidate [lindex [control held] 0 1]
+        control withdraw $candidate
+        eval $replace_owner
+        eventually {[wire::control primary] in
+            [lsearch -all -inline -not {e-2 e-3} $candidate]} 15000
+        after 500 ;# until the owner has noticed which one leads
+        control register $candidate
+        eval $restore_owner
+        after $pause { wire::control deliver }
+    }] outcomes
+    check_promotions $outcomes
+}
+
+scenario wire-late-order \
+    "an order to promote arrives after its sender gave it up for another endpoint" {
+    wire::deliver_late_order 10 {} {} 2000
+}
+
+scenario wire-late-order-after-pause \
+    "the owner pauses, another one promotes; the first one's order arrives later" {
+    wire::deliver_late_order 26 { suspend host1 } { resume host1 } 5000
+}
+
+scenario wire-late-order-after-restart \
+    "the owner restarts, another one promotes; the first one's order arrives later" {
+    wire::deliver_late_order 22 { stop host1 } { start host1 } 4000
+}
+
+# The first order takes effect after 900 ms and `omission` tells how its answer is
+# lost. Its endpoint crashes and starts again meanwhile, so that another one is
+# considered.
+proc wire::lose_order_answer {omission} {
+    fleet
+    lassign [write_under_load 16 {
+        control overlap 1000
+        control promote 900
+        control unanswered 1 $omission
+        control kill e-1
+        eventually {[lsearch -index 1 [wire::control events] order] >= 0} 5000
+        control promote 150
+        set order [lsearch -inline -index 1 [control events] order]
+        set candidate [lindex $order 3]
+        control kill $candidate
+        after 400
+        control start $candidate
+    }] outcomes
+    check_promotions $outcomes
+}
+
+scenario wire-order-answer-lost \
+    "an order takes effect late, its connection closes unanswered, its endpoint restarts" {
+    wire::lose_order_answer close
+}
+
+scenario wire-order-unanswered \
+    "an order takes effect late and is never answered, its endpoint restarts" {
+    wire::lose_order_answer silent
+}
