Promote again when the record's primary leads no more

Cause: a primary that only answers READONLY is neither down nor leaving. A refused statement now asks it for its state, and a primary that follows another one in its own term or a later one is replaced by a promotion, which finds the one that leads.

--- a/src/libcarobwind/pool_health.c
+++ b/src/libcarobwind/pool_health.c
@@ -457,6 +457,16 @@
     CbwPool_ReturnUnsent(pool);
 }
 
+/* Whether the record's primary follows another endpoint by now. A report from
+ * before its promotion has a lower term. */
+static bool
+has_lost_lead(const cbw_pool_t *pool, const cbw_pool_endpoint_t *primary)
+{
+    return pool->tenure.record.term != 0 && primary->reported_as_of != 0 &&
+           !primary->is_primary &&
+           primary->reported_term >= pool->tenure.record.term;
+}
+
 static void
 check_primary(cbw_pool_t *pool, cbw_time_t now)
 {
@@ -488,6 +498,10 @@
         pool->ops->ask_reach(pool->context, pool->primary);
         return;
     }
+    if (has_lost_lead(pool, e)) {
+        CbwPool_StartPromotion_(pool, now, "the primary leads no more");
+        return;
+    }
     if (e->info.leaving && has_remaining_replica(pool) &&
         (now >= pool->drain_due_at ||
          CbwPool_IsDrainOver_(pool, now, pool->primary))) {
--- a/src/libcarobwind/pool_reply.c
+++ b/src/libcarobwind/pool_reply.c
@@ -291,6 +291,7 @@
     case CBW_REPLY_NOT_PRIMARY:
         e->skip_until = now + Cbw_POOL_LAG_BACKOFF;
         CbwTenure_RenewEarly(&pool->tenure, now);
+        CbwPool_SendStateCall_(pool, now, call->endpoint);
         CbwPool_OnNotRun_(pool, now, request, CBW_CAUSE_BUSY);
         break;
     case CBW_REPLY_FAILED:
--- a/src/test_libcarobwind/test_pool_orders.c
+++ b/src/test_libcarobwind/test_pool_orders.c
@@ -175,6 +175,39 @@
     PoolWorld_Finish(&world);
 }
 
+/* The primary in the record has lost its lead to e2, as by a request that took
+ * effect later than is specified. A promotion brings the record up to date. */
+static void
+test_primary_lost_lead(void)
+{
+    static const endpoint_report_t promoted[] = {
+        {.unresponsive = true}, {.primary = true, .term = 4}, {.term = 4}};
+    static const endpoint_report_t replaced[] = {
+        {.unresponsive = true},
+        {.term = 5, .position = {4, 11}},
+        {.primary = true, .term = 5, .position = {4, 11}}};
+    pool_world_t world;
+    cbw_request_t *write;
+
+    request_e1(&world);
+    CbwPool_OnPromoteReply(&world.pool, world.now, CBW_PROMOTE_ACCEPTED);
+    PoolWorld_Run(&world, 400 * Cbw_MSEC, promoted);
+    g_assert_cmpstr(world.record.primary, ==, "e1");
+    g_assert_false(world.record.promoting);
+    write = PoolWorld_NewRequest(&world, true, CBW_READ_LATEST);
+    PoolWorld_Submit(&world, write);
+    PoolWorld_Reply(&world, PoolWorld_LastOpenCall(&world, CBW_CALL_RUN),
+                    CBW_REPLY_NOT_PRIMARY, 0);
+    g_assert_true(PoolWorld_RunUntilOrder(&world, 6 * Cbw_SEC, replaced));
+    g_assert_cmpstr(world.promotion_target, ==, "e2");
+    CbwPool_OnPromoteReply(&world.pool, world.now, CBW_PROMOTE_ACCEPTED);
+    PoolWorld_Run(&world, 400 * Cbw_MSEC, replaced);
+    g_assert_cmpstr(world.record.primary, ==, "e2");
+    g_assert_false(world.record.promoting);
+    PoolWorld_Finish(&world);
+    PoolWorld_FreeRequest(write);
+}
+
 void
 Suite_AddPoolOrders(void)
 {
@@ -184,4 +217,5 @@
     g_test_add_func("/pool/order-keeps-tenure", test_order_keeps_tenure);
     g_test_add_func("/pool/order-near-end-of-tenure",
                     test_order_near_end_of_tenure);
+    g_test_add_func("/pool/primary-lost-lead", test_primary_lost_lead);
 }
