Let a stopping host pass on a promotion whose request has no reply

A stopping host does not repeat a request without a reply. As soon as its lease is over the tenure is released, the drain waits for that, and the next owner, which may reach the service, goes on at once.

--- a/include/carobwind/pool.h
+++ b/include/carobwind/pool.h
@@ -341,6 +341,8 @@
      */
     bool candidate_leads;
     bool promote_accepted; /* the reply to the promotion request */
+    bool draining;         /* see CbwPool_SetDraining */
+    bool order_lost;       /* the latest request had no reply */
     bool order_in_flight;  /* the request has no reply yet */
     /* The endpoint of the latest request. Until `order_settled_at` it may
      * still be promoted, and no other endpoint is requested. */
@@ -399,6 +401,9 @@
 /* Sets how long an endpoint that is leaving receives statements, other than
  * those of transactions that are open; 0: while it is listed. */
 void CbwPool_SetLeavingLimit(cbw_pool_t *pool, cbw_time_t limit);
+/* Sets whether this owner's host stops. A promotion request without a reply is
+ * not repeated then: the next owner may reach the promotion service. */
+void CbwPool_SetDraining(cbw_pool_t *pool, bool draining);
 /* Sets whether a replica holds each commit before it is answered. Such commits
  * must survive a promotion, so this owner may acknowledge nothing once another
  * owner has begun to choose a candidate. Endpoints do not know of that choice:
--- a/src/carobwindd/pool_task.c
+++ b/src/carobwindd/pool_task.c
@@ -342,18 +342,19 @@
 {
     report_message_t *report =
         Cbw_LIST_ITEM(request, report_message_t, message);
+    cbw_time_t now = CbwNet_Now();
     cbw_link_t *link = PoolTask_State.instances.next;
 
     report->busy_count = 0;
     for (; link != &PoolTask_State.instances; link = link->next) {
         const pool_instance_t *instance =
             Cbw_LIST_ITEM(link, pool_instance_t, link);
-        /* The lease of a promotion request that has ended is not waited for:
-         * the tenure is kept in the record then. */
-        report->busy_count +=
-            !CbwPool_IsIdle(&instance->pool) ||
-            instance->pool.phase >= CBW_POOL_REQUESTING_PROMOTION ||
-            instance->pool.tenure.call_in_flight;
+        /* The lease of a promotion that has ended is not waited for: the
+         * tenure is kept in the record then. */
+        bool promoting = instance->pool.phase >= CBW_POOL_CHOOSING_CANDIDATE &&
+                         CbwPool_IsPromoting(&instance->pool, now);
+        report->busy_count += !CbwPool_IsIdle(&instance->pool) || promoting ||
+                              instance->pool.tenure.call_in_flight;
     }
     Task_Post(TASK_OWNER, TASK_MAIN, MESSAGE_DRAIN_REPORT, request);
 }
@@ -498,6 +499,7 @@
 
     CbwPool_SetAssigned(&instance->pool,
                         instance->owned || instance->prepare_call != NULL);
+    CbwPool_SetDraining(&instance->pool, PoolTask_State.draining);
     /* A draining host goes on serving under the tenure that it holds, but
      * renews it only to end a promotion. */
     CbwPool_Tick(&instance->pool, now,
--- a/src/libcarobwind/pool.c
+++ b/src/libcarobwind/pool.c
@@ -99,6 +99,12 @@
     pool->leaving_limit = limit;
 }
 
+void
+CbwPool_SetDraining(cbw_pool_t *pool, bool draining)
+{
+    pool->draining = draining;
+}
+
 void
 CbwPool_SetSynchronous(cbw_pool_t *pool, bool synchronous)
 {
--- a/src/libcarobwind/pool_promotion.c
+++ b/src/libcarobwind/pool_promotion.c
@@ -247,6 +247,9 @@
 {
     const cbw_pool_endpoint_t *e;
 
+    if (pool->draining && pool->order_lost) {
+        return;
+    }
     if (now + Cbw_POOL_ORDER_TIMEOUT + Cbw_POOL_ORDER_LEASE >
         pool->tenure.valid_until) {
         CbwTenure_RenewEarly(&pool->tenure, now);
@@ -295,6 +298,7 @@
     if (pool->phase != CBW_POOL_REQUESTING_PROMOTION) {
         return;
     }
+    pool->order_lost = status == CBW_PROMOTE_LOST;
     pool->order_in_flight = false;
     pool->order_ended_at = now;
     pool->order_settled_at = status == CBW_PROMOTE_REFUSED
--- a/src/test_libcarobwind/pool_fleet.c
+++ b/src/test_libcarobwind/pool_fleet.c
@@ -1176,6 +1176,7 @@
     event_t *event;
 
     CbwPool_SetAssigned(&host->pool, host->assigned && !host->stopping);
+    CbwPool_SetDraining(&host->pool, host->stopping);
     CbwPool_Tick(&host->pool, fleet->now, needed && !host->stopping);
     if (CbwPool_IsIdle(&host->pool) && !needed && !host->released) {
         host->released = CbwPool_Release(&host->pool, fleet->now);
--- a/src/test_libcarobwind/test_given_up_calls.c
+++ b/src/test_libcarobwind/test_given_up_calls.c
@@ -303,13 +303,15 @@
 {
     int listener;
     const order_driver_t *driver = find_order_driver(&listener);
+    size_t size;
     int fd;
     int error;
 
     start_order(driver, "ep1");
     g_usleep((gulong)(Cbw_POOL_ORDER_TIMEOUT + 50 * Cbw_MSEC));
     fd = accept_connection(listener);
-    g_assert_cmpuint(read_to_end(fd, &error), ==, 0);
+    size = read_to_end(fd, &error);
+    g_assert_cmpuint(size, ==, 0);
     g_assert_cmpint(answers, ==, 1);
     g_assert_cmpint(answer, ==, CBW_PROMOTE_LOST);
     close(fd);
--- a/src/test_libcarobwind/test_pool_orders.c
+++ b/src/test_libcarobwind/test_pool_orders.c
@@ -208,6 +208,31 @@
     PoolWorld_FreeRequest(write);
 }
 
+/* A host that stops does not repeat a request without a reply, and releases
+ * the tenure as soon as the request's lease is over: the next owner may reach
+ * the promotion service. */
+static void
+test_draining_owner_passes_promotion_on(void)
+{
+    pool_world_t world;
+
+    request_e1(&world);
+    CbwPool_SetDraining(&world.pool, true);
+    world.promotion_target[0] = '\0';
+    PoolWorld_Run(
+        &world, Cbw_POOL_ORDER_TIMEOUT + Cbw_POOL_ORDER_LEASE - 100 * Cbw_MSEC,
+        primary_lost);
+    g_assert_cmpint(world.cancelled_orders, ==, 1);
+    g_assert_cmpstr(world.promotion_target, ==, "");
+    g_assert_false(CbwPool_Release(&world.pool, world.now));
+    PoolWorld_Run(&world, 200 * Cbw_MSEC, primary_lost);
+    g_assert_true(CbwPool_Release(&world.pool, world.now));
+    PoolWorld_ServeStore(&world);
+    g_assert_cmpuint(world.record.holder.nonce, ==, 0);
+    g_assert_true(world.record.promoting);
+    PoolWorld_Finish(&world);
+}
+
 void
 Suite_AddPoolOrders(void)
 {
@@ -217,5 +242,7 @@
     g_test_add_func("/pool/order-keeps-tenure", test_order_keeps_tenure);
     g_test_add_func("/pool/order-near-end-of-tenure",
                     test_order_near_end_of_tenure);
+    g_test_add_func("/pool/draining-owner-passes-promotion-on",
+                    test_draining_owner_passes_promotion_on);
     g_test_add_func("/pool/primary-lost-lead", test_primary_lost_lead);
 }
--- a/test/mutants.tcl
+++ b/test/mutants.tcl
@@ -150,8 +150,8 @@
 }
 mutant exits-while-promoting wire-owner-stops-promoting-slowly {
     src/carobwindd/pool_task.c
-    "instance->pool.phase >= CBW_POOL_REQUESTING_PROMOTION ||\n            instance->pool.tenure.call_in_flight"
-    "instance->pool.tenure.call_in_flight"
+    "!CbwPool_IsIdle(&instance->pool) || promoting ||"
+    "!CbwPool_IsIdle(&instance->pool) || (promoting && now == 0) ||"
 }
 mutant drains-without-tenure wire-owner-stops-promoting-store-away {
     src/carobwindd/pool_task.c
