--- a/src/test_libcarobwind/pool_fleet.h
+++ b/src/test_libcarobwind/pool_fleet.h
@@ -21,6 +21,7 @@
     bool releases;         /* endpoints leave and are replaced */
     bool late_orders;      /* promotion requests arrive up to seconds late */
     bool lost_orders;      /* answers of the promotion service are lost */
+    bool differing_views;  /* callers use all hosts, and two are assigned */
 } fleet_troubles_t;
 
 typedef struct {
--- a/src/test_libcarobwind/pool_fleet_callers.c
+++ b/src/test_libcarobwind/pool_fleet_callers.c
@@ -217,6 +217,7 @@
 void
 PoolFleet_NewOperation(fleet_t *fleet, event_t *event)
 {
+    int owner_percent = fleet->troubles->differing_views ? 45 : 97;
     operation_t *operation = g_new0(operation_t, 1);
     event_t *again;
 
@@ -244,7 +245,8 @@
     }
     /* Entries whose views differ send to another host. */
     submit(fleet, operation,
-           PoolFleet_Chance(fleet, 97) || fleet->now >= fleet->troubles_end
+           PoolFleet_Chance(fleet, owner_percent) ||
+                   fleet->now >= fleet->troubles_end
                ? fleet->owner
                : (int)CbwRandom_Below(&fleet->random, HOSTS));
 }
--- a/src/test_libcarobwind/pool_fleet_hosts.c
+++ b/src/test_libcarobwind/pool_fleet_hosts.c
@@ -212,7 +212,10 @@
     PoolFleet_Trace(fleet, "h%d is assigned", owner);
     fleet->owner = owner;
     for (int i = 0; i < HOSTS; i++) {
-        fleet->hosts[i].assigned = i == owner;
+        fleet->hosts[i].assigned =
+            i == owner ||
+            (fleet->troubles->differing_views &&
+             fleet->now < fleet->troubles_end && i == (owner + 1) % HOSTS);
     }
 }
 
--- a/src/test_libcarobwind/test_pool_confirm.c
+++ b/src/test_libcarobwind/test_pool_confirm.c
@@ -203,9 +203,38 @@
     PoolWorld_FreeRequest(request);
 }
 
+/* A read that was sent to e0 as the primary is not answered once e1 is known
+ * to have replaced it: commits that e1 acknowledged may be missing. */
+static void
+test_read_as_confirmed_primary_changes(void)
+{
+    static const endpoint_report_t replaced[] = {
+        {.term = 4}, {.primary = true, .term = 4}, {.term = 4}};
+    pool_world_t world;
+    cbw_request_t *read;
+    sent_call_t *run;
+
+    PoolWorld_Init(&world);
+    expire_tenure(&world);
+    read = PoolWorld_NewRequest(&world, false, CBW_READ_LATEST);
+    PoolWorld_Submit(&world, read);
+    run_confirmation_round(&world, none_disagrees);
+    run = PoolWorld_LastOpenCall(&world, CBW_CALL_RUN);
+    g_assert_nonnull(run);
+    run_confirmation_round(&world, replaced);
+    run_confirmation_round(&world, replaced);
+    g_assert_cmpint(world.pool.primary, ==, 1);
+    PoolWorld_Reply(&world, run, CBW_REPLY_OK, 9);
+    g_assert_cmpint(read->answer.outcome, !=, CBW_OUTCOME_DONE);
+    PoolWorld_Finish(&world);
+    PoolWorld_FreeRequest(read);
+}
+
 void
 Suite_AddPoolConfirm(void)
 {
+    g_test_add_func("/pool/read-as-confirmed-primary-changes",
+                    test_read_as_confirmed_primary_changes);
     g_test_add_func("/pool/confirmation-cases", test_confirmation_cases);
     g_test_add_func("/pool/confirmed-position", test_confirmed_position);
     g_test_add_func("/pool/no-confirmation-when-synchronous",
--- a/src/test_libcarobwind/test_pool_orders.c
+++ b/src/test_libcarobwind/test_pool_orders.c
@@ -233,9 +233,126 @@
     PoolWorld_Finish(&world);
 }
 
+/* Ticks until the pool reads the record, and answers that, or until it sends a
+ * swap. Returns whether it did the latter. */
+static bool
+tick_until_store_call(pool_world_t *world)
+{
+    while (!world->read_pending && !world->swap_pending) {
+        world->now += 20 * Cbw_MSEC;
+        CbwPool_Tick(&world->pool, world->now, true);
+        PoolWorld_AnswerStates(world, primary_lost);
+    }
+    if (world->swap_pending) {
+        return true;
+    }
+    world->read_pending = false;
+    CbwPool_OnRecord(&world->pool, world->now, CBW_STORE_OK, world->version,
+                     &world->record);
+    return false;
+}
+
+/* The next swap gets no answer. The record stays as it was. */
+static void
+lose_next_swap(pool_world_t *world)
+{
+    cbw_tenure_record_t record = world->record;
+
+    while (!tick_until_store_call(world)) {
+    }
+    world->swap_pending = false;
+    world->record = record;
+    CbwPool_OnSwap(&world->pool, world->now, CBW_STORE_LOST, 0);
+}
+
+/* A swap without an answer may change the record as long as that has the
+ * version which the swap expected. */
+static void
+test_unsettled_swap(void)
+{
+    pool_world_t world;
+
+    PoolWorld_Init(&world);
+    world.unlisted[0] = true;
+    PoolWorld_SetEndpoints(&world);
+    lose_next_swap(&world);
+    g_assert_false(tick_until_store_call(&world));
+    g_assert_true(CbwTenure_IsValid(&world.pool.tenure, world.now));
+    g_assert_false(CbwTenure_IsExclusive(&world.pool.tenure, world.now));
+    PoolWorld_Tick(&world, 20 * Cbw_MSEC);
+    g_assert_true(CbwTenure_IsExclusive(&world.pool.tenure, world.now));
+    PoolWorld_Finish(&world);
+}
+
+/* The release of a tenure that is needed again had no answer: the store may
+ * yet carry it out, and the next owner would wait for nobody. */
+static void
+test_unanswered_release(void)
+{
+    pool_world_t world;
+    cbw_tenure_record_t record;
+
+    PoolWorld_Init(&world);
+    record = world.record;
+    g_assert_true(CbwPool_Release(&world.pool, world.now));
+    g_assert_true(world.swap_pending);
+    world.swap_pending = false;
+    world.record = record;
+    CbwPool_OnSwap(&world.pool, world.now, CBW_STORE_LOST, 0);
+    world.pool.stopping = false;
+    g_assert_false(tick_until_store_call(&world));
+    g_assert_false(CbwTenure_IsValid(&world.pool.tenure, world.now));
+    PoolWorld_Tick(&world, 20 * Cbw_MSEC);
+    g_assert_true(CbwTenure_IsValid(&world.pool.tenure, world.now));
+    PoolWorld_Finish(&world);
+}
+
+/* The report that the candidate leads is seconds old when the promotion can be
+ * published. Others may have served the new primary meanwhile, by its
+ * confirmation: a replica with the position of that report lacks what they
+ * acknowledged. */
+static void
+test_old_report_of_candidate(void)
+{
+    static const endpoint_report_t promoted[] = {
+        {.unresponsive = true}, {.primary = true, .term = 4}, {.term = 4}};
+    pool_world_t world;
+    cbw_request_t *read;
+    sent_call_t *run;
+
+    request_e1(&world);
+    PoolWorld_Run(&world, Cbw_POOL_STATE_POLL_INTERVAL, primary_lost);
+    /* A renewal is under way until the store answers again. */
+    while (!world.read_pending) {
+        world.now += 20 * Cbw_MSEC;
+        CbwPool_Tick(&world.pool, world.now, true);
+    }
+    CbwPool_OnPromoteReply(&world.pool, world.now, CBW_PROMOTE_ACCEPTED);
+    world.now += 2 * Cbw_POOL_STATE_POLL_INTERVAL;
+    CbwPool_Tick(&world.pool, world.now, true);
+    PoolWorld_AnswerStates(&world, promoted);
+    world.now += 3 * Cbw_SEC;
+    read = PoolWorld_NewRequest(&world, false, CBW_READ_LATEST);
+    PoolWorld_Submit(&world, read);
+    world.now += 20 * Cbw_MSEC;
+    PoolWorld_Run(&world, 60 * Cbw_MSEC, primary_lost);
+    g_assert_cmpstr(world.record.primary, ==, "e1");
+    run = PoolWorld_LastOpenCall(&world, CBW_CALL_RUN);
+    g_assert_nonnull(run);
+    PoolWorld_Reply(&world, run, CBW_REPLY_BUSY, 0);
+    run = PoolWorld_LastOpenCall(&world, CBW_CALL_RUN);
+    g_assert_true(run == NULL || run->endpoint == world.pool.primary);
+    PoolWorld_Finish(&world);
+    PoolWorld_FreeRequest(read);
+}
+
 void
 Suite_AddPoolOrders(void)
 {
+    g_test_add_func("/pool/unsettled-swap", test_unsettled_swap);
+    g_test_add_func("/pool/unanswered-release", test_unanswered_release);
+    g_test_add_func("/pool/old-report-of-candidate",
+                    test_old_report_of_candidate);
     g_test_add_func("/pool/late-publication", test_late_publication);
     g_test_add_func("/pool/unanswered-claim", test_unanswered_claim);
     g_test_add_func("/pool/order-may-take-effect", test_order_may_take_effect);
