--- a/src/test_libcarobwind/pool_fleet_world.h
+++ b/src/test_libcarobwind/pool_fleet_world.h
@@ -33,7 +33,15 @@
 typedef struct fleet fleet_t;
 
 /* An event: `run` is called with it at its time. The other fields are its
- * arguments. */
+ * arguments; some mean another thing in each kind of event:
+ *
+ * - store call: `flag` is a swap, `peer` not 0 that its answer is lost;
+ * - call to an endpoint: `term` is the transaction (of a step-down call, the
+ *   term), `fence` not 0 that it begins one which writes;
+ * - promotion request: `id` is the host's number of it, `version` the
+ *   endpoint's incarnation, `flag` that its answer is lost;
+ * - request to relinquish: `verb` 1 is its timeout, `flag` that `peer` has
+ *   relinquished. */
 typedef struct event {
     cbw_time_t at;
     uint64_t sequence;
