Log statement sizes at level debug; count lost statements and transactions

Cause: neither logs nor metrics distinguished the hypotheses of the incident of changed statement texts: a text that is changed on its way, a prepared statement that the endpoint does not have, a transaction state that differs between endpoint and driver.

No decision changes.

--- a/include/carobwind/counter.h
+++ b/include/carobwind/counter.h
@@ -53,6 +53,12 @@
     CBW_COUNTER_COMMITS_SUPERSEDED, /* answered, and not acknowledged */
     CBW_COUNTER_CONNECTIONS_OPENED,
     CBW_COUNTER_CONNECTIONS_LOST,
+    /* Answers by which an endpoint does not know a prepared statement that its
+     * connection had prepared. */
+    CBW_COUNTER_STATEMENTS_UNKNOWN,
+    /* Answers after which an endpoint had a transaction open on a connection
+     * that carried none, or none on one that did. */
+    CBW_COUNTER_TRANSACTION_MISMATCHES,
     /* Opened though one of another workspace was idle. */
     CBW_COUNTER_CONNECTIONS_OPENED_FOR_WORKSPACE,
     /* Closed while idle, to make room for one of another workspace. */
--- a/include/carobwind/log.h
+++ b/include/carobwind/log.h
@@ -21,7 +21,8 @@
 /* Name of each cbw_log_level_t. */
 extern const char *const CbwLog_LevelString[];
 
-/* Most lines of one event that are written per second. The number of
+/* Most lines of one event that are written per second, except at level debug.
+ * The number of
  * suppressed lines is logged in a line of its own. At 50 statements per second
  * and host this keeps the cost of logging in a flood below 1% of the processor
  * time. */
--- a/src/carobwindd/session_task.c
+++ b/src/carobwindd/session_task.c
@@ -408,6 +408,11 @@
         g_string_erase(session->input, 0, (gssize)size);
     }
     self.driver->decode(bytes, size, bytes + size + 1, &message);
+    if (message.type == CALLER_MESSAGE_STATEMENT) {
+        CbwLog_Write(CBW_LOG_DEBUG, "entry", "statement",
+                     "request=%s text=%zu message=%zu", message.statement.id,
+                     strlen(message.statement.text), size);
+    }
     on_message(session, &message);
     free(bytes);
     CbwMemoryAccount_OnMessage(&session->account, SessionLimits_State(session),
--- a/src/libcarobwind/counter.c
+++ b/src/libcarobwind/counter.c
@@ -45,6 +45,8 @@
     "commits_superseded_total",
     "endpoint_connections_opened_total",
     "endpoint_connections_lost_total",
+    "endpoint_statements_unknown_total",
+    "endpoint_transaction_mismatches_total",
     "endpoint_connections_opened_for_workspace_total",
     "endpoint_connections_closed_for_workspace_total",
     "store_calls_total",
--- a/src/libcarobwind/log.c
+++ b/src/libcarobwind/log.c
@@ -133,7 +133,7 @@
         return;
     }
     now = output->time_of_day();
-    if (!admit_line(now, task, event)) {
+    if (level > CBW_LOG_DEBUG && !admit_line(now, task, event)) {
         return;
     }
     va_start(arguments, format);
--- a/src/test_libcarobwind/test_log.c
+++ b/src/test_libcarobwind/test_log.c
@@ -54,6 +54,22 @@
     CbwLog_SetOutput(NULL);
 }
 
+/* Lines of level debug are not suppressed. */
+static void
+test_debug_is_not_limited(void)
+{
+    line_count = 0;
+    now = 9 * Cbw_SEC;
+    CbwLog_SetOutput(&fake_output);
+    CbwLog_SetLevel(CBW_LOG_DEBUG);
+    for (int i = 0; i < 100; i++) {
+        CbwLog_Write(CBW_LOG_DEBUG, "test", "detail", "n=%d", i);
+    }
+    CbwLog_SetLevel(CBW_LOG_INFO);
+    CbwLog_SetOutput(NULL);
+    g_assert_cmpint(line_count, ==, 100);
+}
+
 /* A line that is too long is truncated and still ends with a newline. */
 static void
 test_long_line(void)
@@ -113,6 +129,7 @@
 Suite_AddLog(void)
 {
     g_test_add_func("/log/rate-limit", test_rate_limit);
+    g_test_add_func("/log/debug-is-not-limited", test_debug_is_not_limited);
     g_test_add_func("/log/long-line", test_long_line);
     g_test_add_func("/log/control-characters", test_control_characters);
     g_test_add_func("/log/full-pipe", test_full_pipe);
