Tests of statement texts from the caller to the endpoint; they fail

The reproduction for the incident of changed statement texts: the bytes of a caller's messages go through the caller driver, the session and the endpoint driver; a reader that ends messages at CR LF only compares what arrives with what was sent, for statements, reads, EXECUTE, shapes and session values.

Shapes and values lose carriage returns and line feeds and keep blanks; statements lose blanks too.

--- a/src/test_libcarobwind/suites.h
+++ b/src/test_libcarobwind/suites.h
@@ -48,6 +48,7 @@
 void Suite_AddPlatform(void);
 void Suite_AddSession(void);
 void Suite_AddSpread(void);
+void Suite_AddStatementText(void);
 void Suite_AddStoreRelay(void);
 void Suite_AddTenure(void);
 void Suite_AddTick(void);
--- a/src/test_libcarobwind/test_main.c
+++ b/src/test_libcarobwind/test_main.c
@@ -52,6 +52,7 @@
     Suite_AddPlatform();
     Suite_AddSession();
     Suite_AddSpread();
+    Suite_AddStatementText();
     Suite_AddStoreRelay();
     Suite_AddTenure();
     Suite_AddTick();
--- /dev/null
+++ b/src/test_libcarobwind/test_statement_text.c
@@ -0,0 +1,361 @@
+/* The way of a caller's statement from the bytes that it sends to those that
+ * an endpoint receives, without sockets: caller driver, session, endpoint
+ * driver. A message ends at CR LF; all other bytes but NUL belong to it. */
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "carobwind/plugin.h"
+#include "carobwind/random.h"
+#include "carobwind/session.h"
+#include "carobwindd/drivers.h"
+#include "platform/backend_text.h"
+#include "suites.h"
+
+#define RANDOM_ROUNDS 20000
+#define RANDOM_TEXT_MAX 12
+
+/* What an endpoint has received on one connection. */
+typedef struct {
+    GHashTable *values;   /* session values by name */
+    GHashTable *prepared; /* shapes by name */
+    char *statement;      /* the last one; of EXECUTE without its name */
+    char *shape;          /* that it executed; "" without EXECUTE */
+    int statements;       /* of callers */
+} received_t;
+
+typedef struct {
+    cbw_session_t session;
+    backend_session_t backend;
+    received_t received;
+} path_t;
+
+static void
+init_path(path_t *path)
+{
+    memset(path, 0, sizeof(*path));
+    CbwSession_Init(&path->session);
+    Backend_InitSession(&path->backend);
+    path->received.values =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    path->received.prepared =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+}
+
+static void
+finish_path(path_t *path)
+{
+    CbwSession_Finish(&path->session);
+    Backend_FinishSession(&path->backend);
+    g_hash_table_unref(path->received.values);
+    g_hash_table_unref(path->received.prepared);
+    g_free(path->received.statement);
+    g_free(path->received.shape);
+}
+
+/* Returns the text after the first blank, which ends the word before it; the
+ * end of the text without one. */
+static char *
+split_word(char *text)
+{
+    char *blank = strchr(text, ' ');
+
+    if (blank == NULL) {
+        return text + strlen(text);
+    }
+    *blank = '\0';
+    return blank + 1;
+}
+
+static void
+receive_statement(received_t *received, char *text)
+{
+    char *rest;
+
+    received->statements++;
+    g_free(received->statement);
+    g_free(received->shape);
+    if (!g_str_has_prefix(text, "EXECUTE ")) {
+        received->statement = g_strdup(text);
+        received->shape = g_strdup("");
+        return;
+    }
+    text += strlen("EXECUTE ");
+    rest = split_word(text);
+    received->statement = g_strdup(rest);
+    received->shape = g_strdup(g_hash_table_lookup(received->prepared, text));
+}
+
+static void
+receive_message(received_t *received, char *line)
+{
+    char *id = split_word(line);
+    char *text = split_word(id);
+    char *rest;
+
+    g_assert_cmpstr(line, ==, "QUERY");
+    if (strcmp(id, "-") != 0) {
+        receive_statement(received, text);
+        return;
+    }
+    rest = split_word(text);
+    if (strcmp(text, "DISCARD") == 0) {
+        g_hash_table_remove_all(received->values);
+        g_hash_table_remove_all(received->prepared);
+    }
+    else if (strcmp(text, "SET") == 0 || strcmp(text, "PREPARE") == 0) {
+        char *value = split_word(rest);
+        g_hash_table_insert(text[0] == 'S' ? received->values
+                                           : received->prepared,
+                            g_strdup(rest), g_strdup(value));
+    }
+}
+
+static void
+receive(received_t *received, const GString *bytes)
+{
+    char *line = bytes->str;
+    char *end;
+
+    while ((end = strstr(line, "\r\n")) != NULL) {
+        *end = '\0';
+        receive_message(received, line);
+        line = end + 2;
+    }
+    g_assert_cmpstr(line, ==, "");
+}
+
+static void
+forward(path_t *path, const cbw_request_t *request)
+{
+    const cbw_call_t call = {
+        .verb = CBW_CALL_RUN,
+        .trace = request->trace,
+        .statement = request->statement,
+        .statement_size = request->statement_size,
+        .values = request->values != NULL ? request->values : "",
+        .shape = request->shape != NULL ? request->shape : "",
+    };
+    GString *setup = g_string_new(NULL);
+    GString *statement = g_string_new(NULL);
+
+    Backend_FormatCall(&path->backend, &call, false, setup, statement);
+    g_string_append_len(setup, statement->str, (gssize)statement->len);
+    receive(&path->received, setup);
+    g_string_free(setup, TRUE);
+    g_string_free(statement, TRUE);
+}
+
+/* Sends a statement with the id "a". Returns false if it is not taken as one
+ * message, or not accepted. */
+static bool
+send_statement(path_t *path, const char *text)
+{
+    const caller_driver_t *driver =
+        CbwPlugin_Find(CBW_PLUGIN_CALLER_DRIVER, "wire");
+    char *bytes = g_strdup_printf("QUERY a %s\r\n", text);
+    size_t size = strlen(bytes);
+    char *copy = g_malloc(size + 1);
+    caller_message_t message;
+    cbw_request_t request;
+    cbw_plan_t plan = {.action = CBW_PLAN_ERROR};
+    bool whole = driver->message_size(bytes, size - 1) == 0 &&
+                 driver->message_size(bytes, size) == (ssize_t)size;
+
+    CbwRequest_Init(&request);
+    if (whole) {
+        driver->decode(bytes, size, copy, &message);
+        whole = message.type == CALLER_MESSAGE_STATEMENT;
+    }
+    if (whole) {
+        snprintf(request.trace, sizeof(request.trace), "%s",
+                 message.statement.id);
+        CbwSession_Plan(&path->session, &message.statement, 1, &request,
+                        &plan);
+    }
+    if (plan.action == CBW_PLAN_FORWARD) {
+        forward(path, &request);
+    }
+    CbwRequest_Finish(&request);
+    g_free(bytes);
+    g_free(copy);
+    return plan.action != CBW_PLAN_ERROR;
+}
+
+/* Texts that end or continue in unusual ways. */
+static const char *const odd_texts[] = {
+    "v",
+    "v ",
+    "v  ",
+    " v",
+    "a  b",
+    "\tv\t",
+    "v\r",
+    "v\r\r",
+    "v \r",
+    "\r",
+    "v\n",
+    "v\n\n",
+    "v\n\r",
+    "\nv",
+    "\n v",
+    "a\nb",
+    "a\n b\n\n c",
+    "a\rb",
+    "x\nQUERY nobody WRITE k v",
+    "x\nn2 y",
+    "x\\nn2 y",
+    "\xc3\xa9\xff",
+};
+
+/* Where the text of a case stands: %s in one of these statements. */
+typedef struct {
+    const char *name;
+    const char *setup[2]; /* statements before; NULL: none */
+    const char *statement;
+    const char *received; /* by the endpoint */
+    const char *shape;    /* that it executes */
+    const char *value;    /* of the session values v1 and v2; NULL: not set */
+} position_t;
+
+enum {
+    POSITION_STATEMENT,
+    POSITION_READ,
+    POSITION_EXECUTE,
+    POSITION_SHAPE,
+    POSITION_VALUES,
+    POSITION_COUNT,
+};
+
+static const position_t positions[POSITION_COUNT] = {
+    {"statement", {NULL}, "WRITE k %s", "WRITE k %s", "", NULL},
+    {"read", {NULL}, "READ %s", "READ %s", "", NULL},
+    {"execute",
+     {"PREPARE s1 WRITE q1"},
+     "EXECUTE s1 k %s",
+     "k %s",
+     "WRITE q1",
+     NULL},
+    {"shape",
+     {"PREPARE s1 WRITE %s"},
+     "EXECUTE s1 k v",
+     "k v",
+     "WRITE %s",
+     NULL},
+    {"values", {"SET v1 %s", "SET v2 %s"}, "READ k", "READ k", "", "%s"},
+};
+
+/* Replaces %s. The caller frees the result. */
+static char *
+insert_text(const char *pattern, const char *text)
+{
+    const char *place = strstr(pattern, "%s");
+
+    if (place == NULL) {
+        return g_strdup(pattern);
+    }
+    return g_strdup_printf("%.*s%s%s", (int)(place - pattern), pattern, text,
+                           place + 2);
+}
+
+static bool
+is_received(const path_t *path, const position_t *position, const char *text)
+{
+    char *received = insert_text(position->received, text);
+    char *shape = insert_text(position->shape, text);
+    bool same = path->received.statements == 1 &&
+                g_strcmp0(path->received.statement, received) == 0 &&
+                g_strcmp0(path->received.shape, shape) == 0;
+
+    if (position->value != NULL) {
+        same = same && g_hash_table_size(path->received.values) == 2 &&
+               g_strcmp0(g_hash_table_lookup(path->received.values, "v1"),
+                         text) == 0 &&
+               g_strcmp0(g_hash_table_lookup(path->received.values, "v2"),
+                         text) == 0;
+    }
+    g_free(received);
+    g_free(shape);
+    return same;
+}
+
+/* Returns whether the endpoint receives exactly what the caller sends. */
+static bool
+is_unchanged(const position_t *position, const char *text)
+{
+    path_t path;
+    bool accepted = true;
+    char *statement;
+
+    init_path(&path);
+    for (int i = 0; i < 2 && position->setup[i] != NULL; i++) {
+        statement = insert_text(position->setup[i], text);
+        accepted = accepted && send_statement(&path, statement);
+        g_free(statement);
+    }
+    statement = insert_text(position->statement, text);
+    accepted = accepted && send_statement(&path, statement);
+    g_free(statement);
+    accepted = accepted && is_received(&path, position, text);
+    finish_path(&path);
+    return accepted;
+}
+
+static void
+check_text(const position_t *position, const char *text)
+{
+    if (!is_unchanged(position, text)) {
+        char *shown = g_strescape(text, NULL);
+        g_test_message("%s: \"%s\" does not arrive", position->name, shown);
+        g_free(shown);
+        g_test_fail();
+    }
+}
+
+/* The last byte of a text was lost when it was a blank or a carriage return,
+ * and a line feed ended the message. */
+static void
+test_text_is_cut(gconstpointer data)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(odd_texts); i++) {
+        check_text(data, odd_texts[i]);
+    }
+}
+
+/* The same with random texts. */
+static void
+test_random_text_is_cut(void)
+{
+    static const char alphabet[] = {' ', '\t', '\r', '\n', 'a', '-', '\\'};
+    cbw_random_t random;
+
+    CbwRandom_Init(&random, 42);
+    for (int i = 0; i < RANDOM_ROUNDS && !g_test_failed(); i++) {
+        char text[RANDOM_TEXT_MAX + 1];
+        size_t size = 1 + CbwRandom_Below(&random, RANDOM_TEXT_MAX);
+        for (size_t j = 0; j < size; j++) {
+            text[j] = alphabet[CbwRandom_Below(&random, sizeof(alphabet))];
+        }
+        text[size] = '\0';
+        if (strstr(text, "\r\n") == NULL) {
+            check_text(&positions[i % POSITION_COUNT], text);
+        }
+    }
+}
+
+void
+Suite_AddStatementText(void)
+{
+    g_test_add_data_func("/statement-text/statement-is-cut",
+                         &positions[POSITION_STATEMENT], test_text_is_cut);
+    g_test_add_data_func("/statement-text/read-is-cut",
+                         &positions[POSITION_READ], test_text_is_cut);
+    g_test_add_data_func("/statement-text/execute-is-cut",
+                         &positions[POSITION_EXECUTE], test_text_is_cut);
+    g_test_add_data_func("/statement-text/shape-is-cut",
+                         &positions[POSITION_SHAPE], test_text_is_cut);
+    g_test_add_data_func("/statement-text/values-are-cut",
+                         &positions[POSITION_VALUES], test_text_is_cut);
+    g_test_add_func("/statement-text/random-text-is-cut",
+                    test_random_text_is_cut);
+}
