--- a/src/test_libcarobwind/test_platform.c
+++ b/src/test_libcarobwind/test_platform.c
@@ -65,6 +65,8 @@
      "", "k v \r"},
     {"QUERY a WRITE k v\nw\r\n", CALLER_MESSAGE_STATEMENT, CBW_STATEMENT_OTHER,
      "", ""},
+    {"QUERY a EXECUTE s \r\n", CALLER_MESSAGE_STATEMENT, CBW_STATEMENT_OTHER,
+     "s", ""},
     {"QUERY a\nb READ k\r\n", CALLER_MESSAGE_UNKNOWN, 0, "", ""},
     {"QUERY a\r\n", CALLER_MESSAGE_UNKNOWN, 0, "", ""},
     {"HELLO\r\n", CALLER_MESSAGE_UNKNOWN, 0, "", ""},
--- a/test/check.tcl
+++ b/test/check.tcl
@@ -206,7 +206,7 @@
         -p /confirm -p /given-up-calls -p /traffic -p /quota -p /pool-quota \
         -p /memory-budget -p /local-health -p /witness -p /connection-cache \
         -p /connection-driver -p /queue-fair -p /scheduling -p /read-dispatch \
-        -p /pool-reads -p /regions -p /offload -p /acceptor -p /compression -p /store-relay
+        -p /pool-reads -p /regions -p /offload -p /acceptor -p /compression -p /store-relay -p /statement-text
 }
 run_scenarios
 if {[llength $known_failures] > 0} {
