Session: refuse values with a line feed, which could set others

Cause: the session's values are forwarded as lines "name value". A value with a line feed would be read as two values.

Change: SET with a line feed in the name or the value is answered MALFORMED and changes nothing.

--- a/src/libcarobwind/session.c
+++ b/src/libcarobwind/session.c
@@ -60,6 +60,10 @@
     cbw_session_value_t *known = NULL;
     size_t size = session->values_size + encoded_size(name, value);
 
+    /* In their encoding values are separated by line feeds. */
+    if (strchr(name, '\n') != NULL || strchr(value, '\n') != NULL) {
+        return false;
+    }
     for (size_t i = 0; known == NULL && i < session->value_count; i++) {
         if (strcmp(session->values[i].name, name) == 0) {
             known = &session->values[i];
--- a/src/test_libcarobwind/test_session.c
+++ b/src/test_libcarobwind/test_session.c
@@ -166,6 +166,28 @@
     CbwSession_Finish(&session);
 }
 
+/* A value with a line feed could set other values of the encoding. */
+static void
+test_value_sets_another(void)
+{
+    static const step_t steps[] = {
+        {.kind = CBW_STATEMENT_SET, .name = "a", .rest = "1\nb 2"},
+        {.kind = CBW_STATEMENT_SET, .name = "a\nb", .rest = "2"},
+    };
+    cbw_session_t session;
+    cbw_request_t request;
+    cbw_plan_t result;
+
+    CbwSession_Init(&session);
+    for (size_t i = 0; i < G_N_ELEMENTS(steps); i++) {
+        plan(&session, &steps[i], &request, &result);
+        g_assert_cmpint(result.action, ==, CBW_PLAN_ERROR);
+        g_assert_cmpint(result.cause, ==, CBW_CAUSE_MALFORMED);
+        g_assert_cmpuint(session.value_count, ==, 0);
+    }
+    CbwSession_Finish(&session);
+}
+
 /* Begins a transaction at the endpoint with a statement of `kind`. */
 static void
 begin_at_endpoint(cbw_session_t *session, cbw_statement_kind_t kind,
@@ -321,4 +343,5 @@
                     test_close_while_draining);
     g_test_add_func("/session/values-are-forwarded",
                     test_values_are_forwarded);
+    g_test_add_func("/session/value-sets-another", test_value_sets_another);
 }
