carobwindctl: reword comments, rename two variables

Cause: some comments were figurative or unclear ("puts in force if it still is", "most spans", "lines of another form"); find_command had a flag "fits" and a count named "words".

Change: usual terms in the comments; words -> word_count, fits -> count_matches. Printed texts are unchanged.

--- a/src/carobwindctl/incident.c
+++ b/src/carobwindctl/incident.c
@@ -7,11 +7,10 @@
 #include <sysexits.h>
 #include <time.h>
 
-/* A line may explain the outcome of a request if it is at most this much older
- * or newer than the first line that names the request. Hosts log that line
- * when the request ends. The time before it covers the longest failover,
- * including the wait for the tenures of previous holders to expire
- * (Cbw_TENURE_VALID_FOR). */
+/* Time before and after the first line that names a request, in which other
+ * lines may explain its outcome. Hosts log that line when the request ends.
+ * The time before it covers the longest failover, including the wait for the
+ * tenures of previous holders to expire (Cbw_TENURE_VALID_FOR). */
 #define SECONDS_BEFORE 12
 #define SECONDS_AFTER 1
 /* Size of the buffers for the name or the value of a field, in bytes. */
@@ -21,7 +20,7 @@
     char *text; /* owned; begins with the timestamp */
     const char *path;
     double time;       /* seconds since 1970 */
-    size_t read_order; /* keeps lines of the same time in order */
+    size_t read_order; /* orders lines of the same time */
 } log_line_t;
 
 typedef struct {
@@ -45,7 +44,7 @@
     return (double)timegm(&calendar_time) + strtod(fraction, NULL);
 }
 
-/* Adds a copy of the line from its timestamp on. Lines without one are
+/* Adds a copy of the line, starting at its timestamp. Lines without one are
  * skipped. */
 static void
 add_line(log_lines_t *lines, const char *text, const char *path)
@@ -106,8 +105,8 @@
     return x->read_order < y->read_order ? -1 : 1;
 }
 
-/* Whether the line has the field name=value. Only the first 60 bytes of
- * `value` are used, so that the field fits its buffer. */
+/* Whether the line has the field name=value. `value` is truncated to 60 bytes,
+ * so that the field fits into the buffer. */
 static bool
 has_field(const char *line, const char *name, const char *value)
 {
--- a/src/carobwindctl/main.c
+++ b/src/carobwindctl/main.c
@@ -79,8 +79,8 @@
     .arguments_max = CbwOptions_ARGUMENTS_MAX,
 };
 
-/* Reads a whole text file. Returns its text, which the caller frees, or NULL
- * after printing the error. */
+/* Returns the content of a text file, which the caller frees, or NULL after
+ * printing the error. */
 static char *
 read_file(const char *path)
 {
@@ -109,8 +109,8 @@
     return text;
 }
 
-/* Reads and checks an inventory, and prints its errors. Returns an exit code.
- * On EX_OK the caller frees `text` and finishes `inventory`. */
+/* Reads and parses an inventory file and prints the errors in it. Returns an
+ * exit code. On EX_OK the caller frees `text` and finishes `inventory`. */
 static int
 load_inventory(const char *path, char **text, cbw_inventory_t *inventory)
 {
@@ -215,8 +215,8 @@
     printf("  %s\n", line);
 }
 
-/* Prints how `after` differs from the inventory in `before_text`, which is ""
- * when there is none. Returns the number of changes. */
+/* Prints the differences between the inventory in `before_text` ("": none) and
+ * `after`. Returns their number. */
 static size_t
 print_changes(const char *before_text, const cbw_inventory_t *after)
 {
@@ -249,7 +249,8 @@
     return fgets(answer, sizeof(answer), stdin) != NULL && answer[0] == 'y';
 }
 
-/* Puts `text` in force if `version` still is. Returns an exit code. */
+/* Replaces the configuration by `text` if its version is still `version`.
+ * Returns an exit code. */
 static int
 swap_config(const char *text, uint64_t version)
 {
@@ -272,8 +273,8 @@
     return EX_OK;
 }
 
-/* Shows the changes and, if the operator confirms, puts `text` in force.
- * Returns an exit code. */
+/* Prints the changes and, if the operator confirms, applies `text`. Returns an
+ * exit code. */
 static int
 apply_text(const char *text, const cbw_inventory_t *inventory)
 {
@@ -376,8 +377,8 @@
 
 /* Asks the members that are alive (state 0) or suspect (1), in the order in
  * which --host reports them, and prints the first answer. Only an owner of the
- * database answers. The list also has leaving endpoints, which are no members:
- * their names begin with "@". */
+ * database answers. The list also has leaving endpoints, which are not
+ * members: their names begin with "@". */
 static int
 command_explain(const char *database)
 {
@@ -489,7 +490,7 @@
 
 static const struct {
     const char *name;
-    int words; /* including the name; the minimum for incident */
+    int word_count; /* including the name; the minimum for incident */
 } commands[] = {
     [COMMAND_CHECK] = {"check", 2},       [COMMAND_APPLY] = {"apply", 2},
     [COMMAND_SHOW] = {"show", 1},         [COMMAND_STATUS] = {"status", 1},
@@ -498,14 +499,15 @@
     [COMMAND_INCIDENT] = {"incident", 3},
 };
 
-/* Returns the command_t with that name and number of words, or -1. */
+/* Returns the command_t with the name and the number of words, or -1. */
 static int
-find_command(const char *name, int count)
+find_command(const char *name, int word_count)
 {
     for (int i = COMMAND_CHECK; i <= COMMAND_INCIDENT; i++) {
-        bool fits = i == COMMAND_INCIDENT ? count >= commands[i].words
-                                          : count == commands[i].words;
-        if (fits && strcmp(commands[i].name, name) == 0) {
+        bool count_matches = i == COMMAND_INCIDENT
+                                 ? word_count >= commands[i].word_count
+                                 : word_count == commands[i].word_count;
+        if (count_matches && strcmp(commands[i].name, name) == 0) {
             return i;
         }
     }
--- a/src/carobwindctl/output.c
+++ b/src/carobwindctl/output.c
@@ -124,7 +124,7 @@
     }
 }
 
-/* Orders spans by start time, enclosing spans first. */
+/* Orders spans by start time, an enclosing span before those within it. */
 static int
 compare_spans(const void *left, const void *right)
 {
--- a/src/carobwindctl/output.h
+++ b/src/carobwindctl/output.h
@@ -1,4 +1,4 @@
-/* Prints answers as tables for people or as JSON for programs. */
+/* Prints answers as tables or as JSON. */
 #ifndef CAROBWINDCTL_OUTPUT_H
 #define CAROBWINDCTL_OUTPUT_H
 
@@ -15,7 +15,7 @@
 /* Prints counters in Prometheus format as one JSON object of numbers. */
 void Output_PrintJsonCounters(const char *text);
 
-/* Most spans of one trace; further ones are dropped. */
+/* Maximum number of spans of a trace; further ones are dropped. */
 #define SPANS_MAX 512
 
 typedef struct {
@@ -33,7 +33,7 @@
 
 void Output_InitSpans(span_list_t *spans);
 /* Parses lines of "host<TAB>hop<TAB>start<TAB>length<TAB>detail" and adds the
- * spans. Lines of another form are skipped. */
+ * spans. Malformed lines are skipped. */
 void Output_AddSpans(span_list_t *spans, const char *text);
 /* Sorts the spans by start time and prints them. */
 void Output_PrintSpans(span_list_t *spans, bool json);
--- a/src/carobwindctl/platform_client.c
+++ b/src/carobwindctl/platform_client.c
@@ -6,7 +6,7 @@
 #include <string.h>
 
 #define TIMEOUT_SECONDS 2
-/* Reads that find out the outcome of a swap whose reply was lost. */
+/* Attempts to read back the outcome of a swap whose reply was lost. */
 #define READ_BACK_ATTEMPTS 3
 
 /* Sends one command on a new connection. Returns the reply, which has the four
@@ -69,9 +69,9 @@
     return 0;
 }
 
-/* After a lost reply: reads the key to find out whether the swap of version
- * `old_version` was made. Returns 0 with `new_version` set if it was, else -1
- * with `error` set. */
+/* After a lost reply: reads the key to find out whether the swap from version
+ * `old_version` was applied. Returns 0 with `new_version` set if it was, else
+ * -1 with `error` set. */
 static int
 read_back(const char *address, const char *key, uint64_t old_version,
           const char *value, uint64_t *new_version, cbw_error_t *error)
--- a/src/carobwindctl/platform_client.h
+++ b/src/carobwindctl/platform_client.h
@@ -12,7 +12,7 @@
 int PlatformClient_Get(const char *address, const char *key, uint64_t *version,
                        char **value, cbw_error_t *error);
 /* Replaces the value of `key` if its version is `expected_version`. When the
- * reply is lost, reads the key back to find out whether the change was made.
+ * reply is lost, reads the key to find out whether the swap was applied.
  * Returns 0 with `new_version` set, or -1 with `error` set: CBW_ERROR_CONFLICT
  * when the key had another version. On an error the content of `new_version`
  * is unspecified. */
