carobwind-bench: reword comments

Change: usual terms. Options, help and reports are unchanged.

Measured: the object files built with -O2 -g0 are identical before and after. No warnings, make lint passes; the scenario primary-killed, which runs this load generator, passes.

--- a/src/carobwind-bench/caller.c
+++ b/src/carobwind-bench/caller.c
@@ -11,8 +11,8 @@
 #define WORDS_MAX 16
 /* Delay before a retry. */
 #define RETRY_DELAY (10 * Cbw_MSEC)
-/* Most arrivals that wait for a session. Further ones are discarded and
- * counted nowhere. */
+/* Maximum number of arrivals that wait for a session. Further ones are
+ * discarded and not reported. */
 #define BACKLOG_MAX 200000
 
 typedef struct session session_t;
@@ -24,8 +24,8 @@
     cbw_resp_t resp;
     session_t *session; /* whose request is in flight; NULL: idle */
     bool connected;
-    bool draining; /* the entry host drains: not to be reused */
-    bool closed;   /* freed after the callbacks */
+    bool draining; /* of the entry host: do not reuse the connection */
+    bool closed;   /* freed when no callback is running */
 } connection_t;
 
 /* A request that waits for a session. */
@@ -44,7 +44,7 @@
     uint64_t number;
     size_t database;
     char last_token[Cbw_TOKEN_MAX];
-    uint64_t sequence; /* number of its latest write */
+    uint64_t sequence; /* of its latest write */
     connection_t *connection;
 
     /* The request in flight. */
@@ -134,8 +134,8 @@
     session->connection = NULL;
     if (!connection->connected &&
         elapsed(connection->callers) < session->deadline) {
-        /* Nothing was sent: tries another entry, as a load balancer would, and
-         * does not count the attempt. */
+        /* Nothing was sent: retries with a random entry, as behind a load
+         * balancer, without counting the attempt. */
         session->attempts--;
         session->retry_at = elapsed(connection->callers) + RETRY_DELAY;
         return;
@@ -177,8 +177,8 @@
     return connection;
 }
 
-/* Returns an idle or a new connection to a random entry host. A session is not
- * bound to one entry. Returns NULL when the socket cannot be opened. */
+/* Returns an idle or a new connection to a random entry host: sessions are not
+ * bound to an entry. Returns NULL when the socket cannot be opened. */
 static connection_t *
 take_connection(callers_t *callers)
 {
@@ -192,7 +192,7 @@
     return open_connection(callers, entry);
 }
 
-/* Returns the session's connection to the idle ones. */
+/* Returns the session's connection to the list of idle ones. */
 static void
 return_connection(session_t *session)
 {
@@ -213,8 +213,8 @@
 
 /* Requests. */
 
-/* Each session writes and reads an account of its own, so that its reads can
- * be checked against its writes. */
+/* Each session uses an account of its own, so that its reads can be checked
+ * against its writes. */
 static void
 format_statement(session_t *session)
 {
@@ -383,7 +383,7 @@
         return;
     }
     outcome = parse_outcome(message->words[0]);
-    /* A fifth word says that the entry host is draining. */
+    /* A fifth word means that the entry host is draining. */
     session->connection->draining = message->count > 4;
     if (outcome == CBW_OUTCOME_UNKNOWN &&
         session->kind->type != WORK_TRANSACTION &&
--- a/src/carobwind-bench/load.h
+++ b/src/carobwind-bench/load.h
@@ -9,9 +9,9 @@
 
 #define LOAD_KINDS_MAX 8
 #define LOAD_FLOODS_MAX 4
-/* Time that one bucket of the timeline covers. */
+/* Length of a bucket of the timeline. */
 #define LOAD_BUCKET_DURATION (100 * Cbw_MSEC)
-/* Buckets of the timeline. Later requests count in the last one. */
+/* Number of buckets of the timeline. Later requests count in the last one. */
 #define LOAD_BUCKETS_MAX 6000
 
 typedef enum {
@@ -74,8 +74,8 @@
  * run, including floods. */
 double Load_RateAt(const load_t *load, const load_kind_t *kind,
                    double seconds);
-/* Records a finished request. The times count from the start of the run.
- * Unless `measured`, only the timeline includes it. */
+/* Records a finished request. The times are relative to the start of the run.
+ * Unless `measured`, the request is recorded in the timeline only. */
 void Load_Record(load_kind_t *kind, cbw_time_t intended_start,
                  cbw_time_t finished, cbw_outcome_t outcome, bool measured);
 
--- a/src/carobwind-bench/main.c
+++ b/src/carobwind-bench/main.c
@@ -1,5 +1,5 @@
-/* The load generator. Its load is open: requests arrive at a set rate, however
- * long the replies take. */
+/* The load generator. Its load is open-loop: requests arrive at a set rate,
+ * however long the replies take. */
 
 #include <math.h>
 #include <signal.h>
@@ -16,8 +16,7 @@
 
 #define TICK_SECONDS 0.001
 #define PROGRESS_SECONDS 5
-/* How long the last replies are waited for, counted from the end of the
- * arrivals. */
+/* Timeout for the remaining replies after the end of the arrivals. */
 #define FINAL_REPLY_TIMEOUT (8 * Cbw_SEC)
 
 static const char *entries = "127.0.0.1:7000";
@@ -104,7 +103,7 @@
     while (kind->next_arrival <= now) {
         double rate = Load_RateAt(&load, kind, kind->next_arrival);
         if (rate <= 0) {
-            /* A flood may start later: looks again after 10 ms. */
+            /* A flood may start later: checks again after 10 ms. */
             kind->next_arrival += 0.01;
             continue;
         }
--- a/src/carobwind-bench/report.h
+++ b/src/carobwind-bench/report.h
@@ -4,9 +4,9 @@
 
 #include "load.h"
 
-/* `seconds` is the length of the measurement, without the warm-up. The number
- * "sent" is that of the finished requests. Requests without a reply,
- * "noanswer" in the journal, count as "unknown". */
+/* `seconds` is the length of the measurement, without the warm-up. "sent" is
+ * the number of finished requests. Requests without a reply ("noanswer" in the
+ * journal) count as "unknown". */
 void Report_PrintTable(const load_t *load, double seconds);
 void Report_PrintJson(const load_t *load, double seconds);
 /* Writes an SVG file that plots the latency and the throughput of each kind
