carobwind-endpoint: reword comments

Cause: some comments were unclear ("calls that point here", "a role of a lower term ends", "time is over by now").

Change: usual terms. Commands, replies and the file format are unchanged.

--- a/src/carobwind-endpoint/commands.c
+++ b/src/carobwind-endpoint/commands.c
@@ -6,9 +6,9 @@
 
 #include "share/fault.h"
 
-/* Most entries of one answer to a pull. */
+/* Maximum number of entries in the answer to a pull. */
 #define PULL_ENTRIES_MAX 500
-/* Words of one entry in the answer to a pull. The same in replica.c. */
+/* Words of an entry in the answer to a pull. Must match replica.c. */
 #define PULL_ENTRY_WORDS 5
 /* A pull is answered after this time when there are no new entries. */
 #define PULL_TIMEOUT (100 * Cbw_MSEC)
@@ -112,8 +112,8 @@
     return true;
 }
 
-/* Appends an entry and answers with its outcome. A request key that is in the
- * log already is not appended again. */
+/* Appends an entry, unless its request key is already in the log, and answers
+ * with the outcome. */
 static void
 write_entry(client_call_t *call, entry_type_t type, const char *key,
             const char *statement)
@@ -230,8 +230,7 @@
         return;
     }
     if (transaction->len == 0) {
-        /* Writes a value named "_": an entry is needed to record the request
-         * key. */
+        /* The request key can only be recorded in an entry. */
         g_string_append(transaction, "put _ empty");
     }
     write_entry(call, ENTRY_STATEMENT, call->words[3], transaction->str);
@@ -253,7 +252,8 @@
     write_entry(call, ENTRY_CANCEL, call->words[3], "");
 }
 
-/* Holds a call back until the log reaches `position` or `timeout` is over. */
+/* Defers the answer to a call until the log reaches `position` or `timeout`
+ * has passed. */
 static void
 start_long_poll(client_call_t *call, uint64_t position, cbw_time_t timeout)
 {
@@ -262,8 +262,8 @@
     CbwList_Append(&call->client->server->long_polls, &call->link);
 }
 
-/* STATE id position wait_us: answers once the log reaches `position`, at the
- * latest after `wait_us` */
+/* STATE id position wait_us: answers once the log reaches `position` or
+ * `wait_us` has passed */
 static void
 handle_state(client_call_t *call)
 {
@@ -368,8 +368,8 @@
 
 /* Answers a pull with
  * - "superseded" unless this endpoint is the primary of the pull's term;
- * - "mismatch" and the position of the last entry here, beyond which the logs
- *   cannot agree, when the replica's last entry is not in this log;
+ * - "mismatch" and the position of the last entry of this log, beyond which
+ *   the logs cannot agree, when the replica's last entry is not in it;
  * - "entries" and the entries after the replica's last one otherwise. */
 static void
 answer_pull(client_call_t *call)
--- a/src/carobwind-endpoint/commands.h
+++ b/src/carobwind-endpoint/commands.h
@@ -11,14 +11,14 @@
     server_t *server;
     bool replication;     /* from a replica: carries PULL commands */
     bool counted;         /* towards the connection limit; not for a replica */
-    bool closed;          /* freed after its last call */
+    bool closed;          /* freed once it has no calls */
     GString *transaction; /* its statements, one per line; NULL: none */
-    int call_count;       /* calls that point here */
+    int call_count;       /* calls that refer to this client */
     cbw_time_t usable_at; /* not used */
     ev_timer opening_timer; /* delays the first command */
 } client_t;
 
-/* A command that was received and is not answered yet. */
+/* A command that has not been answered yet. */
 typedef struct {
     cbw_link_t link;
     client_t *client;
@@ -41,7 +41,7 @@
 const command_t *Commands_Find(const client_call_t *call);
 /* Parses the word at `index` of `call` as a number. */
 uint64_t Commands_ParseNumber(const client_call_t *call, int index);
-/* Answers a STATE or PULL call that waited for a log position. */
+/* Answers a STATE or PULL call that was waiting for a log position. */
 void Commands_AnswerLongPoll(client_call_t *call);
 
 #endif
--- a/src/carobwind-endpoint/database.c
+++ b/src/carobwind-endpoint/database.c
@@ -72,8 +72,8 @@
 
 /* Values. */
 
-/* Parses "put NAME VALUE" or "add NAME NUMBER". Returns whether `line` is one;
- * the caller then frees the three strings. */
+/* Parses "put NAME VALUE" or "add NAME NUMBER". Returns false when `line` is
+ * neither; else the caller frees the three strings. */
 static bool
 parse_write(const char *line, char **verb, char **name, char **value)
 {
@@ -373,8 +373,8 @@
 }
 
 /* Replays the file up to its end or its first malformed or incomplete record.
- * Returns 0, or -1 when memory ran out before the first record; the caller
- * ignores this and starts with an empty database. */
+ * Returns 0, or -1 when there is no memory for the decoder; the caller ignores
+ * this and starts with an empty database. */
 static int
 replay(database_t *database, FILE *file)
 {
--- a/src/carobwind-endpoint/database.h
+++ b/src/carobwind-endpoint/database.h
@@ -63,10 +63,11 @@
                         const char *result);
 /* Removes all entries after `position` and their effects. */
 void Database_Truncate(database_t *database, uint64_t position);
-/* Refuses terms below `term` from now on. A role of a lower term, primary or
- * replica, ends. Returns false when a higher term was fenced before. */
+/* Raises the fencing term to `term`, which ends the role (primary or replica)
+ * of a lower term. Returns false when the fencing term is higher already. */
 bool Database_Fence(database_t *database, uint64_t term);
-/* Becomes primary of `term`. Returns false unless it is the fencing term. */
+/* Becomes the primary of `term`. Returns false unless that is the fencing
+ * term. */
 bool Database_Promote(database_t *database, uint64_t term);
 /* Executes "get NAME". Returns "NAME=value", which the caller frees, or NULL
  * when the statement is malformed. */
--- a/src/carobwind-endpoint/replica.c
+++ b/src/carobwind-endpoint/replica.c
@@ -10,7 +10,7 @@
 
 /* Delay before reconnecting to the primary. */
 #define RECONNECT_DELAY (50 * Cbw_MSEC)
-/* Words of one entry in the answer to PULL. The same in commands.c. */
+/* Words of an entry in the answer to a pull. Must match commands.c. */
 #define PULL_ENTRY_WORDS 5
 
 /* An entry that was received and is applied once the replication lag has
--- a/src/carobwind-endpoint/server.c
+++ b/src/carobwind-endpoint/server.c
@@ -15,7 +15,7 @@
 {
     client_t *client = object;
 
-    /* Tries again later while calls point to the client. */
+    /* Retries later while calls refer to the client. */
     if (client->call_count > 0) {
         CbwReaper_Defer(free_client, client);
         return;
@@ -163,8 +163,8 @@
     free_call(call);
 }
 
-/* Answers the long polls whose log position is reached, whose time is over by
- * `now`, or whose client disconnected, and the pulls of another term. */
+/* Answers the long polls whose log position is reached, which have timed out
+ * at `now` or whose client has disconnected, and the pulls of another term. */
 static void
 answer_due_long_polls(server_t *server, cbw_time_t now)
 {
@@ -186,8 +186,7 @@
 void
 Server_OnLogChange(server_t *server)
 {
-    /* At time 0 no long poll has timed out: answers only those that the change
-     * made due. */
+    /* Time 0, so that no long poll counts as timed out. */
     answer_due_long_polls(server, 0);
 }
 
@@ -243,7 +242,7 @@
     .on_close = on_close,
 };
 
-/* The time to open the connection has passed: reads its commands. */
+/* Starts reading commands once the simulated connection time has passed. */
 static void
 on_opened(struct ev_loop *loop, ev_timer *timer, int events)
 {
--- a/src/carobwind-endpoint/server.h
+++ b/src/carobwind-endpoint/server.h
@@ -1,6 +1,6 @@
 /* The server of the endpoint stand-in: its connections, the slots that limit
- * how many statements run at once, and the replication from another endpoint.
- */
+ * how many statements run concurrently, and the replication from another
+ * endpoint. */
 #ifndef CAROBWIND_ENDPOINT_SERVER_H
 #define CAROBWIND_ENDPOINT_SERVER_H
 
@@ -15,7 +15,7 @@
     const char *data;   /* path of the data file; "": in memory */
     bool primary;       /* an empty database begins as the primary of term 1 */
     long connections;   /* limit; replication does not count */
-    long slots;         /* statements that run at once */
+    long slots;         /* number of statements that run concurrently */
     double service_ms;  /* mean time that a statement takes */
     double connect_ms;  /* delay of the first command of a connection */
     double delay_ms;    /* round trip to the hosts */
@@ -39,9 +39,8 @@
     database_t database;
     cbw_link_t clients;
     cbw_link_t delayed;    /* calls within the network delay, oldest first */
-    cbw_link_t slot_queue; /* calls that wait for a slot, oldest first */
-    cbw_link_t
-        long_polls; /* STATE and PULL calls that wait for a log position */
+    cbw_link_t slot_queue; /* calls waiting for a slot, oldest first */
+    cbw_link_t long_polls; /* STATE and PULL calls waiting for a position */
     long busy_slots;
     long open_connections;
     ev_io listener;
@@ -51,21 +50,21 @@
     uint64_t random_state; /* of the service times */
 } server_t;
 
-/* Opens the database and begins to listen. Returns 0, or -1 with `error` set.
+/* Opens the database and starts listening. Returns 0, or -1 with `error` set.
  */
 int Server_Init(server_t *server, struct ev_loop *loop,
                 const endpoint_settings_t *settings, cbw_error_t *error);
-/* To be called when the log has grown or the term has changed. Answers the
- * long polls that waited for it. */
+/* Answers the long polls that are due after the log has grown or the term has
+ * changed. */
 void Server_OnLogChange(server_t *server);
 
 /* Replication (replica.c). */
 
-/* Begins to replicate from the primary of `term` at `address`, in place of any
- * other primary. */
+/* Starts replicating from the primary of `term` at `address`, instead of from
+ * the previous primary, if any. */
 void Replica_Follow(server_t *server, uint64_t term, const char *address);
-/* Stops replicating. Entries that are received but not applied yet are
- * discarded. Does nothing when the server does not replicate. */
+/* Stops replicating and discards the received entries that are not applied
+ * yet. No effect when the server does not replicate. */
 void Replica_Stop(server_t *server);
 /* Applies the received entries whose lag has passed, and reconnects if the
  * connection to the primary is lost. */
