carobwind-platform: reword comments

Cause: some comments were unclear ("counted up", "commands that point here", "nothing is persistent").

Change: usual terms. Commands and replies are unchanged.

No warnings, make lint passes; the scenarios swap-answer-lost and watch-goes-deaf pass.

--- a/src/carobwind-platform/server.c
+++ b/src/carobwind-platform/server.c
@@ -13,16 +13,17 @@
 
 #define TICK_SECONDS 0.002
 
-/* Injected faults. COMMAND_ADMIN commands are answered in each mode. */
+/* Injected faults. Commands of type COMMAND_ADMIN are answered in all modes.
+ */
 typedef enum {
     MODE_UP,
-    MODE_DOWN,         /* receives commands and ignores them */
+    MODE_DOWN,         /* ignores commands */
     MODE_SLOW,         /* handles commands after a delay */
-    MODE_LOSE_REPLIES, /* carries out SWAP commands, but closes the connection
+    MODE_LOSE_REPLIES, /* executes SWAP commands, but closes the connection
                           instead of replying; other commands as in MODE_UP */
 } platform_mode_t;
 
-/* Numbers of commands since the start, as COUNTS reports them. */
+/* Numbers of commands since the start, reported by COUNTS. */
 typedef struct {
     uint64_t reads;
     uint64_t writes;
@@ -49,7 +50,7 @@
     platform_mode_t mode;
     cbw_time_t reply_delay; /* MODE_SLOW */
     long replies_to_lose;   /* MODE_LOSE_REPLIES */
-    bool watches_silent;    /* open watches are never answered */
+    bool watches_silent;    /* open watches are not answered */
     command_counts_t counts;
     double read_tokens; /* of the token buckets that limit the rates */
     double write_tokens;
@@ -58,8 +59,8 @@
 
 typedef struct {
     cbw_resp_t resp;
-    int pending_count; /* pending commands that point here */
-    bool closed;       /* freed after its last pending command */
+    int pending_count; /* pending commands that refer to this client */
+    bool closed;       /* freed once it has no pending commands */
 } client_t;
 
 /* A command that is answered later: a watch, or any in MODE_SLOW. */
@@ -79,7 +80,7 @@
 {
     client_t *client = object;
 
-    /* Tries again later while pending commands point to the client. */
+    /* Retries later while pending commands refer to the client. */
     if (client->pending_count > 0) {
         CbwReaper_Defer(free_client, client);
         return;
@@ -158,7 +159,7 @@
     send_record(client, words[1], Store_Get(&platform.store, words[2]));
 }
 
-/* Lets the next tick answer the watches of `key`. */
+/* Makes the next tick answer the watches of `key`. */
 static void
 make_watches_due(const char *key)
 {
@@ -279,9 +280,9 @@
 }
 
 /* MODE id up|down|slow|lose|deafwatch number: injects a fault. `number` is the
- * delay in ms for slow, the number of replies to SWAP for lose, and else
- * ignored. deafwatch leaves open watches unanswered until the next MODE
- * command, and keeps the mode, to which `number` then applies. */
+ * delay in ms for slow, the number of lost replies to SWAP for lose, and
+ * otherwise ignored. deafwatch leaves open watches unanswered until the next
+ * MODE command and keeps the mode, to which `number` then applies. */
 static void
 handle_mode(client_t *client, int count, char **words)
 {
@@ -408,9 +409,9 @@
     CbwList_Append(&platform.pending, &pending->link);
 }
 
-/* WATCH id key version wait_ms: replies with the record once its version is
- * not `version`, at the latest after `wait_ms`. Returns false when the message
- * is another command. */
+/* WATCH id key version wait_ms: replies with the record once its version
+ * differs from `version` or `wait_ms` has passed. Returns false when the
+ * message is another command. */
 static bool
 handle_watch(client_t *client, const cbw_resp_message_t *message)
 {
--- a/src/carobwind-platform/server.h
+++ b/src/carobwind-platform/server.h
@@ -9,12 +9,12 @@
 
 typedef struct {
     const char *listen;      /* "ip:port" */
-    double host_list_lag_ms; /* until the list shows a change */
+    double host_list_lag_ms; /* delay until the list shows a change */
     long reads_per_second;   /* limit; watches and host lists count */
     long writes_per_second;  /* limit; leases count */
 } platform_settings_t;
 
-/* Begins to listen. Returns 0, or -1 with `error` set. */
+/* Starts listening. Returns 0, or -1 with `error` set. */
 int Server_Init(struct ev_loop *loop, const platform_settings_t *settings,
                 cbw_error_t *error);
 
--- a/src/carobwind-platform/store.h
+++ b/src/carobwind-platform/store.h
@@ -1,5 +1,5 @@
 /* The key-value store of the platform stand-in: versioned values with
- * compare-and-swap, and leases. Nothing is persistent. */
+ * compare-and-swap, and leases, in memory only. */
 #ifndef CAROBWIND_PLATFORM_STORE_H
 #define CAROBWIND_PLATFORM_STORE_H
 
@@ -7,16 +7,16 @@
 
 #include "carobwind/types.h"
 
-/* Longest value, in bytes. */
+/* Maximum size of a value, in bytes. */
 #define VALUE_SIZE_MAX ((size_t)1024 * 1024)
 
 typedef struct {
     char *value;
-    uint64_t version; /* 1 for the first value, then counted up */
+    uint64_t version; /* 1 for the first value; each swap increments it */
 } record_t;
 
 typedef struct {
-    char *holder; /* text that identifies it */
+    char *holder; /* identifies the holder */
     cbw_time_t expires_at;
 } lease_t;
 
@@ -35,7 +35,7 @@
 uint64_t Store_Swap(store_t *store, const char *key, uint64_t expected_version,
                     const char *value);
 /* Acquires or renews a lease of `duration` for `holder`. Returns false when
- * another holder's lease has not expired. */
+ * the lease of another holder has not expired. */
 bool Store_AcquireLease(store_t *store, cbw_time_t now, const char *name,
                         const char *holder, cbw_time_t duration);
 
