bench_decisions: reword comments

Cause: some comments were wordy or inexact ("hardly any read" for less than 1 %, "an upper bound if at_most").

Change: usual terms. Measures, bounds and labels are unchanged.

--- a/src/bench_decisions/main.c
+++ b/src/bench_decisions/main.c
@@ -1,7 +1,7 @@
-/* The decision benchmark. It runs the kernel (libcarobwind) alone, in virtual
- * time and from a fixed seed, so that every run gives the same figures. It
- * prints each measure with its bound, and the baselines to compare it with.
- * The exit status is 0 when all bounds are met.
+/* The decision benchmark. It runs only the kernel (libcarobwind), in virtual
+ * time and with a fixed seed, so that all runs give the same results. It
+ * prints each measure with its bound, and baselines for comparison. The exit
+ * status is 0 when all bounds are met.
  *
  *     bench_decisions [--quiet]   --quiet leaves out the baselines
  *     bench_decisions steady      runs a fixed load (bench/instructions.tcl)
@@ -19,7 +19,7 @@
 
 #define RANKS 3
 #define SESSIONS 200
-/* Most log positions whose time of writing is recorded. */
+/* Maximum number of log positions whose write time is recorded. */
 #define POSITIONS_MAX 400000
 
 /* A Poisson process of requests of one kind. */
@@ -44,20 +44,20 @@
     uint64_t done[RANKS];
     uint64_t refused[RANKS];
     cbw_time_t last_done_at[RANKS];
-    cbw_time_t longest_gap[RANKS]; /* between two requests that are done */
+    cbw_time_t longest_gap[RANKS]; /* without a request being done */
     cbw_time_t *written_at;        /* when each position was first seen */
     guint written_count;
     uint64_t reads;
-    uint64_t replica_reads_possible; /* that some replica could have served */
+    uint64_t replica_reads_possible; /* reads that a replica could serve */
     uint64_t key_count;
 } run_t;
 
 static run_t run;
 static int bounds_missed;
-static bool quiet; /* prints no baselines */
+static bool quiet; /* do not print the baselines */
 
-/* Prints a measure and whether it meets its bound, which is an upper one if
- * `at_most`. */
+/* Prints a measure and whether it meets its bound, a maximum if `at_most` is
+ * set and a minimum otherwise. */
 static void
 report(const char *measure, double value, const char *unit, const char *note,
        double bound, bool at_most)
@@ -77,11 +77,11 @@
     }
 }
 
-/* The optimum that the routing of reads is compared with: the reads that some
- * replica could serve at their arrival, known from the replicas' logs. A naive
- * router, which knows no positions, would send none of them to a replica. */
+/* The optimum with which the routing of reads is compared: the reads that some
+ * replica could serve on arrival, according to the replicas' logs. A router
+ * that does not know the positions would send none of them to a replica. */
 
-/* Records the time for the positions that endpoint 0 has written meanwhile. */
+/* Sets the write time of the positions that endpoint 0 has added. */
 static void
 record_writes(void)
 {
@@ -275,7 +275,7 @@
             report_baseline(name, (double)served / (double)run.reads, "");
             if (run.replica_reads_possible * 100 < run.reads) {
                 FakeGroup_Finish(&run.group);
-                continue; /* replicas could serve hardly any read */
+                continue; /* replicas could serve less than 1 % of the reads */
             }
             g_snprintf(name, sizeof(name), "  of the optimum");
             report(name,
@@ -403,7 +403,7 @@
     settings.slots = real_slots;
     settings.network_delay = 1500;
     start_run(&settings, sources, 1);
-    run.measure_from += 8 * Cbw_SEC; /* the limit adapts first */
+    run.measure_from += 8 * Cbw_SEC; /* time for the limit to adapt */
     run_until(run.measure_from + 10 * Cbw_SEC);
     FakeGroup_Finish(&run.group);
     /* 10 s; three endpoints, 200 statements a second in each slot. */
@@ -451,7 +451,7 @@
     }
 }
 
-/* Runs a fixed load, of which callgrind counts the instructions. */
+/* Runs a fixed load, for counting the instructions with callgrind. */
 static void
 run_steady_load(void)
 {
--- a/src/bench_decisions/size.c
+++ b/src/bench_decisions/size.c
@@ -172,8 +172,8 @@
               (double)(HOSTS * sizeof(cbw_member_t)) / 1024, "KB");
 }
 
-/* What each host computes when the members change: the databases that it owns
- * and, as an entry, the owner of every database. */
+/* Measures what each host computes when the members change: the databases that
+ * it owns and, as an entry, the owner of every database. */
 static void
 report_owners(const cbw_membership_t *members,
               const cbw_inventory_t *inventory)
