share: reword comments, rename two fields of cbw_stream

Change: usual terms; waits -> awaits_grant, discards -> discards_input, which only stream.c uses. peer.x and the generated files are unchanged.

Measured: the object files built with -O2 -g0 are identical before and after. No warnings, make lint passes. Kernel tests /platform, /acceptor, /compression, /fuzz, /memory-budget, /log, /tick and /statement-text pass; the scenarios silent-between-daemons, client-descriptors-silent, client-peer-records, client-answers-unread and client-resp-unread pass.

--- a/src/share/acceptor.c
+++ b/src/share/acceptor.c
@@ -7,8 +7,8 @@
 #include "share/net.h"
 #include "share/tick.h"
 
-/* Connections accepted per event; bounds how long a storm of new connections
- * holds up the others. */
+/* Maximum number of connections accepted per event, so that a burst of new
+ * connections does not delay the established ones for long. */
 #define ACCEPTS_PER_EVENT 64
 #define RETRY_SECONDS 0.1
 
@@ -43,8 +43,8 @@
            acceptor->ops->make_room(acceptor->context);
 }
 
-/* Accepts one connection. Returns false when no other is to be accepted for
- * now. */
+/* Accepts one connection. Returns false when no further one is to be accepted
+ * in this event. */
 static bool
 accept_one(cbw_acceptor_t *acceptor)
 {
@@ -60,8 +60,8 @@
     if (fd >= 0) {
         acceptor->count++;
         acceptor->ops->on_accept(acceptor->context, fd, ip);
-        /* At the limit, the next event tells whether another connection waits,
-         * before one is closed for it. */
+        /* At the limit, make_room is only called once an event reports another
+         * pending connection. */
         return acceptor->count < acceptor->limit;
     }
     if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS ||
@@ -70,7 +70,7 @@
         pause_accepting(acceptor);
         return false;
     }
-    /* A connection that ended before it was accepted is no reason to stop. */
+    /* Not the end of the queue: an aborted connection, or a signal. */
     return errno == ECONNABORTED || errno == EINTR;
 }
 
--- a/src/share/acceptor.h
+++ b/src/share/acceptor.h
@@ -1,7 +1,7 @@
-/* A listening socket that accepts no more connections than a limit. At the
- * limit, or without descriptors or memory for another connection, it stops
- * watching the socket until a connection ends or a moment has passed, instead
- * of waking up for a connection that it cannot accept. */
+/* A listening socket with a limit on the number of accepted connections. At
+ * the limit, or without descriptors or memory for another connection, it stops
+ * watching the socket until a connection ends or a short delay has passed,
+ * instead of waking up for connections that it cannot accept. */
 #ifndef CAROBWIND_SHARE_ACCEPTOR_H
 #define CAROBWIND_SHARE_ACCEPTOR_H
 
@@ -11,13 +11,14 @@
 #include "carobwind/types.h"
 
 typedef struct {
-    /* Takes ownership of an accepted socket. CbwAcceptor_Release reports the
-     * end of the connection. */
+    /* Takes ownership of an accepted socket. CbwAcceptor_Release must be
+     * called when the connection ends. */
     void (*on_accept)(void *context, int fd, const char *ip);
-    /* Closes a connection in favour of a new one. Returns false when none is
-     * to be closed. NULL: never. */
+    /* Closes a connection to make room for a new one. Returns false when none
+     * may be closed. NULL: never. */
     bool (*make_room)(void *context);
-    /* New connections wait from now on. May be NULL. */
+    /* Accepting is paused: new connections stay in the listen queue. May be
+     * NULL. */
     void (*on_pause)(void *context);
 } cbw_acceptor_ops_t;
 
@@ -38,9 +39,9 @@
                       const char *address, size_t limit,
                       const cbw_acceptor_ops_t *ops, void *context,
                       cbw_error_t *error);
-/* An accepted connection has ended: its descriptor is closed. */
+/* To be called when the descriptor of an accepted connection is closed. */
 void CbwAcceptor_Release(cbw_acceptor_t *acceptor);
-/* Accepts the connections that wait, up to the limit, and closes the listening
+/* Accepts the pending connections, up to the limit, and closes the listening
  * socket. No effect when it is closed. */
 void CbwAcceptor_Close(cbw_acceptor_t *acceptor);
 bool CbwAcceptor_IsOpen(const cbw_acceptor_t *acceptor);
--- a/src/share/compression.c
+++ b/src/share/compression.c
@@ -4,9 +4,9 @@
 #include <string.h>
 #include <zlib.h>
 
-/* A window of 2 KiB holds the dictionary and a typical record. */
+/* 2 KiB: large enough for the dictionary and a typical record. */
 #define WINDOW_BITS 11
-/* Keeps the hash tables small, since they are cleared for each record. */
+/* Keeps the hash tables small, as they are cleared for each record. */
 #define MEMORY_LEVEL 4
 #define INITIAL_OUTPUT_SIZE ((size_t)2048)
 
--- a/src/share/compression.h
+++ b/src/share/compression.h
@@ -8,8 +8,8 @@
 #include <stdbool.h>
 #include <stddef.h>
 
-/* Bytes of the previous record that are kept as dictionary. Headers stand at
- * the start of a record; the rows behind them do not repeat. */
+/* Size of the dictionary in bytes. The header at the start of a record
+ * resembles that of the previous record; the rows after it do not. */
 #define CbwCompression_DICTIONARY_MAX 512
 /* Shorter records are sent uncompressed: compression would save too little. */
 #define CbwCompression_RECORD_MIN 64
@@ -28,8 +28,8 @@
                        size_t size);
 
 /* Compresses `record` into `output`, which has room for `size` bytes. Returns
- * the compressed size, or 0 when the record is too short, would not get
- * smaller or the compressor could not be initialized. */
+ * the compressed size, or 0 when the record is too short, would not shrink or
+ * the compressor could not be initialized. */
 size_t CbwCompression_Compress(const cbw_dictionary_t *dictionary,
                                const char *record, size_t size, char *output);
 /* Returns the decompressed record, which the caller frees, and sets
--- a/src/share/log_output.c
+++ b/src/share/log_output.c
@@ -34,8 +34,8 @@
     written = write(output_fd, buffer, buffered);
     if (written < 0) {
         if (errno != EAGAIN && errno != EINTR) {
-            buffered =
-                0; /* the log cannot be written, so neither can the error */
+            /* The error cannot be logged either. */
+            buffered = 0;
         }
         return;
     }
--- a/src/share/net.c
+++ b/src/share/net.c
@@ -16,9 +16,8 @@
 {
     struct timespec now;
 
-    /* CLOCK_BOOTTIME also advances while the host is suspended, so that
-     * tenures, time-limited rights held in the store, expire during a
-     * suspension. */
+    /* Unlike CLOCK_MONOTONIC, CLOCK_BOOTTIME advances while the host is
+     * suspended, so that tenures (leases in the store) expire. */
     clock_gettime(CLOCK_BOOTTIME, &now);
     return (cbw_time_t)now.tv_sec * Cbw_SEC + now.tv_nsec / 1000;
 }
@@ -94,8 +93,8 @@
     if (local_ip[0] == '\0') {
         return 0;
     }
-    /* Lets connect() choose the local port: it can reuse a port that is in use
-     * for another destination. */
+    /* Defers the choice of the local port to connect(), which can use the same
+     * port for several destinations. */
     setsockopt(fd, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &enable,
                sizeof(enable));
     if (inet_pton(AF_INET, local_ip, &local.sin_addr) != 1) {
--- a/src/share/net.h
+++ b/src/share/net.h
@@ -10,14 +10,15 @@
 /* Size of a buffer for a dotted IPv4 address, with the terminating NUL. */
 #define CbwNet_IP_MAX 16
 
-/* What becomes of the bytes that a connection's remote end has not received.
+/* How a connection treats the bytes that its remote end has not acknowledged.
  */
 typedef struct {
-    /* They are discarded by a reset when the socket is closed, also when the
-     * process is killed. Otherwise the kernel goes on sending them. */
+    /* Closing the socket, also when the process is killed, resets the
+     * connection and discards them. Otherwise the kernel continues to send
+     * them. */
     bool reset_on_close;
-    /* The kernel gives up the connection once they are unacknowledged for this
-     * long; 0: its default, many minutes. */
+    /* The kernel closes the connection when they have been unacknowledged for
+     * this long; 0: its default of many minutes. */
     cbw_time_t acknowledge_timeout;
 } cbw_net_options_t;
 
@@ -35,7 +36,7 @@
  * set. */
 int CbwNet_Connect(const char *local_ip, const char *address,
                    const cbw_net_options_t *options, cbw_error_t *error);
-/* Makes the close of a socket reset its connection, see cbw_net_options_t. */
+/* Sets reset_on_close of cbw_net_options_t for an open socket. */
 void CbwNet_ResetOnClose(int fd);
 /* Accepts a connection without blocking and writes the remote IP address to
  * `ip`, a buffer of CbwNet_IP_MAX bytes. Returns the socket, or -1 when there
--- a/src/share/options.c
+++ b/src/share/options.c
@@ -193,7 +193,7 @@
         table[count++] = positional;
     }
     else {
-        free(positional); /* not in the table, so not freed with it */
+        free(positional); /* not freed with the table */
     }
     table[count++] = end;
     table_size = count;
@@ -216,7 +216,7 @@
         arguments[i] = positional->sval[i];
     }
     errors = findings->count > findings_before;
-    /* The strings taken from the table point into argv and outlive it. */
+    /* The strings point into argv and outlive the table. */
     arg_freetable(table, (size_t)table_size);
     return errors ? -1 : count;
 }
--- a/src/share/options.h
+++ b/src/share/options.h
@@ -35,7 +35,7 @@
                           CbwOptions_ARGUMENTS_MAX */
 } cbw_program_t;
 
-/* Size of the array of positional arguments. */
+/* Maximum number of positional arguments. */
 #define CbwOptions_ARGUMENTS_MAX 512
 
 /* Parses the environment and the command line into the targets of the
--- a/src/share/peer_client.h
+++ b/src/share/peer_client.h
@@ -8,12 +8,12 @@
 
 /* Calls PEER_EXPLAIN, PEER_TRACE, PEER_STATUS or PEER_COUNTERS. `subject` is
  * the argument of the first two. On success `text` is set and the caller frees
- * it. Returns 0, or -1 with `error` set: CBW_ERROR_INVALID when the daemon has
- * nothing on the subject. */
+ * it. Returns 0, or -1 with `error` set: CBW_ERROR_INVALID when the daemon
+ * has no information on the subject. */
 int PeerClient_FetchText(const char *address, uint32_t procedure,
                          const char *subject, char **text, cbw_error_t *error);
-/* Fetches the daemon's view of the fleet's members, which the caller frees
- * with PeerClient_FreeMembers. Returns 0, or -1 with `error` set. */
+/* Fetches the members of the fleet that the daemon knows, which the caller
+ * frees with PeerClient_FreeMembers. Returns 0, or -1 with `error` set. */
 int PeerClient_FetchMembers(const char *address, peer_members_result *members,
                             cbw_error_t *error);
 void PeerClient_FreeMembers(peer_members_result *members);
--- a/src/share/reaper.c
+++ b/src/share/reaper.c
@@ -19,8 +19,8 @@
     (void)loop;
     (void)watcher;
     (void)events;
-    pending =
-        NULL; /* objects added by `release` wait for the next iteration */
+    /* Objects added by `release` wait for the next iteration. */
+    pending = NULL;
     while (remaining != NULL) {
         entry_t *entry = remaining;
         remaining = entry->next;
@@ -43,7 +43,7 @@
     entry_t *entry = malloc(sizeof(*entry));
 
     if (entry == NULL) {
-        return; /* leaks the object, but its users stay safe */
+        return; /* leaks the object, rather than freeing it too early */
     }
     entry->release = release;
     entry->object = object;
--- a/src/share/reaper.h
+++ b/src/share/reaper.h
@@ -1,7 +1,6 @@
-/* Deferred release of objects. A callback may drop an object that its callers
- * on the stack still use; the memory is released once they have returned.
- * Callbacks that must not run before the current function has returned are
- * deferred the same way. */
+/* Deferred release of objects. A callback may discard an object that its
+ * callers still use; it is released after they have returned. Also defers
+ * callbacks that must not run before the current function has returned. */
 #ifndef CAROBWIND_SHARE_REAPER_H
 #define CAROBWIND_SHARE_REAPER_H
 
--- a/src/share/resp.c
+++ b/src/share/resp.c
@@ -19,7 +19,7 @@
 
 /* Object functions of the hiredis reader. Returning NULL stops the reader. */
 
-/* Records the first error. Returns NULL for the object functions. */
+/* Records the first error. Returns NULL, for use by the object functions. */
 static void *
 set_error(const redisReadTask *task, const char *reason)
 {
@@ -151,7 +151,7 @@
     return set_error(task, "expected an array of bulk strings, not null");
 }
 
-/* Words are freed with their message: the reader frees only the root. */
+/* The reader frees only root objects; words are freed with their message. */
 static void
 free_object(void *object)
 {
@@ -224,8 +224,8 @@
 
 /* Connection. */
 
-/* Tells the account how much input is held. Words that are complete are no
- * longer in the reader's buffer, but in the message. */
+/* Updates the input of the account. Complete words are no longer in the
+ * reader's buffer, but in the message. */
 static void
 update_account(cbw_resp_t *resp)
 {
@@ -262,7 +262,7 @@
         if (message == NULL) {
             break;
         }
-        resp->partial = 0; /* what is left is counted below */
+        resp->partial = 0; /* update_account counts the remaining input */
         resp->ops->on_message(resp, message);
         CbwResp_FreeMessage(message);
     }
--- a/src/share/resp.h
+++ b/src/share/resp.h
@@ -8,9 +8,9 @@
 
 #include "share/stream.h"
 
-/* Most words (array elements) of a message. */
+/* Maximum number of words (array elements) of a message. */
 #define CbwResp_WORDS_MAX 16384
-/* Largest word, in bytes. */
+/* Maximum size of a word, in bytes. */
 #define CbwResp_WORD_MAX ((size_t)4 * 1024 * 1024)
 
 /* A decoded message. Each word is also NUL-terminated. A message passed to
@@ -47,19 +47,19 @@
 extern const cbw_resp_limits_t CbwResp_ServerLimits;
 extern const cbw_resp_limits_t CbwResp_ClientLimits;
 
-/* The decoder without a connection, as the fuzz tests use it. */
+/* The decoder without a connection, also used by the fuzz tests. */
 typedef struct {
     redisReader *reader;
     cbw_resp_limits_t limits;
-    const char *error; /* why the input was rejected; NULL: it was not */
+    const char *error; /* why the input was rejected; NULL: no error */
 } cbw_resp_decoder_t;
 
-/* Returns 0, or -1 when memory ran out. */
+/* Returns 0, or -1 when out of memory. */
 int CbwRespDecoder_Init(cbw_resp_decoder_t *decoder,
                         const cbw_resp_limits_t *limits);
 void CbwRespDecoder_Finish(cbw_resp_decoder_t *decoder);
 /* Appends input. Returns 0, or -1 with decoder->error set when the buffered
- * input exceeds the limit or memory ran out. */
+ * input exceeds the limit or when out of memory. */
 int CbwRespDecoder_Feed(cbw_resp_decoder_t *decoder, const char *bytes,
                         size_t size);
 /* Sets `message` to the next complete message, which the caller frees with
@@ -74,13 +74,13 @@
     cbw_resp_decoder_t decoder;
     const cbw_resp_ops_t *ops;
     void *context;
-    size_t partial; /* received bytes of the message that is not complete */
+    size_t partial; /* received bytes of the incomplete message */
     bool paused;    /* by CbwResp_Pause */
     bool decoding;  /* guards against recursion from callbacks */
 };
 
-/* Takes ownership of an accepted socket. Returns 0, or -1 when memory ran
- * out. */
+/* Takes ownership of an accepted socket. Returns 0, or -1 when out of memory.
+ */
 int CbwResp_Accept(cbw_resp_t *resp, struct ev_loop *loop, int fd,
                    const char *ip, const cbw_resp_limits_t *limits,
                    const cbw_resp_ops_t *ops, void *context);
--- a/src/share/rpc.c
+++ b/src/share/rpc.c
@@ -9,16 +9,17 @@
 /* Flags of the record mark; the remaining bits are the fragment length. */
 #define MARK_LAST_FRAGMENT 0x80000000U
 #define MARK_COMPRESSED 0x40000000U
-/* The record is compressed by itself and leaves the dictionaries as they are.
- */
+/* The record is compressed without a dictionary and does not update the
+ * dictionaries. */
 #define MARK_BULK 0x20000000U
 #define MARK_FLAGS (MARK_LAST_FRAGMENT | MARK_COMPRESSED | MARK_BULK)
-/* Longer records are compressed on every connection: lists of hundreds of
- * kilobytes would fill the link of a small host, also within a data centre. */
+/* Longer records are compressed on all connections: lists of hundreds of
+ * kilobytes would saturate the link of a small host, also within a data
+ * centre. */
 #define BULK_RECORD_MIN ((size_t)16 * 1024)
 #define INITIAL_RECORD_CAPACITY 1024
 #define INITIAL_ENCODE_SIZE 2048
-/* A record buffer of more bytes is freed after the record. */
+/* A larger record buffer (in bytes) is freed after the record. */
 #define RECORD_KEPT ((size_t)65536)
 
 /* Encoding. */
@@ -77,8 +78,8 @@
     return written;
 }
 
-/* Sends a record, compressed if enabled and if that makes it smaller. Its
- * `size` bytes start at bytes + 4, behind the space for the record mark. */
+/* Sends a record, compressed if that is enabled and makes it smaller. Its
+ * `size` bytes start at bytes + 4, after the space for the record mark. */
 static size_t
 send_record(cbw_rpc_t *rpc, char *bytes, size_t size)
 {
@@ -299,7 +300,8 @@
     return 0;
 }
 
-/* Reads bytes of the record mark. Returns the number of bytes consumed. */
+/* Reads the record mark, which may arrive in parts. Returns the number of
+ * bytes consumed. */
 static size_t
 read_mark(cbw_rpc_t *rpc, const char *bytes, size_t size)
 {
@@ -370,8 +372,8 @@
     return rpc->ops->may_handle == NULL || rpc->ops->may_handle(rpc);
 }
 
-/* Handles received bytes up to the first record that may not be handled yet.
- * Returns how many. */
+/* Handles received bytes up to the first deferred record. Returns the number
+ * of bytes handled. */
 static size_t
 handle_bytes(cbw_rpc_t *rpc, const char *bytes, size_t size)
 {
@@ -403,8 +405,8 @@
     return done;
 }
 
-/* Frees the buffer of a large record that has been handled, and tells the
- * account how much is held. */
+/* Frees the buffer of a large record that has been handled, and updates the
+ * input of the account. */
 static void
 update_account(cbw_rpc_t *rpc)
 {
--- a/src/share/rpc.h
+++ b/src/share/rpc.h
@@ -1,9 +1,9 @@
 /* ONC RPC (RFC 5531) over a non-blocking stream with record marking. Either
  * end may call the other. Many calls may be in flight; replies come in any
  * order and are matched by transaction id (xid). The two bits below the
- * highest one of the record mark flag a compressed record, with the
- * connection's dictionary or by itself: RFC 5531 makes them part of the
- * fragment length, which never gets that large here. */
+ * highest one of the record mark flag a compressed record, with or without
+ * the connection's dictionary: RFC 5531 makes them part of the fragment
+ * length, which never gets that large here. */
 #ifndef CAROBWIND_SHARE_RPC_H
 #define CAROBWIND_SHARE_RPC_H
 
@@ -12,10 +12,10 @@
 #include "share/compression.h"
 #include "share/stream.h"
 
-/* Largest record, in bytes; a larger one closes the connection. */
+/* Maximum size of a record, in bytes; a larger one closes the connection. */
 #define CbwRpc_RECORD_MAX ((size_t)8 * 1024 * 1024)
-/* Largest record of a connection that a peer opened: a statement of 1 MiB with
- * its session's values. */
+/* Maximum size of a record on a connection that a peer opened: a statement of
+ * 1 MiB with its session's values. */
 #define CbwRpc_CALL_MAX ((size_t)2 * 1024 * 1024)
 
 typedef struct cbw_rpc cbw_rpc_t;
@@ -31,8 +31,8 @@
     void (*on_reply)(cbw_rpc_t *rpc, uint32_t xid, XDR *result);
     /* The connection was closed by the remote end or by an error. */
     void (*on_close)(cbw_rpc_t *rpc, const char *reason);
-    /* Whether the next record may be handled. If not, CbwRpc_Continue goes on
-     * with it. NULL: always. */
+    /* Whether the next record may be handled. If not, it is deferred until
+     * CbwRpc_Continue. NULL: always. */
     bool (*may_handle)(cbw_rpc_t *rpc);
 } cbw_rpc_ops_t;
 
@@ -50,11 +50,11 @@
     size_t fragment_remaining;
     bool last_fragment;
     bool compressed;      /* the current record is compressed */
-    bool bulk;            /* it is compressed by itself */
+    bool bulk;            /* it is compressed without the dictionary */
     bool compress_output; /* compress records that are sent; set by the user of
                              the connection, or when the first compressed
                              record is received */
-    char *backlog; /* received after the last record that may be handled */
+    char *backlog;        /* input from the first deferred record on */
     size_t backlog_size;
     bool handling; /* guards against recursion from callbacks */
     cbw_dictionary_t sent_dictionary;     /* set from the first compressed
@@ -77,7 +77,7 @@
  * could not be encoded. */
 size_t CbwRpc_Reply(cbw_rpc_t *rpc, uint32_t xid, xdrproc_t encode,
                     void *result);
-/* Goes on with records that may_handle put off. */
+/* Resumes handling the records that may_handle has deferred. */
 void CbwRpc_Continue(cbw_rpc_t *rpc);
 /* Closes the connection without calling on_close. No effect when it is
  * closed already. */
@@ -87,8 +87,8 @@
 void CbwRpc_Finish(cbw_rpc_t *rpc);
 bool CbwRpc_IsOpen(const cbw_rpc_t *rpc);
 
-/* Decodes one uncompressed record and calls on_call or on_reply. Public for
- * the fuzz tests. */
+/* Decodes an uncompressed record and calls on_call or on_reply. Public for the
+ * fuzz tests. */
 void CbwRpc_Dispatch(cbw_rpc_t *rpc, char *record, size_t size);
 
 #endif
--- a/src/share/standin.h
+++ b/src/share/standin.h
@@ -1,5 +1,5 @@
-/* Common start-up and event loop of the test programs that stand in for the
- * platform and the endpoints. */
+/* Common initialization and event loop of the stand-ins: test programs that
+ * replace the platform and the endpoints. */
 #ifndef CAROBWIND_SHARE_STANDIN_H
 #define CAROBWIND_SHARE_STANDIN_H
 
--- a/src/share/stream.c
+++ b/src/share/stream.c
@@ -10,9 +10,10 @@
 #include "share/fault.h"
 
 #define READ_SIZE 65536
-/* Reads per event; bounds how long one busy connection holds up the others. */
+/* Maximum number of reads per event, so that a busy connection does not delay
+ * the others for long. */
 #define READS_PER_EVENT 4
-/* An output buffer of more bytes is freed when it is empty. */
+/* A larger output buffer (in bytes) is freed when it is empty. */
 #define OUTPUT_KEPT ((size_t)65536)
 
 bool
@@ -21,14 +22,14 @@
     return stream->fd >= 0;
 }
 
-/* Starts or stops reading as the stream's state says. */
+/* Starts or stops reading according to the stream's state. */
 static void
 update_reading(cbw_stream_t *stream)
 {
     bool reads = stream->fd >= 0 && !stream->connecting &&
-                 (stream->discards ||
-                  (!stream->paused && !stream->waits && !stream->output_full &&
-                   !stream->close_when_written));
+                 (stream->discards_input ||
+                  (!stream->paused && !stream->awaits_grant &&
+                   !stream->output_full && !stream->close_when_written));
 
     if (reads && !ev_is_active(&stream->read_watcher)) {
         ev_io_start(stream->loop, &stream->read_watcher);
@@ -81,8 +82,8 @@
     stream->ops->on_close(stream, reason);
 }
 
-/* Whether fault injection discards bytes in this direction. From the first
- * such byte on, the stream stays silent for good. */
+/* Whether fault injection discards bytes in this direction. Once it has, the
+ * stream stays silent. */
 static bool
 is_dropped(cbw_stream_t *stream, cbw_fault_direction_t direction)
 {
@@ -94,13 +95,13 @@
     return stream->silent;
 }
 
-/* Returns how much to read at once. Without a grant it is little, so that a
- * crowd of connections that wait for one holds little. */
+/* Returns the number of bytes to read at once: few without a grant, so that
+ * many connections that wait for one hold little memory. */
 static size_t
 read_size(const cbw_stream_t *stream)
 {
     return stream->account == NULL || stream->account->granted > 0 ||
-                   stream->discards
+                   stream->discards_input
                ? READ_SIZE
                : Cbw_MEMORY_SMALL;
 }
@@ -131,14 +132,14 @@
             }
             return;
         }
-        if (stream->discards || is_dropped(stream, CBW_FAULT_IN)) {
+        if (stream->discards_input || is_dropped(stream, CBW_FAULT_IN)) {
             continue;
         }
         stream->last_received_at = CbwNet_Now();
         stream->ops->on_bytes(stream, buffer, (size_t)size);
         if (stream->fd >= 0 && stream->account != NULL && !stream->paused &&
             !stream->output_full && !stream->close_when_written) {
-            stream->waits = !CbwMemoryAccount_MayRead(
+            stream->awaits_grant = !CbwMemoryAccount_MayRead(
                 stream->account, stream->last_received_at);
             update_reading(stream);
         }
@@ -173,8 +174,8 @@
     return stream->output_size - stream->output_start;
 }
 
-/* Tells the account how much output is pending, and stops reading from a
- * remote end that does not read, until most of the output is written. */
+/* Updates the pending output of the account. While too much is pending, stops
+ * reading until most of it is written. */
 static void
 update_output(cbw_stream_t *stream, bool progressed)
 {
@@ -195,7 +196,7 @@
     }
 }
 
-/* All output is written. */
+/* Called when all output is written. */
 static void
 finish_output(cbw_stream_t *stream)
 {
@@ -205,7 +206,7 @@
         free_output(stream);
     }
     ev_io_stop(stream->loop, &stream->write_watcher);
-    if (stream->discards) {
+    if (stream->discards_input) {
         shutdown(stream->fd, SHUT_WR);
     }
     else if (stream->close_when_written) {
@@ -315,7 +316,7 @@
     if (stream->output_size + size <= stream->output_capacity) {
         return 0;
     }
-    /* Reuses what is written, if that is at least as much as is moved. */
+    /* Reclaims the written part, unless more bytes would have to be moved. */
     if (stream->output_start > 0 && stream->output_start >= pending) {
         memmove(stream->output, stream->output + stream->output_start,
                 pending);
@@ -355,7 +356,7 @@
         }
     }
     if (reserve_output(stream, size - (size_t)written) != 0) {
-        shutdown(stream->fd, SHUT_RDWR); /* the loop reports the close */
+        shutdown(stream->fd, SHUT_RDWR); /* the event loop reports the close */
         return;
     }
     memcpy(stream->output + stream->output_size, bytes + written,
@@ -380,7 +381,7 @@
 CbwStream_CloseWhenRead(cbw_stream_t *stream)
 {
     if (stream->fd >= 0) {
-        stream->discards = true;
+        stream->discards_input = true;
         CbwStream_CloseWhenWritten(stream);
     }
 }
@@ -409,7 +410,7 @@
 void
 CbwStream_OnGranted(cbw_stream_t *stream)
 {
-    stream->waits = false;
+    stream->awaits_grant = false;
     update_reading(stream);
 }
 
