Keep texts byte for byte in the tests' stand-in of the platform

Cause: the stand-in split statements into words and joined them again, cut the data of a write at its first blank, and its record of runs held neither texts nor shapes. It also recorded refused writes as runs, kept the input of a closed connection for the next one with its name, and raised an error at a reset.

Change: words are taken off a text at single blanks, the rest keeps its bytes. The command `texts` returns the exact text, shape, session values and transaction of each run in hexadecimal, `keep` commits data of any bytes. Only statements that ran are recorded. Carriage returns no longer end an answer of the control connection early.

--- a/test/lib/platform_standin.tcl
+++ b/test/lib/platform_standin.tcl
@@ -3,7 +3,8 @@
 # over HTTP, and three endpoints of one database over the wire protocol. It is
 # one process:
 #   tclsh platform_standin.tcl NETWORK     listens on NETWORK.9.1 to .9.4
-# Each line on its control connection is a command, answered by one line:
+# Each line on its control connection is a command, answered by one line, in which
+# line ends within texts become blanks:
 #   kill E, start E           stops or starts an endpoint
 #   leave E                   registers an endpoint as draining
 #   withdraw E                removes the registration of an endpoint
@@ -20,6 +21,9 @@
 #   deep KEY N                the same with N opening brackets
 #   long KEY N                the same with N bytes
 #   runs                      returns the executed reads, writes and commits
+#   texts                     returns the same runs byte for byte: {query text
+#                             shape variables transaction}, see `record_run`
+#   keep KEY HEX              the primary commits the bytes HEX under KEY
 #   lists                     returns the number of linearizable range reads
 #   stale 0|1                 reads that may be stale return the present state
 #                             from now on, or the current one again
@@ -393,6 +397,9 @@
 set endpoints [dict create]
 set record_sequence 0 ;# of the published endpoint records
 set executed {}
+# The same runs byte for byte, see `record_run`.
+set executed_texts {}
+set transaction_count 0 ;# transactions begun at the endpoints
 # Query ids of reads and writes that ran, each followed by the name that the
 # connection's STARTUP gave.
 set callers {}
@@ -564,15 +571,15 @@
 proc on_accept {name channel ip port} {
     fconfigure $channel -blocking 0 -translation binary -buffering none
     set ::session($channel) [dict create state I writes {} variables {} \
-        prepared {} started 0 queue {} busy 0 plain 0 caller ""]
+        prepared {} started 0 queue {} busy 0 plain 0 caller "" transaction 0]
+    set ::input($channel) "" ;# the name may be that of a channel that was closed
     set channels [dict get $::endpoints $name channels]
     dict set ::endpoints $name channels [lappend channels $channel]
     fileevent $channel readable [list on_wire $name $channel]
 }
 
 proc on_wire {name channel} {
-    append ::input($channel) [read $channel]
-    if {[eof $channel]} {
+    if {[catch {append ::input($channel) [read $channel]}] || [eof $channel]} {
         close_session $name $channel
         return
     }
@@ -595,7 +602,7 @@
     set queue [lassign [dict get $::session($channel) queue] line]
     dict set ::session($channel) queue $queue
     dict set ::session($channel) busy 1
-    set delay [expr {[regexp {^QUERY \S+ (AFTER \S+ )?(READ|WRITE|EXECUTE|COMMIT)} $line] ? $::service_ms : 0}]
+    set delay [expr {[regexp {^QUERY [^ ]+ (AFTER \S+ )?(READ|WRITE|EXECUTE|COMMIT)} $line] ? $::service_ms : 0}]
     after $delay [list run_statement $name $channel $line]
 }
 
@@ -614,7 +621,7 @@
             return
         }
         dict set ::session($channel) caller $caller
-    } elseif {[regexp {^QUERY (\S+) (.*)$} $line -> query_id text]} {
+    } elseif {[regexp {^QUERY ([^ ]+) (.*)$} $line -> query_id text]} {
         set answer [execute $name $channel $query_id $text]
         # A write whose answer is lost was executed; its connection is closed.
         if {$::answers_to_lose > 0 && [regexp {^(AFTER \S+ )?WRITE} $text] &&
@@ -638,6 +645,32 @@
     return "ERROR $code standin\r\n"
 }
 
+# Takes the first word, which ends at the first blank, off the text in a variable
+# and returns it. What follows that blank keeps all its bytes.
+proc take_word {variable} {
+    upvar 1 $variable text
+    set end [string first " " $text]
+    if {$end < 0} {
+        set end [string length $text]
+    }
+    set word [string range $text 0 [expr {$end - 1}]]
+    set text [string range $text [expr {$end + 1}] end]
+    return $word
+}
+
+# Records a run. Of its exact form, the query id, the text without AFTER, the shape
+# that an EXECUTE ran ("" of others) and the names and values of the session are in
+# hexadecimal; the last element is the number of the transaction, 0 outside one.
+proc record_run {name channel query_id command detail text shape} {
+    upvar #0 session($channel) session
+    lappend ::executed [list $query_id $command $name $detail]
+    set bytes [list $query_id $text $shape]
+    lappend ::executed_texts [concat \
+        [lmap item $bytes { binary encode hex $item }] \
+        [list [lmap item [dict get $session variables] { binary encode hex $item }] \
+            [expr {[dict get $session state] eq "T" ? [dict get $session transaction] : 0}]]]
+}
+
 # Executes a statement and returns its answer without the READY line.
 proc execute {name channel query_id text} {
     upvar #0 session($channel) session
@@ -649,19 +682,23 @@
         }
     }
     set is_primary [expr {[dict get $::endpoints $name role] eq "primary"}]
-    set words [split $text " "]
-    switch -- [lindex $words 0] {
+    set rest $text
+    set shape ""
+    set command [take_word rest]
+    switch -- $command {
         BEGIN {
-            if {!$is_primary && [lindex $words 1] ne "READ"} {
+            if {!$is_primary && $rest ne "READ"} {
                 return [error_answer $channel READONLY]
             }
             dict set session state T
+            dict set session transaction [incr ::transaction_count]
             dict set session writes {}
             return "COMPLETE -\r\n"
         }
         COMMIT {
             commit $name [dict get $session writes]
-            lappend ::executed [list $query_id commit $name [llength [dict get $session writes]]]
+            record_run $name $channel $query_id commit \
+                [llength [dict get $session writes]] $text ""
             dict set session state I
             dict set session writes {}
             return "COMPLETE sig.$name.$query_id\r\n"
@@ -672,11 +709,11 @@
             return "COMPLETE -\r\n"
         }
         SET {
-            dict set session variables [lindex $words 1] [join [lrange $words 2 end] " "]
+            dict set session variables [take_word rest] $rest
             return "COMPLETE -\r\n"
         }
         PREPARE {
-            dict set session prepared [lindex $words 1] [lrange $words 2 end]
+            dict set session prepared [take_word rest] $rest
             return "COMPLETE -\r\n"
         }
         DISCARD {
@@ -685,39 +722,41 @@
             return "COMPLETE -\r\n"
         }
         STATUS - STEPDOWN {
-            if {[lindex $words 0] eq "STEPDOWN"} {
-                step_down $name [lindex $words 1]
+            if {$command eq "STEPDOWN"} {
+                step_down $name $rest
             }
             return "DATAROW [dict get $::endpoints $name role] [dict get $::endpoints $name term] [position $name] [dict get $::endpoints $name term] 0 0 1\r\nCOMPLETE -\r\n"
         }
         EXECUTE {
-            if {![dict exists $session prepared [lindex $words 1]]} {
+            set statement [take_word rest]
+            if {![dict exists $session prepared $statement]} {
                 return [error_answer $channel NOSTMT]
             }
-            set words [linsert [lrange $words 2 end] 0 \
-                [lindex [dict get $session prepared [lindex $words 1]] 0]]
+            set shape [dict get $session prepared $statement]
+            set command [lindex [split $shape " "] 0]
         }
     }
-    lappend ::executed [list $query_id [lindex $words 0] $name [dict get $session variables]]
+    if {$command ni {READ WRITE}} {
+        return [error_answer $channel MALFORMED]
+    }
+    if {$command eq "WRITE" && !$is_primary} {
+        return [error_answer $channel READONLY]
+    }
+    record_run $name $channel $query_id $command [dict get $session variables] \
+        $text $shape
     lappend ::callers $query_id [dict get $session caller]
-    switch -- [lindex $words 0] {
-        READ {
-            return "DATAROW [value_of $name [lindex $words 1]]\r\nCOMPLETE sig.$name.$query_id\r\n"
-        }
-        WRITE {
-            if {!$is_primary} {
-                return [error_answer $channel READONLY]
-            }
-            set write [list [lindex $words 1] [lindex $words 2] $query_id]
-            if {[dict get $session state] eq "T"} {
-                dict set session writes [concat [dict get $session writes] [list $write]]
-            } else {
-                commit $name [list $write]
-            }
-            return "COMPLETE sig.$name.$query_id\r\n"
-        }
+    if {$command eq "READ"} {
+        # The item of a READ extends to the end of the line.
+        set item [expr {$shape eq "" ? $rest : [take_word rest]}]
+        return "DATAROW [value_of $name $item]\r\nCOMPLETE sig.$name.$query_id\r\n"
+    }
+    set write [list [take_word rest] $rest $query_id]
+    if {[dict get $session state] eq "T"} {
+        dict set session writes [concat [dict get $session writes] [list $write]]
+    } else {
+        commit $name [list $write]
     }
-    return [error_answer $channel MALFORMED]
+    return "COMPLETE sig.$name.$query_id\r\n"
 }
 
 # The control connection.
@@ -747,6 +786,12 @@
         work { set ::service_ms $argument; return ok }
         primary { return [find_primary] }
         runs { return $::executed }
+        texts { return $::executed_texts }
+        keep {
+            commit [find_primary] \
+                [list [list $argument [binary decode hex [lindex $line 2]] -]]
+            return ok
+        }
         callers { return $::callers }
         lists { return $::range_reads }
         reads { return $::config_reads }
@@ -782,7 +827,7 @@
         }
         return
     }
-    puts $channel [string map {\n " "} [run_command $channel $line]]
+    puts $channel [string map {\n " " \r " "} [run_command $channel $line]]
     flush $channel
 }
 
