Pool: refuse requests that the wire protocol cannot carry

Cause: an owner wrote a request's id, statement, shape and workspace into wire messages as they came.

Change: the endpoint driver says whether it can carry a request, and the pool refuses the others before they are queued, as not run and MALFORMED (unknown if the request may have been sent before). A transaction that the request belongs to is rolled back, which is what its entry takes for done. EXECUTE without an item, which older entries accept, is refused too: it would get a blank that its caller did not send.

Measured: /statement-text/request-holds-messages and /pool/uncarried-request-is-sent failed with the check left out and pass. The other tests of /pool and /statement-text, wire-statements and lint pass. Not tried with a daemon whose callers use RESP.

--- a/include/carobwind/pool.h
+++ b/include/carobwind/pool.h
@@ -150,6 +150,9 @@
 /* The pool's outgoing calls. `endpoint` is an index into cbw_pool_t.endpoints.
  */
 typedef struct {
+    /* Returns whether the endpoints' protocol can carry the request unchanged.
+     * NULL: it carries all. */
+    bool (*can_carry)(void *context, const cbw_request_t *request);
     /* Sends `call`. The reply is passed to CbwPool_OnReply with the call's id.
      * Returns false when no connection is available. */
     bool (*call)(void *context, int endpoint, const cbw_call_t *call);
--- a/src/carobwindd/drivers.h
+++ b/src/carobwindd/drivers.h
@@ -41,6 +41,9 @@
                              const endpoint_events_t *events, void *context);
     /* Closes all connections and frees the link; no replies follow. */
     void (*close)(endpoint_link_t *link);
+    /* Returns whether the protocol can carry the request unchanged. NULL: it
+     * carries all. */
+    bool (*can_carry)(const cbw_request_t *request);
     /* Sends a call. Returns false when no connection is available, and then
      * no reply follows. */
     bool (*call)(endpoint_link_t *link, const cbw_call_t *call);
--- a/src/carobwindd/pool_instance.c
+++ b/src/carobwindd/pool_instance.c
@@ -54,6 +54,15 @@
 
 /* Operations that CbwPool calls, see cbw_pool_ops_t. */
 
+static bool
+op_can_carry(void *context, const cbw_request_t *request)
+{
+    const endpoint_driver_t *driver = PoolTask_State.driver;
+
+    (void)context;
+    return driver->can_carry == NULL || driver->can_carry(request);
+}
+
 static bool
 op_call(void *context, int endpoint, const cbw_call_t *call)
 {
@@ -441,6 +450,7 @@
 }
 
 static const cbw_pool_ops_t pool_ops = {
+    .can_carry = op_can_carry,
     .call = op_call,
     .has_idle_connection = op_has_idle_connection,
     .abort = op_abort,
--- a/src/libcarobwind/pool.c
+++ b/src/libcarobwind/pool.c
@@ -374,6 +374,25 @@
     }
 }
 
+/* Refuses a request that the endpoints' protocol cannot carry. Its transaction
+ * ends, as the entry takes it for rolled back. */
+static void
+refuse_uncarried(cbw_pool_t *pool, cbw_request_t *request)
+{
+    cbw_pool_transaction_t *transaction =
+        request->begins ? NULL
+                        : CbwPool_FindTransaction_(pool, request->transaction);
+
+    if (transaction != NULL && !transaction->busy) {
+        CbwPool_DropTransaction_(pool, transaction, false);
+    }
+    CbwCounter_Add(pool->counters, CBW_COUNTER_MALFORMED, 1);
+    CbwPool_Answer_(pool, request,
+                    request->maybe_sent ? CBW_OUTCOME_UNKNOWN
+                                        : CBW_OUTCOME_NOTRUN,
+                    CBW_CAUSE_MALFORMED, "the endpoints cannot be sent this");
+}
+
 void
 CbwPool_SetAssigned(cbw_pool_t *pool, bool assigned)
 {
@@ -383,6 +402,11 @@
 void
 CbwPool_Submit(cbw_pool_t *pool, cbw_time_t now, cbw_request_t *request)
 {
+    if (pool->ops->can_carry != NULL &&
+        !pool->ops->can_carry(pool->context, request)) {
+        refuse_uncarried(pool, request);
+        return;
+    }
     if (request->takes_over) {
         pool->take_over_until = now + Cbw_POOL_TAKE_OVER_WINDOW;
         pool->redirected_until = 0;
--- a/src/test_libcarobwind/pool_world.c
+++ b/src/test_libcarobwind/pool_world.c
@@ -37,10 +37,17 @@
 op_end_transaction(void *context, int endpoint, uint64_t transaction,
                    bool clean)
 {
-    (void)context;
     (void)endpoint;
     (void)transaction;
     (void)clean;
+    ((pool_world_t *)context)->transactions_ended++;
+}
+
+static bool
+op_can_carry(void *context, const cbw_request_t *request)
+{
+    (void)request;
+    return !((pool_world_t *)context)->carries_nothing;
 }
 
 static void
@@ -146,6 +153,7 @@
 }
 
 static const cbw_pool_ops_t ops = {
+    .can_carry = op_can_carry,
     .call = op_call,
     .has_idle_connection = op_has_idle_connection,
     .abort = op_abort,
--- a/src/test_libcarobwind/test_pool.c
+++ b/src/test_libcarobwind/test_pool.c
@@ -642,9 +642,44 @@
     PoolWorld_Finish(&world);
 }
 
+/* A request that the endpoints' protocol cannot carry was sent: parts of it
+ * would run as messages of their own. A transaction that it belongs to ends.
+ */
+static void
+test_uncarried_request_is_sent(void)
+{
+    for (int within = 0; within < 2; within++) {
+        pool_world_t world;
+        cbw_request_t *request;
+
+        PoolWorld_Init(&world);
+        request = PoolWorld_NewRequest(&world, true, CBW_READ_LATEST);
+        request->transaction = 7;
+        request->begins = true;
+        PoolWorld_Submit(&world, request);
+        PoolWorld_Reply(&world, PoolWorld_LastOpenCall(&world, CBW_CALL_RUN),
+                        CBW_REPLY_OK, 5);
+        PoolWorld_FreeRequest(request);
+        request = PoolWorld_NewRequest(&world, true, CBW_READ_LATEST);
+        request->transaction = within ? 7 : 0;
+        world.carries_nothing = true;
+        PoolWorld_Submit(&world, request);
+        g_assert_null(PoolWorld_LastOpenCall(&world, CBW_CALL_RUN));
+        g_assert_true(world.last_answered == request);
+        g_assert_cmpint(request->answer.outcome, ==, CBW_OUTCOME_NOTRUN);
+        g_assert_cmpint(request->answer.cause, ==, CBW_CAUSE_MALFORMED);
+        g_assert_cmpint(world.transactions_ended, ==, within);
+        g_assert_true(CbwPool_IsIdle(&world.pool) == (within == 1));
+        PoolWorld_FreeRequest(request);
+        PoolWorld_Finish(&world);
+    }
+}
+
 void
 Suite_AddPool(void)
 {
+    g_test_add_func("/pool/uncarried-request-is-sent",
+                    test_uncarried_request_is_sent);
     g_test_add_func("/pool/unassigned-owner-redirects-to-holder",
                     test_unassigned_owner_redirects_to_holder);
     g_test_add_func("/pool/takes-over-from-holder",
--- a/src/test_libcarobwind/test_statement_text.c
+++ b/src/test_libcarobwind/test_statement_text.c
@@ -382,9 +382,102 @@
     }
 }
 
+/* What an owner gets from a peer, or from callers over RESP. NULL: unlike in
+ * the fitting request below. */
+typedef struct {
+    const char *name;
+    cbw_verb_t verb;
+    const char *statement;
+    size_t nul_at; /* 0: no NUL in the statement */
+    const char *shape;
+    const char *trace;
+    const char *workspace;
+    uint64_t transaction;
+    bool fits;
+} carried_case_t;
+
+static const carried_case_t carried_cases[] = {
+    {.name = "read", .statement = "READ k", .fits = true},
+    {.name = "write", .statement = "WRITE k v \r", .fits = true},
+    {.name = "execute",
+     .statement = "k v \r",
+     .shape = "WRITE q\r",
+     .fits = 1},
+    {.name = "commit", CBW_VERB_COMMIT, "COMMIT", .transaction = 1, .fits = 1},
+    {.name = "rollback", CBW_VERB_ROLLBACK, "", .transaction = 1, .fits = 1},
+    {.name = "id with CR",
+     .statement = "READ k",
+     .trace = "a\r",
+     .fits = true},
+    {.name = "CR LF", .statement = "READ k\r\nQUERY b WRITE k v"},
+    {.name = "LF", .statement = "READ k\nQUERY b WRITE k v"},
+    {.name = "NUL", .statement = "READ k v", .nul_at = 6},
+    {.name = "id with CR LF",
+     .statement = "READ k",
+     .trace = "a READ k\r\nQUERY b"},
+    {.name = "id with LF", .statement = "READ k", .trace = "a\nb"},
+    {.name = "id with a blank", .statement = "READ k", .trace = "a WRITE k v"},
+    {.name = "shape with CR LF",
+     .statement = "k",
+     .shape = "READ q\r\nQUERY b WRITE k v"},
+    {.name = "execute without an item", .statement = "", .shape = "READ q"},
+    {.name = "shape that is none", .statement = "k", .shape = "q"},
+    {.name = "workspace with CR LF",
+     .statement = "READ k",
+     .workspace = "w\r\nQUERY b WRITE k v"},
+    {.name = "workspace with a blank",
+     .statement = "READ k",
+     .workspace = "w x"},
+    {.name = "value on a pooled connection", .statement = "SET a b"},
+    {.name = "name on a pooled connection", .statement = "PREPARE p READ q"},
+    {.name = "reset behind the driver", .statement = "DISCARD"},
+    {.name = "control", .statement = "STEPDOWN 9"},
+    {.name = "transaction behind the driver", .statement = "BEGIN"},
+    {.name = "empty", .statement = ""},
+    {.name = "text of COMMIT", CBW_VERB_COMMIT, "WRITE k v", .transaction = 1},
+    {.name = "rollback of nothing", CBW_VERB_ROLLBACK, ""},
+    {.name = "verb for request keys", CBW_VERB_BEGIN, "", .transaction = 1},
+};
+
+/* A request whose texts end a message or a field of it was sent as it is. */
+static void
+test_request_holds_messages(void)
+{
+    const endpoint_driver_t *driver =
+        CbwPlugin_Find(CBW_PLUGIN_ENDPOINT_DRIVER, "wire");
+
+    for (size_t i = 0; i < G_N_ELEMENTS(carried_cases); i++) {
+        const carried_case_t *item = &carried_cases[i];
+        cbw_request_t request;
+
+        CbwRequest_Init(&request);
+        request.verb = item->verb;
+        CbwRequest_SetStatement(&request, item->statement,
+                                strlen(item->statement));
+        if (item->nul_at > 0) {
+            request.statement[item->nul_at] = '\0';
+        }
+        request.shape = item->shape != NULL ? strdup(item->shape) : NULL;
+        g_strlcpy(request.trace, item->trace != NULL ? item->trace : "a",
+                  sizeof(request.trace));
+        g_strlcpy(request.workspace,
+                  item->workspace != NULL ? item->workspace : "",
+                  sizeof(request.workspace));
+        request.transaction = item->transaction;
+        if (driver->can_carry(&request) != item->fits) {
+            g_test_message("%s: %s", item->name,
+                           item->fits ? "refused" : "sent");
+            g_test_fail();
+        }
+        CbwRequest_Finish(&request);
+    }
+}
+
 void
 Suite_AddStatementText(void)
 {
+    g_test_add_func("/statement-text/request-holds-messages",
+                    test_request_holds_messages);
     g_test_add_data_func("/statement-text/statement-is-cut",
                          &positions[POSITION_STATEMENT], test_text_is_cut);
     g_test_add_data_func("/statement-text/read-is-cut",
