Test of rows that look like the end of an answer, and of answers in parts

An endpoint on loopback answers with rows that hold line feeds followed by READY or ERROR, blanks and carriage returns at the end, words of the protocol, control and high bytes, and NUL, split in two at each byte; a second statement on the same connection follows.

--- a/src/test_libcarobwind/test_connection_driver.c
+++ b/src/test_libcarobwind/test_connection_driver.c
@@ -30,11 +30,18 @@
     bool refuses; /* new connections */
     /* Statements that arrived on a connection of another workspace. */
     int misplaced;
+    /* The answer to statements; NULL: one without rows. Its first bytes arrive
+     * before the rest. */
+    const char *answer;
+    size_t answer_size;
+    size_t first_size;
 } server_t;
 
 static struct ev_loop *loop;
 static int replies;
 static cbw_reply_status_t last_status;
+static cbw_position_t last_position;
+static GString *last_result;
 
 static void
 on_reply(void *context, uint64_t id, const cbw_reply_t *reply)
@@ -43,6 +50,30 @@
     (void)id;
     replies++;
     last_status = reply->status;
+    last_position =
+        (cbw_position_t){reply->state.last_term, reply->state.position};
+    if (last_result != NULL) {
+        g_string_truncate(last_result, 0);
+        g_string_append_len(last_result, reply->result,
+                            (gssize)reply->result_size);
+    }
+}
+
+static void
+send_bytes(int fd, const char *bytes, size_t size)
+{
+    g_assert_cmpint(write(fd, bytes, size), ==, (int)size);
+}
+
+static void
+send_answer(const server_t *server, int fd)
+{
+    send_bytes(fd, server->answer, server->first_size);
+    ev_run(loop, EVRUN_NOWAIT);
+    if (server->first_size < server->answer_size) {
+        send_bytes(fd, server->answer + server->first_size,
+                   server->answer_size - server->first_size);
+    }
 }
 
 static void
@@ -65,8 +96,11 @@
     else if (strstr(text, server->workspaces[index]) == NULL) {
         server->misplaced++;
     }
-    g_assert_cmpint(write(server->fds[index], reply, strlen(reply)), ==,
-                    (int)strlen(reply));
+    else if (server->answer != NULL) {
+        send_answer(server, server->fds[index]);
+        return;
+    }
+    send_bytes(server->fds[index], reply, strlen(reply));
 }
 
 /* Serves until a reply has come. */
@@ -211,8 +245,102 @@
     }
 }
 
+#define ANSWER_END "COMPLETE 7.1f\r\nREADY I 3.9\r\n"
+#define TEXT(text) text, sizeof(text) - 1
+
+typedef struct {
+    const char *name;
+    const char *rows;
+    size_t size;
+    bool lost; /* the connection fails */
+} answer_case_t;
+
+static const answer_case_t answer_cases[] = {
+    {"no rows", TEXT(""), false},
+    {"blanks at the end", TEXT("DATAROW v  \r\nDATAROW \r\n"), false},
+    {"carriage returns", TEXT("DATAROW \rv\r\r\r\n"), false},
+    {"line feeds", TEXT("DATAROW \nv\n\r\n"), false},
+    {"the end of an answer", TEXT("DATAROW v\nREADY I 9.9\n\r\n"), false},
+    {"an error", TEXT("DATAROW v\nERROR BUSY x\r\n"), false},
+    {"words of the protocol", TEXT("DATAROW READY I 9.9\r\nDATAROW ERROR\r\n"),
+     false},
+    {"control and other bytes",
+     TEXT("DATAROW \x01\x08\t\x0b\x1f\x7f\x80\xc3\xa9\xff\r\n"), false},
+    {"NUL", TEXT("DATAROW a\0b\r\n"), true},
+};
+
+/* Has the server answer a statement with the case's rows, of which the first
+ * bytes arrive separately, and a statement after it. */
+static void
+check_answer(const answer_case_t *item, size_t first_size)
+{
+    static const endpoint_events_t events = {.on_reply = on_reply};
+    const endpoint_driver_t *driver =
+        CbwPlugin_Find(CBW_PLUGIN_ENDPOINT_DRIVER, "wire");
+    daemon_t *daemon = g_new0(daemon_t, 1);
+    cbw_endpoint_t endpoint = {.name = "ep1", .connections = ALLOWANCE};
+    GString *answer = g_string_new_len(item->rows, (gssize)item->size);
+    server_t server = {.listener = CbwNet_Listen("127.0.0.1:0", NULL)};
+    struct sockaddr_in local = {.sin_port = 0};
+    socklen_t length = sizeof(local);
+    endpoint_link_t *endpoint_link;
+
+    g_string_append(answer, ANSWER_END);
+    server.answer = answer->str;
+    server.answer_size = answer->len;
+    server.first_size = MIN(first_size, answer->len);
+    daemon->loop = loop;
+    getsockname(server.listener, (struct sockaddr *)&local, &length);
+    snprintf(endpoint.address, sizeof(endpoint.address), "127.0.0.1:%d",
+             ntohs(local.sin_port));
+    endpoint_link =
+        driver->open(daemon, "db", &endpoint, 2 * LIMIT, &events, NULL);
+    for (int i = 0; i < 2; i++) {
+        run_statement(&server, driver, endpoint_link, "");
+        g_assert_cmpint(last_status, ==,
+                        item->lost ? CBW_REPLY_LOST : CBW_REPLY_OK);
+        if (!item->lost) {
+            g_assert_cmpuint(last_position.term, ==, 3);
+            g_assert_cmpuint(last_position.index, ==, 9);
+            g_assert_cmpmem(last_result->str, last_result->len, answer->str,
+                            answer->len - strlen("READY I 3.9\r\n"));
+        }
+    }
+    g_assert_cmpint(server.count, ==, item->lost ? 2 : 1);
+    driver->close(endpoint_link);
+    ev_run(loop, EVRUN_NOWAIT);
+    for (int i = 0; i < server.count; i++) {
+        close(server.fds[i]);
+    }
+    close(server.listener);
+    g_string_free(answer, TRUE);
+    g_free(daemon);
+}
+
+/* A row whose data looks like the protocol ended the answer, or an answer that
+ * arrived in parts was changed. */
+static void
+test_row_ends_answer(void)
+{
+    loop = ev_loop_new(0);
+    last_result = g_string_new(NULL);
+    for (size_t i = 0; i < G_N_ELEMENTS(answer_cases); i++) {
+        size_t size = answer_cases[i].size + strlen(ANSWER_END);
+        g_test_message("%s", answer_cases[i].name);
+        /* One that fails the connection is sent at once. */
+        for (size_t first = answer_cases[i].lost ? size : 1; first <= size;
+             first++) {
+            check_answer(&answer_cases[i], first);
+        }
+    }
+    g_string_free(last_result, TRUE);
+    last_result = NULL;
+}
+
 void
 Suite_AddConnectionDriver(void)
 {
+    g_test_add_func("/connection-driver/row-ends-answer",
+                    test_row_ends_answer);
     g_test_add_func("/connection-driver/workspaces", test_driver);
 }
