--- a/src/test_libcarobwind/test_platform.c
+++ b/src/test_libcarobwind/test_platform.c
@@ -116,7 +116,7 @@
     g_assert_cmpint(Wire_MessageSize("a\r\nb", 4), ==, 3);
     g_assert_cmpint(Wire_MessageSize("a\nb\r\r\nc", 7), ==, 6);
     memset(large, '\n', 200);
-    memcpy(large + 198, "\r\n", 2);
+    large[198] = '\r';
     for (size_t size = 1; size < 200; size++) {
         g_assert_cmpint(Wire_MessageSize(large, size), ==, 0);
         g_assert_cmpint(Wire_MessageSize(large + 200 - size, size), ==,
