--- a/test/scenarios/wire.tcl
+++ b/test/scenarios/wire.tcl
@@ -6,6 +6,7 @@
     variable query_number 0 ;# last query sent
     variable key_number 0 ;# last key written by a load
     variable daemon_flags {} ;# additional flags of the hosts
+    variable caller_driver wire ;# of hosts that start
     variable regions {} ;# of the data centres, for hosts that start; empty: none
 }
 
@@ -70,13 +71,14 @@
 # a number.
 proc wire::start_host {process name number zone join_address} {
     variable daemon_flags
+    variable caller_driver
     set ip [network].1.$number
     dict set fleet::settings $process [dict create program carobwindd \
         address $ip:7000 arguments [list --name=$name --data-centre=$zone \
         --callers=$ip:7000 --peers=$ip:7100 --readiness=$ip:7200 \
         --metrics=$ip:7201 --platform=[network].9.1:7300 \
         --orders=[network].9.1:7300 --join=$join_address \
-        --caller-driver=wire --endpoint-driver=wire --store-driver=kv \
+        --caller-driver=$caller_driver --endpoint-driver=wire --store-driver=kv \
         --registry-driver=platform --order-driver=duty --drain-seconds=5 \
         {*}$daemon_flags {*}[region_flags $zone]]]
     start $process
@@ -196,6 +198,34 @@
     expect {[regexp {carobwind_store_calls_by_verb_total\{verb="hosts"\} [1-9]} $metrics]}
 }
 
+# Guards against texts and ids of callers over RESP that end a wire message, and
+# against statements that change an endpoint or a connection behind the driver.
+scenario wire-resp-callers "callers over RESP before endpoints of the wire" {
+    set wire::caller_driver resp
+    try {
+        wire::fleet 1
+    } finally {
+        set wire::caller_driver wire
+    }
+    set address [fleet::ip host1]:7000
+    foreach {text id outcome} [list \
+        "WRITE k1 v1" a1 done \
+        "WRITE k1 v2\r\nQUERY b1 WRITE k2 v" a2 notrun \
+        "WRITE k1 v3\nQUERY b2 WRITE k2 v" a3 notrun \
+        "WRITE k1 v4\0" a4 notrun \
+        "WRITE k1 v5" "a5 READ k1\r\nQUERY b3" notrun \
+        "WRITE k1 v6" "a6 WRITE k2" notrun \
+        "SET a b" a7 notrun \
+        "BEGIN" a8 notrun \
+        "STEPDOWN 99" a9 notrun \
+        "WRITE k1 v7 \r" a10 done \
+    ] {
+        set answer [resp::call $address [list STMT svc1 pay $text TRACE $id]]
+        expect {[lindex $answer 0] eq $outcome} "$text: $answer"
+    }
+    expect {[lmap run [wire::control runs] {lindex $run 0}] eq {a1 a10}}
+}
+
 # Returns whether the host has closed an idle session. Discards what the host has
 # sent.
 proc wire::is_closed {channel} {
