--- a/src/test_libcarobwind/test_statement_text.c
+++ b/src/test_libcarobwind/test_statement_text.c
@@ -139,7 +139,9 @@
     };
     GString *setup = g_string_new(NULL);
     GString *statement = g_string_new(NULL);
+    bool can_carry = Backend_CanCarry(request);
 
+    g_assert_true(can_carry);
     Backend_FormatCall(&path->backend, &call, false, setup, statement);
     g_string_append_len(setup, statement->str, (gssize)statement->len);
     receive(&path->received, setup);
@@ -382,6 +384,66 @@
     }
 }
 
+/* A commit was refused for the blank that the decoder accepts. */
+static void
+test_commit_is_refused(void)
+{
+    static const char *const texts[] = {"BEGIN", "WRITE k v", "COMMIT "};
+    path_t path;
+
+    init_path(&path);
+    for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+        sent_t sent = send_statement(&path, texts[i]);
+        g_assert_cmpint(sent, ==, ACCEPTED);
+    }
+    g_assert_cmpstr(path.received.statement, ==, "COMMIT ");
+    finish_path(&path);
+}
+
+/* Each byte but NUL and the line feed arrives as it was sent, also at the ends
+ * of a long text. */
+static void
+test_byte_is_lost(void)
+{
+    for (int byte = 1; byte < 256; byte++) {
+        char text[] = {(char)byte, 'a', (char)byte, (char)byte, '\0'};
+        if (byte == '\n') {
+            continue;
+        }
+        for (size_t i = 0; i < POSITION_COUNT; i++) {
+            check_text(&positions[i], text);
+        }
+    }
+}
+
+/* Messages in one packet were taken for another number of them, or a message
+ * in parts ended early. */
+static void
+test_messages_are_joined(void)
+{
+    static const char *const parts[] = {
+        "QUERY a WRITE k v\r\r\n", "\r\n",          "QUERY b READ  \n\n\r\n",
+        "QUERY c READ \rk \r\n",   "TERMINATE\r\n",
+    };
+    const caller_driver_t *driver =
+        CbwPlugin_Find(CBW_PLUGIN_CALLER_DRIVER, "wire");
+    GString *bytes = g_string_new(NULL);
+    size_t start = 0;
+
+    for (size_t i = 0; i < G_N_ELEMENTS(parts); i++) {
+        g_string_append(bytes, parts[i]);
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(parts); i++) {
+        size_t size = strlen(parts[i]);
+        for (size_t length = 1; start + length <= bytes->len; length++) {
+            g_assert_cmpint(driver->message_size(bytes->str + start, length),
+                            ==, length < size ? 0 : (int)size);
+        }
+        start += size;
+    }
+    g_string_free(bytes, TRUE);
+}
+
 /* What an owner gets from a peer, or from callers over RESP. NULL: unlike in
  * the fitting request below. */
 typedef struct {
@@ -404,6 +466,11 @@
      .shape = "WRITE q\r",
      .fits = 1},
     {.name = "commit", CBW_VERB_COMMIT, "COMMIT", .transaction = 1, .fits = 1},
+    {.name = "commit and a blank",
+     CBW_VERB_COMMIT,
+     "COMMIT ",
+     .transaction = 1,
+     .fits = 1},
     {.name = "rollback", CBW_VERB_ROLLBACK, "", .transaction = 1, .fits = 1},
     {.name = "id with CR",
      .statement = "READ k",
@@ -476,6 +543,11 @@
 void
 Suite_AddStatementText(void)
 {
+    g_test_add_func("/statement-text/commit-is-refused",
+                    test_commit_is_refused);
+    g_test_add_func("/statement-text/byte-is-lost", test_byte_is_lost);
+    g_test_add_func("/statement-text/messages-are-joined",
+                    test_messages_are_joined);
     g_test_add_func("/statement-text/request-holds-messages",
                     test_request_holds_messages);
     g_test_add_data_func("/statement-text/statement-is-cut",
