--- a/src/test_libcarobwind/test_connection_driver.c
+++ b/src/test_libcarobwind/test_connection_driver.c
@@ -39,6 +39,7 @@
 
 static struct ev_loop *loop;
 static int replies;
+static void (*after_reply)(void); /* NULL: nothing */
 static cbw_reply_status_t last_status;
 static cbw_position_t last_position;
 static GString *last_result;
@@ -57,6 +58,9 @@
         g_string_append_len(last_result, reply->result,
                             (gssize)reply->result_size);
     }
+    if (after_reply != NULL) {
+        after_reply();
+    }
 }
 
 static void
@@ -337,9 +341,69 @@
     last_result = NULL;
 }
 
+static const endpoint_driver_t *next_driver;
+static endpoint_link_t *next_link;
+
+static void
+send_next(void)
+{
+    const cbw_call_t call = {.id = 2,
+                             .verb = CBW_CALL_RUN,
+                             .key = "",
+                             .statement = "carobwind",
+                             .statement_size = strlen("carobwind"),
+                             .trace = "next",
+                             .workspace = "",
+                             .values = "",
+                             .shape = ""};
+
+    after_reply = NULL;
+    g_assert_true(next_driver->call(next_link, &call));
+}
+
+/* An endpoint that sends more than the answer in one packet had the rest taken
+ * for the answer to the statement that was sent next, before it ran. */
+static void
+test_next_statement_gets_rest(void)
+{
+    static const endpoint_events_t events = {.on_reply = on_reply};
+    daemon_t *daemon = g_new0(daemon_t, 1);
+    cbw_endpoint_t endpoint = {.name = "ep1", .connections = ALLOWANCE};
+    server_t server = {.listener = CbwNet_Listen("127.0.0.1:0", NULL)};
+    struct sockaddr_in local = {.sin_port = 0};
+    socklen_t length = sizeof(local);
+
+    loop = ev_loop_new(0);
+    next_driver = CbwPlugin_Find(CBW_PLUGIN_ENDPOINT_DRIVER, "wire");
+    server.answer = ANSWER_END ANSWER_END;
+    server.answer_size = strlen(server.answer);
+    server.first_size = server.answer_size;
+    daemon->loop = loop;
+    getsockname(server.listener, (struct sockaddr *)&local, &length);
+    snprintf(endpoint.address, sizeof(endpoint.address), "127.0.0.1:%d",
+             ntohs(local.sin_port));
+    next_link =
+        next_driver->open(daemon, "db", &endpoint, 2 * LIMIT, &events, NULL);
+    after_reply = send_next;
+    run_statement(&server, next_driver, next_link, "");
+    g_assert_cmpint(last_status, ==, CBW_REPLY_OK);
+    replies = 0;
+    serve(&server);
+    g_assert_cmpint(server.count, ==, 2); /* on another connection */
+    next_driver->close(next_link);
+    ev_run(loop, EVRUN_NOWAIT);
+    for (int i = 0; i < server.count; i++) {
+        close(server.fds[i]);
+    }
+    close(server.listener);
+    g_free(daemon);
+}
+
 void
 Suite_AddConnectionDriver(void)
 {
+    g_test_add_func("/connection-driver/next-statement-gets-rest",
+                    test_next_statement_gets_rest);
     g_test_add_func("/connection-driver/row-ends-answer",
                     test_row_ends_answer);
     g_test_add_func("/connection-driver/workspaces", test_driver);
