--- a/src/test_libcarobwind/test_connection_driver.c
+++ b/src/test_libcarobwind/test_connection_driver.c
@@ -399,9 +399,44 @@
     g_free(daemon);
 }
 
+/* A name of a database or an endpoint was sent as a message of its own. */
+static void
+test_name_is_message(void)
+{
+    static const char *const names[][2] = {
+        {"db\r\nQUERY - STEPDOWN 9", "ep1"},
+        {"db x", "ep1"},
+        {"db", "ep1\nQUERY - STEPDOWN 9"},
+    };
+    static const endpoint_events_t events = {.on_reply = on_reply};
+    const cbw_call_t call = {.id = 1, .verb = CBW_CALL_STATE, .key = ""};
+    const endpoint_driver_t *driver =
+        CbwPlugin_Find(CBW_PLUGIN_ENDPOINT_DRIVER, "wire");
+    daemon_t *daemon = g_new0(daemon_t, 1);
+
+    loop = ev_loop_new(0);
+    daemon->loop = loop;
+    for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+        cbw_endpoint_t endpoint = {.address = "127.0.0.1:1"};
+        endpoint_link_t *endpoint_link;
+        bool sent;
+
+        g_strlcpy(endpoint.name, names[i][1], sizeof(endpoint.name));
+        endpoint_link =
+            driver->open(daemon, names[i][0], &endpoint, LIMIT, &events, NULL);
+        sent = driver->call(endpoint_link, &call);
+        g_assert_false(sent);
+        driver->close(endpoint_link);
+    }
+    ev_run(loop, EVRUN_NOWAIT);
+    g_free(daemon);
+}
+
 void
 Suite_AddConnectionDriver(void)
 {
+    g_test_add_func("/connection-driver/name-is-message",
+                    test_name_is_message);
     g_test_add_func("/connection-driver/next-statement-gets-rest",
                     test_next_statement_gets_rest);
     g_test_add_func("/connection-driver/row-ends-answer",
