Carry prepared statements of every size that sessions accept to the owner

Cause: a session kept shapes of up to 4 MiB in all, but the peer protocol had 4 KiB for one. An EXECUTE of a longer one could not be encoded for an owner on another host: it was never sent, yet its caller was told INDOUBT, and the host held the owner for lost and avoided it. With long arguments and values the record also exceeded the limit of a peer's connection, which closes it with all calls on it.

Change: the field has the size of a message; a record may have 3 MiB; the memory account has the shape and the values too. A shape, or arguments, that fit no message to an endpoint beside the endpoint's name for the statement are refused when they are sent.

--- a/include/carobwind/session.h
+++ b/include/carobwind/session.h
@@ -12,10 +12,16 @@
 #define Cbw_SESSION_PREPARED_MAX 1024
 /* Bytes of all values, and of all prepared statements, of one session with
  * their names. Values are sent to the owner with each statement, in a field of
- * the peer protocol of this size; prepared statements one by one, in a field
- * of 4 KiB. */
+ * the peer protocol of this size; prepared statements one by one. */
 #define Cbw_SESSION_VALUES_SIZE_MAX ((size_t)262144)
 #define Cbw_SESSION_PREPARED_SIZE_MAX ((size_t)4 * 1024 * 1024)
+/* Endpoints take messages of up to 1 MiB. This much of it is for what stands
+ * around a shape or an EXECUTE: the id, the endpoint's name for the prepared
+ * statement, and a log position. */
+#define Cbw_SESSION_MESSAGE_RESERVE ((size_t)128)
+/* Bytes of the shape of one prepared statement, and of the arguments of one
+ * EXECUTE. */
+#define Cbw_SESSION_TEXT_MAX ((size_t)1048576 - Cbw_SESSION_MESSAGE_RESERVE)
 
 typedef enum {
     CBW_SESSION_IDLE,
--- a/src/carobwindd/peer_server.c
+++ b/src/carobwindd/peer_server.c
@@ -231,7 +231,7 @@
 typedef struct {
     server_connection_t *server;
     uint32_t xid;
-    size_t bytes; /* of the statement */
+    size_t bytes; /* of the statement and what is sent with it */
 } statement_origin_t;
 
 static void
@@ -246,7 +246,9 @@
     }
     origin->server = server;
     origin->xid = xid;
-    origin->bytes = job->request.statement_size;
+    origin->bytes = job->request.statement_size +
+                    strlen(inbound->args.statement.values) +
+                    strlen(inbound->args.statement.shape);
     server->references++;
     server->statements++;
     server->statement_bytes += origin->bytes;
--- a/src/carobwindd/session_task.c
+++ b/src/carobwindd/session_task.c
@@ -221,9 +221,10 @@
     job->origin = session;
     job->reply_to = TASK_ENTRY;
     session->job = job;
-    CbwMemoryAccount_Set(&session->account, CBW_MEMORY_STATEMENTS,
-                         job->request.statement_size +
-                             session->session.values_size);
+    CbwMemoryAccount_Set(
+        &session->account, CBW_MEMORY_STATEMENTS,
+        job->request.statement_size + session->session.values_size +
+            (job->request.shape != NULL ? strlen(job->request.shape) : 0));
     self.jobs_in_flight++;
     CbwCounter_Add(&self.daemon->counters, CBW_COUNTER_REQUESTS, 1);
     Task_Post(TASK_ENTRY, TASK_ROUTER, MESSAGE_JOB, &job->message);
--- a/src/libcarobwind/session.c
+++ b/src/libcarobwind/session.c
@@ -126,7 +126,8 @@
                   (known != NULL ? prepared_size(known) : 0) + strlen(name) +
                   strlen(shape) + strlen("WRITE ");
 
-    if (size > Cbw_SESSION_PREPARED_SIZE_MAX) {
+    if (strlen(shape) > Cbw_SESSION_TEXT_MAX ||
+        size > Cbw_SESSION_PREPARED_SIZE_MAX) {
         return false;
     }
     if (known == NULL) {
@@ -231,6 +232,11 @@
                        "no prepared statement has this name");
             return;
         }
+        if (strlen(statement->rest) > Cbw_SESSION_TEXT_MAX) {
+            plan_error(session, plan, CBW_CAUSE_TOO_LARGE,
+                       "the arguments leave no room for the prepared name");
+            return;
+        }
         request->shape = strdup(prepared->shape);
         request->writes = prepared->writes;
         text = statement->rest;
--- a/src/share/peer.x
+++ b/src/share/peer.x
@@ -12,7 +12,8 @@
 /* Statement; also its result and a value to be written to the store. As large
  * as the largest message of the platform's wire protocol. */
 const PEER_STATEMENT_MAX = 1048576;
-const PEER_SHAPE_MAX = 4096;
+/* As a prepared statement is itself sent in a message of that protocol. */
+const PEER_SHAPE_MAX = 1048576;
 const PEER_VALUES_MAX = 262144;
 const PEER_CHANGES_MAX = 16;
 /* Members of the fleet; also the items of a store result. */
--- a/src/share/rpc.h
+++ b/src/share/rpc.h
@@ -14,9 +14,9 @@
 
 /* Largest record, in bytes; a larger one closes the connection. */
 #define CbwRpc_RECORD_MAX ((size_t)8 * 1024 * 1024)
-/* Largest record of a connection that a peer opened: a statement of 1 MiB with
- * its session's values. */
-#define CbwRpc_CALL_MAX ((size_t)2 * 1024 * 1024)
+/* Largest record of a connection that a peer opened: a statement with its
+ * prepared text, of up to 1 MiB each, and its session's values. */
+#define CbwRpc_CALL_MAX ((size_t)3 * 1024 * 1024)
 
 typedef struct cbw_rpc cbw_rpc_t;
 
--- a/src/test_libcarobwind/test_session.c
+++ b/src/test_libcarobwind/test_session.c
@@ -305,9 +305,77 @@
     }
 }
 
+/* What a session keeps, and what an EXECUTE carries, must fit into a message
+ * to an endpoint. A statement that does not is refused when it is sent: one
+ * that was accepted can be executed. */
+static void
+test_texts_that_fit_no_message(void)
+{
+    static const struct {
+        cbw_statement_kind_t kind;
+        size_t name_size;
+        size_t rest_size;
+        cbw_plan_action_t action;
+        cbw_cause_t cause;
+    } texts[] = {
+        {CBW_STATEMENT_PREPARE_READ, 1, Cbw_SESSION_TEXT_MAX, CBW_PLAN_DONE,
+         CBW_CAUSE_NONE},
+        {CBW_STATEMENT_PREPARE_READ, 1, Cbw_SESSION_TEXT_MAX + 1,
+         CBW_PLAN_ERROR, CBW_CAUSE_MALFORMED},
+        {CBW_STATEMENT_PREPARE_WRITE, 1, 1048576 - 24, CBW_PLAN_ERROR,
+         CBW_CAUSE_MALFORMED},
+        {CBW_STATEMENT_PREPARE_WRITE, 1000000, Cbw_SESSION_TEXT_MAX,
+         CBW_PLAN_DONE, CBW_CAUSE_NONE},
+        {CBW_STATEMENT_SET, 1, 262144 - 4, CBW_PLAN_DONE, CBW_CAUSE_NONE},
+        {CBW_STATEMENT_SET, 1, 262144 - 3, CBW_PLAN_ERROR,
+         CBW_CAUSE_MALFORMED},
+        {CBW_STATEMENT_EXECUTE, 1, Cbw_SESSION_TEXT_MAX, CBW_PLAN_FORWARD,
+         CBW_CAUSE_NONE},
+        {CBW_STATEMENT_EXECUTE, 1, Cbw_SESSION_TEXT_MAX + 1, CBW_PLAN_ERROR,
+         CBW_CAUSE_TOO_LARGE},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+        char *name = g_strnfill(texts[i].name_size, 'n');
+        char *rest = g_strnfill(texts[i].rest_size, 'x');
+        char *text = g_strdup_printf("EXECUTE %s %s", name, rest);
+        cbw_statement_t statement = {.kind = texts[i].kind,
+                                     .id = "id",
+                                     .text = text,
+                                     .name = name,
+                                     .rest = rest};
+        const step_t prepare = {CBW_STATEMENT_PREPARE_READ,
+                                name,
+                                "q",
+                                CBW_PLAN_DONE,
+                                CBW_CAUSE_NONE,
+                                CBW_SESSION_IDLE};
+        cbw_session_t session;
+        cbw_request_t request;
+        cbw_plan_t result;
+        CbwSession_Init(&session);
+        if (texts[i].kind == CBW_STATEMENT_EXECUTE) {
+            plan(&session, &prepare, &request, &result);
+            CbwRequest_Finish(&request);
+        }
+        CbwRequest_Init(&request);
+        CbwSession_Plan(&session, &statement, TRANSACTION, &request, &result);
+        g_test_message("case %zu", i);
+        g_assert_cmpint(result.action, ==, texts[i].action);
+        g_assert_cmpint(result.cause, ==, texts[i].cause);
+        CbwRequest_Finish(&request);
+        CbwSession_Finish(&session);
+        g_free(name);
+        g_free(rest);
+        g_free(text);
+    }
+}
+
 void
 Suite_AddSession(void)
 {
+    g_test_add_func("/session/texts-that-fit-no-message",
+                    test_texts_that_fit_no_message);
     g_test_add_func("/session/cases", test_cases);
     g_test_add_func("/session/first-statement-begins",
                     test_first_statement_begins);
