Pass results of several large rows on between hosts

Cause: the peer protocol carried results of 1 MiB, the size of one message, but a result has any number of rows. The reply to a larger one could not be encoded, so none was sent: the caller's host waited for it until the deadline, held the owner for lost and sent the read to the next host.

Change: a result may have 4 MiB. A larger one is refused where it arrives, also when the owner is local: FAILED for what only reads, INDOUBT for what may have committed. Should a reply still not be encodable, a reply without the result is sent.

--- a/include/carobwind/endpoint.h
+++ b/include/carobwind/endpoint.h
@@ -29,10 +29,11 @@
     CBW_REPLY_NO_TRANSACTION, /* the connection has no open transaction */
     CBW_REPLY_NO_CONNECTION,  /* no connection available: not sent */
     CBW_REPLY_FAILED,         /* the statement itself failed */
-    CBW_REPLY_LOST,    /* sent, and the connection lost before a reply */
-    CBW_REPLY_BUSY,    /* the endpoint is overloaded: not run */
-    CBW_REPLY_BEHIND,  /* its log lacks `min_position`: not run */
-    CBW_REPLY_TIMEOUT, /* it ran, and did not finish in time */
+    CBW_REPLY_LOST,      /* sent, and the connection lost before a reply */
+    CBW_REPLY_BUSY,      /* the endpoint is overloaded: not run */
+    CBW_REPLY_BEHIND,    /* its log lacks `min_position`: not run */
+    CBW_REPLY_TIMEOUT,   /* it ran, and did not finish in time */
+    CBW_REPLY_TOO_LARGE, /* it ran; its result exceeds Cbw_RESULT_MAX */
 } cbw_reply_status_t;
 
 /* Text of each cbw_reply_status_t, indexed by value. */
@@ -89,6 +90,9 @@
     cbw_time_t wait_timeout; /* or after this time; 0: reply at once */
 } cbw_call_t;
 
+/* Bytes of a result with all its rows: what the peer protocol carries. */
+#define Cbw_RESULT_MAX ((size_t)4 * 1024 * 1024)
+
 /* An endpoint's reply. */
 typedef struct {
     cbw_reply_status_t status;
--- a/src/carobwindd/peer_server.c
+++ b/src/carobwindd/peer_server.c
@@ -305,6 +305,25 @@
     return true;
 }
 
+static void
+reply_to_statement(server_connection_t *server, uint32_t xid,
+                   peer_statement_result *result)
+{
+    xdrproc_t encode = Peer_Codecs[PEER_STATEMENT].result;
+    size_t bytes = CbwRpc_Reply(&server->rpc, xid, encode, result);
+
+    if (bytes == 0) {
+        /* Without a reply the peer would hold this host for lost. */
+        result->outcome = CBW_OUTCOME_UNKNOWN;
+        result->cause = CBW_CAUSE_IN_DOUBT;
+        result->reason = (char *)"its answer is too large to pass on";
+        result->result.result_len = 0;
+        bytes = CbwRpc_Reply(&server->rpc, xid, encode, result);
+    }
+    PeerTraffic_CountSent(local_daemon, PeerPlace_Find(&server->place, *view),
+                          PEER_STATEMENT, bytes);
+}
+
 void
 PeerServer_FinishStatement(job_t *job)
 {
@@ -327,11 +346,7 @@
     result.admission.admission_val = job->admission;
     result.admission.admission_len = (u_int)job->admission_count;
     if (!server->closed) {
-        PeerTraffic_CountSent(
-            local_daemon, PeerPlace_Find(&server->place, *view),
-            PEER_STATEMENT,
-            CbwRpc_Reply(&server->rpc, origin->xid,
-                         Peer_Codecs[PEER_STATEMENT].result, &result));
+        reply_to_statement(server, origin->xid, &result);
     }
     server->statements--;
     server->statement_bytes -= origin->bytes;
--- a/src/libcarobwind/pool_reply.c
+++ b/src/libcarobwind/pool_reply.c
@@ -331,6 +331,13 @@
         CbwPool_Answer_(pool, request, CBW_OUTCOME_UNKNOWN, CBW_CAUSE_TIMEOUT,
                         "the endpoint gave it up");
         break;
+    case CBW_REPLY_TOO_LARGE:
+        /* Trying again would give the same result. */
+        CbwPool_Answer_(pool, request, CBW_OUTCOME_UNKNOWN,
+                        is_commit(request) ? CBW_CAUSE_IN_DOUBT
+                                           : CBW_CAUSE_FAILED,
+                        "it ran, and its result is too large to pass on");
+        break;
     default:
         CbwPool_OnAnswerLost_(pool, now, request,
                               now >= request->deadline ? CBW_CAUSE_TIMEOUT
--- a/src/share/peer.x
+++ b/src/share/peer.x
@@ -9,9 +9,11 @@
 const PEER_TOKEN_MAX = 96;
 const PEER_TRACE_MAX = 40;
 const PEER_REASON_MAX = 64;
-/* Statement; also its result and a value to be written to the store. As large
- * as the largest message of the platform's wire protocol. */
+/* Statement; also a value to be written to the store. As large as the largest
+ * message of the platform's wire protocol. */
 const PEER_STATEMENT_MAX = 1048576;
+/* Result of a statement: all its rows, see Cbw_RESULT_MAX. */
+const PEER_RESULT_MAX = 4194304;
 /* As a prepared statement is itself sent in a message of that protocol. */
 const PEER_SHAPE_MAX = 1048576;
 const PEER_VALUES_MAX = 262144;
@@ -86,7 +88,7 @@
 struct peer_statement_result {
     unsigned int outcome; /* cbw_outcome_t */
     unsigned int cause;   /* cbw_cause_t */
-    opaque result<PEER_STATEMENT_MAX>;
+    opaque result<PEER_RESULT_MAX>;
     string token<PEER_TOKEN_MAX>;
     string reason<PEER_REASON_MAX>;
     hyper retry_after; /* 0: not suggested */
--- a/src/share/peer_xdr.c
+++ b/src/share/peer_xdr.c
@@ -256,7 +256,7 @@
     if (!xdr_u_int(xdrs, &objp->cause))
         return FALSE;
     if (!xdr_bytes(xdrs, (char **)&objp->result.result_val,
-                   (u_int *)&objp->result.result_len, PEER_STATEMENT_MAX))
+                   (u_int *)&objp->result.result_len, PEER_RESULT_MAX))
         return FALSE;
     if (!xdr_string(xdrs, &objp->token, PEER_TOKEN_MAX))
         return FALSE;
--- a/src/test_libcarobwind/test_pool.c
+++ b/src/test_libcarobwind/test_pool.c
@@ -32,6 +32,10 @@
      CBW_CAUSE_FAILED},
     {"timed-out write", true, CBW_REPLY_TIMEOUT, true, CBW_OUTCOME_UNKNOWN,
      CBW_CAUSE_TIMEOUT},
+    {"read with too large a result", false, CBW_REPLY_TOO_LARGE, true,
+     CBW_OUTCOME_UNKNOWN, CBW_CAUSE_FAILED},
+    {"write with too large a result", true, CBW_REPLY_TOO_LARGE, true,
+     CBW_OUTCOME_UNKNOWN, CBW_CAUSE_IN_DOUBT},
 };
 
 static void
--- a/test/lib/platform_standin.tcl
+++ b/test/lib/platform_standin.tcl
@@ -14,6 +14,7 @@
 #   twice 0|1                 each HTTP response is sent twice
 #   lose N                    N answers of executed writes are lost
 #   work MS                   sets the service time of statements
+#   rows N                    a read returns its row N times
 #   primary, log E            returns the primary, or the log of an endpoint
 #   odd KEY TEXT              another writer stores TEXT, a list element with
 #                             escapes, under KEY
@@ -47,6 +48,7 @@
 set database "svc1"
 set lag_ms 30
 set service_ms 3
+set rows 1 ;# of the answer to a read
 set promote_ms 150
 set page_bytes 1000000 ;# of the values in one answer to a range read
 
@@ -702,7 +704,8 @@
     lappend ::callers $query_id [dict get $session caller]
     switch -- [lindex $words 0] {
         READ {
-            return "DATAROW [value_of $name [lindex $words 1]]\r\nCOMPLETE sig.$name.$query_id\r\n"
+            set row "DATAROW [value_of $name [lindex $words 1]]\r\n"
+            return "[string repeat $row $::rows]COMPLETE sig.$name.$query_id\r\n"
         }
         WRITE {
             if {!$is_primary} {
@@ -745,6 +748,7 @@
         deaf { set ::watches_deaf $argument; return ok }
         twice { set ::duplicate_answers $argument; return ok }
         work { set ::service_ms $argument; return ok }
+        rows { set ::rows $argument; return ok }
         primary { return [find_primary] }
         runs { return $::executed }
         callers { return $::callers }
--- a/test/scenarios/wire_limits.tcl
+++ b/test/scenarios/wire_limits.tcl
@@ -81,3 +81,25 @@
     }
     wire_limits::check_fleet
 }
+
+scenario limits-large-results \
+    "an answer with rows of more than a message in all is delivered by every host" {
+    wire::fleet
+    set channel [wire::connect host1 pay]
+    expect {[lindex [wire::query $channel "WRITE large [string repeat x 900000]"] 0] eq "done"}
+    close $channel
+    foreach rows {1 2 4} {
+        wire::control rows $rows
+        set answers [wire_limits::through_each {} "READ large"]
+        foreach answer $answers {
+            expect {[lrange $answer 1 2] eq [list done $rows]} $answers
+        }
+    }
+    # More than a host holds: a refusal that says so, not a lost answer.
+    wire::control rows 12
+    foreach answer [wire_limits::through_each {} "READ large"] {
+        expect {[lrange $answer 1 2] eq "FAILED 0"} $answer
+    }
+    wire::control rows 1
+    wire_limits::check_fleet
+}
