Send the longest reads to the primary, without a log position

Cause: a read at a replica is preceded by AFTER and a position, also one whose text fills the largest message: what the endpoint got exceeded 1 MiB. A session may send such a read, and it is served where no position is needed.

Change: a read that leaves no room for a position is treated like one whose position is not known: only the primary serves it. Not within transactions, where the position goes with the BEGIN.

Measured: /pool/long-read-carries-no-position failed before; it passes now.

--- a/include/carobwind/pool.h
+++ b/include/carobwind/pool.h
@@ -67,6 +67,9 @@
 #define Cbw_POOL_BUSY_BACKOFF (5 * Cbw_MSEC)
 /* Most attempts for one request. */
 #define Cbw_POOL_ATTEMPTS_MAX 6
+/* Bytes of a read that may name a log position: in the largest message to an
+ * endpoint, 1 MiB, the position, the id and the line end need the rest. */
+#define Cbw_POOL_POSITIONED_STATEMENT_MAX ((size_t)1048576 - 128)
 /* How long a switchover waits for running writes and transactions, and for a
  * replica to catch up. */
 #define Cbw_POOL_DRAIN_TIMEOUT (1500 * Cbw_MSEC)
--- a/src/libcarobwind/pool_dispatch.c
+++ b/src/libcarobwind/pool_dispatch.c
@@ -68,7 +68,8 @@
 }
 
 /* Finds the log position that a replica must hold to serve the request.
- * Returns false when it is not known: then only the primary can serve it. */
+ * Returns false when it is not known, or the statement leaves no room for it:
+ * then only the primary can serve it. */
 static bool
 required_position(const cbw_pool_t *pool, cbw_time_t now,
                   const cbw_request_t *request, cbw_position_t *position)
@@ -76,6 +77,10 @@
     cbw_time_t time = request->arrived_at;
     cbw_position_t session_position;
 
+    if (!request->begins &&
+        request->statement_size > Cbw_POOL_POSITIONED_STATEMENT_MAX) {
+        return false;
+    }
     if (request->rule != CBW_READ_LATEST) {
         time -= request->age;
     }
--- a/src/test_libcarobwind/test_pool.c
+++ b/src/test_libcarobwind/test_pool.c
@@ -128,6 +128,51 @@
     PoolWorld_FreeRequest(read);
 }
 
+/* A read of the largest size with a log position before it would exceed what
+ * an endpoint takes: it goes to the primary, without one. */
+static void
+test_long_read_carries_no_position(void)
+{
+    static const struct {
+        size_t size;
+        bool begins; /* then the position goes with the BEGIN */
+        bool at_primary;
+    } reads[] = {
+        {Cbw_POOL_POSITIONED_STATEMENT_MAX, false, false},
+        {Cbw_POOL_POSITIONED_STATEMENT_MAX + 1, false, true},
+        {Cbw_POOL_POSITIONED_STATEMENT_MAX + 1, true, false},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(reads); i++) {
+        pool_world_t world;
+        char *text = g_strnfill(reads[i].size, 'x');
+        cbw_request_t *write;
+        cbw_request_t *read;
+        sent_call_t *sent;
+        PoolWorld_Init(&world);
+        write = PoolWorld_NewRequest(&world, true, CBW_READ_LATEST);
+        PoolWorld_Submit(&world, write);
+        PoolWorld_Reply(&world, PoolWorld_LastOpenCall(&world, CBW_CALL_RUN),
+                        CBW_REPLY_OK, 7);
+        world.now += 100 * Cbw_MSEC;
+        read = PoolWorld_NewRequest(&world, false, CBW_READ_SESSION);
+        CbwRequest_SetStatement(read, text, reads[i].size);
+        read->transaction = reads[i].begins ? 5 : 0;
+        read->begins = reads[i].begins;
+        read->reads_only = reads[i].begins;
+        PoolWorld_Submit(&world, read);
+        sent = PoolWorld_LastOpenCall(&world, CBW_CALL_RUN);
+        g_test_message("read %zu", i);
+        g_assert_cmpint(sent->endpoint == 0, ==, reads[i].at_primary);
+        g_assert_cmpint(sent->call.min_term == 0, ==, reads[i].at_primary);
+        PoolWorld_Reply(&world, sent, CBW_REPLY_OK, 7);
+        PoolWorld_Finish(&world);
+        PoolWorld_FreeRequest(write);
+        PoolWorld_FreeRequest(read);
+        g_free(text);
+    }
+}
+
 /* Answers all state calls: `primary` reports itself as such (-1: none), in
  * term 4 if it was promoted, and `positions` are the endpoints' log positions.
  */
@@ -660,6 +705,8 @@
                     test_commit_requires_valid_tenure);
     g_test_add_func("/pool/replica-read-carries-position",
                     test_replica_read_carries_position);
+    g_test_add_func("/pool/long-read-carries-no-position",
+                    test_long_read_carries_no_position);
     g_test_add_func("/pool/promotes-most-advanced-replica",
                     test_promotes_most_advanced_replica);
     g_test_add_func("/pool/promoting-until-published",
