--- a/src/test_libcarobwind/test_platform.c
+++ b/src/test_libcarobwind/test_platform.c
@@ -1,6 +1,7 @@
 #include <glib.h>
 #include <stdio.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "carobwind/plugin.h"
 #include "carobwind/random.h"
@@ -325,6 +326,73 @@
     g_string_free(statement, TRUE);
 }
 
+/* Formats an EXECUTE. */
+static void
+format_execute(backend_session_t *session, const char *shape,
+               const char *values, bool in_transaction, bool begins,
+               GString *setup, GString *statement)
+{
+    const cbw_call_t call = {.verb = CBW_CALL_RUN,
+                             .trace = "t",
+                             .shape = shape,
+                             .values = values,
+                             .statement = "k",
+                             .statement_size = 1,
+                             .begins = begins};
+
+    Backend_FormatCall(session, &call, in_transaction, setup, statement);
+}
+
+/* Executes a prepared statement and returns the name under which it runs.
+ * `prepares` tells whether it was prepared for that. */
+static char *
+execute(backend_session_t *session, const char *shape, bool *prepares)
+{
+    GString *setup = g_string_new(NULL);
+    GString *statement = g_string_new(NULL);
+    char **words;
+    char *name;
+
+    format_execute(session, shape, "", false, false, setup, statement);
+    words = g_strsplit(statement->str, " ", 0);
+    name = g_strdup(words[3]);
+    *prepares = strstr(setup->str, "PREPARE") != NULL;
+    g_strfreev(words);
+    g_string_free(setup, TRUE);
+    g_string_free(statement, TRUE);
+    return name;
+}
+
+/* A statement prepared as one text must not be executed as another one, also
+ * when a caller chose both texts so that XXH64 does not tell them apart. */
+static void
+test_names_tell_texts_apart(void)
+{
+    static const char *const shapes[] = {"READ abcdefghijk",
+                                         "READ bTMyQ4meh_d"};
+    backend_session_t session;
+    bool prepares;
+    char *names[2];
+    char *again;
+
+    g_assert_cmpuint(XXH64(shapes[0], strlen(shapes[0]), 0), ==,
+                     XXH64(shapes[1], strlen(shapes[1]), 0));
+    Backend_InitSession(&session);
+    for (int i = 0; i < 2; i++) {
+        names[i] = execute(&session, shapes[i], &prepares);
+        g_assert_true(prepares);
+    }
+    g_assert_cmpstr(names[0], !=, names[1]);
+    for (int i = 0; i < 2; i++) {
+        again = execute(&session, shapes[i], &prepares);
+        g_assert_false(prepares);
+        g_assert_cmpstr(again, ==, names[i]);
+        g_free(again);
+        g_free(names[i]);
+    }
+    Backend_FinishSession(&session);
+}
+
 typedef struct {
     const char *row;
     bool primary;
@@ -362,6 +430,8 @@
 Suite_AddPlatform(void)
 {
     g_test_add_func("/platform/backend-calls", test_backend_calls);
+    g_test_add_func("/platform/names-tell-texts-apart",
+                    test_names_tell_texts_apart);
     g_test_add_func("/platform/backend-status", test_backend_status);
     g_test_add_func("/platform/messages", test_messages);
     g_test_add_func("/platform/message-size", test_message_size);
