--- a/src/test_libcarobwind/test_platform.c
+++ b/src/test_libcarobwind/test_platform.c
@@ -343,6 +343,43 @@
     Backend_FormatCall(session, &call, in_transaction, setup, statement);
 }
 
+/* Executes a prepared statement at an endpoint that has `prepared`, a map of
+ * names to shapes. Returns whether a DISCARD preceded it. */
+static bool
+execute_at(backend_session_t *session, GHashTable *prepared, const char *shape,
+           const char *values, bool in_transaction, bool begins)
+{
+    GString *setup = g_string_new(NULL);
+    GString *statement = g_string_new(NULL);
+    bool discarded = false;
+    char **lines;
+    char **words;
+
+    format_execute(session, shape, values, in_transaction, begins, setup,
+                   statement);
+    lines = g_strsplit(setup->str, "\r\n", 0);
+    for (int i = 0; lines[i] != NULL; i++) {
+        words = g_strsplit(lines[i], " ", 5);
+        if (g_str_has_prefix(lines[i], "QUERY - DISCARD")) {
+            g_hash_table_remove_all(prepared);
+            discarded = true;
+        }
+        else if (g_str_has_prefix(lines[i], "QUERY - PREPARE ")) {
+            g_hash_table_replace(prepared, g_strdup(words[3]),
+                                 g_strdup(words[4]));
+        }
+        g_strfreev(words);
+    }
+    words = g_strsplit(statement->str, " ", 0);
+    g_assert_cmpstr(words[2], ==, "EXECUTE");
+    g_assert_cmpstr(g_hash_table_lookup(prepared, words[3]), ==, shape);
+    g_strfreev(words);
+    g_strfreev(lines);
+    g_string_free(setup, TRUE);
+    g_string_free(statement, TRUE);
+    return discarded;
+}
+
 /* Executes a prepared statement and returns the name under which it runs.
  * `prepares` tells whether it was prepared for that. */
 static char *
@@ -393,6 +430,53 @@
     Backend_FinishSession(&session);
 }
 
+/* After a DISCARD, which clears names at the endpoint, or in a transaction
+ * with more statements than the list holds, no statement is executed under a
+ * name that the endpoint does not have, or has for another text. */
+static void
+test_names_after_full_list(void)
+{
+    static const struct {
+        const char *name;
+        bool in_transaction;
+        bool begins;
+        const char *values; /* of every second statement */
+        bool discards;      /* in 3 rounds of all statements */
+    } cases[] = {
+        {"single statements", false, false, "", true},
+        {"transactions of one statement", false, true, "", true},
+        {"one long transaction", true, false, "", false},
+        {"other sessions between", false, false, "a 1\n", true},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        /* What the endpoint has: name to shape. */
+        GHashTable *prepared =
+            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+        backend_session_t session;
+        bool discarded = false;
+        size_t most = 0;
+        g_test_message("%s", cases[i].name);
+        Backend_InitSession(&session);
+        for (int j = 0; j < 3 * (Backend_PREPARED_MAX + 8); j++) {
+            char *shape =
+                g_strdup_printf("READ %d", j % (Backend_PREPARED_MAX + 8));
+            discarded |= execute_at(&session, prepared, shape,
+                                    j % 2 == 0 ? "" : cases[i].values,
+                                    cases[i].in_transaction, cases[i].begins);
+            most = MAX(most, g_hash_table_size(prepared));
+            g_free(shape);
+        }
+        g_assert_cmpint(discarded, ==, cases[i].discards);
+        if (cases[i].discards) {
+            /* The endpoint's list does not grow without bound. */
+            g_assert_cmpuint(most, <=, Backend_PREPARED_MAX);
+        }
+        Backend_FinishSession(&session);
+        g_hash_table_destroy(prepared);
+    }
+}
+
 typedef struct {
     const char *row;
     bool primary;
@@ -432,6 +516,8 @@
     g_test_add_func("/platform/backend-calls", test_backend_calls);
     g_test_add_func("/platform/names-tell-texts-apart",
                     test_names_tell_texts_apart);
+    g_test_add_func("/platform/names-after-full-list",
+                    test_names_after_full_list);
     g_test_add_func("/platform/backend-status", test_backend_status);
     g_test_add_func("/platform/messages", test_messages);
     g_test_add_func("/platform/message-size", test_message_size);
