Close a connection whose endpoint does not know a prepared statement

Cause: NOSTMT was taken for BUSY, and the connection's list kept the name. The retry went to the connection used last, the same one, and got NOSTMT again, as did each later execution of that statement on it.

Change: the connection is closed; the retry runs on another one.

--- a/src/test_libcarobwind/test_connection_driver.c
+++ b/src/test_libcarobwind/test_connection_driver.c
@@ -24,10 +24,14 @@
 
 typedef struct {
     int listener;
+    cbw_endpoint_t endpoint;
     int fds[CONNECTIONS_MAX];
     char workspaces[CONNECTIONS_MAX][Cbw_NAME_MAX]; /* named at STARTUP */
     int count;
     bool refuses; /* new connections */
+    /* Sent instead of the replies to a message that is not a STARTUP; NULL:
+     * success. */
+    const char *reply;
     /* Statements that arrived on a connection of another workspace. */
     int misplaced;
 } server_t;
@@ -62,6 +66,9 @@
                                 : "READY I -\r\n";
         g_strlcpy(server->workspaces[index], name, Cbw_NAME_MAX);
     }
+    else if (server->reply != NULL) {
+        reply = server->reply;
+    }
     else if (strstr(text, server->workspaces[index]) == NULL) {
         server->misplaced++;
     }
@@ -152,25 +159,45 @@
      .connections = 1},
 };
 
-static void
-check_driver(const driver_case_t *item)
+/* Opens the driver's connections to a new server. */
+static endpoint_link_t *
+open_link(server_t *server, const endpoint_driver_t *driver, daemon_t *daemon)
 {
     static const endpoint_events_t events = {.on_reply = on_reply};
-    const endpoint_driver_t *driver =
-        CbwPlugin_Find(CBW_PLUGIN_ENDPOINT_DRIVER, "wire");
-    daemon_t *daemon = g_new0(daemon_t, 1);
-    cbw_endpoint_t endpoint = {.name = "ep1", .connections = ALLOWANCE};
-    server_t server = {.listener = CbwNet_Listen("127.0.0.1:0", NULL)};
+    cbw_endpoint_t *endpoint = &server->endpoint;
     struct sockaddr_in local = {.sin_port = 0};
     socklen_t length = sizeof(local);
-    endpoint_link_t *endpoint_link;
 
     daemon->loop = loop;
-    getsockname(server.listener, (struct sockaddr *)&local, &length);
-    snprintf(endpoint.address, sizeof(endpoint.address), "127.0.0.1:%d",
+    server->listener = CbwNet_Listen("127.0.0.1:0", NULL);
+    getsockname(server->listener, (struct sockaddr *)&local, &length);
+    *endpoint = (cbw_endpoint_t){.name = "ep1", .connections = ALLOWANCE};
+    snprintf(endpoint->address, sizeof(endpoint->address), "127.0.0.1:%d",
              ntohs(local.sin_port));
-    endpoint_link =
-        driver->open(daemon, "db", &endpoint, 2 * LIMIT, &events, NULL);
+    return driver->open(daemon, "db", endpoint, 2 * LIMIT, &events, NULL);
+}
+
+static void
+close_link(server_t *server, const endpoint_driver_t *driver,
+           endpoint_link_t *endpoint_link)
+{
+    driver->close(endpoint_link);
+    ev_run(loop, EVRUN_NOWAIT);
+    for (int i = 0; i < server->count; i++) {
+        close(server->fds[i]);
+    }
+    close(server->listener);
+}
+
+static void
+check_driver(const driver_case_t *item)
+{
+    const endpoint_driver_t *driver =
+        CbwPlugin_Find(CBW_PLUGIN_ENDPOINT_DRIVER, "wire");
+    daemon_t *daemon = g_new0(daemon_t, 1);
+    server_t server = {.count = 0};
+    endpoint_link_t *endpoint_link = open_link(&server, driver, daemon);
+
     for (int i = 0; i < STATEMENTS_MAX && item->workspaces[i] != NULL; i++) {
         server.refuses = item->refused_from != 0 && i >= item->refused_from;
         run_statement(&server, driver, endpoint_link, item->workspaces[i]);
@@ -191,12 +218,7 @@
     g_assert_cmpuint(
         daemon->counters.values[CBW_COUNTER_CONNECTIONS_CLOSED_FOR_WORKSPACE],
         ==, item->closed_for);
-    driver->close(endpoint_link);
-    ev_run(loop, EVRUN_NOWAIT);
-    for (int i = 0; i < server.count; i++) {
-        close(server.fds[i]);
-    }
-    close(server.listener);
+    close_link(&server, driver, endpoint_link);
     g_free(daemon);
 }
 
@@ -211,8 +233,68 @@
     }
 }
 
+#define OK "COMPLETE -\r\nREADY I 1.1\r\n"
+#define FAIL(code) "ERROR " code " ep1\r\nREADY I 1.1\r\n"
+
+/* A prepared statement is executed twice, then once more. */
+typedef struct {
+    const char *name;
+    const char *second; /* replies to the second one */
+    cbw_reply_status_t status;
+    int opened; /* connections, after the third one */
+} session_case_t;
+
+static const session_case_t session_cases[] = {
+    {"done", OK, CBW_REPLY_OK, 1},
+    {"busy", FAIL("BUSY"), CBW_REPLY_BUSY, 1},
+    /* Later statements would find the same gap in what the endpoint has. */
+    {"name unknown", FAIL("NOSTMT"), CBW_REPLY_BUSY, 2},
+};
+
+/* A connection whose endpoint lacks a prepared statement that the driver holds
+ * for prepared must not be used again. */
+static void
+test_unknown_statement(void)
+{
+    const endpoint_driver_t *driver =
+        CbwPlugin_Find(CBW_PLUGIN_ENDPOINT_DRIVER, "wire");
+    const cbw_call_t call = {.id = 1,
+                             .verb = CBW_CALL_RUN,
+                             .key = "",
+                             .statement = "k",
+                             .statement_size = 1,
+                             .trace = "t",
+                             .workspace = "",
+                             .values = "",
+                             .shape = "READ q"};
+
+    loop = ev_loop_new(0);
+    for (size_t i = 0; i < G_N_ELEMENTS(session_cases); i++) {
+        const session_case_t *item = &session_cases[i];
+        /* The first statement is preceded by its PREPARE. */
+        const char *const answers[] = {OK OK, item->second};
+        daemon_t *daemon = g_new0(daemon_t, 1);
+        server_t server = {.count = 0};
+        endpoint_link_t *endpoint_link = open_link(&server, driver, daemon);
+        g_test_message("%s", item->name);
+        for (int j = 0; j < 3; j++) {
+            server.reply = j < 2 ? answers[j] : item->opened == 1 ? OK : OK OK;
+            replies = 0;
+            g_assert_true(driver->call(endpoint_link, &call));
+            serve(&server);
+            g_assert_cmpint(last_status, ==,
+                            j == 1 ? item->status : CBW_REPLY_OK);
+        }
+        g_assert_cmpint(server.count, ==, item->opened);
+        close_link(&server, driver, endpoint_link);
+        g_free(daemon);
+    }
+}
+
 void
 Suite_AddConnectionDriver(void)
 {
+    g_test_add_func("/connection-driver/unknown-statement",
+                    test_unknown_statement);
     g_test_add_func("/connection-driver/workspaces", test_driver);
 }
