Keep the positions of databases whose names have colons

Cause: a token is "database:term:position", and the name was taken to end at the first colon. The platform's names may have colons: the token of such a service could not be read, READY had "-" for a position, and reads of a session did not wait for its own writes.

Change: a token has blanks in place of the name's colons; names have no blanks.

Measured: /token/name-with-colons failed before; it passes now. The whole kernel suite: 346 passed, none failed.

--- a/include/carobwind/token.h
+++ b/include/carobwind/token.h
@@ -16,7 +16,8 @@
     uint64_t position; /* log position, in `term`, that a read must include */
 } cbw_token_t;
 
-/* Parses "database:term:position". Returns 0, or -1 if it is malformed. */
+/* Parses "database:term:position", with blanks in place of the colons of the
+ * name. Returns 0, or -1 if it is malformed. */
 int CbwToken_Parse(cbw_token_t *token, const char *text);
 /* Writes the token as text to `text`, which has Cbw_TOKEN_MAX bytes. */
 void CbwToken_Format(const cbw_token_t *token, char *text);
--- a/src/libcarobwind/token.c
+++ b/src/libcarobwind/token.c
@@ -23,6 +23,18 @@
     return 0;
 }
 
+/* Replaces a character of a name. A token has blanks in place of a name's
+ * colons; names have no blanks. */
+static void
+replace_character(char *name, char from, char to)
+{
+    for (; *name != '\0'; name++) {
+        if (*name == from) {
+            *name = to;
+        }
+    }
+}
+
 int
 CbwToken_Parse(cbw_token_t *token, const char *text)
 {
@@ -39,6 +51,7 @@
         return -1;
     }
     memcpy(token->database, text, length);
+    replace_character(token->database, ' ', ':');
     if (parse_number(colon + 1, ':', &token->term, &rest) != 0) {
         return -1;
     }
@@ -48,6 +61,10 @@
 void
 CbwToken_Format(const cbw_token_t *token, char *text)
 {
-    snprintf(text, Cbw_TOKEN_MAX, "%s:%" PRIu64 ":%" PRIu64, token->database,
+    char database[Cbw_NAME_MAX];
+
+    memcpy(database, token->database, sizeof(database));
+    replace_character(database, ':', ' ');
+    snprintf(text, Cbw_TOKEN_MAX, "%s:%" PRIu64 ":%" PRIu64, database,
              token->term, token->position);
 }
--- a/src/test_libcarobwind/test_basics.c
+++ b/src/test_libcarobwind/test_basics.c
@@ -47,6 +47,29 @@
     }
 }
 
+/* The platform's names of databases may have colons, which also separate the
+ * parts of a token: without its position a session would not read its writes.
+ */
+static void
+test_token_of_name_with_colons(void)
+{
+    static const char *const names[] = {"pay", "pay:eu", ":", "a::1:2",
+                                        "a-name-of-some-length-:1234567890"};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+        cbw_token_t token = {.term = UINT64_MAX, .position = 17};
+        cbw_token_t parsed;
+        char text[Cbw_TOKEN_MAX];
+        g_strlcpy(token.database, names[i], sizeof(token.database));
+        CbwToken_Format(&token, text);
+        g_test_message("%s", text);
+        g_assert_cmpint(CbwToken_Parse(&parsed, text), ==, 0);
+        g_assert_cmpstr(parsed.database, ==, token.database);
+        g_assert_cmpuint(parsed.term, ==, token.term);
+        g_assert_cmpuint(parsed.position, ==, token.position);
+    }
+}
+
 /* State of an endpoint whose log of 30 entries is of term 1 from position 1,
  * of term 2 from 10 and of term 4 from 20. */
 static const cbw_endpoint_state_t state_of_three_terms = {
@@ -251,6 +274,7 @@
 Suite_AddBasics(void)
 {
     g_test_add_func("/token/text", test_token_text);
+    g_test_add_func("/token/name-with-colons", test_token_of_name_with_colons);
     g_test_add_func("/token/check", test_token_against_state);
     g_test_add_func("/confirm/levels", test_confirm_levels);
     g_test_add_func("/retry/budget", test_retry_budget);
