Test that a connection whose PREPARE failed is not used again

Reading suggested that a failed setup leaves the driver's list of prepared statements wrong. It does not: the connection is closed. The test shows it and passed without a change.

--- a/src/test_libcarobwind/test_connection_driver.c
+++ b/src/test_libcarobwind/test_connection_driver.c
@@ -236,19 +236,30 @@
 #define OK "COMPLETE -\r\nREADY I 1.1\r\n"
 #define FAIL(code) "ERROR " code " ep1\r\nREADY I 1.1\r\n"
 
-/* A prepared statement is executed twice, then once more. */
+/* A prepared statement is executed until it is done twice, without a setup the
+ * second time. */
 typedef struct {
     const char *name;
-    const char *second; /* replies to the second one */
-    cbw_reply_status_t status;
-    int opened; /* connections, after the third one */
+    const char *replies[4]; /* to each try, to its setup first */
+    cbw_reply_status_t status[4];
+    int opened; /* connections, in the end */
 } session_case_t;
 
 static const session_case_t session_cases[] = {
-    {"done", OK, CBW_REPLY_OK, 1},
-    {"busy", FAIL("BUSY"), CBW_REPLY_BUSY, 1},
+    {"done", {OK OK, OK}, {CBW_REPLY_OK, CBW_REPLY_OK}, 1},
+    {"busy",
+     {OK OK, FAIL("BUSY"), OK},
+     {CBW_REPLY_OK, CBW_REPLY_BUSY, CBW_REPLY_OK},
+     1},
     /* Later statements would find the same gap in what the endpoint has. */
-    {"name unknown", FAIL("NOSTMT"), CBW_REPLY_BUSY, 2},
+    {"name unknown",
+     {OK OK, FAIL("NOSTMT"), OK OK, OK},
+     {CBW_REPLY_OK, CBW_REPLY_BUSY, CBW_REPLY_OK, CBW_REPLY_OK},
+     2},
+    {"PREPARE refused",
+     {FAIL("BUSY") FAIL("NOSTMT"), OK OK, OK},
+     {CBW_REPLY_LOST, CBW_REPLY_OK, CBW_REPLY_OK},
+     2},
 };
 
 /* A connection whose endpoint lacks a prepared statement that the driver holds
@@ -271,19 +282,16 @@
     loop = ev_loop_new(0);
     for (size_t i = 0; i < G_N_ELEMENTS(session_cases); i++) {
         const session_case_t *item = &session_cases[i];
-        /* The first statement is preceded by its PREPARE. */
-        const char *const answers[] = {OK OK, item->second};
         daemon_t *daemon = g_new0(daemon_t, 1);
         server_t server = {.count = 0};
         endpoint_link_t *endpoint_link = open_link(&server, driver, daemon);
         g_test_message("%s", item->name);
-        for (int j = 0; j < 3; j++) {
-            server.reply = j < 2 ? answers[j] : item->opened == 1 ? OK : OK OK;
+        for (int j = 0; j < 4 && item->replies[j] != NULL; j++) {
+            server.reply = item->replies[j];
             replies = 0;
             g_assert_true(driver->call(endpoint_link, &call));
             serve(&server);
-            g_assert_cmpint(last_status, ==,
-                            j == 1 ? item->status : CBW_REPLY_OK);
+            g_assert_cmpint(last_status, ==, item->status[j]);
         }
         g_assert_cmpint(server.count, ==, item->opened);
         close_link(&server, driver, endpoint_link);
