Refuse no prepared statement that fits a message to an endpoint

Cause: the limits that sessions got for shapes and arguments left more room than the words around them need: shapes of 1,048,449 to 1,048,535 bytes were refused though they fit.

Change: a limit of its own for each of the two. The driver's longest messages are checked against the protocol's limit.

--- a/include/carobwind/session.h
+++ b/include/carobwind/session.h
@@ -15,13 +15,11 @@
  * the peer protocol of this size; prepared statements one by one. */
 #define Cbw_SESSION_VALUES_SIZE_MAX ((size_t)262144)
 #define Cbw_SESSION_PREPARED_SIZE_MAX ((size_t)4 * 1024 * 1024)
-/* Endpoints take messages of up to 1 MiB. This much of it is for what stands
- * around a shape or an EXECUTE: the id, the endpoint's name for the prepared
- * statement, and a log position. */
-#define Cbw_SESSION_MESSAGE_RESERVE ((size_t)128)
 /* Bytes of the shape of one prepared statement, and of the arguments of one
- * EXECUTE. */
-#define Cbw_SESSION_TEXT_MAX ((size_t)1048576 - Cbw_SESSION_MESSAGE_RESERVE)
+ * EXECUTE with its id: the rest of the largest message to an endpoint, 1 MiB,
+ * is for the words around them and the endpoint's name for the statement. */
+#define Cbw_SESSION_SHAPE_MAX ((size_t)1048576 - 40)
+#define Cbw_SESSION_ARGUMENTS_MAX ((size_t)1048576 - 32)
 
 typedef enum {
     CBW_SESSION_IDLE,
--- a/src/libcarobwind/session.c
+++ b/src/libcarobwind/session.c
@@ -126,7 +126,7 @@
                   (known != NULL ? prepared_size(known) : 0) + strlen(name) +
                   strlen(shape) + strlen("WRITE ");
 
-    if (strlen(shape) > Cbw_SESSION_TEXT_MAX ||
+    if (strlen(shape) > Cbw_SESSION_SHAPE_MAX ||
         size > Cbw_SESSION_PREPARED_SIZE_MAX) {
         return false;
     }
@@ -232,7 +232,8 @@
                        "no prepared statement has this name");
             return;
         }
-        if (strlen(statement->rest) > Cbw_SESSION_TEXT_MAX) {
+        if (strlen(statement->id) + strlen(statement->rest) >
+            Cbw_SESSION_ARGUMENTS_MAX) {
             plan_error(session, plan, CBW_CAUSE_TOO_LARGE,
                        "the arguments leave no room for the prepared name");
             return;
--- a/src/test_libcarobwind/test_platform.c
+++ b/src/test_libcarobwind/test_platform.c
@@ -4,7 +4,9 @@
 #include <xxhash.h>
 
 #include "carobwind/plugin.h"
+#include "carobwind/pool.h"
 #include "carobwind/random.h"
+#include "carobwind/session.h"
 #include "carobwindd/drivers.h"
 #include "platform/backend_text.h"
 #include "platform/wire.h"
@@ -477,6 +479,52 @@
     }
 }
 
+/* The messages for the longest texts that sessions accept, on a connection
+ * whose names are long, must not exceed what an endpoint takes. */
+static void
+test_longest_messages(void)
+{
+    char *shape = g_strnfill(strlen("WRITE ") + Cbw_SESSION_SHAPE_MAX, 'q');
+    char *arguments =
+        g_strnfill(Cbw_SESSION_ARGUMENTS_MAX - (Cbw_TRACE_MAX - 1), 'k');
+    char *read = g_strnfill(Cbw_POOL_POSITIONED_STATEMENT_MAX, 'k');
+    char *id = g_strnfill(Cbw_TRACE_MAX - 1, 'i');
+    const cbw_call_t calls[] = {
+        {.verb = CBW_CALL_RUN,
+         .trace = id,
+         .shape = shape,
+         .statement = arguments,
+         .statement_size = strlen(arguments)},
+        {.verb = CBW_CALL_RUN,
+         .trace = id,
+         .shape = shape,
+         .statement = read,
+         .statement_size = strlen(read),
+         .min_term = UINT64_MAX,
+         .min_position = UINT64_MAX},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(calls); i++) {
+        backend_session_t session;
+        GString *setup = g_string_new(NULL);
+        GString *statement = g_string_new(NULL);
+        Backend_InitSession(&session);
+        session.last_number = UINT32_MAX - 1;
+        g_assert_cmpint(
+            Backend_FormatCall(&session, &calls[i], false, setup, statement),
+            ==, 1);
+        g_assert_cmpuint(setup->len, <=, Wire_MESSAGE_MAX);
+        g_assert_cmpuint(statement->len, <=, Wire_MESSAGE_MAX);
+        Backend_FinishSession(&session);
+        g_string_free(setup, TRUE);
+        g_string_free(statement, TRUE);
+    }
+    g_free(shape);
+    g_free(arguments);
+    g_free(read);
+    g_free(id);
+}
+
 typedef struct {
     const char *row;
     bool primary;
@@ -514,6 +562,7 @@
 Suite_AddPlatform(void)
 {
     g_test_add_func("/platform/backend-calls", test_backend_calls);
+    g_test_add_func("/platform/longest-messages", test_longest_messages);
     g_test_add_func("/platform/names-tell-texts-apart",
                     test_names_tell_texts_apart);
     g_test_add_func("/platform/names-after-full-list",
--- a/test/scenarios/wire_limits.tcl
+++ b/test/scenarios/wire_limits.tcl
@@ -43,7 +43,7 @@
 scenario limits-prepared-shape \
     "a prepared statement whose shape is long is executed wherever its owner is" {
     wire::fleet
-    foreach size {4000 5000 100000 1048000} {
+    foreach size {4000 5000 100000 1048536} {
         set answers [wire_limits::through_each \
             [list "PREPARE s1 WRITE [wire_limits::shape $size]"] "EXECUTE s1 k1 v1"]
         foreach answer $answers {
@@ -58,8 +58,8 @@
     wire::fleet
     set answers [wire_limits::through_each \
         [list "SET a [string repeat v 262000]" \
-            "PREPARE s1 WRITE [wire_limits::shape 1048000]"] \
-        "EXECUTE s1 k1 [string repeat w 1048000]"]
+            "PREPARE s1 WRITE [wire_limits::shape 1048536]"] \
+        "EXECUTE s1 k1 [string repeat w 1048530]"]
     foreach answer $answers {
         expect {[lindex $answer 1] eq "done"} $answers
     }
