--- a/src/test_libcarobwind/test_connection_driver.c
+++ b/src/test_libcarobwind/test_connection_driver.c
@@ -24,10 +24,14 @@
 
 typedef struct {
     int listener;
+    cbw_endpoint_t endpoint;
     int fds[CONNECTIONS_MAX];
     char workspaces[CONNECTIONS_MAX][Cbw_NAME_MAX]; /* named at STARTUP */
     int count;
     bool refuses; /* new connections */
+    /* Sent instead of the replies to a message that is not a STARTUP; NULL:
+     * success. */
+    const char *reply;
     /* Statements that arrived on a connection of another workspace. */
     int misplaced;
     /* The answer to statements; NULL: one without rows. Its first bytes arrive
@@ -97,6 +101,9 @@
                                 : "READY I -\r\n";
         g_strlcpy(server->workspaces[index], name, Cbw_NAME_MAX);
     }
+    else if (server->reply != NULL) {
+        reply = server->reply;
+    }
     else if (strstr(text, server->workspaces[index]) == NULL) {
         server->misplaced++;
     }
@@ -190,25 +197,45 @@
      .connections = 1},
 };
 
-static void
-check_driver(const driver_case_t *item)
+/* Opens the driver's connections to a new server. */
+static endpoint_link_t *
+open_link(server_t *server, const endpoint_driver_t *driver, daemon_t *daemon)
 {
     static const endpoint_events_t events = {.on_reply = on_reply};
-    const endpoint_driver_t *driver =
-        CbwPlugin_Find(CBW_PLUGIN_ENDPOINT_DRIVER, "wire");
-    daemon_t *daemon = g_new0(daemon_t, 1);
-    cbw_endpoint_t endpoint = {.name = "ep1", .connections = ALLOWANCE};
-    server_t server = {.listener = CbwNet_Listen("127.0.0.1:0", NULL)};
+    cbw_endpoint_t *endpoint = &server->endpoint;
     struct sockaddr_in local = {.sin_port = 0};
     socklen_t length = sizeof(local);
-    endpoint_link_t *endpoint_link;
 
     daemon->loop = loop;
-    getsockname(server.listener, (struct sockaddr *)&local, &length);
-    snprintf(endpoint.address, sizeof(endpoint.address), "127.0.0.1:%d",
+    server->listener = CbwNet_Listen("127.0.0.1:0", NULL);
+    getsockname(server->listener, (struct sockaddr *)&local, &length);
+    *endpoint = (cbw_endpoint_t){.name = "ep1", .connections = ALLOWANCE};
+    snprintf(endpoint->address, sizeof(endpoint->address), "127.0.0.1:%d",
              ntohs(local.sin_port));
-    endpoint_link =
-        driver->open(daemon, "db", &endpoint, 2 * LIMIT, &events, NULL);
+    return driver->open(daemon, "db", endpoint, 2 * LIMIT, &events, NULL);
+}
+
+static void
+close_link(server_t *server, const endpoint_driver_t *driver,
+           endpoint_link_t *endpoint_link)
+{
+    driver->close(endpoint_link);
+    ev_run(loop, EVRUN_NOWAIT);
+    for (int i = 0; i < server->count; i++) {
+        close(server->fds[i]);
+    }
+    close(server->listener);
+}
+
+static void
+check_driver(const driver_case_t *item)
+{
+    const endpoint_driver_t *driver =
+        CbwPlugin_Find(CBW_PLUGIN_ENDPOINT_DRIVER, "wire");
+    daemon_t *daemon = g_new0(daemon_t, 1);
+    server_t server = {.count = 0};
+    endpoint_link_t *endpoint_link = open_link(&server, driver, daemon);
+
     for (int i = 0; i < STATEMENTS_MAX && item->workspaces[i] != NULL; i++) {
         server.refuses = item->refused_from != 0 && i >= item->refused_from;
         run_statement(&server, driver, endpoint_link, item->workspaces[i]);
@@ -229,12 +256,7 @@
     g_assert_cmpuint(
         daemon->counters.values[CBW_COUNTER_CONNECTIONS_CLOSED_FOR_WORKSPACE],
         ==, item->closed_for);
-    driver->close(endpoint_link);
-    ev_run(loop, EVRUN_NOWAIT);
-    for (int i = 0; i < server.count; i++) {
-        close(server.fds[i]);
-    }
-    close(server.listener);
+    close_link(&server, driver, endpoint_link);
     g_free(daemon);
 }
 
@@ -278,27 +300,18 @@
 static void
 check_answer(const answer_case_t *item, size_t first_size)
 {
-    static const endpoint_events_t events = {.on_reply = on_reply};
     const endpoint_driver_t *driver =
         CbwPlugin_Find(CBW_PLUGIN_ENDPOINT_DRIVER, "wire");
     daemon_t *daemon = g_new0(daemon_t, 1);
-    cbw_endpoint_t endpoint = {.name = "ep1", .connections = ALLOWANCE};
     GString *answer = g_string_new_len(item->rows, (gssize)item->size);
-    server_t server = {.listener = CbwNet_Listen("127.0.0.1:0", NULL)};
-    struct sockaddr_in local = {.sin_port = 0};
-    socklen_t length = sizeof(local);
+    server_t server = {.count = 0};
     endpoint_link_t *endpoint_link;
 
     g_string_append(answer, ANSWER_END);
     server.answer = answer->str;
     server.answer_size = answer->len;
     server.first_size = MIN(first_size, answer->len);
-    daemon->loop = loop;
-    getsockname(server.listener, (struct sockaddr *)&local, &length);
-    snprintf(endpoint.address, sizeof(endpoint.address), "127.0.0.1:%d",
-             ntohs(local.sin_port));
-    endpoint_link =
-        driver->open(daemon, "db", &endpoint, 2 * LIMIT, &events, NULL);
+    endpoint_link = open_link(&server, driver, daemon);
     for (int i = 0; i < 2; i++) {
         run_statement(&server, driver, endpoint_link, "");
         g_assert_cmpint(last_status, ==,
@@ -311,12 +324,7 @@
         }
     }
     g_assert_cmpint(server.count, ==, item->lost ? 2 : 1);
-    driver->close(endpoint_link);
-    ev_run(loop, EVRUN_NOWAIT);
-    for (int i = 0; i < server.count; i++) {
-        close(server.fds[i]);
-    }
-    close(server.listener);
+    close_link(&server, driver, endpoint_link);
     g_string_free(answer, TRUE);
     g_free(daemon);
 }
@@ -366,36 +374,22 @@
 static void
 test_next_statement_gets_rest(void)
 {
-    static const endpoint_events_t events = {.on_reply = on_reply};
     daemon_t *daemon = g_new0(daemon_t, 1);
-    cbw_endpoint_t endpoint = {.name = "ep1", .connections = ALLOWANCE};
-    server_t server = {.listener = CbwNet_Listen("127.0.0.1:0", NULL)};
-    struct sockaddr_in local = {.sin_port = 0};
-    socklen_t length = sizeof(local);
+    server_t server = {.count = 0};
 
     loop = ev_loop_new(0);
     next_driver = CbwPlugin_Find(CBW_PLUGIN_ENDPOINT_DRIVER, "wire");
     server.answer = ANSWER_END ANSWER_END;
     server.answer_size = strlen(server.answer);
     server.first_size = server.answer_size;
-    daemon->loop = loop;
-    getsockname(server.listener, (struct sockaddr *)&local, &length);
-    snprintf(endpoint.address, sizeof(endpoint.address), "127.0.0.1:%d",
-             ntohs(local.sin_port));
-    next_link =
-        next_driver->open(daemon, "db", &endpoint, 2 * LIMIT, &events, NULL);
+    next_link = open_link(&server, next_driver, daemon);
     after_reply = send_next;
     run_statement(&server, next_driver, next_link, "");
     g_assert_cmpint(last_status, ==, CBW_REPLY_OK);
     replies = 0;
     serve(&server);
     g_assert_cmpint(server.count, ==, 2); /* on another connection */
-    next_driver->close(next_link);
-    ev_run(loop, EVRUN_NOWAIT);
-    for (int i = 0; i < server.count; i++) {
-        close(server.fds[i]);
-    }
-    close(server.listener);
+    close_link(&server, next_driver, next_link);
     g_free(daemon);
 }
 
@@ -432,6 +426,72 @@
     g_free(daemon);
 }
 
+#define OK "COMPLETE -\r\nREADY I 1.1\r\n"
+#define FAIL(code) "ERROR " code " ep1\r\nREADY I 1.1\r\n"
+
+/* A prepared statement is executed until it is done twice, without a setup the
+ * second time. */
+typedef struct {
+    const char *name;
+    const char *replies[4]; /* to each try, to its setup first */
+    cbw_reply_status_t status[4];
+    int opened; /* connections, in the end */
+} session_case_t;
+
+static const session_case_t session_cases[] = {
+    {"done", {OK OK, OK}, {CBW_REPLY_OK, CBW_REPLY_OK}, 1},
+    {"busy",
+     {OK OK, FAIL("BUSY"), OK},
+     {CBW_REPLY_OK, CBW_REPLY_BUSY, CBW_REPLY_OK},
+     1},
+    /* Later statements would find the same gap in what the endpoint has. */
+    {"name unknown",
+     {OK OK, FAIL("NOSTMT"), OK OK, OK},
+     {CBW_REPLY_OK, CBW_REPLY_BUSY, CBW_REPLY_OK, CBW_REPLY_OK},
+     2},
+    {"PREPARE refused",
+     {FAIL("BUSY") FAIL("NOSTMT"), OK OK, OK},
+     {CBW_REPLY_LOST, CBW_REPLY_OK, CBW_REPLY_OK},
+     2},
+};
+
+/* A connection whose endpoint lacks a prepared statement that the driver holds
+ * for prepared must not be used again. */
+static void
+test_unknown_statement(void)
+{
+    const endpoint_driver_t *driver =
+        CbwPlugin_Find(CBW_PLUGIN_ENDPOINT_DRIVER, "wire");
+    const cbw_call_t call = {.id = 1,
+                             .verb = CBW_CALL_RUN,
+                             .key = "",
+                             .statement = "k",
+                             .statement_size = 1,
+                             .trace = "t",
+                             .workspace = "",
+                             .values = "",
+                             .shape = "READ q"};
+
+    loop = ev_loop_new(0);
+    for (size_t i = 0; i < G_N_ELEMENTS(session_cases); i++) {
+        const session_case_t *item = &session_cases[i];
+        daemon_t *daemon = g_new0(daemon_t, 1);
+        server_t server = {.count = 0};
+        endpoint_link_t *endpoint_link = open_link(&server, driver, daemon);
+        g_test_message("%s", item->name);
+        for (int j = 0; j < 4 && item->replies[j] != NULL; j++) {
+            server.reply = item->replies[j];
+            replies = 0;
+            g_assert_true(driver->call(endpoint_link, &call));
+            serve(&server);
+            g_assert_cmpint(last_status, ==, item->status[j]);
+        }
+        g_assert_cmpint(server.count, ==, item->opened);
+        close_link(&server, driver, endpoint_link);
+        g_free(daemon);
+    }
+}
+
 void
 Suite_AddConnectionDriver(void)
 {
@@ -441,5 +501,7 @@
                     test_next_statement_gets_rest);
     g_test_add_func("/connection-driver/row-ends-answer",
                     test_row_ends_answer);
+    g_test_add_func("/connection-driver/unknown-statement",
+                    test_unknown_statement);
     g_test_add_func("/connection-driver/workspaces", test_driver);
 }
--- a/src/test_libcarobwind/test_platform.c
+++ b/src/test_libcarobwind/test_platform.c
@@ -1,9 +1,12 @@
 #include <glib.h>
 #include <stdio.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "carobwind/plugin.h"
+#include "carobwind/pool.h"
 #include "carobwind/random.h"
+#include "carobwind/session.h"
 #include "carobwindd/drivers.h"
 #include "platform/backend_text.h"
 #include "platform/wire.h"
@@ -344,6 +347,203 @@
     g_string_free(statement, TRUE);
 }
 
+/* Formats an EXECUTE. */
+static void
+format_execute(backend_session_t *session, const char *shape,
+               const char *values, bool in_transaction, bool begins,
+               GString *setup, GString *statement)
+{
+    const cbw_call_t call = {.verb = CBW_CALL_RUN,
+                             .trace = "t",
+                             .shape = shape,
+                             .values = values,
+                             .statement = "k",
+                             .statement_size = 1,
+                             .begins = begins};
+
+    Backend_FormatCall(session, &call, in_transaction, setup, statement);
+}
+
+/* Executes a prepared statement at an endpoint that has `prepared`, a map of
+ * names to shapes. Returns whether a DISCARD preceded it. */
+static bool
+execute_at(backend_session_t *session, GHashTable *prepared, const char *shape,
+           const char *values, bool in_transaction, bool begins)
+{
+    GString *setup = g_string_new(NULL);
+    GString *statement = g_string_new(NULL);
+    bool discarded = false;
+    char **lines;
+    char **words;
+
+    format_execute(session, shape, values, in_transaction, begins, setup,
+                   statement);
+    lines = g_strsplit(setup->str, "\r\n", 0);
+    for (int i = 0; lines[i] != NULL; i++) {
+        words = g_strsplit(lines[i], " ", 5);
+        if (g_str_has_prefix(lines[i], "QUERY - DISCARD")) {
+            g_hash_table_remove_all(prepared);
+            discarded = true;
+        }
+        else if (g_str_has_prefix(lines[i], "QUERY - PREPARE ")) {
+            g_hash_table_replace(prepared, g_strdup(words[3]),
+                                 g_strdup(words[4]));
+        }
+        g_strfreev(words);
+    }
+    words = g_strsplit(statement->str, " ", 0);
+    g_assert_cmpstr(words[2], ==, "EXECUTE");
+    g_assert_cmpstr(g_hash_table_lookup(prepared, words[3]), ==, shape);
+    g_strfreev(words);
+    g_strfreev(lines);
+    g_string_free(setup, TRUE);
+    g_string_free(statement, TRUE);
+    return discarded;
+}
+
+/* Executes a prepared statement and returns the name under which it runs.
+ * `prepares` tells whether it was prepared for that. */
+static char *
+execute(backend_session_t *session, const char *shape, bool *prepares)
+{
+    GString *setup = g_string_new(NULL);
+    GString *statement = g_string_new(NULL);
+    char **words;
+    char *name;
+
+    format_execute(session, shape, "", false, false, setup, statement);
+    words = g_strsplit(statement->str, " ", 0);
+    name = g_strdup(words[3]);
+    *prepares = strstr(setup->str, "PREPARE") != NULL;
+    g_strfreev(words);
+    g_string_free(setup, TRUE);
+    g_string_free(statement, TRUE);
+    return name;
+}
+
+/* A statement prepared as one text must not be executed as another one, also
+ * when a caller chose both texts so that XXH64 does not tell them apart. */
+static void
+test_names_tell_texts_apart(void)
+{
+    static const char *const shapes[] = {"READ abcdefghijk",
+                                         "READ bTMyQ4meh_d"};
+    backend_session_t session;
+    bool prepares;
+    char *names[2];
+    char *again;
+
+    g_assert_cmpuint(XXH64(shapes[0], strlen(shapes[0]), 0), ==,
+                     XXH64(shapes[1], strlen(shapes[1]), 0));
+    Backend_InitSession(&session);
+    for (int i = 0; i < 2; i++) {
+        names[i] = execute(&session, shapes[i], &prepares);
+        g_assert_true(prepares);
+    }
+    g_assert_cmpstr(names[0], !=, names[1]);
+    for (int i = 0; i < 2; i++) {
+        again = execute(&session, shapes[i], &prepares);
+        g_assert_false(prepares);
+        g_assert_cmpstr(again, ==, names[i]);
+        g_free(again);
+        g_free(names[i]);
+    }
+    Backend_FinishSession(&session);
+}
+
+/* After a DISCARD, which clears names at the endpoint, or in a transaction
+ * with more statements than the list holds, no statement is executed under a
+ * name that the endpoint does not have, or has for another text. */
+static void
+test_names_after_full_list(void)
+{
+    static const struct {
+        const char *name;
+        bool in_transaction;
+        bool begins;
+        const char *values; /* of every second statement */
+        bool discards;      /* in 3 rounds of all statements */
+    } cases[] = {
+        {"single statements", false, false, "", true},
+        {"transactions of one statement", false, true, "", true},
+        {"one long transaction", true, false, "", false},
+        {"other sessions between", false, false, "a 1\n", true},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        /* What the endpoint has: name to shape. */
+        GHashTable *prepared =
+            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+        backend_session_t session;
+        bool discarded = false;
+        size_t most = 0;
+        g_test_message("%s", cases[i].name);
+        Backend_InitSession(&session);
+        for (int j = 0; j < 3 * (Backend_PREPARED_MAX + 8); j++) {
+            char *shape =
+                g_strdup_printf("READ %d", j % (Backend_PREPARED_MAX + 8));
+            discarded |= execute_at(&session, prepared, shape,
+                                    j % 2 == 0 ? "" : cases[i].values,
+                                    cases[i].in_transaction, cases[i].begins);
+            most = MAX(most, g_hash_table_size(prepared));
+            g_free(shape);
+        }
+        g_assert_cmpint(discarded, ==, cases[i].discards);
+        if (cases[i].discards) {
+            /* The endpoint's list does not grow without bound. */
+            g_assert_cmpuint(most, <=, Backend_PREPARED_MAX);
+        }
+        Backend_FinishSession(&session);
+        g_hash_table_destroy(prepared);
+    }
+}
+
+/* The messages for the longest texts that sessions accept, on a connection
+ * whose names are long, must not exceed what an endpoint takes. */
+static void
+test_longest_messages(void)
+{
+    char *shape = g_strnfill(strlen("WRITE ") + Cbw_SESSION_SHAPE_MAX, 'q');
+    char *arguments =
+        g_strnfill(Cbw_SESSION_ARGUMENTS_MAX - (Cbw_TRACE_MAX - 1), 'k');
+    char *read = g_strnfill(Cbw_POOL_POSITIONED_STATEMENT_MAX, 'k');
+    char *id = g_strnfill(Cbw_TRACE_MAX - 1, 'i');
+    const cbw_call_t calls[] = {
+        {.verb = CBW_CALL_RUN,
+         .trace = id,
+         .shape = shape,
+         .statement = arguments,
+         .statement_size = strlen(arguments)},
+        {.verb = CBW_CALL_RUN,
+         .trace = id,
+         .shape = shape,
+         .statement = read,
+         .statement_size = strlen(read),
+         .min_term = UINT64_MAX,
+         .min_position = UINT64_MAX},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(calls); i++) {
+        backend_session_t session;
+        GString *setup = g_string_new(NULL);
+        GString *statement = g_string_new(NULL);
+        Backend_InitSession(&session);
+        session.last_number = UINT32_MAX - 1;
+        g_assert_cmpint(
+            Backend_FormatCall(&session, &calls[i], false, setup, statement),
+            ==, 1);
+        g_assert_cmpuint(setup->len, <=, Wire_MESSAGE_MAX);
+        g_assert_cmpuint(statement->len, <=, Wire_MESSAGE_MAX);
+        Backend_FinishSession(&session);
+        g_string_free(setup, TRUE);
+        g_string_free(statement, TRUE);
+    }
+    g_free(shape);
+    g_free(arguments);
+    g_free(read);
+    g_free(id);
+}
+
 typedef struct {
     const char *row;
     bool primary;
@@ -381,6 +581,11 @@
 Suite_AddPlatform(void)
 {
     g_test_add_func("/platform/backend-calls", test_backend_calls);
+    g_test_add_func("/platform/longest-messages", test_longest_messages);
+    g_test_add_func("/platform/names-tell-texts-apart",
+                    test_names_tell_texts_apart);
+    g_test_add_func("/platform/names-after-full-list",
+                    test_names_after_full_list);
     g_test_add_func("/platform/backend-status", test_backend_status);
     g_test_add_func("/platform/messages", test_messages);
     g_test_add_func("/platform/message-size", test_message_size);
--- a/test/lib/platform_standin.tcl
+++ b/test/lib/platform_standin.tcl
@@ -15,6 +15,7 @@
 #   twice 0|1                 each HTTP response is sent twice
 #   lose N                    N answers of executed writes are lost
 #   work MS                   sets the service time of statements
+#   rows N                    a read returns its row N times
 #   primary, log E            returns the primary, or the log of an endpoint
 #   odd KEY TEXT              another writer stores TEXT, a list element with
 #                             escapes, under KEY
@@ -51,6 +52,7 @@
 set database "svc1"
 set lag_ms 30
 set service_ms 3
+set rows 1 ;# of the answer to a read
 set promote_ms 150
 set page_bytes 1000000 ;# of the values in one answer to a range read
 
@@ -748,7 +750,8 @@
     if {$command eq "READ"} {
         # The item of a READ extends to the end of the line.
         set item [expr {$shape eq "" ? $rest : [take_word rest]}]
-        return "DATAROW [value_of $name $item]\r\nCOMPLETE sig.$name.$query_id\r\n"
+        set row "DATAROW [value_of $name $item]\r\n"
+        return "[string repeat $row $::rows]COMPLETE sig.$name.$query_id\r\n"
     }
     set write [list [take_word rest] $rest $query_id]
     if {[dict get $session state] eq "T"} {
@@ -784,6 +787,7 @@
         deaf { set ::watches_deaf $argument; return ok }
         twice { set ::duplicate_answers $argument; return ok }
         work { set ::service_ms $argument; return ok }
+        rows { set ::rows $argument; return ok }
         primary { return [find_primary] }
         runs { return $::executed }
         texts { return $::executed_texts }
