--- a/src/test_libcarobwind/suites.h
+++ b/src/test_libcarobwind/suites.h
@@ -10,6 +10,7 @@
 void Suite_AddCompression(void);
 void Suite_AddConnectionCache(void);
 void Suite_AddConnectionDriver(void);
+void Suite_AddTransactionDriver(void);
 void Suite_AddExplorer(void);
 void Suite_AddFuzz(void);
 void Suite_AddGate(void);
--- a/src/test_libcarobwind/test_main.c
+++ b/src/test_libcarobwind/test_main.c
@@ -14,6 +14,7 @@
     Suite_AddCompression();
     Suite_AddConnectionCache();
     Suite_AddConnectionDriver();
+    Suite_AddTransactionDriver();
     Suite_AddExplorer();
     Suite_AddFuzz();
     Suite_AddGate();
--- /dev/null
+++ b/src/test_libcarobwind/test_transaction_driver.c
@@ -0,0 +1,283 @@
+/* The endpoint driver's connections and transactions, against an endpoint on
+ * loopback that knows in which transaction each statement runs. */
+#include <arpa/inet.h>
+#include <ev.h>
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "carobwind/plugin.h"
+#include "carobwindd/drivers.h"
+#include "share/net.h"
+#include "suites.h"
+
+/* Rounds of the event loop, 1 ms each, until a wait has failed. */
+#define ROUNDS_MAX 500
+#define CONNECTIONS_MAX 8
+#define STEPS_MAX 8
+
+/* How the endpoint departs from the protocol, or its state from what the
+ * driver knows. */
+typedef enum {
+    TRUE_ENDPOINT,
+    IGNORES_BEGIN,        /* answers BEGIN with COMPLETE and state I */
+    ENDS_AFTER_FIRST,     /* the second statement runs outside */
+    STAYS_OPEN_AFTER_END, /* COMMIT and ROLLBACK leave the transaction */
+    OPENS_BY_ITSELF,      /* a statement on its own leaves state T */
+    FAILS_IN_OPEN_STATE,  /* refuses a statement on its own in state T */
+} behaviour_t;
+
+typedef struct {
+    int fd;
+    GString *input;
+    bool open;      /* a transaction is open */
+    char owner;     /* client whose transaction it is; 0: not yet known */
+    int statements; /* since the transaction began */
+} peer_t;
+
+typedef struct {
+    int listener;
+    behaviour_t behaviour;
+    peer_t peers[CONNECTIONS_MAX];
+    int count;
+    int in_foreign; /* statements in the transaction of another client */
+    int outside;    /* statements of a transaction that ran on their own */
+} endpoint_server_t;
+
+static struct ev_loop *loop;
+static int replies;
+static cbw_reply_status_t last_status;
+
+static void
+on_reply(void *context, uint64_t id, const cbw_reply_t *reply)
+{
+    (void)context;
+    (void)id;
+    replies++;
+    last_status = reply->status;
+}
+
+static void
+begin(endpoint_server_t *server, peer_t *peer)
+{
+    server->in_foreign += peer->open;
+    peer->open = server->behaviour != IGNORES_BEGIN;
+    peer->owner = 0;
+    peer->statements = 0;
+}
+
+/* Runs a statement of the client that the first letter of `trace` names. A
+ * capital letter: it belongs to a transaction. Returns the reply. */
+static const char *
+run(endpoint_server_t *server, peer_t *peer, const char *trace)
+{
+    if (server->behaviour == ENDS_AFTER_FIRST && peer->statements == 1) {
+        peer->open = false;
+    }
+    if (server->behaviour == OPENS_BY_ITSELF ||
+        server->behaviour == FAILS_IN_OPEN_STATE) {
+        peer->open = true;
+    }
+    if (peer->open && peer->owner == 0) {
+        peer->owner = trace[0];
+    }
+    server->in_foreign += peer->open && peer->owner != trace[0];
+    server->outside += !peer->open && g_ascii_isupper(trace[0]);
+    peer->statements++;
+    return server->behaviour == FAILS_IN_OPEN_STATE ? "ERROR BUSY now"
+                                                    : "COMPLETE 1.1";
+}
+
+static void
+answer_line(endpoint_server_t *server, peer_t *peer, const char *line)
+{
+    const char *reply = "COMPLETE -";
+    char trace[64] = "";
+    char verb[64] = "";
+    char text[256];
+
+    if (strncmp(line, "STARTUP ", 8) == 0) {
+        g_assert_cmpint(write(peer->fd, "READY I -\r\n", 11), ==, 11);
+        return;
+    }
+    g_assert_cmpint(sscanf(line, "QUERY %63s %63s", trace, verb), ==, 2);
+    if (strcmp(verb, "BEGIN") == 0) {
+        begin(server, peer);
+    }
+    else if (strcmp(verb, "COMMIT") == 0 || strcmp(verb, "ROLLBACK") == 0) {
+        peer->open = server->behaviour == STAYS_OPEN_AFTER_END;
+    }
+    else if (strcmp(verb, "SET") != 0 && strcmp(verb, "DISCARD") != 0) {
+        reply = run(server, peer, trace);
+    }
+    else if (server->behaviour == ENDS_AFTER_FIRST && peer->statements == 1) {
+        peer->open = false;
+    }
+    snprintf(text, sizeof(text), "%s\r\nREADY %c 1.1\r\n", reply,
+             peer->open ? 'T' : 'I');
+    g_assert_cmpint(write(peer->fd, text, strlen(text)), ==,
+                    (int)strlen(text));
+}
+
+static void
+read_peer(endpoint_server_t *server, peer_t *peer)
+{
+    char bytes[1024];
+    ssize_t size = read(peer->fd, bytes, sizeof(bytes));
+    char *end;
+
+    if (size <= 0) {
+        return;
+    }
+    g_string_append_len(peer->input, bytes, size);
+    while ((end = strstr(peer->input->str, "\r\n")) != NULL) {
+        *end = '\0';
+        answer_line(server, peer, peer->input->str);
+        g_string_erase(peer->input, 0, end + 2 - peer->input->str);
+    }
+}
+
+/* Serves until a reply has come. */
+static void
+serve(endpoint_server_t *server)
+{
+    char ip[CbwNet_IP_MAX];
+
+    for (int i = 0; i < ROUNDS_MAX && replies == 0; i++) {
+        int fd = CbwNet_Accept(server->listener, ip);
+        if (fd >= 0) {
+            g_assert_cmpint(server->count, <, CONNECTIONS_MAX);
+            server->peers[server->count++] =
+                (peer_t){.fd = fd, .input = g_string_new(NULL)};
+        }
+        for (int j = 0; j < server->count; j++) {
+            read_peer(server, &server->peers[j]);
+        }
+        ev_run(loop, EVRUN_NOWAIT);
+        g_usleep(1000);
+    }
+    g_assert_cmpint(replies, ==, 1);
+}
+
+/* What the pool does next. */
+typedef struct {
+    cbw_call_verb_t verb;
+    const char *trace;    /* see `run`; NULL: none, `end` is called */
+    uint64_t transaction; /* 0: none */
+    bool begins;
+    const char *values;        /* NULL: none */
+    cbw_reply_status_t status; /* expected */
+    /* Afterwards the pool ends the transaction: it has committed or rolled
+     * back (clean), or a statement has failed. */
+    bool ends;
+    bool clean;
+} step_t;
+
+typedef struct {
+    const char *name;
+    behaviour_t behaviour;
+    step_t steps[STEPS_MAX];
+    int outside;
+    int idle; /* whether an idle connection is left */
+} transaction_case_t;
+
+static void
+run_step(endpoint_server_t *server, const endpoint_driver_t *driver,
+         endpoint_link_t *endpoint_link, const step_t *step)
+{
+    const char *text = step->verb == CBW_CALL_COMMIT     ? "COMMIT"
+                       : step->verb == CBW_CALL_ROLLBACK ? "ROLLBACK"
+                                                         : "WRITE k v";
+    const cbw_call_t call = {.id = 1,
+                             .verb = step->verb,
+                             .writes = true,
+                             .key = "",
+                             .statement = text,
+                             .statement_size = strlen(text),
+                             .trace = step->trace,
+                             .transaction = step->transaction,
+                             .begins = step->begins,
+                             .values =
+                                 step->values != NULL ? step->values : "",
+                             .shape = ""};
+
+    replies = 0;
+    g_assert_true(driver->call(endpoint_link, &call));
+    serve(server);
+    g_assert_cmpint(last_status, ==, step->status);
+    if (step->ends) {
+        driver->end_transaction(endpoint_link, step->transaction, step->clean);
+    }
+}
+
+static void
+check_transaction(const transaction_case_t *item)
+{
+    static const endpoint_events_t events = {.on_reply = on_reply};
+    const endpoint_driver_t *driver =
+        CbwPlugin_Find(CBW_PLUGIN_ENDPOINT_DRIVER, "wire");
+    daemon_t *daemon = g_new0(daemon_t, 1);
+    cbw_endpoint_t endpoint = {.name = "ep1", .connections = 40};
+    endpoint_server_t server = {.listener = CbwNet_Listen("127.0.0.1:0", NULL),
+                                .behaviour = item->behaviour};
+    struct sockaddr_in local = {.sin_port = 0};
+    socklen_t length = sizeof(local);
+    endpoint_link_t *endpoint_link;
+
+    g_test_message("%s", item->name);
+    daemon->loop = loop;
+    getsockname(server.listener, (struct sockaddr *)&local, &length);
+    snprintf(endpoint.address, sizeof(endpoint.address), "127.0.0.1:%d",
+             ntohs(local.sin_port));
+    endpoint_link = driver->open(daemon, "db", &endpoint, 8, &events, NULL);
+    for (int i = 0; i < STEPS_MAX && item->steps[i].trace != NULL; i++) {
+        run_step(&server, driver, endpoint_link, &item->steps[i]);
+    }
+    g_assert_cmpint(server.in_foreign, ==, 0);
+    g_assert_cmpint(server.outside, ==, item->outside);
+    g_assert_cmpint(driver->has_idle_connection(endpoint_link, ""), ==,
+                    item->idle);
+    driver->close(endpoint_link);
+    ev_run(loop, EVRUN_NOWAIT);
+    for (int i = 0; i < server.count; i++) {
+        close(server.peers[i].fd);
+        g_string_free(server.peers[i].input, TRUE);
+    }
+    close(server.listener);
+    g_free(daemon);
+}
+
+/* A statement runs in the transaction of another client: the pool ends one of
+ * two transactions that a request begun twice has left, and the driver takes
+ * the other's connection for idle. */
+static void
+test_begun_twice(void)
+{
+    static const cbw_call_verb_t ends[] = {CBW_CALL_COMMIT, CBW_CALL_ROLLBACK};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(ends); i++) {
+        const transaction_case_t item = {
+            .name = "begun twice",
+            .steps = {{.trace = "A", .transaction = 7, .begins = true},
+                      {.trace = "A", .transaction = 7, .begins = true},
+                      {.verb = ends[i],
+                       .trace = "A",
+                       .transaction = 7,
+                       .ends = true,
+                       .clean = true},
+                      {.trace = "B", .transaction = 8, .begins = true},
+                      {.trace = "c"},
+                      {.trace = "B", .transaction = 8}},
+            .idle = true};
+        check_transaction(&item);
+    }
+}
+
+void
+Suite_AddTransactionDriver(void)
+{
+    loop = ev_loop_new(0);
+    g_test_add_func("/transaction-driver/begun-twice", test_begun_twice);
+}
