Report a statement that ran outside of its transaction as such

Cause: the driver acknowledged a statement whatever transaction state the endpoint answered with: one that ran in an open transaction on a connection that was taken for idle, one of a transaction that the endpoint had ended, a statement after a BEGIN that opened nothing, a COMMIT that left its transaction open. Only the counter of mismatches told.

The COMMIT of a transaction without statements is sent as a commit, as its answer ends the transaction.

--- a/include/carobwind/endpoint.h
+++ b/include/carobwind/endpoint.h
@@ -29,10 +29,12 @@
     CBW_REPLY_NO_TRANSACTION, /* the connection has no open transaction */
     CBW_REPLY_NO_CONNECTION,  /* no connection available: not sent */
     CBW_REPLY_FAILED,         /* the statement itself failed */
-    CBW_REPLY_LOST,    /* sent, and the connection lost before a reply */
-    CBW_REPLY_BUSY,    /* the endpoint is overloaded: not run */
-    CBW_REPLY_BEHIND,  /* its log lacks `min_position`: not run */
-    CBW_REPLY_TIMEOUT, /* it ran, and did not finish in time */
+    CBW_REPLY_LOST,      /* sent, and the connection lost before a reply */
+    CBW_REPLY_BUSY,      /* the endpoint is overloaded: not run */
+    CBW_REPLY_BEHIND,    /* its log lacks `min_position`: not run */
+    CBW_REPLY_TIMEOUT,   /* it ran, and did not finish in time */
+    CBW_REPLY_MISPLACED, /* it ran, outside of its transaction or in an unknown
+                            one */
 } cbw_reply_status_t;
 
 /* Text of each cbw_reply_status_t, indexed by value. */
--- a/src/libcarobwind/endpoint.c
+++ b/src/libcarobwind/endpoint.c
@@ -7,5 +7,5 @@
 
 const char *const CbwEndpoint_StatusString[] = {
     "ok",     "cancelled", "superseded", "notprimary", "notx",    "full",
-    "failed", "lost",      "busy",       "behind",     "timeout",
+    "failed", "lost",      "busy",       "behind",     "timeout", "misplaced",
 };
--- a/src/libcarobwind/include/private/pool.h
+++ b/src/libcarobwind/include/private/pool.h
@@ -51,6 +51,8 @@
 /* Spends or returns the request's token. */
 void CbwPool_MoveToken_(cbw_pool_t *pool, cbw_time_t now,
                         cbw_request_t *request, cbw_pool_token_step_t step);
+/* Returns the verb of the call that carries the request. */
+cbw_call_verb_t CbwPool_CallVerb_(const cbw_request_t *request);
 /* Sends `call` to an endpoint, for `request` or, with NULL, as a control call.
  * Returns false when it could not be sent; the request is then in no list. */
 bool CbwPool_Send_(cbw_pool_t *pool, cbw_time_t now, int endpoint,
--- a/src/libcarobwind/owner_reply.c
+++ b/src/libcarobwind/owner_reply.c
@@ -280,6 +280,7 @@
     case CBW_REPLY_BUSY:
     case CBW_REPLY_BEHIND:
     case CBW_REPLY_TIMEOUT:
+    case CBW_REPLY_MISPLACED:
         on_no_result(owner, now, request, reply);
         break;
     }
--- a/src/libcarobwind/pool.c
+++ b/src/libcarobwind/pool.c
@@ -168,6 +168,14 @@
 
 /* Calls. */
 
+cbw_call_verb_t
+CbwPool_CallVerb_(const cbw_request_t *request)
+{
+    return request->verb == CBW_VERB_COMMIT     ? CBW_CALL_COMMIT
+           : request->verb == CBW_VERB_ROLLBACK ? CBW_CALL_ROLLBACK
+                                                : CBW_CALL_RUN;
+}
+
 bool
 CbwPool_Send_(cbw_pool_t *pool, cbw_time_t now, int endpoint, cbw_call_t *call,
               cbw_request_t *request, cbw_time_t timeout)
@@ -340,9 +348,7 @@
     cbw_pool_transaction_t *transaction =
         CbwPool_FindTransaction_(pool, request->transaction);
     cbw_call_t call = {
-        .verb = request->verb == CBW_VERB_COMMIT     ? CBW_CALL_COMMIT
-                : request->verb == CBW_VERB_ROLLBACK ? CBW_CALL_ROLLBACK
-                                                     : CBW_CALL_RUN,
+        .verb = CbwPool_CallVerb_(request),
         .writes = request->writes,
         .key = "",
         .trace = request->trace,
--- a/src/libcarobwind/pool_dispatch.c
+++ b/src/libcarobwind/pool_dispatch.c
@@ -223,7 +223,7 @@
              const cbw_position_t *needed)
 {
     cbw_call_t call = {
-        .verb = CBW_CALL_RUN,
+        .verb = CbwPool_CallVerb_(request),
         .writes = request->writes,
         .key = "",
         .trace = request->trace,
--- a/src/libcarobwind/pool_reply.c
+++ b/src/libcarobwind/pool_reply.c
@@ -289,6 +289,19 @@
     e->lag_backoff_until = now + e->lag_backoff;
 }
 
+/* The request ran outside of its transaction, or in an unknown one. Nothing is
+ * known of a write: it may have been committed. */
+static void
+on_misplaced(cbw_pool_t *pool, cbw_time_t now, cbw_request_t *request)
+{
+    if (request->writes) {
+        CbwPool_Answer_(pool, request, CBW_OUTCOME_UNKNOWN, CBW_CAUSE_IN_DOUBT,
+                        "it did not run in its transaction");
+        return;
+    }
+    CbwPool_OnAnswerLost_(pool, now, request, CBW_CAUSE_IN_DOUBT);
+}
+
 static void
 on_request_reply(cbw_pool_t *pool, cbw_time_t now, const cbw_pool_call_t *call,
                  const cbw_reply_t *reply)
@@ -331,6 +344,9 @@
         CbwPool_Answer_(pool, request, CBW_OUTCOME_UNKNOWN, CBW_CAUSE_TIMEOUT,
                         "the endpoint gave it up");
         break;
+    case CBW_REPLY_MISPLACED:
+        on_misplaced(pool, now, request);
+        break;
     default:
         CbwPool_OnAnswerLost_(pool, now, request,
                               now >= request->deadline ? CBW_CAUSE_TIMEOUT
--- a/src/test_libcarobwind/test_pool.c
+++ b/src/test_libcarobwind/test_pool.c
@@ -32,6 +32,10 @@
      CBW_CAUSE_FAILED},
     {"timed-out write", true, CBW_REPLY_TIMEOUT, true, CBW_OUTCOME_UNKNOWN,
      CBW_CAUSE_TIMEOUT},
+    {"write in an unknown transaction", true, CBW_REPLY_MISPLACED, true,
+     CBW_OUTCOME_UNKNOWN, CBW_CAUSE_IN_DOUBT},
+    {"read in an unknown transaction", false, CBW_REPLY_MISPLACED, false,
+     CBW_OUTCOME_PENDING, CBW_CAUSE_NONE},
 };
 
 static void
--- a/src/test_libcarobwind/test_transaction_driver.c
+++ b/src/test_libcarobwind/test_transaction_driver.c
@@ -275,9 +275,81 @@
     }
 }
 
+/* A statement that ran outside of its transaction, or in an unknown one, is
+ * reported as done, and its connection is used again. */
+static void
+test_other_state(void)
+{
+    static const transaction_case_t cases[] = {
+        {.name = "true endpoint",
+         .steps = {{.trace = "A", .transaction = 7, .begins = true},
+                   {.trace = "A", .transaction = 7, .values = "zone north\n"},
+                   {.verb = CBW_CALL_COMMIT,
+                    .trace = "A",
+                    .transaction = 7,
+                    .ends = true,
+                    .clean = true},
+                   {.trace = "b"}},
+         .idle = true},
+        {.name = "begun and committed at once",
+         .steps = {{.verb = CBW_CALL_COMMIT,
+                    .trace = "A",
+                    .transaction = 7,
+                    .begins = true,
+                    .ends = true,
+                    .clean = true}},
+         .idle = true},
+        {.name = "BEGIN has no effect",
+         .behaviour = IGNORES_BEGIN,
+         .steps = {{.trace = "A",
+                    .transaction = 7,
+                    .begins = true,
+                    .status = CBW_REPLY_NO_CONNECTION,
+                    .ends = true}}},
+        {.name = "the transaction has ended",
+         .behaviour = ENDS_AFTER_FIRST,
+         .steps = {{.trace = "A", .transaction = 7, .begins = true},
+                   {.trace = "A",
+                    .transaction = 7,
+                    .status = CBW_REPLY_MISPLACED,
+                    .ends = true}},
+         .outside = 1},
+        {.name = "the transaction has ended, new values",
+         .behaviour = ENDS_AFTER_FIRST,
+         .steps = {{.trace = "A", .transaction = 7, .begins = true},
+                   {.trace = "A",
+                    .transaction = 7,
+                    .values = "zone north\n",
+                    .status = CBW_REPLY_MISPLACED,
+                    .ends = true}},
+         .outside = 1},
+        {.name = "COMMIT leaves it open",
+         .behaviour = STAYS_OPEN_AFTER_END,
+         .steps = {{.trace = "A", .transaction = 7, .begins = true},
+                   {.verb = CBW_CALL_COMMIT,
+                    .trace = "A",
+                    .transaction = 7,
+                    .status = CBW_REPLY_MISPLACED,
+                    .ends = true},
+                   {.trace = "b"}},
+         .idle = true},
+        {.name = "on its own, in an open transaction",
+         .behaviour = OPENS_BY_ITSELF,
+         .steps = {{.trace = "b", .status = CBW_REPLY_MISPLACED}}},
+        {.name = "refused in an open transaction",
+         .behaviour = FAILS_IN_OPEN_STATE,
+         .steps = {{.trace = "b", .status = CBW_REPLY_BUSY}}},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        check_transaction(&cases[i]);
+    }
+}
+
 void
 Suite_AddTransactionDriver(void)
 {
     loop = ev_loop_new(0);
     g_test_add_func("/transaction-driver/begun-twice", test_begun_twice);
+    g_test_add_func("/transaction-driver/other-state", test_other_state);
 }
