Give a transaction that is begun again an id of its own

Cause: when the answer to a request that begins a transaction is lost, the router forwards the request again under the same transaction id. In a fleet of more than 150 hosts the same owner is asked again while it may only be pausing, as it is when a silent peer connection is replaced: it then runs both copies, and has two transactions of one id on two connections. Which of them the later statements, COMMIT and ROLLBACK took was left to the order of use.

Change: the request gets a new id before it is forwarded again, and the session goes on under the id of the copy that was answered. The other transaction is not used, and is rolled back when its idle time is over.

Measured: /session/begun-again fails where the session keeps the first id (the next statement goes to 77, not 78); passes now. The kernel tests and lint pass.

--- a/include/carobwind/request.h
+++ b/include/carobwind/request.h
@@ -169,6 +169,11 @@
 /* Sets the answer's result to a copy. Returns 0, or -1 when out of memory. */
 int CbwRequest_SetResult(cbw_request_t *request, const char *result,
                          size_t size);
+/* Gives the transaction that a request begins another id, before the request
+ * is sent again without an answer: the first copy may still begin one, and
+ * each must have an id of its own. No effect on other requests. */
+void CbwRequest_RenameTransaction(cbw_request_t *request,
+                                  uint64_t transaction);
 /* Finishes a request with an outcome and a reason. A result that was set
  * before is kept. */
 void CbwRequest_End(cbw_request_t *request, cbw_outcome_t outcome,
--- a/src/carobwindd/entry_task.c
+++ b/src/carobwindd/entry_task.c
@@ -42,7 +42,7 @@
     cbw_admission_t *admissions; /* by the database's index in `config` */
     cbw_link_t sessions;
     size_t jobs_in_flight;
-    uint64_t next_id; /* for keys, traces and transactions */
+    uint64_t next_id; /* for keys and traces */
     bool draining;
     cbw_time_t drain_started_at;
     client_listener_t listener;
@@ -277,7 +277,7 @@
         if (session->transaction != 0) {
             return "a transaction is open";
         }
-        request->transaction = self.daemon->nonce + ++self.next_id;
+        request->transaction = Job_NewTransaction(self.daemon);
         return NULL;
     }
     if (session->transaction == 0) {
--- a/src/carobwindd/messages.c
+++ b/src/carobwindd/messages.c
@@ -135,6 +135,12 @@
     return job;
 }
 
+uint64_t
+Job_NewTransaction(daemon_t *daemon)
+{
+    return daemon->nonce + ++daemon->transactions;
+}
+
 void
 Job_Free(job_t *job)
 {
--- a/src/carobwindd/messages.h
+++ b/src/carobwindd/messages.h
@@ -20,10 +20,11 @@
 typedef struct {
     struct ev_loop *loop;
     settings_t settings;
-    char local_ip[16];    /* source address of outgoing connections */
-    uint64_t nonce;       /* random, differs with each start of the process */
-    uint64_t owner_nonce; /* from which owners that hold tenures are numbered;
-                             see nonce.h */
+    char local_ip[16];     /* source address of outgoing connections */
+    uint64_t nonce;        /* random, differs with each start of the process */
+    uint64_t owner_nonce;  /* from which owners that hold tenures are numbered;
+                              see nonce.h */
+    uint64_t transactions; /* ids given by Job_NewTransaction */
     cbw_counters_t counters;
     cbw_traffic_t traffic;
     cbw_latencies_t latencies;
@@ -134,6 +135,9 @@
 
 /* Job_New aborts the process when there is no memory. */
 job_t *Job_New(void);
+/* Returns an id for a transaction, unique among all hosts and their restarts.
+ */
+uint64_t Job_NewTransaction(daemon_t *daemon);
 void Job_Free(job_t *job);
 
 typedef struct inbound inbound_t;
--- a/src/carobwindd/router_task.c
+++ b/src/carobwindd/router_task.c
@@ -451,6 +451,7 @@
         fail_without_answer(job);
         return;
     }
+    CbwRequest_RenameTransaction(request, Job_NewTransaction(self.daemon));
     retry_later(job);
 }
 
--- a/src/carobwindd/session_task.c
+++ b/src/carobwindd/session_task.c
@@ -250,8 +250,7 @@
     snprintf(job->request.trace, sizeof(job->request.trace), "%s",
              statement->id);
     CbwSession_Plan(&session->session, statement,
-                    self.daemon->nonce + ++self.next_transaction,
-                    &job->request, &plan);
+                    Job_NewTransaction(self.daemon), &job->request, &plan);
     CbwMemoryAccount_Set(&session->account, CBW_MEMORY_SESSION,
                          session->session.values_size +
                              session->session.prepared_size);
--- a/src/carobwindd/session_task.h
+++ b/src/carobwindd/session_task.h
@@ -35,7 +35,6 @@
     config_t *config;
     cbw_link_t sessions;
     size_t jobs_in_flight;
-    uint64_t next_transaction;
     uint64_t next_request;
     /* A session goes on for a while after its access was revoked. */
     bool revocations_pending;
--- a/src/libcarobwind/request.c
+++ b/src/libcarobwind/request.c
@@ -83,6 +83,14 @@
                       result, size);
 }
 
+void
+CbwRequest_RenameTransaction(cbw_request_t *request, uint64_t transaction)
+{
+    if (request->begins || request->verb == CBW_VERB_BEGIN) {
+        request->transaction = transaction;
+    }
+}
+
 void
 CbwRequest_End(cbw_request_t *request, cbw_outcome_t outcome,
                const char *reason)
--- a/src/libcarobwind/session.c
+++ b/src/libcarobwind/session.c
@@ -393,6 +393,7 @@
     }
     else if (done) {
         session->begun = true;
+        session->transaction = request->transaction; /* may be renamed */
         session->has_written |= request->writes;
     }
     else {
--- a/src/test_libcarobwind/test_session.c
+++ b/src/test_libcarobwind/test_session.c
@@ -143,6 +143,34 @@
     CbwSession_Finish(&session);
 }
 
+/* A request that begins a transaction is sent twice under one id, and the
+ * session goes on in the transaction of the wrong copy. */
+static void
+test_begun_again(void)
+{
+    static const cbw_statement_kind_t kinds[] = {
+        CBW_STATEMENT_READ, CBW_STATEMENT_WRITE, CBW_STATEMENT_COMMIT};
+    static const step_t begin = {.kind = CBW_STATEMENT_BEGIN, .name = ""};
+    cbw_session_t session;
+    cbw_request_t request;
+    cbw_plan_t result;
+
+    CbwSession_Init(&session);
+    plan(&session, &begin, &request, &result);
+    for (size_t i = 0; i < G_N_ELEMENTS(kinds); i++) {
+        step_t step = {.kind = kinds[i], .name = ""};
+        plan(&session, &step, &request, &result);
+        /* Only the first statement begins the transaction. */
+        CbwRequest_RenameTransaction(&request, TRANSACTION + 1 + i);
+        g_assert_cmpuint(request.transaction, ==, TRANSACTION + 1);
+        request.answer.outcome = CBW_OUTCOME_DONE;
+        CbwSession_OnAnswer(&session, &request);
+        CbwRequest_Finish(&request);
+    }
+    g_assert_cmpint(session.state, ==, CBW_SESSION_IDLE);
+    CbwSession_Finish(&session);
+}
+
 /* The latest session values are forwarded with each statement. */
 static void
 test_values_are_forwarded(void)
@@ -309,6 +337,7 @@
 Suite_AddSession(void)
 {
     g_test_add_func("/session/cases", test_cases);
+    g_test_add_func("/session/begun-again", test_begun_again);
     g_test_add_func("/session/first-statement-begins",
                     test_first_statement_begins);
     g_test_add_func("/session/local-error-rolls-back",
