Start the timers of the transaction driver's test from the present time

Cause: the test created its loop before the other tests ran, so that the driver's start timeout counted from the loop's old time. Seen once in a whole run beside other work: begun-twice failed, NO_CONNECTION for OK.

Change: the loop's time is updated before each call.

--- a/src/test_libcarobwind/test_transaction_driver.c
+++ b/src/test_libcarobwind/test_transaction_driver.c
@@ -204,6 +204,7 @@
                              .shape = ""};
 
     replies = 0;
+    ev_now_update(loop); /* the driver's timers start from its time */
     g_assert_true(driver->call(endpoint_link, &call));
     serve(server);
     g_assert_cmpint(last_status, ==, step->status);
