Begin a transaction of one id at most once in a pool

Cause: the pool began a second transaction under an id that it had. The reply to the second copy was taken for the first's, so one of the two stayed busy, was never ended and kept its connection, open, until its endpoint was removed; the end of an aborted call could drop the wrong one.

Change: a request that begins a transaction whose id the pool has is refused before it is sent; nothing of it has run.

Measured: /pool/transaction-begun-twice failed before: the second copy was sent and the pool had an open transaction past its idle time; passes now.

--- a/src/libcarobwind/pool_dispatch.c
+++ b/src/libcarobwind/pool_dispatch.c
@@ -240,6 +240,12 @@
         .min_position = needed != NULL ? needed->index : 0,
     };
 
+    if (request->begins &&
+        CbwPool_FindTransaction_(pool, request->transaction) != NULL) {
+        CbwPool_Answer_(pool, request, CBW_OUTCOME_NOTRUN, CBW_CAUSE_ABORTED,
+                        "its transaction has begun before");
+        return true;
+    }
     if (request->begins && !begin_transaction(pool, now, endpoint, request)) {
         CbwPool_Answer_(pool, request, CBW_OUTCOME_NOTRUN, CBW_CAUSE_BUSY,
                         "out of memory");
--- a/src/test_libcarobwind/test_pool.c
+++ b/src/test_libcarobwind/test_pool.c
@@ -646,6 +646,37 @@
     PoolWorld_Finish(&world);
 }
 
+/* A transaction that was begun twice never ends: the pool takes the reply to
+ * one copy for the other's, which stays busy and does not expire. */
+static void
+test_transaction_begun_twice(void)
+{
+    pool_world_t world;
+    cbw_request_t *copies[2];
+
+    PoolWorld_Init(&world);
+    for (int i = 0; i < 2; i++) {
+        copies[i] = PoolWorld_NewRequest(&world, true, CBW_READ_LATEST);
+        copies[i]->transaction = 7;
+        copies[i]->begins = true;
+        PoolWorld_Submit(&world, copies[i]);
+    }
+    /* The second copy is not sent. */
+    g_assert_true(world.last_answered == copies[1]);
+    g_assert_cmpint(copies[1]->answer.outcome, ==, CBW_OUTCOME_NOTRUN);
+    g_assert_cmpint(copies[1]->answer.cause, ==, CBW_CAUSE_ABORTED);
+    PoolWorld_Reply(&world, PoolWorld_LastOpenCall(&world, CBW_CALL_RUN),
+                    CBW_REPLY_OK, 5);
+    g_assert_cmpint(copies[0]->answer.outcome, ==, CBW_OUTCOME_DONE);
+    g_assert_null(PoolWorld_LastOpenCall(&world, CBW_CALL_RUN));
+    PoolWorld_Tick(&world, 2 * Cbw_POOL_TRANSACTION_IDLE_TIMEOUT);
+    g_assert_true(CbwPool_IsIdle(&world.pool));
+    for (int i = 0; i < 2; i++) {
+        PoolWorld_FreeRequest(copies[i]);
+    }
+    PoolWorld_Finish(&world);
+}
+
 void
 Suite_AddPool(void)
 {
@@ -656,6 +687,8 @@
     g_test_add_func("/pool/replies", test_replies);
     g_test_add_func("/pool/transaction-idle-timeout",
                     test_transaction_idle_timeout);
+    g_test_add_func("/pool/transaction-begun-twice",
+                    test_transaction_begun_twice);
     g_test_add_func("/pool/commit-requires-valid-tenure",
                     test_commit_requires_valid_tenure);
     g_test_add_func("/pool/replica-read-carries-position",
