--- a/include/carobwind/endpoint.h
+++ b/include/carobwind/endpoint.h
@@ -34,6 +34,8 @@
     CBW_REPLY_BEHIND,    /* its log lacks `min_position`: not run */
     CBW_REPLY_TIMEOUT,   /* it ran, and did not finish in time */
     CBW_REPLY_TOO_LARGE, /* it ran; its result exceeds Cbw_RESULT_MAX */
+    CBW_REPLY_MISPLACED, /* it ran, outside of its transaction or in an unknown
+                            one */
 } cbw_reply_status_t;
 
 /* Text of each cbw_reply_status_t, indexed by value. */
--- a/src/libcarobwind/endpoint.c
+++ b/src/libcarobwind/endpoint.c
@@ -6,6 +6,7 @@
 };
 
 const char *const CbwEndpoint_StatusString[] = {
-    "ok",     "cancelled", "superseded", "notprimary", "notx",    "full",
-    "failed", "lost",      "busy",       "behind",     "timeout", "toolarge",
+    "ok",      "cancelled", "superseded", "notprimary", "notx",
+    "full",    "failed",    "lost",       "busy",       "behind",
+    "timeout", "toolarge",  "misplaced",
 };
--- a/src/libcarobwind/pool_dispatch.c
+++ b/src/libcarobwind/pool_dispatch.c
@@ -228,7 +228,7 @@
              const cbw_position_t *needed)
 {
     cbw_call_t call = {
-        .verb = CBW_CALL_RUN,
+        .verb = CbwPool_CallVerb_(request),
         .writes = request->writes,
         .key = "",
         .trace = request->trace,
@@ -245,6 +245,12 @@
         .min_position = needed != NULL ? needed->index : 0,
     };
 
+    if (request->begins &&
+        CbwPool_FindTransaction_(pool, request->transaction) != NULL) {
+        CbwPool_Answer_(pool, request, CBW_OUTCOME_NOTRUN, CBW_CAUSE_ABORTED,
+                        "its transaction has begun before");
+        return true;
+    }
     if (request->begins && !begin_transaction(pool, now, endpoint, request)) {
         CbwPool_Answer_(pool, request, CBW_OUTCOME_NOTRUN, CBW_CAUSE_BUSY,
                         "out of memory");
