--- a/src/share/rpc.h
+++ b/src/share/rpc.h
@@ -14,8 +14,8 @@
 
 /* Maximum size of a record, in bytes; a larger one closes the connection. */
 #define CbwRpc_RECORD_MAX ((size_t)8 * 1024 * 1024)
-/* Maximum size of a record on a connection that a peer opened: a statement with
- * its prepared text, of up to 1 MiB each, and its session's values. */
+/* Maximum size of a record on a connection that a peer opened: a statement
+ * with its prepared text, of up to 1 MiB each, and its session's values. */
 #define CbwRpc_CALL_MAX ((size_t)3 * 1024 * 1024)
 
 typedef struct cbw_rpc cbw_rpc_t;
