--- a/include/carobwind/bootstrap.h
+++ b/include/carobwind/bootstrap.h
@@ -1,14 +1,14 @@
-/* Where a host that starts gets the records of the fleet from: from a peer of
- * its data centre or from the store.
+/* Source of the fleet's records for a host that starts: a peer of its data
+ * centre, or the store.
  *
- * Load pattern: all hosts start at once, or a rolling restart takes them one
- * by one. If each read the store, the bytes would grow with the number of
- * hosts times the number of records, over the links between data centres. So
- * only the first hosts of a data centre read the store at a start of all, and
- * the others fetch the records from these; in a running fleet nobody reads it.
- * Two hosts cannot send all records to a hundred in time, and calls that are
- * given up and made again cost them as much as those that are answered. So the
- * hosts form a tree by their order, and calls get longer.
+ * Load pattern: all hosts start at once, or restart in turn. If each read the
+ * store, the bytes over the links between data centres would grow with the
+ * number of hosts times the number of records. So when all hosts start, only
+ * the first ones of a data centre read the store, and the others fetch the
+ * records from these; in a running fleet no host reads the store. Two hosts
+ * cannot send all records to a hundred in time, and calls that time out and
+ * are repeated cost them as much as those that succeed. So the hosts form a
+ * tree by their order, and timeouts grow.
  *
  * The module does no I/O, and the time is an argument. */
 #ifndef CAROBWIND_BOOTSTRAP_H
@@ -19,38 +19,38 @@
 
 #include "carobwind/types.h"
 
-/* Hosts of a data centre that read the store when their peers have nothing. */
+/* Number of hosts of a data centre that read the store when their peers have
+ * no records. */
 #define Cbw_BOOTSTRAP_READERS 2
-/* Hosts that ask the same peer. */
+/* Number of hosts that ask the same peer. */
 #define Cbw_BOOTSTRAP_FANOUT 8
-/* Time limit of the first call. It doubles with each call that is lost after
- * some peer answered. */
+/* Timeout of the first call. It doubles with each call that is lost after a
+ * peer has answered. */
 #define Cbw_BOOTSTRAP_TIMEOUT (150 * Cbw_MSEC)
 #define Cbw_BOOTSTRAP_TIMEOUT_MAX (600 * Cbw_MSEC)
-/* A host that knows no peer by then reads the store. */
+/* A host that knows no peer after this time reads the store. */
 #define Cbw_BOOTSTRAP_ALONE_AFTER (100 * Cbw_MSEC)
-/* Pause before a peer that has nothing yet is asked again. */
+/* Pause before a peer without records is asked again. */
 #define Cbw_BOOTSTRAP_ASK_INTERVAL (30 * Cbw_MSEC)
-/* A host reads the store when its peers have had nothing for this long, times
- * its level in the tree. */
+/* A host reads the store when its peers have had no records for this long,
+ * times its level in the tree. */
 #define Cbw_BOOTSTRAP_WAIT (600 * Cbw_MSEC)
-/* The hosts of a data centre that have waited that long do not all read the
- * store at once: each waits this much longer than the one before it. */
+/* Each host of a data centre waits this much longer than the one before it, so
+ * that they do not all read the store at once. */
 #define Cbw_BOOTSTRAP_STAGGER (20 * Cbw_MSEC)
 /* A host that gets records, or whose peer is loading them, waits for
  * Cbw_BOOTSTRAP_WAIT from then on, but no longer than this in total: the
  * records of thousands of endpoints take longer than a level's share of the
  * time, and hosts that read the store instead would fill its link. */
 #define Cbw_BOOTSTRAP_PROGRESS_MAX (6 * Cbw_SEC)
-/* The same when no peer has answered by then. All hosts of a fleet start
- * within 0.3 s of each other. */
+/* The wait when no peer has answered. In a common start all hosts start within
+ * this time. */
 #define Cbw_BOOTSTRAP_SILENCE (300 * Cbw_MSEC)
 
-/* In a large fleet the records are so many that a small host needs half a
- * second to send them once. So fewer hosts ask the same peer, a call to one
- * that has said that it is starting too may take long (a call that is given up
- * costs the peer as much), and hosts wait longer before they read the store.
- */
+/* In a large fleet a small host may need half a second to send all records
+ * once. So fewer hosts ask the same peer, calls to a peer that is starting too
+ * have a longer timeout (a call that times out costs the peer as much), and
+ * hosts wait longer before they read the store. */
 #define Cbw_BOOTSTRAP_FANOUT_LARGE 3
 #define Cbw_BOOTSTRAP_TIMEOUT_LARGE (4 * Cbw_SEC)
 #define Cbw_BOOTSTRAP_WAIT_LARGE (3 * Cbw_SEC)
@@ -80,9 +80,9 @@
     cbw_time_t timeout; /* of the next call */
     bool asking;        /* until CbwBootstrap_OnFailure */
     cbw_time_t ask_at;
-    bool answered;          /* a peer has, if only that it has nothing yet */
+    bool answered;          /* by a peer, even one without records */
     cbw_time_t progress_at; /* last; 0: none */
-    bool read;              /* the store: for good */
+    bool read;              /* from now on reads the store */
 } cbw_bootstrap_t;
 
 void CbwBootstrap_Init(cbw_bootstrap_t *bootstrap, cbw_time_t now);
@@ -95,7 +95,7 @@
 /* The peer that was asked sent a part of the records: it is asked for more at
  * once. */
 void CbwBootstrap_OnPart(cbw_bootstrap_t *bootstrap, cbw_time_t now);
-/* The peer that was asked could not help. */
+/* The peer that was asked sent no records. */
 void CbwBootstrap_OnFailure(cbw_bootstrap_t *bootstrap, cbw_time_t now,
                             cbw_bootstrap_failure_t failure);
 
--- a/include/carobwind/group.h
+++ b/include/carobwind/group.h
@@ -1,4 +1,4 @@
-/* What an owner knows about a database's endpoints: terms, log positions,
+/* State of a database's endpoints as known to an owner: terms, log positions,
  * health, and recent samples of the primary's log position, from which the age
  * of a replica's data is computed. */
 #ifndef CAROBWIND_GROUP_H
@@ -11,9 +11,9 @@
 
 /* Number of samples of the primary's log position that are kept. */
 #define Cbw_GROUP_SAMPLES_MAX 256
-/* Least time between two samples. */
+/* Minimum time between two samples. */
 #define Cbw_GROUP_SAMPLE_INTERVAL (5 * Cbw_MSEC)
-/* An endpoint that is not heard from for this long counts as unhealthy. */
+/* An endpoint without a reply for this long counts as unhealthy. */
 #define Cbw_GROUP_HEALTH_TIMEOUT (1200 * Cbw_MSEC)
 
 typedef struct {
@@ -59,7 +59,7 @@
 typedef enum {
     CBW_TOKEN_SATISFIED, /* the log includes the token's position */
     CBW_TOKEN_BEHIND,    /* the log does not include it yet */
-    CBW_TOKEN_LOST,      /* the token names a write that a promotion lost */
+    CBW_TOKEN_LOST,      /* a promotion discarded the token's position */
 } cbw_token_check_t;
 
 /* Compares an endpoint's state with what a session has seen. */
--- a/include/carobwind/local_health.h
+++ b/include/carobwind/local_health.h
@@ -1,11 +1,10 @@
-/* How late this host itself is: its event loop, and the round trips on its
- * link. A host that is late takes healthy peers and endpoints for dead, since
- * their answers wait in its own queues. So its time limits of suspicion widen
- * with its delay, and it does not promote.
+/* Delay of this host itself: of its event loop, and of round trips on its
+ * link. A delayed host would declare healthy peers and endpoints dead, since
+ * their answers wait in its own queues. So its suspicion timeouts grow with
+ * its delay, and it does not promote.
  *
- * Only direct evidence counts: a tick that came late, and an answer that came
- * late. Calls without any answer do not: a partition looks like that, and must
- * be found as fast as ever.
+ * Only late ticks and late answers count. Calls without an answer do not: they
+ * may be due to a partition, whose detection must not be delayed.
  *
  * The module does no I/O, and the time is an argument. */
 #ifndef CAROBWIND_LOCAL_HEALTH_H
@@ -16,17 +15,17 @@
 
 #include "carobwind/types.h"
 
-/* Delays below this are ordinary, and count as none. */
+/* Delays below this are normal and count as 0. */
 #define Cbw_LOCAL_HEALTH_TOLERANCE (100 * Cbw_MSEC)
-/* How long a delay counts after it was seen. */
+/* How long a delay counts after it was measured. */
 #define Cbw_LOCAL_HEALTH_WINDOW (2 * Cbw_SEC)
-/* Largest delay that counts, so that a host which was stopped for long does
- * not stay blind. */
+/* Upper bound of the delay, so that a host that was stopped for long detects
+ * failures again soon. */
 #define Cbw_LOCAL_HEALTH_DELAY_MAX (600 * Cbw_MSEC)
-/* Answers in a window that have to be late: one may come from a peer that is
- * slow itself. */
+/* Number of answers in a window that must be late: a single one may be due to
+ * a slow peer. */
 #define Cbw_LOCAL_HEALTH_LATE_ANSWERS 3
-/* Places of which the usual round trip is kept. */
+/* Number of places whose shortest round trip is kept. */
 #define Cbw_LOCAL_HEALTH_PLACES 32
 
 /* Zero is the initial state. Needs no finish. */
@@ -51,10 +50,10 @@
  * on a connection may take twice as long as the later ones. */
 void CbwLocalHealth_OnAnswer(cbw_local_health_t *health, cbw_time_t now,
                              const char *place, cbw_time_t round_trip);
-/* Returns how late this host is; 0: it is not. */
+/* Returns the delay of this host; 0: none. */
 cbw_time_t CbwLocalHealth_Delay(const cbw_local_health_t *health,
                                 cbw_time_t now);
-/* Returns `limit`, widened by the delay of this host. */
+/* Returns `limit`, extended by the delay of this host. */
 cbw_time_t CbwLocalHealth_Widen(const cbw_local_health_t *health,
                                 cbw_time_t now, cbw_time_t limit);
 /* Returns the usual round trip to hosts of a place; 0: it is not known. */
--- a/include/carobwind/membership.h
+++ b/include/carobwind/membership.h
@@ -27,29 +27,28 @@
 /* How long a cold start lasts. By then each member has been probed, and has
  * either announced its state or been found dead. */
 #define Cbw_MEMBERSHIP_COLD_START_DURATION (2 * Cbw_SEC)
-/* The same in a large fleet, where news reach all hosts later: at 300
- * hosts 3.3 s after the start. */
+/* The same in a large fleet, where updates take longer to reach all hosts. */
 #define Cbw_MEMBERSHIP_COLD_START_DURATION_LARGE (5 * Cbw_SEC)
 
-/* Most hosts that CbwMembership_PeerOrder returns. */
+/* Maximum number of hosts that CbwMembership_PeerOrder returns. */
 #define Cbw_PEER_ORDER_MAX 24
 
 /* A fleet with more members than this counts as large. In a smaller one each
  * host probes all others. In a large one that would open a connection for
- * nearly each probe, so each host probes some: those that follow it in the
- * order of the hashes of names, of its data centre and of all. Each member is
- * so probed by as many hosts. */
+ * nearly every probe, so each host probes only those that follow it in the
+ * order of the hashes of names: some of its data centre and some of all. Each
+ * member is probed by the same number of hosts. */
 #define Cbw_MEMBERSHIP_SMALL 150
 #define Cbw_MEMBERSHIP_WATCHED_LOCAL 32
 #define Cbw_MEMBERSHIP_WATCHED_ANY 16
 
-/* Most buckets of members whose digests are compared. */
+/* Maximum number of buckets of members whose digests are compared. */
 #define Cbw_MEMBERSHIP_BUCKETS_MAX 256
 
-/* Most updates that one message carries. */
+/* Maximum number of updates in one message. */
 #define Cbw_MEMBER_UPDATES_MAX 12
 
-/* What the hosts tell each other about a member. */
+/* State of a member, as hosts exchange it. */
 typedef struct {
     char name[Cbw_NAME_MAX];
     char data_centre[Cbw_NAME_MAX];
@@ -88,8 +87,8 @@
 typedef struct {
     cbw_time_t probe_interval;
     cbw_time_t probe_timeout; /* until indirect probes are sent */
-    /* Until a suspect counts as dead; longer in a large fleet, where more than
-     * a pause of a second must be meant. */
+    /* Until a suspect counts as dead; extended in a large fleet, see
+     * CbwMembership_SuspectLimit_. */
     cbw_time_t suspect_timeout;
     cbw_time_t forget_after; /* until a dead member is removed */
 } cbw_membership_settings_t;
@@ -118,7 +117,7 @@
     cbw_random_t list_random;
     cbw_time_t next_list_at;
     cbw_time_t next_regular_list_at;
-    cbw_time_t lists_until; /* many updates are, or were just, on their way */
+    cbw_time_t lists_until;    /* lists are fetched often until then */
     cbw_time_t list_budget_at; /* until then earlier lists use up the budget */
 } cbw_membership_t;
 
@@ -139,14 +138,13 @@
 void CbwMembership_ApplyUpdate(cbw_membership_t *membership, cbw_time_t now,
                                const cbw_member_record_t *update);
 /* Returns a member whose whole list of members is to be fetched now, or NULL.
- * Lists repair what updates did not reach. Messages carry few updates. When
- * many hosts change their states at once, as at a start of all or when a
- * partition heals, more are waiting to be sent than the next messages carry,
- * and the fleet would not agree for many seconds. */
+ * Lists deliver what updates have missed. A message carries few updates: when
+ * many hosts change their states at once, as when all start or a partition
+ * heals, the fleet would not converge for many seconds by updates alone. */
 const cbw_member_t *CbwMembership_ChooseListPeer(cbw_membership_t *membership,
                                                  cbw_time_t now);
-/* A list of `count` records was received: the next ones wait until they fit
- * the budget of bytes for lists. */
+/* A list of `count` records was received: the next one is delayed until it
+ * fits the budget of bytes for lists. */
 void CbwMembership_OnList(cbw_membership_t *membership, cbw_time_t now,
                           size_t count);
 /* Returns the number of buckets by which this host asks for the records that
@@ -206,13 +204,14 @@
 /* Returns whether any other member is alive. */
 bool CbwMembership_HasOtherAlive(const cbw_membership_t *membership);
 /* Returns whether at least half of the members, this host included, are not
- * dead; in a large fleet also, of the members that this host probes in any
- * data centre, a quarter: it would take too long to find all others dead. */
+ * dead. In a large fleet, where it takes too long to detect that all others
+ * are dead, at least a quarter of the members that this host probes in any
+ * data centre must not be dead either. */
 bool CbwMembership_IsHalfReachable(const cbw_membership_t *membership);
 /* Announces that this host is leaving. */
 void CbwMembership_Leave(cbw_membership_t *membership, cbw_time_t now);
-/* Sends probes and expires timeouts that are due. To be called every 20 ms: a
- * longer time is taken for a delay of this host (local_health.h). */
+/* Sends probes and handles timeouts that are due. To be called every 20 ms: a
+ * longer interval counts as a delay of this host (local_health.h). */
 void CbwMembership_Tick(cbw_membership_t *membership, cbw_time_t now);
 
 /* Returns the time after which a probe of `member`, sent now, counts as
@@ -246,7 +245,7 @@
 /* Returns the owner of `database`: the first usable member in rendezvous
  * order, among those of `data_centre` (where the primary is) if there are any,
  * else among all. Returns NULL when there is none. Members for which
- * `is_excluded` returns true are passed over; it may be NULL. */
+ * `is_excluded` returns true are skipped; it may be NULL. */
 const cbw_member_t *CbwMembership_FindOwner(const cbw_membership_t *membership,
                                             const char *database,
                                             const char *data_centre,
--- a/include/carobwind/placement.h
+++ b/include/carobwind/placement.h
@@ -1,10 +1,9 @@
-/* Which host owns each database, kept up to date as members come and go.
+/* The owner of each database, updated incrementally as members join and leave.
  *
- * Load pattern: hundreds of hosts restart in turn, or start at once, before
- * hundreds of databases. Each change of a member may move a few databases. To
- * choose the owners of all anew at each change costs hosts times databases,
- * and each of the hosts does so. A placement looks at the members that changed
- * only.
+ * Load pattern: hundreds of hosts that serve hundreds of databases restart in
+ * turn or start at once. Each change of a member moves few databases, but
+ * choosing all owners anew costs hosts times databases on every host. A
+ * placement evaluates only the members that changed.
  *
  * The owners are those of CbwPlacement_FindOwner. The module does no I/O. */
 #ifndef CAROBWIND_PLACEMENT_H
@@ -14,7 +13,7 @@
 #include "carobwind/membership.h"
 #include "carobwind/region.h"
 
-/* How near a host is to a database's home. */
+/* Proximity of a host to a database's home. */
 typedef enum {
     CBW_NEARNESS_ELSEWHERE,
     CBW_NEARNESS_REGION,
@@ -32,7 +31,7 @@
     cbw_nearness_t nearness; /* of the owner */
 } cbw_placed_database_t;
 
-/* A member as the placement saw it last. */
+/* A member as of the last update. */
 typedef struct {
     uint64_t name;
     uint64_t data_centre;
@@ -52,9 +51,9 @@
 
 /* Frees what the placement owns. */
 void CbwPlacement_Finish(cbw_placement_t *placement);
-/* Applies a membership and an inventory. `regions`, which may be NULL, is the
- * same in all calls. `self_usable`: this host counts as usable whatever its
- * state is. */
+/* Applies a membership and an inventory. `regions`, which may be NULL, must be
+ * the same in all calls. `self_usable`: this host counts as usable in any
+ * state. */
 void CbwPlacement_Update(cbw_placement_t *placement,
                          const cbw_membership_t *membership,
                          const cbw_regions_t *regions,
@@ -62,10 +61,10 @@
 /* Returns whether this host owns the database with that index in the inventory
  * that was applied last. */
 bool CbwPlacement_IsOwn(const cbw_placement_t *placement, size_t database);
-/* Returns the owner of a database by a look at all members: the first usable
+/* Returns the owner of a database, chosen among all members: the first usable
  * one in rendezvous order of the database's home, else of the home's region,
  * else of all. NULL: there is none. Members for which `is_excluded` returns
- * true are passed over; it may be NULL. */
+ * true are skipped; it may be NULL. */
 const cbw_member_t *CbwPlacement_FindOwner(const cbw_membership_t *membership,
                                            const cbw_regions_t *regions,
                                            const cbw_database_t *database,
--- a/include/carobwind/tenure.h
+++ b/include/carobwind/tenure.h
@@ -1,7 +1,7 @@
-/* A tenure is a lease on a database.  Its holder, the owner of the database,
+/* A tenure is a lease on a database. Its holder, the owner of the database,
  * may acknowledge what the database's primary did.
  *
- * One record for each database in the store names the holder.  An owner that
+ * One record for each database in the store names the holder. An owner that
  * requests a promotion first swaps the record, which grants it the tenure, and
  * then waits until the previous holders' tenures have expired or were
  * relinquished.
@@ -15,47 +15,44 @@
 #include "carobwind/promotion.h"
 #include "carobwind/types.h"
 
-/* How long a tenure lasts, counted from the sending of the call that renewed
- * it. Longer than the store outages that the users specify (4.5 s), so that
- * service outlives them. An owner that takes the tenure over from another one
- * waits for up to this long before it requests a promotion, unless that one
- * relinquishes its tenure. */
+/* Duration of a tenure, from the sending of the call that renewed it. Longer
+ * than the specified store outages (4.5 s), so that service continues during
+ * them. An owner that takes the tenure over from another one waits for up to
+ * this long before it requests a promotion, unless that one relinquishes its
+ * tenure. */
 #define Cbw_TENURE_VALID_FOR (6 * Cbw_SEC)
-/* How often a tenure is renewed. Renewing it more often leaves more of the
- * tenure at the start of a store outage, but the users' score charges for
- * calls to the store: renewals by three owners every 1 s would cost 0.002 of
- * it. */
+/* Renewal interval. A shorter one leaves more of the tenure at the start of a
+ * store outage, but costs more calls to the store. */
 #define Cbw_TENURE_RENEW_INTERVAL (1200 * Cbw_MSEC)
 /* Pause after a call to the store that got no answer. */
 #define Cbw_TENURE_RETRY_INTERVAL (250 * Cbw_MSEC)
-/* Least time between two take-overs of the tenure by one owner, and between
+/* Minimum time between two take-overs of the tenure by one owner, and between
  * relinquishing it and taking it over, so that two contending owners do not
  * flood the store. */
 #define Cbw_TENURE_TAKE_OVER_INTERVAL (1500 * Cbw_MSEC)
 
-/* Another owner's promotion is left alone for this long unless the record
- * changes. Longer than a promotion takes with all its waits. */
+/* Another owner's promotion may be taken over after this time without a change
+ * of the record. Longer than a promotion takes with all its waits. */
 #define Cbw_TENURE_PROMOTION_TIMEOUT (Cbw_TENURE_VALID_FOR + 3 * Cbw_SEC)
 
 /* The store counts as unresponsive when a call has been in flight for this
- * long. Longer than the slowest answers that the users specify (4 ms, slowed
- * down by a factor of 60: 240 ms). */
+ * long. Longer than the slowest specified answers (240 ms). */
 #define Cbw_TENURE_UNRESPONSIVE_AFTER (300 * Cbw_MSEC)
 
-/* Previous holders that a record can name. If there are more, their tenures
- * can only be waited for. */
+/* Maximum number of previous holders that a record names. If there are more, a
+ * new holder has to wait until their tenures expire. */
 #define Cbw_TENURE_PREVIOUS_HOLDERS_MAX 6
-/* Previous holders of which the time of the first sighting is kept. */
+/* Number of previous holders for which the time of first sight is kept. */
 #define Cbw_TENURE_FIRST_SEEN_MAX 24
-/* How often a previous holder is asked to relinquish its tenure. */
+/* Interval between requests to a previous holder to relinquish its tenure. */
 #define Cbw_TENURE_RELINQUISH_INTERVAL (300 * Cbw_MSEC)
 
-/* A present or previous holder. */
+/* The current or a previous holder. */
 typedef struct {
     uint64_t nonce; /* of the owner */
     char host[Cbw_NAME_MAX];
     /* Of a previous holder: the record's version when it was superseded, which
-     * tells apart several tenures of one owner. 0: the present holder. */
+     * distinguishes several tenures of one owner. 0: the current holder. */
     uint64_t version;
 } cbw_tenure_holder_t;
 
@@ -75,8 +72,8 @@
     /* Index of its last log entry when it began that term. Other endpoints may
      * have later entries of earlier terms: those have been discarded. */
     uint64_t term_base;
-    /* Holders whose tenure may not have expired when the present one took
-     * over. -1: more than can be named. */
+    /* Number of holders whose tenure may not have expired when the current one
+     * took over. -1: more than the record can name. */
     int previous_holder_count;
     cbw_tenure_holder_t previous_holders[Cbw_TENURE_PREVIOUS_HOLDERS_MAX];
 } cbw_tenure_record_t;
@@ -86,11 +83,11 @@
 /* Writes the stored form of `record` to `text` of Cbw_TENURE_TEXT_MAX bytes.
  */
 void CbwTenure_FormatRecord(const cbw_tenure_record_t *record, char *text);
-/* Parses the stored form. Its last words, `term` and `term_base`, are neither
- * written nor read by earlier versions. Returns 0, or -1 when the text is
- * malformed. The record then names no holder, more previous holders than can
- * be named, and a promotion under way: an owner that takes it over waits for
- * all tenures and carries out a promotion before it serves. */
+/* Parses the stored form. Earlier versions neither write nor read its last
+ * words, `term` and `term_base`. Returns 0, or -1 when the text is malformed.
+ * The record then has no holder, an unknown number of previous holders, and a
+ * promotion in progress: an owner that takes it over waits for all tenures to
+ * expire and carries out a promotion before it serves. */
 int CbwTenure_ParseRecord(cbw_tenure_record_t *record, const char *text);
 
 typedef struct {
@@ -119,7 +116,7 @@
     cbw_tenure_record_t proposed; /* of the last swap */
     cbw_time_t call_sent_at;
     bool last_call_lost; /* the last call got no answer */
-    /* A swap got no answer: the store may yet carry it out as long as the
+    /* A swap got no answer: the store may still carry it out as long as the
      * record has the version that the swap expected. */
     bool swap_unsettled;
     uint64_t unsettled_version;
@@ -188,11 +185,11 @@
 /* Ends this owner's tenure now, at the request of another owner. The record is
  * not changed. */
 void CbwTenure_Relinquish(cbw_tenure_t *tenure, cbw_time_t now);
-/* The host of the owner with `nonce` is not reachable. A promotion that it has
- * begun may be taken over, but its tenure still lasts until it expires. */
+/* The host of the owner with `nonce` is unreachable. A promotion that it has
+ * begun may be taken over, but its tenure lasts until it expires. */
 void CbwTenure_OnHolderUnreachable(cbw_tenure_t *tenure, cbw_time_t now,
                                    uint64_t nonce);
-/* The owner with `nonce` has no tenure any more. */
+/* The owner with `nonce` no longer has a tenure. */
 void CbwTenure_OnRelinquished(cbw_tenure_t *tenure, cbw_time_t now,
                               uint64_t nonce);
 /* Leaves the tenure to the holder that the record names, and reads the record
--- a/include/carobwind/witness.h
+++ b/include/carobwind/witness.h
@@ -1,9 +1,10 @@
-/* What a few peers' answers say about a primary that this host does not reach.
+/* Decides from the answers of a few peers whether a primary that this host
+ * does not reach is lost.
  *
- * A peer that reaches it settles the question. A peer that does not answer
- * says nothing about the primary: its link or this host's may be full. In a
- * small fleet, where that is rare and detection must be fast, silence counts
- * as a peer that does not reach it.
+ * It is not lost if one peer reaches it. A peer that does not answer is no
+ * evidence: its link or this host's may be overloaded. In a small fleet, where
+ * that is rare and detection must be fast, such a peer counts as one that does
+ * not reach the primary.
  *
  * The module does no I/O. */
 #ifndef CAROBWIND_WITNESS_H
@@ -11,8 +12,8 @@
 
 #include <stdbool.h>
 
-/* Peers that must not reach a primary before it counts as lost; fewer if fewer
- * could be asked. */
+/* Number of peers that must not reach a primary before it counts as lost;
+ * fewer if fewer could be asked. */
 #define Cbw_WITNESSES_NEEDED 2
 
 typedef enum {
@@ -28,7 +29,7 @@
     CBW_WITNESS_UNKNOWN, /* too few answers */
 } cbw_witness_verdict_t;
 
-/* One round of questions. Needs no finish. */
+/* One round of requests. Needs no finish. */
 typedef struct {
     bool silence_counts;
     int asked;
@@ -39,7 +40,7 @@
 /* `asked` peers are asked. */
 void CbwWitness_Begin(cbw_witnesses_t *witnesses, int asked,
                       bool silence_counts);
-/* Returns what is known after the answer of one of them. */
+/* Handles the answer of one of them, and returns the verdict. */
 cbw_witness_verdict_t CbwWitness_OnAnswer(cbw_witnesses_t *witnesses,
                                           cbw_witness_answer_t answer);
 
--- a/src/libcarobwind/bootstrap.c
+++ b/src/libcarobwind/bootstrap.c
@@ -34,7 +34,7 @@
     return level;
 }
 
-/* Chooses between two peers by turns. */
+/* Alternates between two peers. */
 static void
 choose_peer(cbw_bootstrap_t *bootstrap)
 {
@@ -62,7 +62,7 @@
     choose_peer(bootstrap);
 }
 
-/* Whether records came, or were about to come, a short while ago. */
+/* Whether records have arrived, or a peer was loading them, recently. */
 static bool
 makes_progress(const cbw_bootstrap_t *bootstrap, cbw_time_t now)
 {
@@ -126,11 +126,11 @@
         if (bootstrap->large) {
             bootstrap->timeout = Cbw_BOOTSTRAP_TIMEOUT_LARGE;
         }
-        /* A start of all: this host is one of those that the others ask. */
+        /* All hosts start, and this one is among those that the others ask. */
         bootstrap->read |= bootstrap->rank < Cbw_BOOTSTRAP_READERS;
     }
     else if (bootstrap->answered && !bootstrap->large) {
-        /* The peer lives: it is slow. */
+        /* A peer has answered before, so this one is probably slow. */
         bootstrap->timeout *= 2;
         if (bootstrap->timeout > Cbw_BOOTSTRAP_TIMEOUT_MAX) {
             bootstrap->timeout = Cbw_BOOTSTRAP_TIMEOUT_MAX;
--- a/src/libcarobwind/include/private/membership.h
+++ b/src/libcarobwind/include/private/membership.h
@@ -9,7 +9,8 @@
 void CbwMembership_UpdateWatch_(cbw_membership_t *membership);
 /* Returns whether the fleet is a large one. */
 bool CbwMembership_IsLarge_(const cbw_membership_t *membership);
-/* Returns how long a suspect is waited for. */
+/* Returns how long a suspect may take to refute the suspicion before it counts
+ * as dead. */
 cbw_time_t CbwMembership_SuspectLimit_(const cbw_membership_t *membership,
                                        cbw_time_t now);
 /* Returns the time until indirect probes of `member` are sent. */
--- a/src/libcarobwind/liveness.c
+++ b/src/libcarobwind/liveness.c
@@ -20,16 +20,16 @@
 cbw_liveness_verdict_t
 CbwLiveness_Judge(const cbw_liveness_t *liveness, cbw_time_t now)
 {
-    cbw_time_t silent =
+    cbw_time_t silent_for =
         now - latest(liveness->heard_at, liveness->waiting_since);
 
     if (liveness->retired_at != 0) {
         return judge_retired(liveness, now);
     }
-    if (silent > Cbw_LIVENESS_RETIRE_AFTER + 2 * liveness->local_delay) {
+    if (silent_for > Cbw_LIVENESS_RETIRE_AFTER + 2 * liveness->local_delay) {
         return CBW_LIVENESS_RETIRE;
     }
-    return silent > Cbw_LIVENESS_PROBE_AFTER && !liveness->probed
+    return silent_for > Cbw_LIVENESS_PROBE_AFTER && !liveness->probed
                ? CBW_LIVENESS_PROBE
                : CBW_LIVENESS_GOOD;
 }
--- a/src/libcarobwind/membership.c
+++ b/src/libcarobwind/membership.c
@@ -20,36 +20,34 @@
     .forget_after = 60 * Cbw_SEC,
 };
 
-/* Members that are asked to probe a member which did not answer this host. */
+/* Number of members that send indirect probes to an unresponsive member. */
 #define INDIRECT_PROBES 3
-/* Longest time between ticks that is no delay. */
+/* Longest interval between ticks that does not count as a delay. */
 #define TICK_INTERVAL (20 * Cbw_MSEC)
-/* Listed members that get their first probe in one tick. */
+/* Maximum number of first probes to listed members in one tick. */
 #define FIRST_PROBES_PER_TICK 4
-/* Interval of probes to a dead member, which notice the end of a partition. */
+/* Interval of probes to a dead member, which detect the end of a partition. */
 #define DEAD_PROBE_INTERVAL (3 * Cbw_SEC)
-/* A start is a cold one when fewer than one in this many members are usable. A
+/* A start is cold when fewer than one in this many members are usable. A
  * host that joins a running fleet learns of most of its members from the first
- * peer, so that the share it sees is well above this. */
+ * peer, so its share of usable members is well above this. */
 #define COLD_START_DIVISOR 4
 /* An update is sent this many times for each bit of the number of members. */
 #define RETRANSMIT_FACTOR 1
 
-/* A host that has more updates to send than this fetches lists, and so does
- * one in a cold start. A random time of up to the same length is added to the
- * interval. */
+/* A host with more unsent updates than this, or in a cold start, fetches lists
+ * at this interval. A random time of up to the same length is added to it. */
 #define LIST_BACKLOG Cbw_MEMBER_UPDATES_MAX
 #define LIST_INTERVAL (150 * Cbw_MSEC)
-/* How long it goes on after that, for the last changes. */
+/* How long it continues after the backlog, to get the last changes. */
 #define LIST_LINGER (600 * Cbw_MSEC)
-/* Otherwise it fetches one in this time for each member, which repairs what
- * the updates did not reach, at the same cost a second in a fleet of any size.
- */
+/* Otherwise the interval is this time for each member: missed updates are
+ * delivered, at the same cost per second in a fleet of any size. */
 #define LIST_PERIOD_PER_MEMBER (100 * Cbw_MSEC)
-/* One list in this many comes from any data centre, the others from the own
- * one, to spare the links between data centres. */
+/* One list in this many comes from any data centre, the others from this
+ * host's own, to limit the traffic between data centres. */
 #define REMOTE_LIST_DIVISOR 3
-/* How many times an update from a list is sent on: others fetch lists too. */
+/* Transmissions of an update from a list; few, as others fetch lists too. */
 #define LIST_TRANSMISSIONS 2
 
 /* First character of the names of endpoint records, which are kept beside the
@@ -265,9 +263,9 @@
     memcpy(member->record.data_centre, update->data_centre,
            sizeof(update->data_centre));
     if (update->incarnation > member->record.incarnation) {
-        /* Only the member itself raises it, so it lived after the probe in
-         * flight was sent. At a start of all, probes to hosts that are not up
-         * yet would else find them dead once they are. */
+        /* Only the member itself raises it, so it was alive after the probe in
+         * flight was sent. When all hosts start, those not up yet at the probe
+         * would otherwise be declared dead once they are. */
         member->probe_sent_at = 0;
     }
     set_state(membership, now, member, update->state, update->incarnation);
@@ -292,7 +290,8 @@
     }
 }
 
-/* Returns whether many updates are on their way. */
+/* Returns whether more updates wait than the next messages carry, or this is a
+ * cold start. */
 static bool
 has_backlog(const cbw_membership_t *membership)
 {
@@ -352,7 +351,8 @@
     cbw_member_t *member;
 
     if (index < 0) {
-        /* The list lags: the host counts as dead until it answers a probe. */
+        /* The list may be out of date: the host counts as dead until it
+         * answers a probe. */
         cbw_member_record_t listed = *host;
         listed.state = CBW_MEMBER_DEAD;
         listed.incarnation = 0;
@@ -396,8 +396,8 @@
             ? (size_t)CbwRandom_Below(&membership->random, membership->count)
             : 0;
 
-    /* Tells the target which state it is taken to be in, so that it can refute
-     * it. */
+    /* Tells the target the state that this host has of it, so that it can
+     * refute it. */
     if (index > 0 && limit > 0 &&
         membership->members[index].record.state != CBW_MEMBER_ALIVE) {
         updates[count++] = membership->members[index].record;
@@ -596,7 +596,7 @@
 }
 
 /* Sends indirect probes when a probe is overdue; later suspects the member, or
- * finds it dead if it was leaving. */
+ * declares it dead if it was leaving. */
 static void
 check_probe(cbw_membership_t *membership, cbw_time_t now, cbw_member_t *member)
 {
@@ -636,18 +636,19 @@
 {
     const cbw_membership_settings_t *settings = &membership->settings;
     cbw_time_t suspect_limit = CbwMembership_SuspectLimit_(membership, now);
-    /* A small fleet takes a member that this host itself has just suspected
-     * for dead at once, by the age of its state before: it always did, and
-     * finds dead hosts 0.6 s sooner by that. In a large fleet, and on a host
-     * that is late, the suspect has the time to refute it. */
-    bool is_patient = CbwMembership_IsLarge_(membership) ||
-                      CbwLocalHealth_Delay(&membership->health, now) > 0;
+    /* In a small fleet the age is that of the state before check_probe: a
+     * member that has just become a suspect there is declared dead at once,
+     * for faster detection. In a large fleet, and on a delayed host, a suspect
+     * has the time limit to refute the suspicion. */
+    bool waits_for_refutation =
+        CbwMembership_IsLarge_(membership) ||
+        CbwLocalHealth_Delay(&membership->health, now) > 0;
 
     for (size_t i = 1; i < membership->count; i++) {
         cbw_member_t *member = &membership->members[i];
         cbw_time_t in_state_for = now - member->changed_at;
         check_probe(membership, now, member);
-        if (is_patient) {
+        if (waits_for_refutation) {
             in_state_for = now - member->changed_at;
         }
         if (member->record.state == CBW_MEMBER_SUSPECT &&
--- a/src/libcarobwind/membership_watch.c
+++ b/src/libcarobwind/membership_watch.c
@@ -6,23 +6,21 @@
 #include "carobwind/membership.h"
 #include "private/membership.h"
 
-/* A suspect of a large fleet is waited for longer, by so many percent for each
- * member over Cbw_MEMBERSHIP_SMALL, up to a factor of 4 (in percent): after a
- * pause of a second its refutation has to reach all others, by messages that
- * each host sends 10 times a second. With 1.2 s at 300 members, half of the
- * observers found a host dead that had paused for a second. */
+/* In a large fleet the time limit of a suspect grows by this percentage for
+ * each member over Cbw_MEMBERSHIP_SMALL, up to the maximum: the refutation of
+ * a host that has paused for a second must reach all others first. */
 #define SUSPECT_PERCENT_PER_MEMBER 2
 #define SUSPECT_PERCENT_MAX 400
-/* A probe opens a connection if the last one was long ago, so that it takes
- * two round trips; half of one is allowed for the rest. */
+/* A probe takes two round trips if it has to open a connection; half a round
+ * trip is added as a margin. */
 #define INDIRECT_ROUND_TRIPS_PERCENT 250
-/* Time for the indirect probes: ProbeLimit is this many times the time until
- * they are sent, or that time and what follows. */
+/* CbwMembership_ProbeLimit allows one probe timeout less than this for the
+ * indirect probes. */
 #define LIMIT_FACTOR 3
-/* Budget of bytes a second for lists, and the bytes of a record. */
+/* Budget for lists in bytes per second, and size of a record in bytes. */
 #define LIST_BYTES_PER_SECOND 80000
 #define RECORD_BYTES 70
-/* Members in a bucket, until there are Cbw_MEMBERSHIP_BUCKETS_MAX. */
+/* Members per bucket, until the number of buckets is at its maximum. */
 #define BUCKET_MEMBERS 2
 #define BUCKETS_MIN 16
 
@@ -96,7 +94,7 @@
                      ? calloc(membership->count, sizeof(*candidates))
                      : NULL;
     if (candidates == NULL) {
-        /* A small fleet; or no memory, and then it is probed like one. */
+        /* A small fleet, or out of memory: all members are probed. */
         for (size_t i = 1; i < membership->count; i++) {
             membership->members[i].watched = true;
             membership->members[i].sampled = false;
@@ -136,8 +134,8 @@
         CbwLocalHealth_RoundTrip(&membership->health, member->data_centre) *
         INDIRECT_ROUND_TRIPS_PERCENT / 100;
 
-    /* Not more than twice the limit: a path that was slow once must not delay
-     * the detection of dead hosts much. */
+    /* At most twice the limit: a path that was slow once must not delay the
+     * detection of dead hosts much. */
     if (path > limit) {
         limit = path < 2 * limit ? path : 2 * limit;
     }
--- a/src/libcarobwind/placement.c
+++ b/src/libcarobwind/placement.c
@@ -73,12 +73,11 @@
     return &members[slot];
 }
 
-/* A member that may own the database: it does if it is nearer than the present
- * owner, or as near and of a higher weight. `member` is as the table has it.
- */
+/* Makes a member, an entry of the table, the owner if it is nearer than the
+ * present one, or as near and of a higher weight. */
 static void
-offer(cbw_placed_database_t *database, const cbw_placed_member_t *member,
-      const char *name)
+offer_database(cbw_placed_database_t *database,
+               const cbw_placed_member_t *member, const char *name)
 {
     cbw_nearness_t nearness =
         nearness_of(database, member->data_centre, member->region);
@@ -109,13 +108,12 @@
         const cbw_placed_member_t *member = find_slot(
             placement->members, placement->capacity, hash_name(name));
         if (member->usable) {
-            offer(database, member, name);
+            offer_database(database, member, name);
         }
     }
 }
 
-/* Sets up the databases of the inventory. Those that stay as they were keep
- * their owners. */
+/* Sets up the databases of the inventory. Unchanged ones keep their owners. */
 static void
 apply_inventory(cbw_placement_t *placement, const cbw_membership_t *membership,
                 const cbw_regions_t *regions, const cbw_inventory_t *inventory)
@@ -152,7 +150,7 @@
           const cbw_placed_member_t *member)
 {
     for (size_t i = 0; i < placement->database_count; i++) {
-        offer(&placement->databases[i], member, name);
+        offer_database(&placement->databases[i], member, name);
     }
 }
 
--- a/src/libcarobwind/tenure.c
+++ b/src/libcarobwind/tenure.c
@@ -4,7 +4,8 @@
 #include <stdio.h>
 #include <string.h>
 
-/* An empty field is written as a dash, so that it stays a word. */
+/* An empty field is written as a dash, so that the number of words stays the
+ * same. */
 static const char *
 word_or_dash(const char *field)
 {
@@ -183,8 +184,8 @@
     }
 }
 
-/* Notes the record's version in the store: a swap that expected another one
- * fails. */
+/* The record has `version` in the store: an unanswered swap that expected
+ * another one fails. */
 static void
 settle_swap(cbw_tenure_t *tenure, uint64_t version)
 {
@@ -194,8 +195,8 @@
     }
 }
 
-/* Gives the record another version, so that an earlier swap without an answer
- * fails. */
+/* Rewrites the record to change its version, so that an unanswered earlier
+ * swap fails. */
 static void
 renew_version(cbw_tenure_t *tenure, cbw_time_t now)
 {
@@ -275,10 +276,10 @@
     return 0;
 }
 
-/* Keeps when each previous holder was first seen as such: its last renewal was
- * before that. */
+/* Stores when each previous holder was first seen as such: its last renewal
+ * was before that. */
 static void
-note_previous_holders(cbw_tenure_t *tenure, cbw_time_t now)
+record_previous_holders(cbw_tenure_t *tenure, cbw_time_t now)
 {
     for (int i = 0; i < tenure->record.previous_holder_count; i++) {
         const cbw_tenure_holder_t *holder =
@@ -300,7 +301,7 @@
     cbw_time_t latest_expiry = now;
 
     if (tenure->record.previous_holder_count < 0) {
-        return; /* not all previous holders are named */
+        return; /* the record does not name all previous holders */
     }
     for (int i = 0; i < tenure->record.previous_holder_count; i++) {
         cbw_time_t seen =
@@ -334,7 +335,7 @@
                               uint64_t nonce)
 {
     if (!is_holder(tenure) && tenure->record.holder.nonce == nonce) {
-        /* As if the promotion had timed out: it may be taken over. */
+        /* As after a timeout of the promotion: it may be taken over. */
         tenure->version_seen_at = now - Cbw_TENURE_PROMOTION_TIMEOUT;
     }
 }
@@ -464,7 +465,7 @@
     tenure->version = version;
     tenure->record = *record;
     settle_swap(tenure, version);
-    note_previous_holders(tenure, now);
+    record_previous_holders(tenure, now);
     if (is_holder(tenure)) {
         if (!tenure->held) {
             /* A swap whose answer was lost has made this owner the holder. */
@@ -517,7 +518,7 @@
         return; /* the record is read again */
     }
     if (status != CBW_STORE_OK) {
-        /* Another owner was first, or the answer is lost: reads the record. */
+        /* A conflict, or the answer is lost: the record is read again. */
         tenure->record_known = false;
         tenure->next_call_at = status == CBW_STORE_CONFLICT
                                    ? now
@@ -531,7 +532,7 @@
     settle_swap(tenure, version);
     tenure->version = version;
     tenure->record = tenure->proposed;
-    note_previous_holders(tenure, now);
+    record_previous_holders(tenure, now);
     if (is_take_over) {
         begin_holding(tenure, now);
         tenure->inherited_promotion = tenure->record.promoting;
