libcarobwind: reword comments of quotas, queues, gate, memory budget and owner

Cause: comments used unusual wording ("a crowd of clients", "while the queue stands", "let in", "gives way", "question", "here" and "there" for regions, "most" for a maximum), or told how a value was chosen, with figures of test runs.

Change: usual terms: standing queue, admission, eviction, request.

--- a/include/carobwind/connection_cache.h
+++ b/include/carobwind/connection_cache.h
@@ -1,11 +1,10 @@
-/* Decides which connections to an endpoint are kept where each belongs to one
- * workspace for its lifetime.
+/* Cache of connections to an endpoint, each of which belongs to one workspace
+ * for its lifetime. Decides which connections are kept.
  *
  * Load pattern: there are more workspaces than connections, a few of them have
  * most of the demand, and a new connection occupies one of the endpoint's
- * slots for a while. The cache estimates for each workspace how much demand
- * each of its connections serves, and gives up the idle connection that serves
- * the least.
+ * slots for a while. The cache estimates how much demand each connection of a
+ * workspace serves, and evicts the idle connection that serves the least.
  *
  * The module does no I/O. The connections are the caller's; the cache keeps
  * links to them, and the time is an argument. */
@@ -26,10 +25,10 @@
 /* Demand is counted by the number of a workspace's connections in use, up to
  * this one. */
 #define Cbw_CONNECTION_LEVELS_MAX 8
-/* Most workspaces of which the demand at one endpoint is known. */
+/* Maximum number of workspaces whose demand at one endpoint is counted. */
 #define Cbw_CONNECTION_WORKSPACES_MAX 512
-/* How long a refusal for too many connections lowers the limit. Longer than
- * the part of a hand-over in which both owners have connections. */
+/* How long a refusal for too many connections reduces the limit. Longer than
+ * both owners have connections during a hand-over. */
 #define Cbw_CONNECTION_REFUSED_FOR (2 * Cbw_SEC)
 
 #define Cbw_CONNECTION_BUCKETS 64
@@ -56,7 +55,7 @@
 
 typedef struct cbw_connection_cache cbw_connection_cache_t;
 
-/* Chooses the idle connection to be closed. */
+/* Eviction policy: chooses the idle connection to close. */
 typedef struct {
     const char *name;
     /* Returns NULL when none is idle. */
--- a/include/carobwind/hold.h
+++ b/include/carobwind/hold.h
@@ -1,11 +1,11 @@
-/* Decides whether a queued request stays in the queue, goes behind those that
- * can still be served in time, or is refused.
+/* Decides whether a queued request stays in the queue, is moved behind those
+ * that can still be served in time, or is refused.
  *
- * Load pattern: capacity shrinks while requests are queued, as when an
- * endpoint becomes slow or a third of the callers send 2.5 times as much for 6
- * s. Requests that were let in will then miss their targets. Holding each of
- * them until it is given up costs its caller the time for another attempt, and
- * serving it late takes a slot from one that would be in time.
+ * Load pattern: capacity drops or load grows while requests are queued, as
+ * when an endpoint becomes slow. Requests that were admitted will then miss
+ * their targets. Holding one until it expires leaves its caller no time for
+ * another attempt, and serving it late takes a slot from one that would be in
+ * time.
  *
  * All limits are shares of the latency target or, without one, of the time
  * until the deadline. No request is held until its deadline.
@@ -18,11 +18,10 @@
 
 #include "carobwind/types.h"
 
-/* When the wait that is still expected is looked at, and for how long a
- * request is held while no endpoint can take it, in percent of the target. A
- * caller that gets its refusal within a quarter of the target has time for
- * another attempt; the rest is for the tick's interval and the way to the
- * entry. */
+/* When the expected remaining wait is checked, and how long a request is held
+ * while no endpoint can take it, in percent of the target. A caller that is
+ * refused within a quarter of the target has time for another attempt; the
+ * difference is for the tick interval and the transfer to the entry. */
 #define Cbw_HOLD_REVIEW_PERCENT 20
 /* A request that is sent after this percentage of its target is late: a
  * statement sent after 75 % of it would miss the target. */
@@ -50,11 +49,11 @@
 } cbw_hold_t;
 
 cbw_hold_decision_t CbwHold_Decide(const cbw_hold_t *hold, cbw_time_t now);
-/* Returns whether a request that is expected to wait for `wait` more (0: not
- * known) will be sent too late. */
+/* Returns whether a request with this expected remaining `wait` (0: unknown)
+ * will be sent too late. */
 bool CbwHold_IsTooLate(const cbw_hold_t *hold, cbw_time_t now,
                        cbw_time_t wait);
-/* Returns for how long at most a request is held while no endpoint can take
+/* Returns the longest time that a request is held while no endpoint can take
  * it. */
 cbw_time_t CbwHold_BlockedLimit(const cbw_hold_t *hold);
 
--- a/include/carobwind/memory_budget.h
+++ b/include/carobwind/memory_budget.h
@@ -1,16 +1,16 @@
-/* Decides what connections that other processes opened may cost this process:
- * how much is read from them, which of them wait, and which are closed.
+/* Memory and descriptor limits of incoming connections: how much is read from
+ * them, which of them wait, and which are closed.
  *
- * Load pattern: a crowd of clients sends large messages at once, stops in the
- * middle of them, does not read its answers, or uses up the descriptors.
+ * Load pattern: many clients send large messages at once, stop in the middle
+ * of them, do not read their answers, or use up the descriptors.
  *
  * Each connection has an account of the bytes that are held for it. Small
  * messages are always read. A connection whose message is longer than
  * Cbw_MEMORY_SMALL needs a grant, which covers the message and its copies on
- * the way; when there is no room for one, the connection waits and is not read
- * from. Waiting connections get grants in turn, first those of the workspace
- * that holds the least. A part of the budget is never granted, so that small
- * requests are served meanwhile.
+ * the way; while the budget does not allow one, the connection waits and is
+ * not read from. Waiting connections get grants in order, first those of the
+ * workspace with the least granted memory. A part of the budget is never
+ * granted, so that small requests are always served.
  *
  * The module does no I/O, and the time is an argument. */
 #ifndef CAROBWIND_MEMORY_BUDGET_H
@@ -39,13 +39,12 @@
 /* A connection that gets an error and is then closed may send the rest of its
  * message for this long: a close with unread input would discard the error. */
 #define Cbw_MEMORY_CLOSING_TIME (2 * Cbw_SEC)
-/* While others wait for a grant, a message with one must arrive at this rate,
- * in bytes per second, after the first time. It is a fiftieth of the slowest
- * host's link. */
+/* While others wait for a grant, a message with one must arrive at least at
+ * this rate, in bytes per second, once this time has passed. */
 #define Cbw_MEMORY_STALL_TIME (2 * Cbw_SEC)
 #define Cbw_MEMORY_STALL_RATE 24576
-/* A transaction that is quiet for this long may be closed for a new
- * connection, after all idle connections. */
+/* When a new connection needs a descriptor and no connection is idle, one
+ * whose transaction is idle for this long may be closed. */
 #define Cbw_MEMORY_TRANSACTION_QUIET_TIME (1 * Cbw_SEC)
 
 /* What bytes are held for. */
@@ -57,7 +56,7 @@
     CBW_MEMORY_KIND_COUNT_,
 } cbw_memory_kind_t;
 
-/* Where a client connected to. */
+/* The port to which a client connected. */
 typedef enum {
     CBW_PORT_CALLERS,
     CBW_PORT_PEERS,
@@ -80,8 +79,8 @@
 /* Why a connection is closed. */
 typedef enum {
     CBW_CLOSE_NONE,
-    CBW_CLOSE_FIRST_MESSAGE, /* its first message is late */
-    CBW_CLOSE_MESSAGE,       /* a message is late */
+    CBW_CLOSE_FIRST_MESSAGE, /* its first message timed out */
+    CBW_CLOSE_MESSAGE,       /* a message timed out */
     CBW_CLOSE_OUTPUT,        /* it does not read */
     CBW_CLOSE_STALLED,       /* its message is slow and others wait */
     CBW_CLOSE_MEMORY,        /* the budget is used up */
@@ -102,11 +101,10 @@
 
 typedef struct {
     size_t limit;  /* bytes for all connections */
-    size_t used;   /* sum over the accounts of the larger of what is held and
-                      what is granted */
+    size_t used;   /* sum of max(total, granted) over the accounts */
     size_t grants; /* number */
     cbw_link_t accounts[CBW_PORT_COUNT_]; /* in the order of opening */
-    cbw_link_t waiting;                   /* in the order of asking */
+    cbw_link_t waiting;                   /* for a grant, oldest first */
     cbw_link_t shares;
 } cbw_memory_budget_t;
 
@@ -124,7 +122,7 @@
     uint64_t served;          /* answers so far */
     cbw_time_t quiet_since;   /* last message or answer; initially: opened */
     cbw_time_t message_since; /* first byte of an incomplete message, or when
-                                 reading it went on after a wait; 0: none */
+                                 reading it resumed after a wait; 0: none */
     cbw_time_t granted_at;
     size_t granted_input;    /* input held at that time */
     cbw_time_t output_since; /* when output was last written, or began to be
@@ -156,27 +154,27 @@
 /* Sets the bytes of output, some of which may have been written. */
 void CbwMemoryAccount_SetOutput(cbw_memory_account_t *account, size_t bytes,
                                 bool progressed, cbw_time_t now);
-/* Notes that input of `bytes` is left, a part of a message or none. */
+/* Sets the bytes of input that remain: an incomplete message, or none. */
 void CbwMemoryAccount_SetInput(cbw_memory_account_t *account, size_t bytes,
                                cbw_time_t now);
-/* Notes that a message arrived in full or was answered. */
+/* A message arrived in full or was answered. */
 void CbwMemoryAccount_OnMessage(cbw_memory_account_t *account,
                                 cbw_client_state_t state, cbw_time_t now);
 void CbwMemoryAccount_OnAnswer(cbw_memory_account_t *account,
                                cbw_client_state_t state, cbw_time_t now);
-/* Returns whether to go on reading from the connection. If not, it waits:
- * CbwMemoryBudget_NextToResume returns it when its turn comes. */
+/* Returns whether to continue reading from the connection. If not, it waits
+ * for a grant, with which CbwMemoryBudget_NextToResume returns it. */
 bool CbwMemoryAccount_MayRead(cbw_memory_account_t *account, cbw_time_t now);
-/* Returns whether `bytes` more may be kept for as long as the client likes, as
- * session values are. */
+/* Returns whether `bytes` more may be kept for an unlimited time, as session
+ * values are. */
 bool CbwMemoryAccount_MayKeep(const cbw_memory_account_t *account,
                               size_t bytes);
 /* Returns a waiting connection that has just got a grant, or NULL. */
 cbw_memory_account_t *CbwMemoryBudget_NextToResume(cbw_memory_budget_t *budget,
                                                    cbw_time_t now);
-/* Returns the connection to close since the budget is exceeded, the largest
- * and then the least served one, or NULL. Those without an outstanding request
- * come first. */
+/* Returns the connection to close because the budget is exceeded: first those
+ * without an outstanding request, of these the largest, then the least served
+ * one. NULL: none. */
 cbw_memory_account_t *
 CbwMemoryBudget_NextToClose(const cbw_memory_budget_t *budget);
 /* Returns the connection to close in favour of a new one on the port, or NULL:
--- a/include/carobwind/offload.h
+++ b/include/carobwind/offload.h
@@ -1,23 +1,21 @@
-/* Decides whether a queued read leaves the region: compares its expected
- * completion at the endpoints here with that at the endpoints there.
+/* Decides whether a queued read is sent to another region: compares its
+ * expected completion at the local endpoints with that at the remote ones.
  *
- * Only what waits too long here leaves. As the queue shortens, so does the
- * expected wait of its last request, and reads stay again: what leaves is the
- * excess, not all. Without I/O. */
+ * Only reads that would wait too long leave. As the queue becomes shorter, so
+ * does the expected wait of its last request, and reads stay again: only the
+ * excess leaves. The module does no I/O. */
 #ifndef CAROBWIND_OFFLOAD_H
 #define CAROBWIND_OFFLOAD_H
 
 #include "carobwind/types.h"
 
-/* The expected completion here must be this many percent of that there before
- * reads leave; once they do, they go on until it is no more than that there.
- */
+/* Reads start to leave when the expected local completion is this percentage
+ * of the remote one, and leave until it is no longer than the remote one. */
 #define Cbw_OFFLOAD_START_PERCENT 125
-/* Assumed in place of the excess of the path as long as that is not measured:
- * the round trip between the users' regions. */
+/* Additional latency of the path, assumed until it is measured. */
 #define Cbw_OFFLOAD_PATH_UNMEASURED (60 * Cbw_MSEC)
-/* Loads of a link, in percent of its capacity: from here on it counts as slow,
- * is left to the most urgent rank, and is full. */
+/* Loads of a link, in percent of its capacity, from which on it counts as
+ * slow, is reserved for the most urgent rank, and is full. */
 #define Cbw_OFFLOAD_LINK_SLOW 70
 #define Cbw_OFFLOAD_LINK_URGENT 90
 #define Cbw_OFFLOAD_LINK_FULL 97
@@ -26,8 +24,8 @@
 
 typedef enum {
     CBW_OFFLOAD_STAYS,
-    CBW_OFFLOAD_NO_ENDPOINT, /* none here is usable */
-    CBW_OFFLOAD_BEHIND,      /* those here lack what the read needs */
+    CBW_OFFLOAD_NO_ENDPOINT, /* no local one is usable */
+    CBW_OFFLOAD_BEHIND,      /* local ones lack the position of the read */
     CBW_OFFLOAD_QUEUE,       /* the queue is too long */
 } cbw_offload_reason_t;
 
@@ -46,12 +44,12 @@
 
 /* Zero but for the cost is its initial state. */
 typedef struct {
-    /* What a wait may cost before 1,000 bytes are sent over the border. */
+    /* Price of sending 1,000 bytes to another region, as a waiting time. */
     cbw_time_t cost_per_kb;
-    bool leaving; /* reads left when it was last decided */
+    bool leaving; /* result of the last decision */
 } cbw_offload_t;
 
-/* Returns the expected completion of the last read that waits. */
+/* Returns the expected completion of the last queued read. */
 cbw_time_t CbwOffload_Expect(const cbw_offload_side_t *side);
 /* Decides about the next read, of `rank` (0: the most urgent), and returns why
  * it leaves, or that it stays. */
--- a/include/carobwind/owner.h
+++ b/include/carobwind/owner.h
@@ -24,7 +24,7 @@
  * queue at the target. */
 #define Cbw_OWNER_ADMISSION_INTERVAL (20 * Cbw_MSEC)
 #define Cbw_OWNER_ADMISSION_TARGET_WAIT (60 * Cbw_MSEC)
-/* Longest pause of writes during a planned switchover, and the time until the
+/* Maximum pause of writes during a planned switchover, and the time until the
  * next attempt when no replica caught up. */
 #define Cbw_OWNER_SWITCHOVER_TIMEOUT (10 * Cbw_SEC)
 /* How long a switchover waits for open transactions to end. */
@@ -37,7 +37,7 @@
 /* A statement that is not answered within this time is retried on a new
  * connection; the time doubles with each attempt. */
 #define Cbw_OWNER_ATTEMPT_TIMEOUT (400 * Cbw_MSEC)
-/* A primary that is not heard from for this long is replaced. */
+/* A primary without a reply for this long is replaced. */
 #define Cbw_OWNER_PRIMARY_TIMEOUT (450 * Cbw_MSEC)
 /* How long after its deadline a request may still be confirmed or settled
  * before it is answered as unknown. */
@@ -55,8 +55,8 @@
 typedef enum {
     CBW_REACH_NOT_ASKED,
     CBW_REACH_ASKED, /* waiting for their answers */
-    CBW_REACH_NONE,  /* none of them does */
-    CBW_REACH_MOVED, /* one does, and ownership moves to it */
+    CBW_REACH_NONE,  /* none reaches it */
+    CBW_REACH_MOVED, /* one reaches it, and ownership moves to that host */
 } cbw_reach_t;
 
 /* Text of each cbw_reach_t, indexed by value. */
--- a/include/carobwind/quota.h
+++ b/include/carobwind/quota.h
@@ -1,8 +1,8 @@
 /* Quotas: a workspace's limit on operations, which binds the sum over all
  * hosts. The owner of a database has a token bucket for each workspace with
  * recent demand; it fills at the owner's share of the limit. Owners that need
- * less than an equal part lend through the workspace's granter to those that
- * need more. See docs/design/quotas.md.
+ * less than an equal share lend, through the workspace's granter, to those
+ * that need more. See docs/design/quotas.md.
  *
  * In every window of Cbw_QUOTA_WINDOW, the tokens that are spent for a
  * workspace are at most
@@ -19,29 +19,29 @@
 #include "carobwind/types.h"
 #include "carobwind/workspace.h"
 
-/* Length of the sliding window that the bound is about. */
+/* Length of the sliding window for which the bound holds. */
 #define Cbw_QUOTA_WINDOW (5 * Cbw_SEC)
 /* Shares of a limit are whole numbers of millionths, so that their sums are
  * exact. */
 #define Cbw_QUOTA_WHOLE 1000000U
 
-/* The bound leaves 20 operations, and a tenth of what the rate allows in a
- * window, for the following: 16 + 4, and 0.1 s + 0.1 s of the rate. The rest
- * is for owners of one database that overlap at a hand-over. */
+/* The bound leaves a margin of 20 operations and a tenth of what the rate
+ * allows in a window. The following use 16 + 4 operations, and 0.1 s + 0.1 s
+ * of the rate. The rest is for owners of one database that overlap at a
+ * hand-over. */
 
 /* Added to each burst. It is divided equally among the databases and never
  * lent, so that an owner that lent its share can run an operation at once, and
  * a workspace with a small rate is not refused below it. */
 #define Cbw_QUOTA_EXTRA_BURST 16.0
-/* Added to each burst, as the filling of this time. A bucket is emptied no
- * more often than requests arrive and the event loop runs. */
+/* The tokens of this time are added to each burst, since tokens are taken only
+ * when requests arrive and the event loop runs. */
 #define Cbw_QUOTA_EXTRA_TIME (100 * Cbw_MSEC)
-/* What a new owner may run while it does not know whether its share is lent:
- * its part of these operations, and the filling of this time. */
+/* Operations of a new owner until it knows whether its share is lent: its
+ * share of this number, and the tokens of this time. */
 #define Cbw_QUOTA_START_EXTRA 4.0
-/* Percentage of its base share that it may use meanwhile, besides. After a
- * restart of all hosts it is all that callers get until the granters are
- * known. */
+/* Percentage of its base share that it may use in addition until then. After a
+ * restart of all hosts callers get no more until the granters are known. */
 #define Cbw_QUOTA_START_SHARE_PERCENT 50
 #define Cbw_QUOTA_START_TIME (100 * Cbw_MSEC)
 
@@ -49,12 +49,13 @@
 #define Cbw_QUOTA_LEASE (500 * Cbw_MSEC)
 /* How long the granter counts a lease, from the sending of its answer. */
 #define Cbw_QUOTA_LEASE_COUNTED (Cbw_QUOTA_LEASE + 250 * Cbw_MSEC)
-/* A loan is the basis of grants for this long after its stamp. Leases that it
- * is the basis of end before Cbw_QUOTA_RETURN_AFTER. */
+/* Grants may be based on a loan for this long after its stamp. Leases based on
+ * it end before Cbw_QUOTA_RETURN_AFTER. */
 #define Cbw_QUOTA_LOAN (1000 * Cbw_MSEC)
-/* An owner uses what it lent after this time without a confirmation. */
+/* An owner uses the share that it lent after this time without a
+ * confirmation. */
 #define Cbw_QUOTA_RETURN_AFTER (1800 * Cbw_MSEC)
-/* Least time between two claims for one workspace, and between two messages
+/* Minimum time between two claims for one workspace, and between two messages
  * of an owner to one host. */
 #define Cbw_QUOTA_CLAIM_INTERVAL (250 * Cbw_MSEC)
 /* How often an owner is asked to lend. A third of Cbw_QUOTA_LOAN, so that a
@@ -62,15 +63,15 @@
 #define Cbw_QUOTA_ASK_INTERVAL (300 * Cbw_MSEC)
 /* A bucket without demand is dropped after this time, once it is full. */
 #define Cbw_QUOTA_IDLE_TIMEOUT (5 * Cbw_SEC)
-/* Most workspaces in one message. */
+/* Maximum number of workspaces in one message. */
 #define Cbw_QUOTA_MESSAGE_MAX 256
-/* Lists of a hash table of workspaces. */
+/* Number of lists of a hash table of workspaces. */
 #define Cbw_QUOTA_LISTS 64
 
-/* What is known of a request's token. */
+/* State of a request's token. */
 typedef enum {
     CBW_QUOTA_TOKEN_NONE,     /* no limit applies */
-    CBW_QUOTA_TOKEN_RESERVED, /* accepted, and not sent */
+    CBW_QUOTA_TOKEN_RESERVED, /* accepted and not sent yet */
     CBW_QUOTA_TOKEN_SPENT,    /* sent to an endpoint */
 } cbw_quota_token_t;
 
@@ -80,12 +81,12 @@
     cbw_time_t at;
 } cbw_quota_stamp_t;
 
-/* What an owner asks a granter for, for one workspace. Shares are in
- * millionths of the limit. */
+/* An owner's claim to a granter, for one workspace. Shares are in millionths
+ * of the limit. */
 typedef struct {
     char workspace[Cbw_NAME_MAX];
     uint32_t want;           /* beyond the base share */
-    uint32_t held;           /* leased, and in use */
+    uint32_t held;           /* currently leased */
     uint32_t lend;           /* of the base share */
     cbw_quota_stamp_t stamp; /* received last */
 } cbw_quota_claim_t;
@@ -94,7 +95,7 @@
 typedef struct {
     char workspace[Cbw_NAME_MAX];
     uint32_t grant;   /* leased, in place of earlier leases */
-    uint32_t counted; /* of the claimant's base share, that may be in use */
+    uint32_t counted; /* of the claimant's base share, that others may use */
     bool confirmed;   /* `counted` is complete */
     cbw_quota_stamp_t stamp;
 } cbw_quota_grant_t;
@@ -104,11 +105,11 @@
     cbw_link_t link;
     cbw_workspace_t limit;      /* its name, rate and burst */
     char granter[Cbw_NAME_MAX]; /* database of the granter */
-    /* Tokens that can be reserved; below 0 after operations that ran twice.
+    /* Tokens that can be reserved; negative after operations that ran twice.
      */
     double level;
     double credit; /* tokens of a new owner, used first */
-    int reserved;  /* tokens of requests that are not sent */
+    int reserved;  /* tokens of requests that are not sent yet */
     cbw_time_t filled_at;
     double demand;         /* operations per second, smoothed */
     double slow_demand;    /* the same over a longer time */
@@ -127,7 +128,8 @@
     bool ask_pending;        /* not answered by a claim yet */
 } cbw_quota_bucket_t;
 
-/* Reports that a workspace began or ceased to be refused operations. */
+/* Reports that a workspace became limited, that is, was refused an operation,
+ * or is no longer limited. */
 typedef void (*cbw_quota_report_t)(void *context, const char *workspace,
                                    bool limited);
 
@@ -139,7 +141,7 @@
     void *context;                    /* of `report` */
     uint32_t base;                    /* the base share */
     uint64_t term; /* tenure version of this ownership; 0: never held it */
-    /* From then on, loans of a previous owner have ended. */
+    /* Loans of a previous owner have ended by then. */
     cbw_time_t known_from;
     bool may_lend;
     bool overlaps; /* see CbwQuota_SetOverlaps */
@@ -160,10 +162,10 @@
                            const cbw_inventory_t *inventory);
 /* Begins an ownership under a new tenure: `term` is the version of its record,
  * higher than those of all earlier tenures. What the previous owner lent is
- * not known until the granter tells, or until Cbw_QUOTA_RETURN_AFTER has
- * passed. */
+ * unknown until the granter confirms it or Cbw_QUOTA_RETURN_AFTER has passed.
+ */
 void CbwQuota_BeginTerm(cbw_quota_t *quota, cbw_time_t now, uint64_t term);
-/* Sets whether the owner may lend: its tenure is valid. */
+/* Sets whether the owner may lend, which requires a valid tenure. */
 void CbwQuota_SetMayLend(cbw_quota_t *quota, bool may_lend);
 /* Sets whether another owner of the database may serve at the same time: this
  * one is about to leave, or has no tenure yet. Both then use half of the base
@@ -188,15 +190,16 @@
 void CbwQuota_End(cbw_quota_t *quota, const char *workspace,
                   cbw_quota_token_t *token);
 
-/* Drops buckets that are not needed any more, and reports workspaces that are
- * not limited any more. */
+/* Drops buckets that are no longer needed, and reports workspaces that are no
+ * longer limited. */
 void CbwQuota_Tick(cbw_quota_t *quota, cbw_time_t now);
 
 /* Returns whether claims to the granter at this database are to be part of a
  * message. */
 typedef bool (*cbw_quota_filter_t)(void *context, const char *granter);
-/* Makes claims that are due, `max` at most, to granters that `accept` returns
- * true for. Returns their count, and sets `number`, which the answer has. */
+/* Makes claims that are due, `max` at most, to granters for which `accept`
+ * returns true. Returns their count, and sets `number`, which the answer
+ * repeats. */
 size_t CbwQuota_MakeClaims(cbw_quota_t *quota, cbw_time_t now,
                            cbw_quota_filter_t accept, void *context,
                            cbw_quota_claim_t *claims, size_t max,
@@ -216,7 +219,7 @@
 const cbw_database_t *CbwQuota_FindGranter(const cbw_inventory_t *inventory,
                                            const char *workspace);
 
-/* What a granter knows of one owner, for one workspace. */
+/* State of one owner at a granter, for one workspace. */
 typedef struct {
     cbw_link_t link;
     char database[Cbw_NAME_MAX];
@@ -228,7 +231,7 @@
     cbw_time_t leased_until;
     uint32_t offer; /* usable for grants until `offer_until` */
     cbw_time_t offer_until;
-    uint32_t counted;    /* at least `offer`: may be the basis of leases */
+    uint32_t counted;    /* at least `offer`: leases may be based on it */
     cbw_time_t asked_at; /* when it was asked to lend; 0: never */
 } cbw_quota_party_t;
 
@@ -252,10 +255,10 @@
  * differ with each start of the process. */
 void CbwQuotaGranter_Init(cbw_quota_granter_t *granter, uint64_t nonce,
                           cbw_counters_t *counters);
-/* Frees all that the granter has. */
+/* Frees what the granter owns. */
 void CbwQuotaGranter_Finish(cbw_quota_granter_t *granter);
 /* Sets whether the granter's owner has a valid tenure, and no other owner has
- * one. When that begins, all that was known before is dropped. */
+ * one. When that begins, all earlier state is dropped. */
 void CbwQuotaGranter_SetExclusive(cbw_quota_granter_t *granter, cbw_time_t now,
                                   bool exclusive);
 /* Answers a claim of the owner of `database`. `base`: the base share. Returns
@@ -267,11 +270,11 @@
                              const cbw_quota_claim_t *claim,
                              cbw_quota_grant_t *grant);
 /* Collects the workspaces for which the owner of `database` is to be asked to
- * lend, `max` at most, and takes them as asked. Returns their count. */
+ * lend, `max` at most, and marks them as asked. Returns their count. */
 size_t CbwQuotaGranter_MakeAsks(cbw_quota_granter_t *granter, cbw_time_t now,
                                 const char *database,
                                 char (*workspaces)[Cbw_NAME_MAX], size_t max);
-/* Drops what is not needed any more. */
+/* Drops state that is no longer needed. */
 void CbwQuotaGranter_Tick(cbw_quota_granter_t *granter, cbw_time_t now);
 
 #endif
--- a/include/carobwind/region.h
+++ b/include/carobwind/region.h
@@ -9,14 +9,14 @@
 
 #include "carobwind/inventory.h"
 
-/* Most data centres that the table names. */
+/* Maximum number of data centres in the table. */
 #define Cbw_REGIONS_MAX 128
 
 /* Zero is its initial state. */
 typedef struct {
     cbw_data_centre_t data_centres[Cbw_REGIONS_MAX]; /* sorted by name */
     size_t count;
-    bool several; /* two regions or more are named */
+    bool several; /* there are two regions or more */
 } cbw_regions_t;
 
 /* Adds a data centre. Returns 0, or -1 with an error when a name is empty or
@@ -43,17 +43,17 @@
                                   const char *previous);
 /* Returns the endpoint of a database at which reads from `data_centre` are
  * served without the owner: the first one, in the inventory's order, of its
- * region that stays, is a replica and has enough connections for a lease (see
- * read_dispatch.h). NULL: there is none, the home is in that
- * region too, or there is no table in force. */
+ * region that is a replica, is not leaving and has enough connections for a
+ * lease (see read_dispatch.h). NULL: there is none, the home is in that region
+ * too, or there is no table in force. */
 const cbw_endpoint_t *
 CbwRegions_FindReadEndpoint(const cbw_regions_t *regions,
                             const cbw_database_t *database,
                             const char *data_centre);
-/* Sets the homes of an inventory's databases. `previous` is the inventory that
- * it replaces, or NULL: homes that it has stay as CbwRegions_ChooseHome says,
- * also of databases without endpoints. Does nothing without a table in force.
- */
+/* Sets the homes of an inventory's databases. `previous`, the inventory that
+ * it replaces, or NULL, provides the previous homes for CbwRegions_ChooseHome;
+ * databases without endpoints keep theirs. Does nothing without a table in
+ * force. */
 void CbwRegions_SetHomes(const cbw_regions_t *regions,
                          cbw_inventory_t *inventory,
                          const cbw_inventory_t *previous, cbw_time_t now);
--- a/src/libcarobwind/connection_cache.c
+++ b/src/libcarobwind/connection_cache.c
@@ -39,8 +39,8 @@
                 (double)Cbw_CONNECTION_DEMAND_HALF_LIFE);
 }
 
-/* Returns the demand that found `in_use` or more connections in use, not
- * decayed since `decayed_at`. */
+/* Returns the demand that arrived while `in_use` or more connections were in
+ * use, as of `decayed_at`. */
 static double
 demand_from(const cbw_connection_group_t *group, int in_use)
 {
@@ -63,7 +63,8 @@
     free(group);
 }
 
-/* Drops the workspace of least demand among those without connections. */
+/* Drops the workspace with the least demand among those without connections.
+ */
 static void
 drop_least_demanded(cbw_connection_cache_t *cache, cbw_time_t now)
 {
@@ -156,46 +157,46 @@
         ->used;
 }
 
-/* Returns the worth of the group's last connection as a power of two. */
+/* Returns the binary exponent of the demand that the group's last connection
+ * serves. */
 static int
-order_of_worth(const cbw_connection_group_t *group, cbw_time_t now)
+demand_exponent(const cbw_connection_group_t *group, cbw_time_t now)
 {
-    double worth =
+    double demand =
         demand_from(group, group->count - 1) * decay(group->decayed_at, now);
-    int order;
+    int exponent;
 
-    if (worth == 0) {
+    if (demand == 0) {
         return INT_MIN;
     }
-    (void)frexp(worth, &order);
-    return order;
+    (void)frexp(demand, &exponent);
+    return exponent;
 }
 
-/* Worths within the same power of two count as equal, and then the group that
- * was used last gives way: if the one that was not used for longest did,
- * groups of equal demand that take turns would always displace the next one.
- */
+/* Demands with the same exponent count as equal; of those groups, the one used
+ * last is chosen. With the least recently used one, groups of equal demand
+ * that take turns would always evict the group that is used next. */
 static cbw_cached_connection_t *
 choose_least_demanded(const cbw_connection_cache_t *cache, cbw_time_t now)
 {
     cbw_cached_connection_t *chosen = NULL;
-    int chosen_worth = 0;
+    int chosen_exponent = 0;
 
     for (cbw_link_t *link = cache->active.next; link != &cache->active;
          link = link->next) {
         const cbw_connection_group_t *group =
             Cbw_LIST_ITEM(link, cbw_connection_group_t, active_link);
         cbw_cached_connection_t *connection = last_idle(cache, group);
-        int worth;
+        int exponent;
         if (connection == NULL) {
             continue;
         }
-        worth = order_of_worth(group, now);
-        if (chosen == NULL || worth < chosen_worth ||
-            (worth == chosen_worth &&
+        exponent = demand_exponent(group, now);
+        if (chosen == NULL || exponent < chosen_exponent ||
+            (exponent == chosen_exponent &&
              last_use(group) > last_use(chosen->group))) {
             chosen = connection;
-            chosen_worth = worth;
+            chosen_exponent = exponent;
         }
     }
     return chosen;
@@ -261,7 +262,7 @@
     }
     group = find_or_add_group(cache, workspace);
     if (group == NULL) {
-        return; /* out of memory: it counts as not demanded */
+        return; /* out of memory: the demand is not counted */
     }
     left = decay(group->decayed_at, now);
     group->decayed_at = now;
--- a/src/libcarobwind/gate.c
+++ b/src/libcarobwind/gate.c
@@ -1,19 +1,19 @@
 #include "carobwind/gate.h"
 
-/* A dispatch has the reciprocal of this as its weight in the interval. */
+/* Reciprocal of the weight of a dispatch in the smoothed interval. */
 #define SMOOTHING 16
-/* An interval this many times as long as usual, and longer than the allowance,
- * is an interruption of the service and not its speed. */
+/* An interval longer than this many times the smoothed one plus the allowance
+ * is an interruption of the service, and is not averaged. */
 #define INTERRUPTION_FACTOR 10
 #define INTERRUPTION_ALLOWANCE (50 * Cbw_MSEC)
-/* A measurement that is older than this says nothing any more. */
+/* How long a measurement is valid. */
 #define VALID_FOR (2 * Cbw_SEC)
-/* A queue begins to stand when all of its requests have waited for more than
- * this percentage of their targets, during this many targets. It no longer
- * stands when they have waited for less during the same time. */
+/* There is a standing queue once all dispatched requests have waited for more
+ * than this percentage of their targets, during this many targets; no longer,
+ * once they have waited for less during the same time. */
 #define STANDING_PERCENT 20
 #define STANDING_TARGETS 2
-/* The golden ratio, in 1/1024: its multiples, modulo 1, spread evenly. */
+/* The golden ratio in 1/1024: its multiples modulo 1 are spread evenly. */
 #define SPREAD_STEP 633
 #define SPREAD_UNIT 1024
 
@@ -36,15 +36,15 @@
 update_standing(cbw_gate_t *gate, cbw_time_t now, bool long_wait,
                 cbw_time_t target)
 {
-    if (long_wait == gate->stands) {
-        gate->changes_since = 0;
+    if (long_wait == gate->has_standing_queue) {
+        gate->contrary_since = 0;
     }
-    else if (gate->changes_since == 0) {
-        gate->changes_since = now;
+    else if (gate->contrary_since == 0) {
+        gate->contrary_since = now;
     }
-    else if (now - gate->changes_since > STANDING_TARGETS * target) {
-        gate->stands = long_wait;
-        gate->changes_since = 0;
+    else if (now - gate->contrary_since > STANDING_TARGETS * target) {
+        gate->has_standing_queue = long_wait;
+        gate->contrary_since = 0;
     }
 }
 
@@ -80,7 +80,8 @@
                                  : Cbw_GATE_BURST_WAIT_PERCENT;
     cbw_time_t longest =
         target *
-        (gate->stands ? Cbw_GATE_STANDING_WAIT_PERCENT : burst_wait_percent) /
+        (gate->has_standing_queue ? Cbw_GATE_STANDING_WAIT_PERCENT
+                                  : burst_wait_percent) /
         100;
     cbw_time_t wait = CbwGate_PredictWait(gate, now, ahead);
 
--- a/src/libcarobwind/hold.c
+++ b/src/libcarobwind/hold.c
@@ -1,19 +1,17 @@
 #include "carobwind/hold.h"
 
-/* Percentage of the expected wait that has to fit. More than all of it, as a
- * request that is refused later was held for nothing: with 100, 5 % of the
- * requests in a burst of all workspaces were (test_scheduling.c), with 200,
- * 0.1 %. */
+/* Percentage of the expected wait that must fit. Above 100, since a request
+ * that is refused later was held in vain. */
 #define EXPECTED_WAIT_PERCENT 200
 
-/* Returns the time of which the limits are shares. */
+/* Returns the time to which the percentages apply. */
 static cbw_time_t
 span_of(const cbw_hold_t *hold)
 {
     return hold->target > 0 ? hold->target : hold->deadline - hold->arrived_at;
 }
 
-/* Returns when the request is refused at the latest. */
+/* Returns the latest time at which the request is refused. */
 static cbw_time_t
 latest(const cbw_hold_t *hold)
 {
--- a/src/libcarobwind/include/private/quota.h
+++ b/src/libcarobwind/include/private/quota.h
@@ -23,26 +23,28 @@
 /* Returns the index of a workspace's list in a hash table of
  * Cbw_QUOTA_LISTS. */
 size_t CbwQuota_ListOf_(const char *workspace);
-/* Returns the part of the base share that is not to be used now. */
+/* Returns the part of the base share that is lent, and must not be used now.
+ */
 uint32_t CbwQuota_LentShare_(const cbw_quota_t *quota,
                              const cbw_quota_bucket_t *bucket, cbw_time_t now);
 /* Returns the leased share that may be used now. */
 uint32_t CbwQuota_LeasedShare_(const cbw_quota_bucket_t *bucket,
                                cbw_time_t now);
-/* Returns the most tokens that the bucket holds, those reserved included. */
+/* Returns the bucket's capacity in tokens, including reserved ones. */
 double CbwQuota_CapacityOf_(const cbw_quota_t *quota,
                             const cbw_quota_bucket_t *bucket, cbw_time_t now);
-/* Cuts the level to the room that reserved tokens leave. */
+/* Reduces the level to the capacity that reserved tokens leave. */
 void CbwQuota_CutLevel_(const cbw_quota_t *quota, cbw_quota_bucket_t *bucket,
                         cbw_time_t now);
-/* Adds the tokens since the last call. To be called before a share changes. */
+/* Adds the tokens earned since the last call. To be called before a share
+ * changes. */
 void CbwQuota_Fill_(const cbw_quota_t *quota, cbw_quota_bucket_t *bucket,
                     cbw_time_t now);
 /* Returns the bucket of a workspace, or NULL. */
 cbw_quota_bucket_t *CbwQuota_FindBucket_(const cbw_quota_t *quota,
                                          const char *workspace);
-/* Returns the bucket of a workspace, made if there is none. NULL: the
- * workspace has no limit. */
+/* Returns the bucket of a workspace, and creates it if there is none. NULL:
+ * the workspace has no limit. */
 cbw_quota_bucket_t *CbwQuota_GetBucket_(cbw_quota_t *quota, cbw_time_t now,
                                         const char *workspace);
 /* Returns the measured demand, in operations per second. */
--- a/src/libcarobwind/memory_budget.c
+++ b/src/libcarobwind/memory_budget.c
@@ -6,8 +6,8 @@
 
 /* Descriptors left for files, at most half of all. */
 #define FILES_MAX 200
-/* Sizes are compared in these steps, so that connections that hold about as
- * much are told apart by what they were served. */
+/* Sizes are compared in these steps, so that among connections of similar size
+ * the number of answers decides. */
 #define SIZE_STEP ((size_t)16384)
 
 const char *const CbwMemory_PortString[] = {"callers", "peers", "http"};
@@ -23,7 +23,7 @@
     return one > other ? one : other;
 }
 
-/* Bytes that may be granted or kept in all. */
+/* Total bytes that may be granted or kept. */
 static size_t
 grantable(const cbw_memory_budget_t *budget)
 {
@@ -249,8 +249,8 @@
                                           ? account->total
                                           : Cbw_MEMORY_GRANT);
 
-    /* One message is served whatever else is held, and one of each workspace
-     * in what a single workspace may not take. */
+    /* The first grant is always possible. A workspace with a grant gets no
+     * more above half of what may be granted; the rest is for the others. */
     if (budget->grants == 0) {
         return true;
     }
@@ -324,7 +324,7 @@
 
 /* Which connections are closed. */
 
-/* Whether `one` is to be closed rather than `other`. */
+/* Whether to close `one` rather than `other`. */
 static bool
 goes_before(const cbw_memory_account_t *one, const cbw_memory_account_t *other)
 {
@@ -362,8 +362,8 @@
     return worst;
 }
 
-/* Order in which connections are closed for new ones, the first lowest; -1:
- * this one is not. */
+/* Returns the place of a connection in the order of closing for new ones, the
+ * lowest first; -1: it is not closed. */
 static int
 closing_class(const cbw_memory_account_t *account, cbw_time_t now)
 {
--- a/src/libcarobwind/offload.c
+++ b/src/libcarobwind/offload.c
@@ -17,8 +17,8 @@
            (link->load >= Cbw_OFFLOAD_LINK_URGENT && rank > 0);
 }
 
-/* Returns the expected completion of one read more there, with the price of
- * its bytes. */
+/* Returns the expected completion of one more read there, including the price
+ * of its bytes. */
 static cbw_time_t
 expect_there(const cbw_offload_t *offload, const cbw_offload_side_t *here,
              const cbw_offload_side_t *there, const cbw_offload_link_t *link)
@@ -33,7 +33,7 @@
     }
     expected = CbwOffload_Expect(&measured);
     if (link->load > Cbw_OFFLOAD_LINK_SLOW) {
-        /* As a queue in front of the link: twice at 85 %. */
+        /* As with a queue in front of the link: doubled at a load of 85 %. */
         expected = expected * (PERCENT - Cbw_OFFLOAD_LINK_SLOW) /
                    (link->load < PERCENT ? PERCENT - link->load : 1);
     }
--- a/src/libcarobwind/owner.c
+++ b/src/libcarobwind/owner.c
@@ -541,9 +541,8 @@
     }
 }
 
-/* Returns the admitted share that brings the wait closer to the target. Steps
- * are proportional to the error, so they shrink as the target is approached.
- */
+/* Returns the admitted share that brings the wait closer to the target, by a
+ * step proportional to the error. */
 static int
 adjust_admission(int admission, cbw_time_t wait)
 {
@@ -553,7 +552,7 @@
     if (step < -ADMISSION_MAX_DECREASE) {
         step = -ADMISSION_MAX_DECREASE;
     }
-    /* The 1 keeps small increases from being rounded off. */
+    /* The 1 makes up for rounding small increases down. */
     return (int)(admission * (1.0 + step) + (error > 0 ? 1.0 : 0));
 }
 
--- a/src/libcarobwind/owner_dispatch.c
+++ b/src/libcarobwind/owner_dispatch.c
@@ -10,7 +10,7 @@
  */
 #define MIN_SERVICE_TIME (1 * Cbw_MSEC)
 
-/* Most times that the timeout of a request's attempts doubles. */
+/* Maximum number of times that the timeout of a request's attempts doubles. */
 #define MAX_TIMEOUT_DOUBLINGS 4
 
 static const cbw_call_verb_t call_verbs[] = {
--- a/src/libcarobwind/owner_health.c
+++ b/src/libcarobwind/owner_health.c
@@ -22,7 +22,7 @@
 /* Longest time that an endpoint delays its reply to a state call until its log
  * includes the requested position. */
 #define STATE_WAIT_TIMEOUT (100 * Cbw_MSEC)
-/* Least time between two FOLLOW calls to an endpoint. */
+/* Minimum time between two FOLLOW calls to an endpoint. */
 #define FOLLOW_INTERVAL (200 * Cbw_MSEC)
 /* Number of consecutive failed state calls after which an endpoint is
  * suspected to be down. A suspected primary is sent no statements. */
@@ -43,8 +43,8 @@
 
 /* Confirmation rounds. */
 
-/* What must be confirmed before the request is answered. That its key was
- * cancelled may be told only once a majority holds the tombstone. */
+/* What must be confirmed before the request is answered. An answer that its
+ * key was cancelled requires that a majority holds the tombstone. */
 static cbw_confirm_level_t
 confirm_level(const cbw_request_t *request)
 {
--- a/src/libcarobwind/queue.c
+++ b/src/libcarobwind/queue.c
@@ -6,7 +6,7 @@
 #include "carobwind/plugin.h"
 #include "private/queue.h"
 
-/* Most credit, in dispatches, that a rank with work accumulates. */
+/* Maximum credit, in dispatches, that a rank with work accumulates. */
 #define FLOOR_CREDIT_MAX 4.0
 /* Dispatches in one sample of the dispatch rates. */
 #define RATE_SAMPLE_DISPATCHES 16
@@ -222,8 +222,7 @@
     double floor_rate = queue->throughput * queue->ranks[rank].floor;
     double available_rate = queue->throughput;
 
-    /* The rate that the more urgent ranks leave over, but at least the floor.
-     */
+    /* The rate that the more urgent ranks leave, but at least the floor. */
     for (int i = 0; i < rank; i++) {
         available_rate -= queue->ranks[i].dispatch_rate;
     }
--- a/src/libcarobwind/queue_fair.c
+++ b/src/libcarobwind/queue_fair.c
@@ -19,16 +19,14 @@
 #include "carobwind/plugin.h"
 #include "private/queue.h"
 
-/* How far a workspace may be ahead of its share without waiting for it: this
- * many requests, and those of this time at its weight. Without an allowance,
- * callers that are independent of each other and send within their share wait
- * for each other's requests: in the replay of test_scheduling.c up to 15 % of
- * the requests of the others were refused during a flood, and up to 0.5 % with
- * it. */
+/* How far a workspace may exceed its share without being delayed: this many
+ * requests, and those of this time at its weight. Without an allowance,
+ * requests of independent callers that send within their shares would wait for
+ * each other. */
 #define ALLOWANCE_REQUESTS 8
 #define ALLOWANCE_SECONDS 0.1
-/* Dispatches after which the mean advance of the virtual time is used, and the
- * reciprocal of a dispatch's weight in it. */
+/* Number of dispatches after which the mean advance of the virtual time is
+ * used, and reciprocal of a dispatch's weight in the mean. */
 #define ADVANCE_SAMPLES 64
 /* See fair_count_ahead. */
 #define EXPECTED_MAX 8
@@ -37,8 +35,8 @@
 typedef struct {
     char workspace[Cbw_NAME_MAX];
     double last_start; /* of its request queued last */
-    /* End of that one, without the allowance. A request that leaves without
-     * its dispatch is taken off. */
+    /* End of that one, without the allowance. Reduced when a request leaves
+     * the queue without a dispatch. */
     double end;
 } fair_group_t;
 
@@ -50,8 +48,9 @@
      * in how many dispatches it was measured. */
     double advance;
     size_t advance_samples;
-    /* The request taken last, which comes back if it can't be sent now, and
-     * the virtual time before. Only compared: it may be freed. NULL: none. */
+    /* The request taken last, which is put back if it can't be sent now, and
+     * the virtual time before. Only compared: it may have been freed. NULL:
+     * none. */
     const cbw_request_t *taken;
     double time_before;
     bool others_left; /* when it was taken */
@@ -151,8 +150,8 @@
     return group;
 }
 
-/* Without queued requests there is no shortage, and what workspaces were
- * served before does not count any more. */
+/* When no requests are queued, the history of the workspaces no longer counts.
+ */
 static void
 reset_rank(fair_rank_t *rank)
 {
@@ -244,7 +243,7 @@
     }
 }
 
-/* Counts the previous dispatch, unless its request came back. */
+/* Counts the previous dispatch, unless its request was put back. */
 static void
 measure_advance(fair_rank_t *rank)
 {
@@ -285,12 +284,12 @@
     return request;
 }
 
-/* The requests of other workspaces that arrive later may go ahead as well. How
- * many do so follows from the advance of the virtual time: a request is
- * dispatched when the virtual time reaches its start. They are not expected to
- * be more than EXPECTED_MAX times those that are queued ahead: the virtual
- * time stands still while all send within their shares, and a short backlog
- * ends before it moves. */
+/* Requests of other workspaces that arrive later may be dispatched earlier as
+ * well. Their number is estimated from the advance of the virtual time, as a
+ * request is dispatched when the virtual time reaches its start. The estimate
+ * is at most EXPECTED_MAX times the number queued ahead: the virtual time does
+ * not advance while all send within their shares, and a short backlog ends
+ * before it does. */
 static size_t
 fair_count_ahead(const cbw_queue_t *queue, const cbw_request_t *request)
 {
--- a/src/libcarobwind/quota.c
+++ b/src/libcarobwind/quota.c
@@ -9,15 +9,15 @@
 #include "carobwind/tenure.h"
 #include "private/quota.h"
 
-/* Time constant of the measured demand for few operations, and up to which
- * rate per second it counts: a workspace with one operation a second would
- * else give up its share between two of them. */
+/* Time constant of the measured demand at low rates, and the rate per second
+ * up to which it counts. With the short time constant a workspace with one
+ * operation per second would lose its share between two of them. */
 #define SLOW_DEMAND_SECONDS 3.0
 #define SLOW_DEMAND_MAX 2.0
 /* A workspace counts as limited until this time after the last refusal. */
 #define LIMITED_FOR (5 * Cbw_SEC)
-/* Bounds of the retry-after time of a refusal. The upper one is the time in
- * which a share is borrowed. */
+/* Bounds of the retry-after time of a refusal. A share can be borrowed within
+ * the upper one. */
 #define RETRY_AFTER_MIN (50 * Cbw_MSEC)
 #define RETRY_AFTER_MAX (1 * Cbw_SEC)
 
@@ -121,8 +121,8 @@
     }
 }
 
-/* Sets the tokens and the share that are known at the begin of an ownership.
- * The previous owner may have lent the base share. */
+/* Sets the tokens and the share of a new owner. The previous owner may have
+ * lent the base share. */
 static void
 begin_bucket(const cbw_quota_t *quota, cbw_quota_bucket_t *bucket,
              cbw_time_t now)
@@ -346,8 +346,8 @@
     return demand * exp(-(double)elapsed / Cbw_SEC / seconds);
 }
 
-/* Returns the demand in operations per second. The slow measure counts only as
- * far as the fast one is too noisy. */
+/* Returns the demand in operations per second. The slow average counts up to
+ * SLOW_DEMAND_MAX, since the fast one is too noisy at low rates. */
 double
 CbwQuota_DemandAt_(const cbw_quota_bucket_t *bucket, cbw_time_t now)
 {
--- a/src/libcarobwind/quota_claim.c
+++ b/src/libcarobwind/quota_claim.c
@@ -4,13 +4,13 @@
 #include "carobwind/quota.h"
 #include "private/quota.h"
 
-/* A share is wanted, or kept, for this much more than the demand. */
+/* Factor by which a share that is requested or kept exceeds the demand. */
 #define DEMAND_HEADROOM 1.5
 /* The measured demand of a Poisson process of rate d varies by the square root
  * of d / (2 x Cbw_QUOTA_DEMAND_SECONDS_). */
 #define NOISE_DEVIATIONS 2.0
-/* A workspace that was refused an operation this recently wants all that it
- * can get; the smoothed demand follows a flood too slowly. */
+/* A workspace that was refused an operation within this time requests the
+ * whole limit: the smoothed demand follows a sudden load too slowly. */
 #define REFUSED_RECENTLY (500 * Cbw_MSEC)
 
 /* Returns the share of the limit that the demand needs. */
@@ -27,8 +27,8 @@
     return share < Cbw_QUOTA_WHOLE ? (uint32_t)share : Cbw_QUOTA_WHOLE;
 }
 
-/* Returns the share that is wanted in addition to the base share. A bucket
- * that is at least half full needs no lease to begin with. */
+/* Returns the share to request in addition to the base share. A bucket that is
+ * at least half full does not start a lease. */
 static uint32_t
 wanted_share(const cbw_quota_t *quota, const cbw_quota_bucket_t *bucket,
              cbw_time_t now)
@@ -43,10 +43,10 @@
     return needed - quota->base;
 }
 
-/* Returns the share that the owner keeps while it lends. Its capacity shrinks
- * with its share, and tokens above it are lost, so it allows for the noise of
- * the measured demand. Where the capacity that is lent is less than a token, a
- * full bucket has no use for its share. */
+/* Returns the share that the owner keeps while it lends. A smaller share
+ * reduces the capacity, and tokens above that are lost, so a margin for the
+ * noise of the measured demand is added. Where the capacity that is lent is
+ * less than a token, a full bucket does not need its share. */
 static uint32_t
 share_to_keep(const cbw_quota_t *quota, const cbw_quota_bucket_t *bucket,
               cbw_time_t now)
--- a/src/libcarobwind/quota_granter.c
+++ b/src/libcarobwind/quota_granter.c
@@ -161,7 +161,7 @@
     return party;
 }
 
-/* Ends what has expired. */
+/* Removes expired leases, offers, counted shares and wants. */
 static void
 expire_parties(cbw_quota_loans_t *loans, cbw_time_t now)
 {
@@ -210,16 +210,16 @@
     return totals;
 }
 
-/* Returns the level up to which wants are granted when `offered` is divided
- * by max-min fairness. */
+/* Returns the level up to which wants are granted when `offered` is divided by
+ * max-min fairness. */
 static uint64_t
 fair_level(const cbw_quota_loans_t *loans, uint64_t offered)
 {
     uint64_t level;
     uint64_t next = 0;
 
-    /* Each round divides among those that want more than the level what the
-     * others leave, so that the level rises until it stays. */
+    /* Each round divides what the others leave among those that want more than
+     * the level, which rises until it is stable. */
     do {
         uint64_t used = 0;
         uint64_t above = 0;
@@ -239,8 +239,8 @@
     return level;
 }
 
-/* Sets what the claimant lends. An offer rests on the granter's own stamp,
- * which is older than the claim however long the claim took. */
+/* Sets what the claimant lends. An offer is valid from the granter's own
+ * stamp, which is older than the claim even if the claim was delayed. */
 static void
 set_offer(const cbw_quota_granter_t *granter, cbw_quota_party_t *party,
           cbw_time_t now, uint32_t base, const cbw_quota_claim_t *claim)
@@ -262,8 +262,8 @@
     }
 }
 
-/* Stops counting on what the party does not lend any more, as far as no lease
- * may rest on it. */
+/* Stops counting shares that the party no longer lends, except those on which
+ * a lease may be based. */
 static void
 return_shares(const cbw_quota_loans_t *loans, cbw_quota_party_t *party)
 {
@@ -275,8 +275,8 @@
     party->counted -= surplus < unused ? surplus : (uint32_t)unused;
 }
 
-/* Sets the claimant's lease: its fair part of what is offered, as far as
- * earlier leases of others leave it. */
+/* Sets the claimant's lease: its fair share of the offers, limited to what
+ * earlier leases of others leave. */
 static uint32_t
 set_lease(const cbw_quota_loans_t *loans, cbw_quota_party_t *party,
           cbw_time_t now, bool ready)
--- a/src/libcarobwind/read_dispatch.c
+++ b/src/libcarobwind/read_dispatch.c
@@ -22,7 +22,7 @@
     dispatch->next_ask_at = now + Cbw_READ_SAMPLE_INTERVAL;
 }
 
-/* Ends the use of all samples, and of the lease that came with them. */
+/* Invalidates all samples, and the lease that came with them. */
 static void
 drop_samples(cbw_read_dispatch_t *dispatch)
 {
@@ -97,7 +97,7 @@
     if (!CbwReadDispatch_MayServe(dispatch, now)) {
         return false;
     }
-    /* The oldest one that covers `time`: replicas hold its position first. */
+    /* The oldest one that covers `time`: replicas reach its position first. */
     for (size_t i = 0; i < kept; i++) {
         const cbw_read_sample_t *sample =
             &dispatch->samples[(count - 1 - i) % Cbw_READ_SAMPLES_MAX];
