libcarobwind: reword comments of access, inventory, promotion and limits

The comment of CbwMemoryBudget_LeastServed did not name connections whose error is being delivered, which it returns first.

Change: usual terms; that comment gives the order in the code. Only comments differ.

No warnings, make lint passes. Kernel tests /access, /memory-budget, /owner, /confirm, /inventory, /limit, /offload, /admission, /odd-records, /retry, /nonce, /traffic, /witness, /delta, /token, /trace, /workspace, /histogram, /platform and /plugin: 81 of 81 pass.

--- a/include/carobwind/admission.h
+++ b/include/carobwind/admission.h
@@ -1,14 +1,14 @@
 /* Admission control at an entry host.
  *
  * An owner reports with its answers which share of the requests of each rank
- * it can take. The entries refuse the rest, so that an overload is turned away
- * before it costs the owner anything. */
+ * it can take. The entries refuse the rest, so that an overload is rejected at
+ * no cost to the owner. */
 #ifndef CAROBWIND_ADMISSION_H
 #define CAROBWIND_ADMISSION_H
 
 #include "carobwind/types.h"
 
-/* How long reported shares are valid. Without valid shares every request is
+/* How long reported shares are valid. Without valid shares all requests are
  * admitted. */
 #define Cbw_ADMISSION_SHARES_TTL (1 * Cbw_SEC)
 /* The retry-after time of a request that is refused at the entry. */
--- a/include/carobwind/hold.h
+++ b/include/carobwind/hold.h
@@ -7,8 +7,8 @@
  * another attempt, and serving it late takes a slot from one that would be in
  * time.
  *
- * All limits are shares of the latency target or, without one, of the time
- * until the deadline. No request is held until its deadline.
+ * All limits are percentages of the latency target or, without one, of the
+ * time until the deadline. No request is held until its deadline.
  *
  * The module does no I/O, and the time is an argument. */
 #ifndef CAROBWIND_HOLD_H
--- a/include/carobwind/inventory.h
+++ b/include/carobwind/inventory.h
@@ -16,7 +16,7 @@
 /* What must be confirmed before a write is acknowledged. A level includes
  * those before it. */
 typedef enum {
-    /* Nothing but the primary's answer. For comparison in benchmarks. */
+    /* Only the primary's answer. For comparison in benchmarks. */
     CBW_CONFIRM_NONE,
     CBW_CONFIRM_TERM,     /* a majority was still in the primary's term */
     CBW_CONFIRM_POSITION, /* a majority holds the write */
@@ -24,9 +24,9 @@
 
 /* Consistency level of a read: which commits it must see. */
 typedef enum {
-    CBW_READ_SESSION, /* its session's own, and others older than `age` */
-    CBW_READ_BOUNDED, /* all that are older than `age` */
-    CBW_READ_LATEST,  /* all that were acknowledged before it; linearizable */
+    CBW_READ_SESSION, /* those of its session, and others older than `age` */
+    CBW_READ_BOUNDED, /* all older than `age` */
+    CBW_READ_LATEST,  /* all acknowledged before it; linearizable */
 } cbw_read_consistency_t;
 
 /* Name of each cbw_read_consistency_t. */
@@ -47,7 +47,7 @@
     int connections;               /* allowance for all hosts together */
     int slots;                     /* statements that it runs at once */
     bool leaving;                  /* is being drained: receives no new work */
-    /* When this host learned that it is leaving; 0: not known (registry only).
+    /* When this host learned that it is leaving; 0: unknown (registry only).
      */
     cbw_time_t leaving_since;
     /* Its registration names it as the primary (registry only). */
--- a/include/carobwind/limit.h
+++ b/include/carobwind/limit.h
@@ -27,7 +27,7 @@
     void (*on_reply)(cbw_limit_t *limit, cbw_time_t latency);
 } cbw_limit_ops_t;
 
-/* Makes a limit that starts at `slots` + 1, where `slots` is the number of
+/* Initializes a limit of `slots` + 1, where `slots` is the number of
  * statements that the endpoint runs at once. `maximum`, the connection
  * allowance, is its upper bound. Both must be above 0. */
 void CbwLimit_Init(cbw_limit_t *limit, int slots, int maximum);
--- a/include/carobwind/memory_budget.h
+++ b/include/carobwind/memory_budget.h
@@ -148,7 +148,7 @@
 void CbwMemoryAccount_SetWorkspace(cbw_memory_account_t *account,
                                    const char *workspace);
 /* Sets the bytes that are held for a purpose. The grant ends when neither
- * input nor statements are large any more. */
+ * input nor statements are large. */
 void CbwMemoryAccount_Set(cbw_memory_account_t *account,
                           cbw_memory_kind_t kind, size_t bytes);
 /* Sets the bytes of output, some of which may have been written. */
@@ -178,8 +178,9 @@
 cbw_memory_account_t *
 CbwMemoryBudget_NextToClose(const cbw_memory_budget_t *budget);
 /* Returns the connection to close in favour of a new one on the port, or NULL:
- * one without a complete message, the oldest first; then an idle one, the
- * least served and longest idle first; then one in a quiet transaction. */
+ * first one whose error is being delivered, then one without a complete
+ * message, then an idle one, then one in a quiet transaction; of these the
+ * least served, then the longest idle one. */
 cbw_memory_account_t *
 CbwMemoryBudget_LeastServed(const cbw_memory_budget_t *budget,
                             cbw_client_port_t port, cbw_time_t now);
--- a/include/carobwind/nonce.h
+++ b/include/carobwind/nonce.h
@@ -1,16 +1,16 @@
 /* Nonces of the owners that hold tenures. The upper half of a nonce is a hash
- * of the address at which the owner's process listens for peers. An address
- * has one process at a time: the present one knows that the owners of former
- * ones at its address have ended, and nothing of owners elsewhere, whatever
- * their host is called. */
+ * of the address at which the owner's process listens for peers. Only one
+ * process at a time uses an address, so a process knows that owners of earlier
+ * processes at its address have ended. It knows nothing about owners at other
+ * addresses, whatever the name of their host. */
 #ifndef CAROBWIND_NONCE_H
 #define CAROBWIND_NONCE_H
 
 #include "carobwind/pool.h"
 
 /* Returns the nonce from which a process numbers its owners, by adding 1, 2
- * and so on: 2^31 of them leave the upper half as it is. `random` differs with
- * each start of the process. */
+ * and so on; the upper half is the same for 2^31 of them. `random` must differ
+ * with each start of the process. */
 uint64_t CbwNonce_New(const char *address, uint64_t random);
 /* Returns whether an owner that does not run in this process has ended, and
  * the leases of its promotion requests are over (Cbw_POOL_ORDER_LEASE). `own`
--- a/include/carobwind/owner.h
+++ b/include/carobwind/owner.h
@@ -161,8 +161,7 @@
     /* Number of the first state call of the confirmation round; 0: none. */
     uint64_t round_sequence;
     cbw_time_t round_started_at;
-    /* A read waits for a more recent confirmation. Nothing sets this at
-     * present. */
+    /* A read waits for a more recent confirmation. Currently never set. */
     bool round_wanted;
     cbw_time_t follow_sent_at[Cbw_ENDPOINTS_MAX]; /* last FOLLOW call */
     cbw_reach_t reach;
--- a/include/carobwind/promotion.h
+++ b/include/carobwind/promotion.h
@@ -68,7 +68,7 @@
     uint64_t highest_term;   /* seen in records and replies */
     uint64_t record_version; /* of the record, for the next swap */
     unsigned fenced_mask;    /* endpoints that are fenced */
-    unsigned failed_mask;    /* whose fence call failed or got no answer */
+    unsigned failed_mask;    /* fence call failed or got no answer */
     cbw_time_t majority_fenced_at;                  /* 0: no majority yet */
     cbw_endpoint_state_t states[Cbw_ENDPOINTS_MAX]; /* when fenced */
     /* Endpoints to promote only if no other fenced one has as recent a log. */
@@ -79,10 +79,10 @@
     int consecutive_failures;
 } cbw_promotion_t;
 
-/* Time allowed for each step and for each call to an endpoint. */
+/* Timeout of each step and of each call to an endpoint. */
 #define Cbw_PROMOTION_STEP_TIMEOUT (300 * Cbw_MSEC)
-/* How long to wait for the remaining endpoints once a majority is fenced,
- * since one of them may have a more recent log. */
+/* How long to wait for the other endpoints once a majority is fenced, since
+ * one of them may have a more recent log. */
 #define Cbw_PROMOTION_STRAGGLER_WAIT (30 * Cbw_MSEC)
 /* Pause after a failed attempt; it doubles with each consecutive failure. */
 #define Cbw_PROMOTION_BACKOFF (200 * Cbw_MSEC)
@@ -99,10 +99,10 @@
 bool CbwPromotion_Start(cbw_promotion_t *promotion, cbw_time_t now,
                         uint64_t highest_term, unsigned avoid_mask,
                         const cbw_promotion_ops_t *ops, void *context);
-/* Whether a promotion is under way; false while backing off. */
+/* Whether a promotion is in progress; false while backing off. */
 bool CbwPromotion_IsActive(const cbw_promotion_t *promotion);
-/* Results of the operations. Those that the current state does not wait for
- * are ignored, except that CbwPromotion_OnFence notes a higher term. */
+/* Results of the operations. Those that the current state does not expect are
+ * ignored, except that CbwPromotion_OnFence records a higher term. */
 void CbwPromotion_OnRecord(cbw_promotion_t *promotion, cbw_time_t now,
                            cbw_store_status_t status, uint64_t version,
                            const cbw_group_record_t *record,
--- a/include/carobwind/retry.h
+++ b/include/carobwind/retry.h
@@ -7,7 +7,7 @@
 
 /* Retries earned by each request. */
 #define Cbw_RETRY_RATIO 0.2
-/* Most retries that can be saved up. */
+/* Maximum number of retries that can be saved up. */
 #define Cbw_RETRY_BURST 50.0
 
 typedef struct {
--- a/include/carobwind/traffic.h
+++ b/include/carobwind/traffic.h
@@ -8,7 +8,7 @@
 #include <stdint.h>
 
 /* Kinds are the numbers of procedures of the peer protocol. Kind 0 is a
- * response that came after its call was given up. */
+ * response that arrived after its call had ended. */
 #define Cbw_TRAFFIC_KINDS 32
 #define Cbw_TRAFFIC_LATE 0
 #define Cbw_TRAFFIC_VERBS 16
--- a/include/carobwind/types.h
+++ b/include/carobwind/types.h
@@ -27,12 +27,12 @@
 #define Cbw_TRACE_MAX 40
 /* Size of the longest "address:port", including the NUL. */
 #define Cbw_ADDRESS_MAX 32
-/* Most endpoints that an inventory lists for one database. cbw_pool_t has room
- * for Cbw_POOL_ENDPOINTS_MAX, as it also holds those being replaced. */
+/* Maximum number of endpoints of one database in an inventory. cbw_pool_t has
+ * room for Cbw_POOL_ENDPOINTS_MAX, as it also holds those being replaced. */
 #define Cbw_ENDPOINTS_MAX 8
-/* Most ranks of an inventory. */
+/* Maximum number of ranks of an inventory. */
 #define Cbw_RANKS_MAX 6
-/* Longest statement or result, in bytes. */
+/* Maximum size of a statement or result, in bytes. */
 #define Cbw_STATEMENT_MAX ((size_t)65536)
 
 #endif
--- a/include/carobwind/workspace.h
+++ b/include/carobwind/workspace.h
@@ -2,8 +2,8 @@
  * and the keys that identify them. They are part of the inventory (registry
  * only) and bind all databases.
  *
- * A key is kept as a hash, so that no record, message or log line that is made
- * from the inventory can show it. */
+ * Only a hash of a key is kept, so that no record, message or log line made
+ * from the inventory can reveal it. */
 #ifndef CAROBWIND_WORKSPACE_H
 #define CAROBWIND_WORKSPACE_H
 
@@ -11,7 +11,7 @@
 
 #include "carobwind/types.h"
 
-/* Most workspaces of an inventory, and most keys of a workspace. */
+/* Maximum number of workspaces of an inventory, and of keys of a workspace. */
 #define Cbw_WORKSPACES_MAX 4096
 #define Cbw_WORKSPACE_KEYS_MAX 8
 
@@ -24,8 +24,8 @@
 typedef struct {
     char name[Cbw_NAME_MAX];
     int rank;
-    /* Operations per second and operations at once that the whole fleet runs
-     * for the workspace. `rate` 0: no limit. */
+    /* Limit for the whole fleet, in operations per second, and its burst, in
+     * operations. `rate` 0: no limit. */
     double rate;
     double burst;
 } cbw_workspace_t;
--- a/src/libcarobwind/access.c
+++ b/src/libcarobwind/access.c
@@ -34,7 +34,7 @@
         return true;
     }
     if (CbwAccess_Check(&checked, inventory) == CBW_ACCESS_GRANTED) {
-        /* A transaction runs on a connection of the workspace in which it
+        /* A transaction keeps the connection of the workspace in which it
          * began. */
         if (!in_transaction) {
             *access = checked;
--- a/src/libcarobwind/admission.c
+++ b/src/libcarobwind/admission.c
@@ -2,7 +2,7 @@
 
 #include <assert.h>
 
-/* The whole, in shares and credits. */
+/* Unit of shares and credits. */
 #define PERMILLE 1000
 
 void
--- a/src/libcarobwind/inventory.c
+++ b/src/libcarobwind/inventory.c
@@ -12,7 +12,7 @@
 const char *const CbwInventory_ConsistencyString[] = {"session", "bounded",
                                                       "latest"};
 
-/* Longest text that is parsed, in bytes. */
+/* Maximum size of a text that is parsed, in bytes. */
 #define TEXT_SIZE_MAX ((size_t)16 * 1024 * 1024)
 
 cbw_time_t
--- a/src/libcarobwind/inventory_parser.c
+++ b/src/libcarobwind/inventory_parser.c
@@ -8,9 +8,9 @@
 #include <string.h>
 
 #define SECTION_FLAGS (CFGF_MULTI | CFGF_TITLE | CFGF_NO_TITLE_DUPES)
-/* How libconfuse's error message for a second section of one title begins. */
+/* Start of libconfuse's error message for a duplicate section title. */
 #define DUPLICATE_ERROR "found duplicate title"
-/* Most syntax errors that are reported for one text. */
+/* Maximum number of syntax errors that are reported for one text. */
 #define SYNTAX_ERRORS_MAX 50
 
 /* libconfuse's callbacks have no context argument, so the context of the
--- a/src/libcarobwind/limit.c
+++ b/src/libcarobwind/limit.c
@@ -5,11 +5,11 @@
 
 #include "carobwind/plugin.h"
 
-/* Replies that make up a window. */
+/* Number of replies in a window. */
 #define WINDOW_REPLIES 40
-/* Windows between two measurements of the base latency. */
+/* Number of windows between two measurements of the base latency. */
 #define BASE_PROBE_WINDOWS 40
-/* A reply has the reciprocal of this as its weight in the average latency. */
+/* Reciprocal of the weight of a reply in the average latency. */
 #define LATENCY_SMOOTHING 16
 /* Statements estimated to queue inside the endpoint: the limit grows below
  * ENDPOINT_QUEUE_LOW and shrinks above ENDPOINT_QUEUE_HIGH. */
--- a/src/libcarobwind/memory_budget.c
+++ b/src/libcarobwind/memory_budget.c
@@ -4,7 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Descriptors left for files, at most half of all. */
+/* Number of descriptors reserved for files, but at most half of all. */
 #define FILES_MAX 200
 /* Sizes are compared in these steps, so that among connections of similar size
  * the number of answers decides. */
--- a/src/libcarobwind/owner_reply.c
+++ b/src/libcarobwind/owner_reply.c
@@ -61,7 +61,7 @@
     CbwOwner_AwaitConfirmation_(owner, now, request);
 }
 
-/* Handles the reply that the key is tombstoned: the request is answered once a
+/* Handles a reply that the key is tombstoned: the request is answered once a
  * majority holds the tombstone. */
 static void
 on_cancelled(cbw_owner_t *owner, cbw_time_t now, cbw_request_t *request,
--- a/src/libcarobwind/promotion.c
+++ b/src/libcarobwind/promotion.c
@@ -55,7 +55,7 @@
     if (backoff > Cbw_PROMOTION_BACKOFF_MAX) {
         backoff = Cbw_PROMOTION_BACKOFF_MAX;
     }
-    /* Jitter for owners that may try at the same time. */
+    /* Jitter, as owners may try at the same time. */
     backoff += (cbw_time_t)(promotion->attempt_nonce % 97) * Cbw_MSEC;
     promotion->consecutive_failures++;
     promotion->state = CBW_PROMOTION_BACKOFF;
