quota: rename the functions for requests to lend

Cause: "asks" is not the usual noun for a request to lend, and OnAsked did not say for what.

Change: CbwQuotaGranter_MakeAsks -> CbwQuotaGranter_MakeLendRequests, CbwQuota_OnAsked -> CbwQuota_OnLendRequest, Cbw_QUOTA_ASK_INTERVAL -> Cbw_QUOTA_LEND_REQUEST_INTERVAL, ask_pending -> lend_request_pending, is_to_be_asked -> is_lend_request_due, with their uses in quota_exchange.c and the tests of quotas. The peer protocol is unchanged.

--- a/include/carobwind/quota.h
+++ b/include/carobwind/quota.h
@@ -60,7 +60,7 @@
 #define Cbw_QUOTA_CLAIM_INTERVAL (250 * Cbw_MSEC)
 /* How often an owner is asked to lend. A third of Cbw_QUOTA_LOAN, so that a
  * lost request does not end the loan. */
-#define Cbw_QUOTA_ASK_INTERVAL (300 * Cbw_MSEC)
+#define Cbw_QUOTA_LEND_REQUEST_INTERVAL (300 * Cbw_MSEC)
 /* A bucket without demand is dropped after this time, once it is full. */
 #define Cbw_QUOTA_IDLE_TIMEOUT (5 * Cbw_SEC)
 /* Maximum number of workspaces in one message. */
@@ -123,9 +123,9 @@
     uint64_t claim; /* number of the last one; 0: none */
     cbw_time_t claimed_at;
     uint32_t claimed_lend;
-    cbw_quota_stamp_t stamp; /* of the granter, received last */
-    cbw_time_t asked_at;     /* when asked to lend; 0: never */
-    bool ask_pending;        /* not answered by a claim yet */
+    cbw_quota_stamp_t stamp;   /* of the granter, received last */
+    cbw_time_t asked_at;       /* when asked to lend; 0: never */
+    bool lend_request_pending; /* not answered by a claim yet */
 } cbw_quota_bucket_t;
 
 /* Reports that a workspace became limited, that is, was refused an operation,
@@ -208,8 +208,8 @@
 void CbwQuota_OnGrant(cbw_quota_t *quota, cbw_time_t now, uint64_t number,
                       const cbw_quota_grant_t *grant);
 /* A granter asks to lend. */
-void CbwQuota_OnAsked(cbw_quota_t *quota, cbw_time_t now,
-                      const char *workspace, cbw_quota_stamp_t stamp);
+void CbwQuota_OnLendRequest(cbw_quota_t *quota, cbw_time_t now,
+                            const char *workspace, cbw_quota_stamp_t stamp);
 /* Returns the bucket of a workspace, or NULL. */
 const cbw_quota_bucket_t *CbwQuota_Find(const cbw_quota_t *quota,
                                         const char *workspace);
@@ -271,9 +271,10 @@
                              cbw_quota_grant_t *grant);
 /* Collects the workspaces for which the owner of `database` is to be asked to
  * lend, `max` at most, and marks them as asked. Returns their count. */
-size_t CbwQuotaGranter_MakeAsks(cbw_quota_granter_t *granter, cbw_time_t now,
-                                const char *database,
-                                char (*workspaces)[Cbw_NAME_MAX], size_t max);
+size_t CbwQuotaGranter_MakeLendRequests(cbw_quota_granter_t *granter,
+                                        cbw_time_t now, const char *database,
+                                        char (*workspaces)[Cbw_NAME_MAX],
+                                        size_t max);
 /* Drops state that is no longer needed. */
 void CbwQuotaGranter_Tick(cbw_quota_granter_t *granter, cbw_time_t now);
 
--- a/src/carobwindd/quota_exchange.c
+++ b/src/carobwindd/quota_exchange.c
@@ -348,7 +348,8 @@
     }
     follow_tenure(instance, now);
     for (size_t i = 0; i < count; i++) {
-        CbwQuota_OnAsked(&instance->quotas->quota, now, workspaces[i], stamp);
+        CbwQuota_OnLendRequest(&instance->quotas->quota, now, workspaces[i],
+                               stamp);
     }
 }
 
@@ -389,8 +390,9 @@
     if (host == NULL) {
         return;
     }
-    count = CbwQuotaGranter_MakeAsks(&exchange->granter, now, database->name,
-                                     workspaces, Cbw_QUOTA_MESSAGE_MAX);
+    count = CbwQuotaGranter_MakeLendRequests(&exchange->granter, now,
+                                             database->name, workspaces,
+                                             Cbw_QUOTA_MESSAGE_MAX);
     if (count == 0) {
         return;
     }
--- a/src/libcarobwind/quota_claim.c
+++ b/src/libcarobwind/quota_claim.c
@@ -84,7 +84,8 @@
          now - bucket->claimed_at < Cbw_QUOTA_CLAIM_INTERVAL)) {
         return false;
     }
-    return bucket->ask_pending || wanted_share(quota, bucket, now) > 0 ||
+    return bucket->lend_request_pending ||
+           wanted_share(quota, bucket, now) > 0 ||
            (CbwQuota_HasDemand_(bucket, now) &&
             CbwQuota_LentShare_(quota, bucket, now) >
                 share_to_lend(quota, bucket, now));
@@ -110,7 +111,7 @@
     bucket->claim = quota->last_claim;
     bucket->claimed_at = now;
     bucket->claimed_lend = lend;
-    bucket->ask_pending = false;
+    bucket->lend_request_pending = false;
     bucket->lent = lend > before ? lend : before;
     if (lend > 0) {
         bucket->lent_until = now + Cbw_QUOTA_RETURN_AFTER;
@@ -178,8 +179,8 @@
 }
 
 void
-CbwQuota_OnAsked(cbw_quota_t *quota, cbw_time_t now, const char *workspace,
-                 cbw_quota_stamp_t stamp)
+CbwQuota_OnLendRequest(cbw_quota_t *quota, cbw_time_t now,
+                       const char *workspace, cbw_quota_stamp_t stamp)
 {
     cbw_quota_bucket_t *bucket =
         quota->may_lend ? CbwQuota_GetBucket_(quota, now, workspace) : NULL;
@@ -190,6 +191,6 @@
     CbwQuota_Fill_(quota, bucket, now);
     bucket->stamp = stamp;
     bucket->asked_at = now;
-    bucket->ask_pending =
-        share_to_lend(quota, bucket, now) > 0 || bucket->ask_pending;
+    bucket->lend_request_pending =
+        share_to_lend(quota, bucket, now) > 0 || bucket->lend_request_pending;
 }
--- a/src/libcarobwind/quota_granter.c
+++ b/src/libcarobwind/quota_granter.c
@@ -348,8 +348,8 @@
 /* Requests to lend. */
 
 static bool
-is_to_be_asked(const cbw_quota_party_t *party, cbw_time_t now,
-               const totals_t *totals)
+is_lend_request_due(const cbw_quota_party_t *party, cbw_time_t now,
+                    const totals_t *totals)
 {
     bool renews;
 
@@ -362,17 +362,18 @@
     renews = party->offer > 0;
     if (party->want > 0 ||
         (party->asked_at != 0 &&
-         now - party->asked_at < Cbw_QUOTA_ASK_INTERVAL) ||
-        party->offer_until - now > Cbw_QUOTA_LOAN - Cbw_QUOTA_ASK_INTERVAL) {
+         now - party->asked_at < Cbw_QUOTA_LEND_REQUEST_INTERVAL) ||
+        party->offer_until - now >
+            Cbw_QUOTA_LOAN - Cbw_QUOTA_LEND_REQUEST_INTERVAL) {
         return false;
     }
     return renews || totals->offered < totals->wanted;
 }
 
 size_t
-CbwQuotaGranter_MakeAsks(cbw_quota_granter_t *granter, cbw_time_t now,
-                         const char *database,
-                         char (*workspaces)[Cbw_NAME_MAX], size_t max)
+CbwQuotaGranter_MakeLendRequests(cbw_quota_granter_t *granter, cbw_time_t now,
+                                 const char *database,
+                                 char (*workspaces)[Cbw_NAME_MAX], size_t max)
 {
     size_t count = 0;
     cbw_link_t *link;
@@ -392,7 +393,7 @@
             }
             expire_parties(loans, now);
             totals = sum_parties(loans);
-            if (!is_to_be_asked(party, now, &totals)) {
+            if (!is_lend_request_due(party, now, &totals)) {
                 continue;
             }
             if (party == NULL) {
--- a/src/test_libcarobwind/quota_world_messages.c
+++ b/src/test_libcarobwind/quota_world_messages.c
@@ -113,7 +113,7 @@
             .database = i,
             .stamp = {owner->granter.nonce, world->now},
         };
-        message.count = CbwQuotaGranter_MakeAsks(
+        message.count = CbwQuotaGranter_MakeLendRequests(
             &owner->granter, world->now, world->databases[i].name,
             message.names, QUOTA_WORKSPACES_MAX);
         if (message.count > 0) {
@@ -166,8 +166,8 @@
     }
     for (size_t i = 0; i < message->count && owner->exists; i++) {
         if (message->kind == ASK) {
-            CbwQuota_OnAsked(&owner->quota, world->now, message->names[i],
-                             message->stamp);
+            CbwQuota_OnLendRequest(&owner->quota, world->now,
+                                   message->names[i], message->stamp);
         }
         else if (message->to_nonce == host->nonce) {
             CbwQuota_OnGrant(&owner->quota, world->now, message->number,
--- a/src/test_libcarobwind/test_quota.c
+++ b/src/test_libcarobwind/test_quota.c
@@ -427,8 +427,8 @@
         g_test_message("%s", cases[i].name);
         init_bucket_world(&world, 400, 0);
         CbwQuota_SetMayLend(&world.quota, cases[i].may_lend);
-        CbwQuota_OnAsked(&world.quota, now, "w0",
-                         (cbw_quota_stamp_t){1, now - Cbw_MSEC});
+        CbwQuota_OnLendRequest(&world.quota, now, "w0",
+                               (cbw_quota_stamp_t){1, now - Cbw_MSEC});
         make_claim(&world, now, &claim);
         g_assert_cmpuint(claim.lend, ==, cases[i].may_lend ? QUARTER : 0);
         if (cases[i].answered) {
@@ -579,11 +579,11 @@
     CbwQuotaGranter_SetExclusive(&granter, START, true);
     g_assert_true(CbwQuotaGranter_OnClaim(&granter, START + 2 * Cbw_SEC, "d0",
                                           BASE, 1, 2, &claim, &grant));
-    g_assert_cmpuint(CbwQuotaGranter_MakeAsks(&granter, START + 2 * Cbw_SEC,
-                                              "d1", names, 1),
+    g_assert_cmpuint(CbwQuotaGranter_MakeLendRequests(
+                         &granter, START + 2 * Cbw_SEC, "d1", names, 1),
                      ==, 1);
-    g_assert_cmpuint(CbwQuotaGranter_MakeAsks(&granter, START + 2 * Cbw_SEC,
-                                              "d0", names, 1),
+    g_assert_cmpuint(CbwQuotaGranter_MakeLendRequests(
+                         &granter, START + 2 * Cbw_SEC, "d0", names, 1),
                      ==, 0); /* it wants itself */
     CbwQuotaGranter_SetExclusive(&granter, START + 3 * Cbw_SEC, false);
     g_assert_false(CbwQuotaGranter_OnClaim(&granter, START + 3 * Cbw_SEC, "d0",
