--- a/include/carobwind/membership.h
+++ b/include/carobwind/membership.h
@@ -25,7 +25,7 @@
 extern const char *const CbwMembership_StateString[];
 
 /* How long a cold start lasts. By then each member has been probed, and has
- * either announced its state or been found dead. */
+ * either announced its state or been declared dead. */
 #define Cbw_MEMBERSHIP_COLD_START_DURATION (2 * Cbw_SEC)
 /* The same in a large fleet, where updates take longer to reach all hosts. */
 #define Cbw_MEMBERSHIP_COLD_START_DURATION_LARGE (5 * Cbw_SEC)
--- a/src/libcarobwind/connection_cache.c
+++ b/src/libcarobwind/connection_cache.c
@@ -175,7 +175,7 @@
 
 /* Demands with the same exponent count as equal; of those groups, the one used
  * last is chosen. With the least recently used one, groups of equal demand
- * that take turns would always evict the group that is used next. */
+ * that take turns would always evict the one that is used next. */
 static cbw_cached_connection_t *
 choose_least_demanded(const cbw_connection_cache_t *cache, cbw_time_t now)
 {
--- a/src/libcarobwind/hold.c
+++ b/src/libcarobwind/hold.c
@@ -1,7 +1,7 @@
 #include "carobwind/hold.h"
 
 /* Percentage of the expected wait that must fit. Above 100, since a request
- * that is refused later was held in vain. */
+ * that is refused later was held for nothing. */
 #define EXPECTED_WAIT_PERCENT 200
 
 /* Returns the time to which the percentages apply. */
--- a/src/libcarobwind/membership.c
+++ b/src/libcarobwind/membership.c
@@ -169,7 +169,7 @@
     if (state == old_state) {
         return;
     }
-    /* A suspect stays an owner until it is found dead. */
+    /* A suspect remains an owner until it is declared dead. */
     if (!(old_state == CBW_MEMBER_ALIVE && state == CBW_MEMBER_SUSPECT) &&
         !(old_state == CBW_MEMBER_SUSPECT && state == CBW_MEMBER_ALIVE)) {
         membership->epoch++;
--- a/src/libcarobwind/memory_budget.c
+++ b/src/libcarobwind/memory_budget.c
@@ -234,7 +234,7 @@
     }
     account->quiet_since = now;
     if (account->message_since != 0) {
-        account->message_since = now; /* it was not read from meanwhile */
+        account->message_since = now; /* reading was paused */
     }
     account->served++;
 }
--- a/src/libcarobwind/quota.c
+++ b/src/libcarobwind/quota.c
@@ -475,7 +475,7 @@
         bucket->level -= 1;
     }
     else {
-        /* A token that was filled up again meanwhile is not returned. */
+        /* A token that has been refilled since is not returned. */
         excess = bucket->reserved - CbwQuota_CapacityOf_(quota, bucket, now);
         bucket->level -= excess < 0 ? 0 : excess > 1 ? 1 : excess;
     }
--- a/src/libcarobwind/quota_granter.c
+++ b/src/libcarobwind/quota_granter.c
@@ -131,9 +131,9 @@
     return party;
 }
 
-/* Returns the party that makes a claim, or NULL when it is out of date. The
- * record of a previous owner remains until its lease has ended. What that one
- * lent is part of the new one's base share: the two are counted once. */
+/* Returns the party that makes a claim, or NULL when the claim is out of date.
+ * The record of a previous owner remains until its lease has ended. The share
+ * that it lent is part of the new owner's base share, and is counted once. */
 static cbw_quota_party_t *
 get_claimant(cbw_quota_loans_t *loans, const char *database, uint64_t term,
              uint64_t number)
