--- a/src/libcarobwind/quota_claim.c
+++ b/src/libcarobwind/quota_claim.c
@@ -4,13 +4,13 @@
 #include "carobwind/quota.h"
 #include "private/quota.h"
 
-/* A share is wanted, or kept, for this much more than the demand. */
+/* Factor by which a share that is requested or kept exceeds the demand. */
 #define DEMAND_HEADROOM 1.5
 /* The measured demand of a Poisson process of rate d varies by the square root
  * of d / (2 x Cbw_QUOTA_DEMAND_SECONDS_). */
 #define NOISE_DEVIATIONS 2.0
-/* A workspace that was refused an operation this recently wants all that it
- * can get; the smoothed demand follows a flood too slowly. */
+/* A workspace that was refused an operation within this time requests the
+ * whole limit: the smoothed demand follows a sudden load too slowly. */
 #define REFUSED_RECENTLY (500 * Cbw_MSEC)
 
 /* Returns the share of the limit that the demand needs. */
@@ -27,8 +27,8 @@
     return share < Cbw_QUOTA_WHOLE ? (uint32_t)share : Cbw_QUOTA_WHOLE;
 }
 
-/* Returns the share that is wanted in addition to the base share. A bucket
- * that is at least half full needs no lease to begin with. */
+/* Returns the share to request in addition to the base share. A bucket that is
+ * at least half full does not start a lease. */
 static uint32_t
 wanted_share(const cbw_quota_t *quota, const cbw_quota_bucket_t *bucket,
              cbw_time_t now)
@@ -43,10 +43,10 @@
     return needed - quota->base;
 }
 
-/* Returns the share that the owner keeps while it lends. Its capacity shrinks
- * with its share, and tokens above it are lost, so it allows for the noise of
- * the measured demand. Where the capacity that is lent is less than a token, a
- * full bucket has no use for its share. */
+/* Returns the share that the owner keeps while it lends. A smaller share
+ * reduces the capacity, and tokens above that are lost, so a margin for the
+ * noise of the measured demand is added. Where the capacity that is lent is
+ * less than a token, a full bucket does not need its share. */
 static uint32_t
 share_to_keep(const cbw_quota_t *quota, const cbw_quota_bucket_t *bucket,
               cbw_time_t now)
@@ -84,7 +84,8 @@
          now - bucket->claimed_at < Cbw_QUOTA_CLAIM_INTERVAL)) {
         return false;
     }
-    return bucket->ask_pending || wanted_share(quota, bucket, now) > 0 ||
+    return bucket->lend_request_pending ||
+           wanted_share(quota, bucket, now) > 0 ||
            (CbwQuota_HasDemand_(bucket, now) &&
             CbwQuota_LentShare_(quota, bucket, now) >
                 share_to_lend(quota, bucket, now));
@@ -110,7 +111,7 @@
     bucket->claim = quota->last_claim;
     bucket->claimed_at = now;
     bucket->claimed_lend = lend;
-    bucket->ask_pending = false;
+    bucket->lend_request_pending = false;
     bucket->lent = lend > before ? lend : before;
     if (lend > 0) {
         bucket->lent_until = now + Cbw_QUOTA_RETURN_AFTER;
@@ -178,8 +179,8 @@
 }
 
 void
-CbwQuota_OnAsked(cbw_quota_t *quota, cbw_time_t now, const char *workspace,
-                 cbw_quota_stamp_t stamp)
+CbwQuota_OnLendRequest(cbw_quota_t *quota, cbw_time_t now,
+                       const char *workspace, cbw_quota_stamp_t stamp)
 {
     cbw_quota_bucket_t *bucket =
         quota->may_lend ? CbwQuota_GetBucket_(quota, now, workspace) : NULL;
@@ -190,6 +191,6 @@
     CbwQuota_Fill_(quota, bucket, now);
     bucket->stamp = stamp;
     bucket->asked_at = now;
-    bucket->ask_pending =
-        share_to_lend(quota, bucket, now) > 0 || bucket->ask_pending;
+    bucket->lend_request_pending =
+        share_to_lend(quota, bucket, now) > 0 || bucket->lend_request_pending;
 }
