carobwindd: reword comments, rename seven static names

Cause: comments were figurative or hard to read ("hold this host for lost", "the round of questions", "an answer that lags, but costs less, will do"), and some told how a value was measured or chosen. Change: comments in plain technical English. Static names: forget_hosts is expire_recent_hosts, remember_host add_recent_host, read_claim decode_claim, take_from_digest subtract_from_digest, note_leaving set_leaving_since, on_witness on_witness_answer, `events_` of store_resp.c store_events.

--- a/src/carobwindd/cancel.h
+++ b/src/carobwindd/cancel.h
@@ -1,8 +1,8 @@
 /* Cancellation of a request whose caller left.
  *
- * Load pattern: callers give up before their deadline and send again on new
- * connections, just when an owner is short of capacity. Their old requests
- * would wait in its queue and take dispatches, and nobody reads the answers.
+ * Callers that time out early retry on new connections, mostly while an owner
+ * is short of capacity. Their old requests would wait in its queue and be
+ * dispatched, although nobody reads the answers.
  *
  * The session task tells the router task, and the router task the owner, with
  * one message that is not repeated. If it is lost, the request stays in the
@@ -23,8 +23,9 @@
 /* Tells the router task that the caller of `job` left. Does nothing when the
  * job's request has no id. */
 void Cancel_Post(const job_t *job);
-/* Has the owner to which the router task sent `job` take it out of its queue:
- * by `cancel`, which is taken over, or by PEER_CANCEL. `view` may be NULL. */
+/* Makes the owner to which the router task sent `job` remove it from its
+ * queue, by `cancel`, whose ownership passes, or by PEER_CANCEL. `view` may be
+ * NULL. */
 void Cancel_AtOwner(const view_t *view, const job_t *job,
                     cancel_message_t *cancel);
 
--- a/src/carobwindd/client_limits.c
+++ b/src/carobwindd/client_limits.c
@@ -6,11 +6,10 @@
 #include "share/tick.h"
 
 #define TICK_SECONDS 0.25
-/* More than 300 callers with a message of 1 MiB each need on one host. */
 #define MEMORY_DEFAULT_MB 4096
-/* What connections may use of the memory; the rest is for the process itself,
- * its endpoints, peers and records, and for the copies of the message that it
- * is handling. */
+/* Connections may use the memory limit divided by this. The rest is for the
+ * process itself, its endpoints, peers and records, and for the copies of the
+ * message that it is handling. */
 #define MEMORY_DIVISOR 2
 #define CALLERS_MAX ((size_t)16384)
 
@@ -175,7 +174,7 @@
     return false;
 }
 
-/* Returns the descriptors that this process may open: its setting, and at most
+/* Returns how many descriptors this process may open: its setting, but at most
  * what the system allows. */
 static size_t
 descriptor_limit(void)
--- a/src/carobwindd/client_limits.h
+++ b/src/carobwindd/client_limits.h
@@ -1,7 +1,7 @@
 /* Limits what connections that other processes opened may use: memory by the
  * budget of the process (carobwind/memory_budget.h), and descriptors by port.
  * The tasks open an account for each such connection; this module resumes the
- * connections that wait, and closes those that the budget names. */
+ * connections that wait, and closes those that the budget selects. */
 #ifndef CAROBWINDD_CLIENT_LIMITS_H
 #define CAROBWINDD_CLIENT_LIMITS_H
 
@@ -10,7 +10,7 @@
 #include "share/acceptor.h"
 #include "share/stream.h"
 
-/* Reads the limits of the settings and starts the timers; once per process. */
+/* Applies the limits in the settings and starts the timers. Called once. */
 void ClientLimits_Start(daemon_t *daemon);
 /* A listening socket for clients of one port. */
 typedef struct {
--- a/src/carobwindd/drivers.h
+++ b/src/carobwindd/drivers.h
@@ -60,7 +60,7 @@
      * `connections_max`. */
     int (*count_connections)(const endpoint_link_t *link);
     /* Returns whether a connection of the workspace ("": none) is idle. NULL:
-     * the driver does not tell. */
+     * unknown. */
     bool (*has_idle_connection)(const endpoint_link_t *link,
                                 const char *workspace);
 } endpoint_driver_t;
@@ -82,9 +82,9 @@
                         void (*done)(void *context,
                                      cbw_promote_status_t status),
                         void *context);
-    /* Gives up an order; `done` is not called. What the platform has not
-     * received of it by now never reaches it. An order that it has received in
-     * full may still be carried out. */
+    /* Cancels an order; `done` is not called. Data that the platform has not
+     * received yet never reaches it. An order that it has received in full may
+     * still be carried out. */
     void (*cancel)(order_t *order);
 } order_driver_t;
 
--- a/src/carobwindd/main.c
+++ b/src/carobwindd/main.c
@@ -28,8 +28,8 @@
 /* Longest wait for the next owners to prepare, before this host announces that
  * it leaves. */
 #define HAND_OVER_TIMEOUT (1 * Cbw_SEC)
-/* Buffers of at least this many bytes are given back to the system when they
- * are freed. */
+/* Buffers of at least this many bytes are returned to the system when they are
+ * freed. */
 #define LARGE_BUFFER (128 * 1024)
 /* How long TASK_ENTRY and TASK_OWNER must have reported no work before the
  * process ends. */
--- a/src/carobwindd/member_task.c
+++ b/src/carobwindd/member_task.c
@@ -16,7 +16,7 @@
 /* Number of members that read the host list on behalf of the fleet. */
 #define HOST_LIST_READERS 3
 #define HOST_LIST_INTERVAL (1 * Cbw_SEC)
-/* The same of a list that the hosts write themselves: it is only needed by
+/* The same for a list that the hosts write themselves: it is needed only by
  * hosts that know no other, and to remove the records of dead ones. */
 #define OWN_LIST_INTERVAL (6 * Cbw_SEC)
 /* Known members (from the host list) that one join round asks, besides the
@@ -34,10 +34,9 @@
 #define SETTLE_TIME_JOINED (200 * Cbw_MSEC)
 #define SETTLE_TIME_ALONE (1500 * Cbw_MSEC)
 #define STATUS_TEXT_MAX 262144
-/* Least time between two views of a large fleet. Each is a copy of all members
- * from which the tasks work out the owners of all databases anew: with 300
- * hosts that start at once, one for each change takes 0.084 of a core for
- * seconds. */
+/* Shortest time between two views of a large fleet. A view is a copy of all
+ * members from which the tasks recompute the owners of all databases: one for
+ * each change would be costly while many hosts start. */
 #define LARGE_VIEW_INTERVAL (100 * Cbw_MSEC)
 /* Members that are probed at once after a change of this host's state, and
  * after one of its configuration, in its data centre and in any. */
@@ -50,9 +49,9 @@
     cbw_membership_t membership;
     uint64_t published_epoch;
     cbw_time_t published_at;
-    /* config_t.revision of the configuration in force; the member is named as
-     * the field of the probes that carries it. It is not the configuration
-     * version of the inventory. */
+    /* config_t.revision of the configuration in force, named like the field of
+     * the probes that carries it. It is not the configuration version of the
+     * inventory. */
     int64_t config_version;
     uint64_t config_digest;
     cbw_time_t next_list_at;
@@ -374,8 +373,8 @@
     }
     else if (outbound->procedure == PEER_MEMBERS_DIFF &&
              CbwNet_Now() < outbound->deadline) {
-        /* Refused: the peer is of a version that does not know this. One that
-         * lets the call time out is slow, and is not asked for more. */
+        /* Refused: the peer's version does not support this call. A peer that
+         * lets it time out is slow, and is not asked for more. */
         request_members(outbound->address);
     }
     Outbound_Free(outbound);
@@ -662,8 +661,8 @@
     }
 }
 
-/* Declares that this host accepts work. A host that joins a running fleet does
- * so only when it is `prepared` to own its databases, which their current
+/* Announces that this host accepts work. A host that joins a running fleet
+ * does so only when it is `prepared` to own its databases, which their current
  * owners serve until then. */
 static void
 enter_service(bool prepared)
@@ -719,7 +718,7 @@
     self.config_digest = message->config->digest;
     Config_Unref(message->config);
     free(message);
-    /* Most hosts wait for one of their own data centre to have a change. */
+    /* Most hosts wait until a host of their own data centre has a change. */
     probe_random_members(true, LOCAL_ANNOUNCEMENTS);
     probe_random_members(false, REMOTE_ANNOUNCEMENTS);
 }
--- a/src/carobwindd/messages.h
+++ b/src/carobwindd/messages.h
@@ -22,7 +22,7 @@
     settings_t settings;
     char local_ip[16];     /* source address of outgoing connections */
     uint64_t nonce;        /* random, differs with each start of the process */
-    uint64_t owner_nonce;  /* from which owners that hold tenures are numbered;
+    uint64_t owner_nonce;  /* base of the nonces of owners that hold tenures,
                               see nonce.h */
     uint64_t transactions; /* ids given by Job_NewTransaction */
     cbw_counters_t counters;
@@ -41,7 +41,7 @@
     bool draining;
     bool store_reachable; /* by this host itself, not through a peer */
     bool in_minority;     /* fewer than half of the members answer */
-    /* How late this host's own loop and link are, see local_health.h; set by
+    /* Delay of this host's own event loop and link, see local_health.h; set by
      * the member task. */
     cbw_time_t local_delay;
 } daemon_t;
@@ -108,17 +108,17 @@
  * task sends it back filled in. */
 typedef struct {
     message_t message;
-    size_t busy_count; /* how many things keep the task from stopping */
+    size_t busy_count; /* pieces of work that keep the task from stopping */
 } report_message_t;
 
 /* MESSAGE_JOB and MESSAGE_JOB_DONE: a request in flight between tasks. It is
- * made and freed by the task at which the request came in (entry, session or
+ * created and freed by the task that received the request (entry, session or
  * peer task). */
 typedef struct {
     message_t message;
     cbw_request_t request;
     task_id_t reply_to;          /* gets MESSAGE_JOB_DONE */
-    void *origin;                /* for the task that made the job */
+    void *origin;                /* for the task that created the job */
     bool to_owner;               /* not to a read dispatcher (again) */
     cbw_time_t retry_at;         /* when the router tries again */
     char host[Cbw_NAME_MAX];     /* the host that it was last sent to */
@@ -185,14 +185,14 @@
     store_item_t *items; /* RANGE, CHANGES; owned */
     size_t item_count;
     bool unconditional; /* SWAP: writes whatever the version is */
-    bool may_be_stale;  /* an answer that lags, but costs less, will do */
+    bool may_be_stale;  /* a stale answer, which costs less, is sufficient */
     task_id_t reply_to; /* gets MESSAGE_STORE_DONE */
     void *context;      /* for the task that made the call */
 
     /* Set by the store task and its driver. */
     void *driver_state;
-    /* A peer makes the call, as this host cannot. Also read by the registry
-     * task. */
+    /* A peer makes the call, because this host cannot. Also read by the
+     * registry task. */
     bool through_peer;
     int peers_asked;
     /* The peer's call for which this one is made; NULL: a task of this host
@@ -248,7 +248,7 @@
     bool answered;
     cbw_time_t timeout; /* from when it is sent */
     /* Must not be repeated: waits for the answer until its timeout, also while
-     * the peer is silent. */
+     * the peer is unresponsive. */
     bool patient;
     task_id_t reply_to;      /* gets MESSAGE_OUTBOUND_DONE */
     void *context;           /* for the task that made the call */
@@ -276,8 +276,8 @@
     uint32_t xid;
 };
 
-/* Sets a peer_text_result to a copy of `text`. `found` tells the asker whether
- * the subject of its call exists here. */
+/* Sets a peer_text_result to a copy of `text`. `found` tells the caller
+ * whether the subject of its call exists here. */
 void Inbound_SetText(inbound_t *inbound, bool found, const char *text);
 
 /* XDR codecs of one procedure of the peer protocol. */
@@ -286,8 +286,8 @@
     xdrproc_t result;
 } peer_codec_t;
 
-/* Indexed by procedure, up to PEER_MEMBERS_DIFF. Numbers that no procedure has
- * have no codecs. */
+/* Indexed by procedure, up to PEER_MEMBERS_DIFF. Unassigned numbers have no
+ * codecs. */
 extern const peer_codec_t Peer_Codecs[];
 /* Metric names of the procedures, and of store_verb_t, by their numbers. */
 extern const char *const Peer_KindString[Cbw_TRAFFIC_KINDS];
--- a/src/carobwindd/owner_instance.h
+++ b/src/carobwindd/owner_instance.h
@@ -53,7 +53,7 @@
 owner_instance_t *OwnerInstance_Find(const char *database);
 /* Starts an owner for a database of the present configuration. */
 owner_instance_t *OwnerInstance_New(const cbw_database_t *database);
-/* Answers the requests inside, closes the links and frees the instance. */
+/* Answers its requests, closes the links and frees the instance. */
 void OwnerInstance_Free(owner_instance_t *instance);
 /* Tells the owner which endpoints are leaving, according to the inventory or
  * to the platform's list. */
--- a/src/carobwindd/owner_task.c
+++ b/src/carobwindd/owner_task.c
@@ -85,8 +85,8 @@
 
 /* Whether this host owns the database. `usable` is from
  * find_usable_data_centres: if another data centre is the database's home and
- * has usable members, the owner is there. Most databases are such, and the
- * rendezvous order need not be computed for them. */
+ * has usable members, the owner is there. This holds for most databases, and
+ * saves computing the rendezvous order for them. */
 static bool
 is_owned_here(const cbw_database_t *database, const bool *usable)
 {
@@ -274,7 +274,7 @@
         return;
     }
     if (inbound->procedure == PEER_CANCEL) {
-        /* Not for endpoints with request keys: their callers may ask again. */
+        /* Not supported with request keys: callers may retry the request. */
         inbound->result.flag = FALSE;
         Task_Post(TASK_OWNER, TASK_PEER, MESSAGE_INBOUND_DONE,
                   &inbound->message);
--- a/src/carobwindd/peer_server.c
+++ b/src/carobwindd/peer_server.c
@@ -12,8 +12,8 @@
 #include "share/reaper.h"
 #include "share/rpc.h"
 
-/* Calls of one connection in progress above which its next ones are not read:
- * statements, and others, which are few but whose replies are long. */
+/* Calls in progress at which a connection is not read any further: statements,
+ * and other calls, which are fewer but have long replies. */
 #define SERVER_STATEMENTS_MAX 1024
 #define SERVER_CALLS_MAX 64
 
@@ -71,7 +71,7 @@
                                                   : CBW_CLIENT_IDLE;
 }
 
-/* A reply was sent, or is not needed any more. */
+/* Called when a reply was sent or is not needed any more. */
 static void
 end_call(server_connection_t *server)
 {
@@ -183,8 +183,8 @@
     }
 }
 
-/* Answers what needs no task, from the state of the process. Returns false
- * when a task must answer. */
+/* Answers a call that needs only the state of the process. Returns false when
+ * a task must answer. */
 static bool
 answer_locally(inbound_t *inbound)
 {
@@ -313,7 +313,7 @@
     size_t bytes = CbwRpc_Reply(&server->rpc, xid, encode, result);
 
     if (bytes == 0) {
-        /* Without a reply the peer would hold this host for lost. */
+        /* Without a reply the peer would consider this host lost. */
         result->outcome = CBW_OUTCOME_UNKNOWN;
         result->cause = CBW_CAUSE_IN_DOUBT;
         result->reason = (char *)"its answer is too large to pass on";
--- a/src/carobwindd/peer_traffic.h
+++ b/src/carobwindd/peer_traffic.h
@@ -6,7 +6,8 @@
 #include "share/net.h"
 #include "share/rpc.h"
 
-/* The place of a peer that connected to this host. Zero but for `ip`. */
+/* The place of a peer that connected to this host. Zero-initialized
+ * except for `ip`. */
 typedef struct {
     char ip[CbwNet_IP_MAX];
     cbw_traffic_place_t place;
--- a/src/carobwindd/pool_instance.c
+++ b/src/carobwindd/pool_instance.c
@@ -17,8 +17,8 @@
  * relinquish a tenure. */
 #define PEER_CALL_TIMEOUT (250 * Cbw_MSEC)
 #define RECORD_KEY_FORMAT "group/%s"
-/* How late this host may learn that an endpoint is leaving, and a request may
- * reach it. */
+/* Allowance for the time until this host learns that an endpoint is leaving,
+ * and for requests on the way to the endpoint. */
 #define LEAVING_NOTICE_DELAY (1 * Cbw_SEC)
 
 pool_task_t PoolTask_State;
@@ -203,7 +203,7 @@
     else if (instance != NULL) {
         if (call->status == CBW_STORE_OK &&
             CbwTenure_ParseRecord(&record, call->value) != 0) {
-            /* Another writer's: it is replaced by this owner's. */
+            /* Unreadable: this owner replaces it. */
             CbwCounter_Add(&PoolTask_State.daemon->counters,
                            CBW_COUNTER_RECORDS_UNUSABLE, 1);
             CbwLog_Write(CBW_LOG_ERROR, "owner", "bad-record", "key=%s",
@@ -311,9 +311,9 @@
     return count;
 }
 
-/* Fills `peers` with members to ask, but for one in the data centre of the
- * endpoint if possible: a witness in another region needs longer for a call to
- * it than it waits. Returns their number. */
+/* Fills `peers` with members to ask, all but one of them in the data centre of
+ * the endpoint if possible: from another region, a call to the endpoint takes
+ * longer than a witness waits. Returns their number. */
 static int
 choose_witnesses(const cbw_endpoint_t *endpoint,
                  const cbw_member_record_t *peers[REACH_PEERS])
@@ -350,9 +350,8 @@
 }
 
 /* Asks a present or previous holder to relinquish its tenure. A holder whose
- * host is not a member any more cannot be asked. One whose host counts as dead
- * is asked: while a partition heals, many members count as dead that are
- * alive. */
+ * host is not a member any more cannot be asked. One whose host is recorded as
+ * dead is asked: while a partition heals, many such members are alive. */
 static void
 op_ask_to_relinquish(void *context, const cbw_tenure_holder_t *holder)
 {
@@ -396,7 +395,7 @@
 }
 
 static void
-on_witness(pool_instance_t *instance, const outbound_t *outbound)
+on_witness_answer(pool_instance_t *instance, const outbound_t *outbound)
 {
     cbw_witness_answer_t answer = CBW_WITNESS_SILENT;
     cbw_time_t now = CbwNet_Now();
@@ -427,7 +426,7 @@
         PoolInstance_FindById((uint64_t)(uintptr_t)outbound->context);
 
     if (instance != NULL && outbound->reach_round == instance->reach_round) {
-        on_witness(instance, outbound);
+        on_witness_answer(instance, outbound);
     }
     Outbound_Free(outbound);
 }
@@ -470,7 +469,7 @@
 
 /* Instances. */
 
-/* Workspaces share the owner, whatever policy the settings name. */
+/* With workspaces, the queue is fair to them whatever policy is set. */
 static const cbw_queue_ops_t *
 queue_policy(void)
 {
--- a/src/carobwindd/pool_instance.h
+++ b/src/carobwindd/pool_instance.h
@@ -30,15 +30,15 @@
     bool owned; /* this host is first in rendezvous order, or will be once
                    it takes work; false once it drains */
     /* This host is the read dispatcher of the database for its region, and
-     * this the pool for that, see read_pool.h. */
+     * this instance its pool, see read_pool.h. */
     bool dispatches;
     cbw_read_dispatch_t reads;
-    char asked_endpoint[Cbw_NAME_MAX];  /* of the last question */
+    char asked_endpoint[Cbw_NAME_MAX];  /* of the last PEER_SAMPLE call */
     char leased_endpoint[Cbw_NAME_MAX]; /* of the lease */
     int attached_connections;           /* of the lease that is in use */
-    char asked_owner[Cbw_NAME_MAX];     /* whom another host named; "": none */
+    char asked_owner[Cbw_NAME_MAX]; /* as another host named it; "": none */
     cbw_time_t asked_owner_until;
-    cbw_handover_t handover; /* to another owner as the home moved */
+    cbw_handover_t handover; /* to another owner after the home moved */
     bool unconfigured;       /* the database is not configured any more */
     /* The unused pool has released its tenure (CbwPool_Release). It
      * relinquishes its tenure, in contrast, when another owner asks for it. */
@@ -51,7 +51,7 @@
     /* `moved_to` has the tenure: this host handed the database over to it. */
     bool handed_over;
     cbw_time_t moved_at; /* when `moved_to` was set */
-    /* The round of questions about the primary, and its number. */
+    /* The latest round of PEER_REACH calls, and its number. */
     cbw_witnesses_t witnesses;
     uint32_t reach_round;
     order_t *order;              /* promotion request in flight; NULL: none */
@@ -71,12 +71,12 @@
     view_t *view; /* NULL until the members are known */
     cbw_link_t instances;
     uint64_t next_id;
-    /* Owners at this address that have ended requested promotions until then:
-     * those of a former process until this one started, and those that were
-     * freed in the middle of a promotion. */
+    /* Time until which owners at this address that have ended may have
+     * requested promotions: owners of an earlier process until this one
+     * started, and owners that were freed during a promotion. */
     cbw_time_t orders_until;
     bool draining;
-    bool prepared; /* startup is complete: this host takes work as an owner */
+    bool prepared; /* startup is complete: this host accepts work */
     cbw_time_t startup_deadline; /* when startup completes at the latest; 0:
                                     no databases are claimed yet */
     /* Counts as the limit of workspaces that have none, see
@@ -98,14 +98,14 @@
 pool_instance_t *PoolInstance_New(const cbw_database_t *database);
 /* Starts the pool of a read dispatcher. */
 pool_instance_t *PoolInstance_NewForReads(const cbw_database_t *database);
-/* Answers the requests inside, closes the links and frees the instance. */
+/* Answers its requests, closes the links and frees the instance. */
 void PoolInstance_Free(pool_instance_t *instance);
 /* Applies the present configuration to the pool: its endpoints and options. */
 void PoolInstance_UpdateEndpoints(pool_instance_t *instance);
-/* Returns the weight of a request of `workspace` in a queue: an equal part of
- * its limit by the number of databases. */
+/* Returns the weight of a request of `workspace` in a queue: its limit divided
+ * by the number of databases. */
 double PoolInstance_Weight(const char *workspace);
-/* Takes a request whose caller left out of the database's queue. Returns
+/* Removes a request whose caller left from the database's queue. Returns
  * whether it was queued. */
 bool PoolInstance_Cancel(const char *database, uint64_t id);
 /* Answers `prepare_call`, which must be set: whether the pool has the tenure.
--- a/src/carobwindd/pool_task.c
+++ b/src/carobwindd/pool_task.c
@@ -29,8 +29,8 @@
  * this one does not. */
 #define MOVE_VALID_FOR (3 * Cbw_SEC)
 #define REACH_CHECK_TIMEOUT_SECONDS 0.2
-/* How long a host that is late itself goes on waiting. Longer than an asker
- * does. */
+/* How long a host that is delayed itself continues to wait: longer than the
+ * host that asked it. */
 #define REACH_CHECK_ABSTAIN_SECONDS 0.5
 #define EXPLAIN_TEXT_MAX 32768
 
@@ -45,8 +45,8 @@
     }
 }
 
-/* Has the pool with a nonce relinquish its tenure. Returns whether that pool
- * has no tenure any more. */
+/* Makes the pool with this nonce relinquish its tenure. Returns whether that
+ * pool has no tenure any more. */
 static bool
 relinquish(uint64_t nonce, cbw_time_t now)
 {
@@ -288,8 +288,8 @@
 static const endpoint_events_t reach_check_events = {.on_reply =
                                                          on_reach_check_reply};
 
-/* A witness that is late itself must not say that it does not reach the
- * endpoint: it goes on waiting until its answer comes too late to count. */
+/* A witness that is delayed itself must not report the endpoint as
+ * unreachable: it waits until its answer comes too late to count. */
 static void
 on_reach_check_timeout(struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -330,8 +330,8 @@
     }
 }
 
-/* Prepares to own a database that the present owner, which is about to leave,
- * still serves. The call is answered when this host is ready. */
+/* Prepares to own a database that the present owner still serves. The call is
+ * answered when this host is ready. */
 static void
 start_preparing(inbound_t *inbound)
 {
@@ -540,8 +540,8 @@
 }
 
 /* Returns whether the instance carries out a promotion that must end before
- * the instance does. That of a database which is not configured any more may
- * never end, and nobody waits for it: it is given up with its tenure. */
+ * the instance does. A promotion of a database that is not configured any more
+ * may never end, and nobody waits for it: it is abandoned with the tenure. */
 static bool
 has_promotion_to_end(const pool_instance_t *instance, cbw_time_t now)
 {
@@ -570,7 +570,7 @@
                         PoolTask_State.view != NULL &&
                             PoolTask_State.view->membership.count >
                                 Cbw_MEMBERSHIP_SMALL);
-    /* A draining host goes on serving under the tenure that it holds, but
+    /* A draining host continues to serve under the tenure that it holds, but
      * renews it only to end a promotion. */
     CbwPool_Tick(&instance->pool, now,
                  !instance->unconfigured &&
--- a/src/carobwindd/quota_exchange.c
+++ b/src/carobwindd/quota_exchange.c
@@ -9,10 +9,10 @@
 #include "carobwind/quota.h"
 #include "share/net.h"
 
-/* Timeout of a call. Later answers do not apply, as another claim is made. */
+/* Timeout of a call. Later answers are ignored: the next claim was made. */
 #define CALL_TIMEOUT Cbw_QUOTA_CLAIM_INTERVAL
-/* How many owners a granter asks to lend in Cbw_QUOTA_CLAIM_INTERVAL, so that
- * the messages of a workspace with little left do not grow with the number of
+/* Most owners that a granter asks to lend in Cbw_QUOTA_CLAIM_INTERVAL, so that
+ * the messages for a workspace near its limit do not grow with the number of
  * databases. */
 #define ASKED_OWNERS_MAX 16
 
@@ -106,7 +106,7 @@
 }
 
 /* Applies the state of the tenure. Once exclusive, it stays so until it ends:
- * a renewal without an answer gives it to no one else. */
+ * a renewal whose answer is lost gives it to no one else. */
 static void
 follow_tenure(pool_instance_t *instance, cbw_time_t now)
 {
@@ -144,9 +144,9 @@
     return strcmp(name, PoolTask_State.daemon->settings.name) == 0;
 }
 
-/* Drops the hosts that claims may be sent to again. */
+/* Removes the hosts to which claims may be sent again. */
 static void
-forget_hosts(quota_exchange_t *exchange, cbw_time_t now)
+expire_recent_hosts(quota_exchange_t *exchange, cbw_time_t now)
 {
     cbw_link_t *link;
     cbw_link_t *safe;
@@ -175,7 +175,7 @@
 }
 
 static void
-remember_host(quota_exchange_t *exchange, const char *host, cbw_time_t now)
+add_recent_host(quota_exchange_t *exchange, const char *host, cbw_time_t now)
 {
     recent_host_t *recent = calloc(1, sizeof(*recent));
 
@@ -325,7 +325,7 @@
         if (count == 0) {
             return;
         }
-        remember_host(exchange, target.host->record.name, now);
+        add_recent_host(exchange, target.host->record.name, now);
         if (is_this_host(target.host->record.name)) {
             answer_own_claims(instance, now, claims, count, number);
         }
@@ -433,7 +433,7 @@
     follow_tenure(instance, now);
     if (exchange->quota.count > 0 && now - exchange->claims_at >= CLAIM_TICK) {
         exchange->claims_at = now;
-        forget_hosts(exchange, now);
+        expire_recent_hosts(exchange, now);
         make_claims(instance, now);
         CbwQuota_Tick(&exchange->quota, now);
     }
@@ -446,7 +446,7 @@
 /* Calls of peers, and answers to calls. */
 
 static void
-read_claim(const peer_quota_claim *from, cbw_quota_claim_t *claim)
+decode_claim(const peer_quota_claim *from, cbw_quota_claim_t *claim)
 {
     *claim = (cbw_quota_claim_t){
         .want = from->want,
@@ -488,7 +488,7 @@
     for (u_int i = 0; i < args->claims.claims_len; i++) {
         cbw_quota_claim_t claim;
         cbw_quota_grant_t grant;
-        read_claim(&args->claims.claims_val[i], &claim);
+        decode_claim(&args->claims.claims_val[i], &claim);
         if (answer_claim(args->database, args->term, args->number, &claim,
                          &grant, now)) {
             result->grants.grants_val[count++] = (peer_quota_grant){
--- a/src/carobwindd/region_settings.c
+++ b/src/carobwindd/region_settings.c
@@ -27,7 +27,7 @@
     }
 }
 
-/* Other hosts know the region of this one by the table only. */
+/* Other hosts know this host's region only from the table. */
 static void
 check_own_region(const cbw_regions_t *regions, const char *data_centre,
                  const char *region, cbw_findings_t *findings)
--- a/src/carobwindd/registry_records.c
+++ b/src/carobwindd/registry_records.c
@@ -178,8 +178,8 @@
 
 /* To be called before a registration changes or is removed. */
 static void
-take_from_digest(registry_records_t *records,
-                 const registration_t *registration)
+subtract_from_digest(registry_records_t *records,
+                     const registration_t *registration)
 {
     if (registration->purge_at == 0) {
         records->bucket_digests[RegistryRecords_Bucket(registration->key)] -=
@@ -205,9 +205,9 @@
 }
 
 /* Returns the registry revision of a change that the store made at
- * `store_revision`. A change that is learned late does not get a new number:
- * hosts that have the same number and other content find that by their
- * digests, and with a number each for it they would overtake each other. */
+ * `store_revision`. A change that is learned late gets no new revision: hosts
+ * with the same revision and different content detect that by their digests,
+ * and if each host assigned its own they would keep overtaking each other. */
 static uint64_t
 assign_revision(registry_records_t *records, uint64_t store_revision)
 {
@@ -334,11 +334,11 @@
            a->started_at == b->started_at;
 }
 
-/* Notes since when the endpoint has been leaving: `known` is its previous
+/* Sets since when the endpoint has been leaving. `known` is its previous
  * registration, or NULL. */
 static void
-note_leaving(const registration_t *known, registration_t *parsed,
-             cbw_time_t now)
+set_leaving_since(const registration_t *known, registration_t *parsed,
+                  cbw_time_t now)
 {
     bool was_leaving =
         known != NULL && known->endpoint.leaving &&
@@ -381,7 +381,7 @@
                      item->version, error.text);
         if (known != NULL) {
             record_removal(records, known, item->version);
-            take_from_digest(records, known);
+            subtract_from_digest(records, known);
             g_hash_table_remove(records->registrations, item->key);
             records->changed = true;
         }
@@ -396,7 +396,7 @@
         known->version = item->version;
         return;
     }
-    note_leaving(known, &parsed, now);
+    set_leaving_since(known, &parsed, now);
     if (known == NULL) {
         known = calloc(1, sizeof(*known));
         if (known == NULL) {
@@ -406,7 +406,7 @@
         g_hash_table_insert(records->registrations, known->key, known);
     }
     else {
-        take_from_digest(records, known);
+        subtract_from_digest(records, known);
     }
     free(known->text);
     parsed.registry_revision = assign_revision(records, item->version);
@@ -436,7 +436,7 @@
         return;
     }
     record_removal(records, registration, store_revision);
-    take_from_digest(records, registration);
+    subtract_from_digest(records, registration);
     records->changed = true; /* so that peers fetch the removal */
     /* An endpoint that announced leaving is gone; any other registration may
      * have expired because of a store outage. */
--- a/src/carobwindd/registry_records.h
+++ b/src/carobwindd/registry_records.h
@@ -24,9 +24,8 @@
  * keys, so that hosts whose records differ exchange only some of them. */
 #define REGISTRY_BUCKETS 128
 
-/* A result for a peer ends with the record that exceeds this many bytes. A
- * page takes a tenth of a second of the link of a small host (10 Mbit/s), even
- * when it cannot be compressed, so that a slow or lost answer costs little. */
+/* A result for a peer ends with the record that exceeds this many bytes, so
+ * that a slow or lost answer costs little: 0.1 s on a link of 10 Mbit/s. */
 #define REGISTRY_PAGE_BYTES ((size_t)128 * 1024)
 
 /* What the items of a result are, the `status` of a peer_store_result. */
@@ -92,9 +91,9 @@
  * announces the same revision as they do. Sorts `items`. */
 void RegistryRecords_ApplyAll(registry_records_t *records, store_item_t *items,
                               size_t count, cbw_time_t now);
-/* Enclose the calls for a complete list of registrations
- * that the store returned at its revision `store_revision`. Registrations that
- * are missing from the list, and are not newer than it, are removed. */
+/* Enclose the calls for a complete list of registrations that the store
+ * returned at its revision `store_revision`. Registrations that are missing
+ * from the list, and are not newer than it, are removed. */
 void RegistryRecords_BeginSnapshot(registry_records_t *records);
 void RegistryRecords_EndSnapshot(registry_records_t *records,
                                  uint64_t store_revision, cbw_time_t now);
@@ -110,14 +109,14 @@
 } registry_need_t;
 
 /* Compares the records with what a peer announces. If the content is the same,
- * takes a higher revision over. */
+ * adopts a higher revision. */
 registry_need_t RegistryRecords_Compare(registry_records_t *records,
                                         uint64_t revision, uint64_t digest);
 /* Fills `result` for a peer that has this host's changes up to registry
- * revision `since`. When removals that the peer needs were overwritten, the
- * result is a complete snapshot, and with 0 if that fits into one page. More
- * than a page of changes is cut after the changes of one registry revision,
- * the result's `record_version`. */
+ * revision `since`. The result is a complete snapshot if removals that the
+ * peer needs were overwritten, or if `since` is 0 and it fits into one page.
+ * More than a page of changes is cut after the changes of one registry
+ * revision, the result's `record_version`. */
 void RegistryRecords_EncodeSince(const registry_records_t *records,
                                  uint64_t since, peer_store_result *result);
 /* Fills `result` with all records and removals, marked as changes and not as
--- a/src/carobwindd/registry_task.c
+++ b/src/carobwindd/registry_task.c
@@ -80,7 +80,7 @@
     bool fetching;                    /* a fetch from a peer is in flight */
     cbw_time_t next_fetch_at;
     cbw_spread_t spread;
-    /* An announcement to be looked at again; NULL: none. */
+    /* An announcement kept until a fetch may start; NULL: none. */
     peer_version_message_t *deferred;
     /* Version of the configuration record as last read from the store; 0: not
      * read. */
@@ -334,7 +334,7 @@
     return result->record_version > self.records.revision;
 }
 
-/* Returns about how many bytes the result took. */
+/* Returns the approximate encoded size of the result in bytes. */
 static size_t
 size_of_result(const peer_store_result *result)
 {
@@ -349,7 +349,7 @@
 
 static void fetch_records(const char *address, registry_need_t need);
 
-/* A peer has sent a part of its changes, and has more. */
+/* Handles a result after which the peer has more changes. */
 static void
 fetch_next_part(const outbound_t *outbound)
 {
--- a/src/carobwindd/session_limits.c
+++ b/src/carobwindd/session_limits.c
@@ -1,5 +1,4 @@
-/* What the session task tells the budget of the process, and what it does at
- * the limits of one session. */
+/* Limits of one session, and its account in the process's memory budget. */
 
 #include <string.h>
 
--- a/src/carobwindd/session_report.c
+++ b/src/carobwindd/session_report.c
@@ -1,4 +1,4 @@
-/* What the session task reports of its requests. */
+/* Logs and counts the outcomes of the session task's requests. */
 
 #include <inttypes.h>
 
--- a/src/carobwindd/settings.h
+++ b/src/carobwindd/settings.h
@@ -16,7 +16,8 @@
      * The table is in force when it names two regions or more. */
     const char *regions_text;
     cbw_regions_t regions;
-    /* Milliseconds of waiting that 1,000 bytes out of the region are worth. */
+    /* Cost of traffic out of the region: milliseconds of waiting that 1,000
+     * bytes are worth. */
     long remote_cost_ms;
     const char *callers_address;  /* for callers */
     const char *peers_address;    /* for other daemons and carobwindctl */
--- a/src/carobwindd/store_resp.c
+++ b/src/carobwindd/store_resp.c
@@ -23,7 +23,7 @@
 } connection_t;
 
 static daemon_t *daemon_;
-static const store_events_t *events_;
+static const store_events_t *store_events;
 static connection_t *connections[CHANNEL_COUNT_];
 static store_call_t *pending_calls[PENDING_CALLS_MAX];
 
@@ -49,7 +49,7 @@
 
     pending_calls[index] = NULL;
     call->status = status;
-    events_->on_done(call);
+    store_events->on_done(call);
 }
 
 /* Closes the channel's connection; its pending calls end as lost. */
@@ -175,8 +175,8 @@
     return connection;
 }
 
-/* The operations of this protocol, by store_verb_t. The others,
- * which a peer may ask for, are not among them. */
+/* The commands of this protocol, by store_verb_t. It lacks the other verbs,
+ * which a peer may ask for. */
 static const char *const verbs[] = {"GET", "SWAP", "WATCH", "HOSTS"};
 static const int word_counts[] = {3, 5, 5, 2};
 #define VERB_COUNT (sizeof(verbs) / sizeof(verbs[0]))
@@ -207,7 +207,7 @@
 
     if (call->verb >= VERB_COUNT) {
         call->status = CBW_STORE_LOST;
-        events_->on_done(call);
+        store_events->on_done(call);
         return;
     }
     if (connection == NULL) {
@@ -218,7 +218,7 @@
     }
     if (connection == NULL || index == PENDING_CALLS_MAX) {
         call->status = CBW_STORE_LOST;
-        events_->on_done(call);
+        store_events->on_done(call);
         return;
     }
     pending_calls[index] = call;
@@ -241,7 +241,7 @@
 driver_open(daemon_t *daemon, const store_events_t *events)
 {
     daemon_ = daemon;
-    events_ = events;
+    store_events = events;
 }
 
 static const store_driver_t driver = {
--- a/src/carobwindd/store_task.c
+++ b/src/carobwindd/store_task.c
@@ -14,8 +14,7 @@
 #include "store_relay.h"
 
 #define TICK_SECONDS 0.05
-/* Well above the slowest answer that the store is specified to take: 240 ms,
- * which is 60 times the usual 4 ms. */
+/* The store is specified to answer within 240 ms. */
 #define CALL_TIMEOUT (700 * Cbw_MSEC)
 /* Rate limit of one host's calls (token bucket), and its burst size. */
 #define CALLS_PER_SECOND 40.0
