carobwindd: say what the fields of outbound_t hold without "likewise"

Cause: two comments depended on the line above them, and one used "silent" for a platform that does not answer. Change: comments only. Measured: objects of platform/ and carobwindd/ at -O2 -g0 identical to those before. Kernel tests pass (366).

--- a/src/carobwindd/drivers.h
+++ b/src/carobwindd/drivers.h
@@ -74,7 +74,7 @@
     /* Asks for `endpoint` to become the primary of `database`. `holder` and
      * `fence` are the lease holder and fencing token to present. `done` is
      * called exactly once, after this function has returned, also when the
-     * connection fails, but not when the platform stays silent. Returns the
+     * connection fails, but not when the platform does not answer. Returns the
      * order, which is valid until `done` is called. */
     order_t *(*promote)(daemon_t *daemon, const char *database,
                         const char *endpoint, const char *holder,
--- a/src/carobwindd/messages.h
+++ b/src/carobwindd/messages.h
@@ -250,10 +250,12 @@
     /* Must not be repeated: waits for the answer until its timeout, also while
      * the peer is unresponsive. */
     bool patient;
-    task_id_t reply_to;      /* gets MESSAGE_OUTBOUND_DONE */
-    void *context;           /* for the task that made the call */
-    char name[Cbw_NAME_MAX]; /* likewise, the host that the call is about */
-    uint32_t reach_round;    /* likewise, of PEER_REACH calls */
+    task_id_t reply_to; /* gets MESSAGE_OUTBOUND_DONE */
+    void *context;      /* for the task that made the call */
+    /* Also for the task that made the call: the host that the call is about,
+     * and the round of PEER_REACH calls. */
+    char name[Cbw_NAME_MAX];
+    uint32_t reach_round;
 
     /* Used by the peer task only. */
     uint32_t xid;
