test_libcarobwind: share the endpoint server of the driver tests

The tests of connections and of transactions each had a server on loopback with the same code to open a link, to serve until a reply, and to close.

EndpointServer_Open, _Serve and _Close hold it now; a test passes functions that answer its connections. Assertions, cases and limits are unchanged: the transaction test keeps its own bound of 8 connections.

--- a/src/test_libcarobwind/test_connection_driver.c
+++ b/src/test_libcarobwind/test_connection_driver.c
@@ -1,21 +1,16 @@
 /* The endpoint driver's connections by workspace, against a server on
  * loopback. */
-#include <arpa/inet.h>
 #include <ev.h>
 #include <glib.h>
 #include <stdio.h>
 #include <string.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include "carobwind/plugin.h"
 #include "carobwindd/drivers.h"
-#include "share/net.h"
+#include "endpoint_server.h"
 #include "suites.h"
 
-/* Rounds of the event loop, 1 ms each, until a wait has failed. */
-#define ROUNDS_MAX 500
-#define CONNECTIONS_MAX 16
 #define STATEMENTS_MAX 8
 /* Of the endpoint: one connection for statements of one owner, and 3 for
  * control calls. */
@@ -23,11 +18,9 @@
 #define LIMIT 4
 
 typedef struct {
-    int listener;
-    cbw_endpoint_t endpoint;
-    int fds[CONNECTIONS_MAX];
-    char workspaces[CONNECTIONS_MAX][Cbw_NAME_MAX]; /* named at STARTUP */
-    int count;
+    endpoint_server_t base;
+    /* Of the connections, as named at STARTUP. */
+    char workspaces[EndpointServer_CONNECTIONS_MAX][Cbw_NAME_MAX];
     bool refuses; /* new connections */
     /* Sent instead of the replies to a message that is not a STARTUP; NULL:
      * success. */
@@ -85,12 +78,14 @@
 }
 
 static void
-answer(server_t *server, int index)
+answer(void *context, int index)
 {
+    server_t *server = context;
+    int fd = server->base.fds[index];
     char text[1024];
     char name[64];
     const char *reply = "COMPLETE -\r\nREADY I 1.1\r\n";
-    ssize_t size = read(server->fds[index], text, sizeof(text) - 1);
+    ssize_t size = read(fd, text, sizeof(text) - 1);
 
     if (size <= 0) {
         return;
@@ -108,31 +103,10 @@
         server->misplaced++;
     }
     else if (server->answer != NULL) {
-        send_answer(server, server->fds[index]);
+        send_answer(server, fd);
         return;
     }
-    send_bytes(server->fds[index], reply, strlen(reply));
-}
-
-/* Serves until a reply has come. */
-static void
-serve(server_t *server)
-{
-    char ip[CbwNet_IP_MAX];
-
-    for (int i = 0; i < ROUNDS_MAX && replies == 0; i++) {
-        int fd = CbwNet_Accept(server->listener, ip);
-        if (fd >= 0) {
-            g_assert_cmpint(server->count, <, CONNECTIONS_MAX);
-            server->fds[server->count++] = fd;
-        }
-        for (int j = 0; j < server->count; j++) {
-            answer(server, j);
-        }
-        ev_run(loop, EVRUN_NOWAIT);
-        g_usleep(1000);
-    }
-    g_assert_cmpint(replies, ==, 1);
+    send_bytes(fd, reply, strlen(reply));
 }
 
 /* Sends a statement that names its workspace. */
@@ -154,7 +128,7 @@
 
     replies = 0;
     g_assert_true(driver->call(endpoint_link, &call));
-    serve(server);
+    EndpointServer_Serve(&server->base, &replies);
 }
 
 typedef struct {
@@ -201,30 +175,15 @@
 static endpoint_link_t *
 open_link(server_t *server, const endpoint_driver_t *driver, daemon_t *daemon)
 {
+    static const endpoint_server_ops_t ops = {.on_poll = answer};
     static const endpoint_events_t events = {.on_reply = on_reply};
-    cbw_endpoint_t *endpoint = &server->endpoint;
-    struct sockaddr_in local = {.sin_port = 0};
-    socklen_t length = sizeof(local);
 
-    daemon->loop = loop;
-    server->listener = CbwNet_Listen("127.0.0.1:0", NULL);
-    getsockname(server->listener, (struct sockaddr *)&local, &length);
-    *endpoint = (cbw_endpoint_t){.name = "ep1", .connections = ALLOWANCE};
-    snprintf(endpoint->address, sizeof(endpoint->address), "127.0.0.1:%d",
-             ntohs(local.sin_port));
-    return driver->open(daemon, "db", endpoint, 2 * LIMIT, &events, NULL);
-}
-
-static void
-close_link(server_t *server, const endpoint_driver_t *driver,
-           endpoint_link_t *endpoint_link)
-{
-    driver->close(endpoint_link);
-    ev_run(loop, EVRUN_NOWAIT);
-    for (int i = 0; i < server->count; i++) {
-        close(server->fds[i]);
-    }
-    close(server->listener);
+    server->base.loop = loop;
+    server->base.ops = &ops;
+    server->base.context = server;
+    server->base.endpoint.connections = ALLOWANCE;
+    return EndpointServer_Open(&server->base, driver, daemon, 2 * LIMIT,
+                               &events);
 }
 
 static void
@@ -233,7 +192,7 @@
     const endpoint_driver_t *driver =
         CbwPlugin_Find(CBW_PLUGIN_ENDPOINT_DRIVER, "wire");
     daemon_t *daemon = g_new0(daemon_t, 1);
-    server_t server = {.count = 0};
+    server_t server = {.refuses = false};
     endpoint_link_t *endpoint_link = open_link(&server, driver, daemon);
 
     for (int i = 0; i < STATEMENTS_MAX && item->workspaces[i] != NULL; i++) {
@@ -246,7 +205,7 @@
             !driver->has_idle_connection(endpoint_link, item->workspaces[i]));
     }
     g_test_message("%s", item->name);
-    g_assert_cmpint(server.count, ==, item->opened);
+    g_assert_cmpint(server.base.count, ==, item->opened);
     g_assert_cmpint(server.misplaced, ==, 0);
     g_assert_cmpint(driver->count_connections(endpoint_link), ==,
                     item->connections);
@@ -256,7 +215,7 @@
     g_assert_cmpuint(
         daemon->counters.values[CBW_COUNTER_CONNECTIONS_CLOSED_FOR_WORKSPACE],
         ==, item->closed_for);
-    close_link(&server, driver, endpoint_link);
+    EndpointServer_Close(&server.base, driver, endpoint_link);
     g_free(daemon);
 }
 
@@ -304,7 +263,7 @@
         CbwPlugin_Find(CBW_PLUGIN_ENDPOINT_DRIVER, "wire");
     daemon_t *daemon = g_new0(daemon_t, 1);
     GString *answer = g_string_new_len(item->rows, (gssize)item->size);
-    server_t server = {.count = 0};
+    server_t server = {.refuses = false};
     endpoint_link_t *endpoint_link;
 
     g_string_append(answer, ANSWER_END);
@@ -323,8 +282,8 @@
                             answer->len - strlen("READY I 3.9\r\n"));
         }
     }
-    g_assert_cmpint(server.count, ==, item->lost ? 2 : 1);
-    close_link(&server, driver, endpoint_link);
+    g_assert_cmpint(server.base.count, ==, item->lost ? 2 : 1);
+    EndpointServer_Close(&server.base, driver, endpoint_link);
     g_string_free(answer, TRUE);
     g_free(daemon);
 }
@@ -375,7 +334,7 @@
 test_next_statement_gets_rest(void)
 {
     daemon_t *daemon = g_new0(daemon_t, 1);
-    server_t server = {.count = 0};
+    server_t server = {.refuses = false};
 
     loop = ev_loop_new(0);
     next_driver = CbwPlugin_Find(CBW_PLUGIN_ENDPOINT_DRIVER, "wire");
@@ -387,9 +346,9 @@
     run_statement(&server, next_driver, next_link, "");
     g_assert_cmpint(last_status, ==, CBW_REPLY_OK);
     replies = 0;
-    serve(&server);
-    g_assert_cmpint(server.count, ==, 2); /* on another connection */
-    close_link(&server, next_driver, next_link);
+    EndpointServer_Serve(&server.base, &replies);
+    g_assert_cmpint(server.base.count, ==, 2); /* on another connection */
+    EndpointServer_Close(&server.base, next_driver, next_link);
     g_free(daemon);
 }
 
@@ -476,18 +435,18 @@
     for (size_t i = 0; i < G_N_ELEMENTS(session_cases); i++) {
         const session_case_t *item = &session_cases[i];
         daemon_t *daemon = g_new0(daemon_t, 1);
-        server_t server = {.count = 0};
+        server_t server = {.refuses = false};
         endpoint_link_t *endpoint_link = open_link(&server, driver, daemon);
         g_test_message("%s", item->name);
         for (int j = 0; j < 4 && item->replies[j] != NULL; j++) {
             server.reply = item->replies[j];
             replies = 0;
             g_assert_true(driver->call(endpoint_link, &call));
-            serve(&server);
+            EndpointServer_Serve(&server.base, &replies);
             g_assert_cmpint(last_status, ==, item->status[j]);
         }
-        g_assert_cmpint(server.count, ==, item->opened);
-        close_link(&server, driver, endpoint_link);
+        g_assert_cmpint(server.base.count, ==, item->opened);
+        EndpointServer_Close(&server.base, driver, endpoint_link);
         g_free(daemon);
     }
 }
--- a/src/test_libcarobwind/test_transaction_driver.c
+++ b/src/test_libcarobwind/test_transaction_driver.c
@@ -1,20 +1,16 @@
 /* The endpoint driver's connections and transactions, against an endpoint on
  * loopback that knows in which transaction each statement runs. */
-#include <arpa/inet.h>
 #include <ev.h>
 #include <glib.h>
 #include <stdio.h>
 #include <string.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include "carobwind/plugin.h"
 #include "carobwindd/drivers.h"
-#include "share/net.h"
+#include "endpoint_server.h"
 #include "suites.h"
 
-/* Rounds of the event loop, 1 ms each, until a wait has failed. */
-#define ROUNDS_MAX 500
 #define CONNECTIONS_MAX 8
 #define STEPS_MAX 8
 
@@ -38,13 +34,12 @@
 } peer_t;
 
 typedef struct {
-    int listener;
+    endpoint_server_t base;
     behaviour_t behaviour;
     peer_t peers[CONNECTIONS_MAX];
-    int count;
     int in_foreign; /* statements in the transaction of another client */
     int outside;    /* statements of a transaction that ran on their own */
-} endpoint_server_t;
+} server_t;
 
 static struct ev_loop *loop;
 static int replies;
@@ -60,7 +55,7 @@
 }
 
 static void
-begin(endpoint_server_t *server, peer_t *peer)
+begin(server_t *server, peer_t *peer)
 {
     server->in_foreign += peer->open;
     peer->open = server->behaviour != IGNORES_BEGIN;
@@ -71,7 +66,7 @@
 /* Runs a statement of the client that the first letter of `trace` names. A
  * capital letter: it belongs to a transaction. Returns the reply. */
 static const char *
-run(endpoint_server_t *server, peer_t *peer, const char *trace)
+run(server_t *server, peer_t *peer, const char *trace)
 {
     if (server->behaviour == ENDS_AFTER_FIRST && peer->statements == 1) {
         peer->open = false;
@@ -91,7 +86,7 @@
 }
 
 static void
-answer_line(endpoint_server_t *server, peer_t *peer, const char *line)
+answer_line(server_t *server, peer_t *peer, const char *line)
 {
     const char *reply = "COMPLETE -";
     char trace[64] = "";
@@ -122,8 +117,20 @@
 }
 
 static void
-read_peer(endpoint_server_t *server, peer_t *peer)
+on_accept(void *context, int index)
 {
+    server_t *server = context;
+
+    g_assert_cmpint(index, <, CONNECTIONS_MAX);
+    server->peers[index] =
+        (peer_t){.fd = server->base.fds[index], .input = g_string_new(NULL)};
+}
+
+static void
+read_peer(void *context, int index)
+{
+    server_t *server = context;
+    peer_t *peer = &server->peers[index];
     char bytes[1024];
     ssize_t size = read(peer->fd, bytes, sizeof(bytes));
     char *end;
@@ -139,28 +146,6 @@
     }
 }
 
-/* Serves until a reply has come. */
-static void
-serve(endpoint_server_t *server)
-{
-    char ip[CbwNet_IP_MAX];
-
-    for (int i = 0; i < ROUNDS_MAX && replies == 0; i++) {
-        int fd = CbwNet_Accept(server->listener, ip);
-        if (fd >= 0) {
-            g_assert_cmpint(server->count, <, CONNECTIONS_MAX);
-            server->peers[server->count++] =
-                (peer_t){.fd = fd, .input = g_string_new(NULL)};
-        }
-        for (int j = 0; j < server->count; j++) {
-            read_peer(server, &server->peers[j]);
-        }
-        ev_run(loop, EVRUN_NOWAIT);
-        g_usleep(1000);
-    }
-    g_assert_cmpint(replies, ==, 1);
-}
-
 /* What the pool does next. */
 typedef struct {
     cbw_call_verb_t verb;
@@ -184,7 +169,7 @@
 } transaction_case_t;
 
 static void
-run_step(endpoint_server_t *server, const endpoint_driver_t *driver,
+run_step(server_t *server, const endpoint_driver_t *driver,
          endpoint_link_t *endpoint_link, const step_t *step)
 {
     const char *text = step->verb == CBW_CALL_COMMIT     ? "COMMIT"
@@ -206,7 +191,7 @@
     replies = 0;
     ev_now_update(loop); /* the driver's timers start from its time */
     g_assert_true(driver->call(endpoint_link, &call));
-    serve(server);
+    EndpointServer_Serve(&server->base, &replies);
     g_assert_cmpint(last_status, ==, step->status);
     if (step->ends) {
         driver->end_transaction(endpoint_link, step->transaction, step->clean);
@@ -216,23 +201,23 @@
 static void
 check_transaction(const transaction_case_t *item)
 {
+    static const endpoint_server_ops_t ops = {on_accept, read_peer};
     static const endpoint_events_t events = {.on_reply = on_reply};
     const endpoint_driver_t *driver =
         CbwPlugin_Find(CBW_PLUGIN_ENDPOINT_DRIVER, "wire");
     daemon_t *daemon = g_new0(daemon_t, 1);
-    cbw_endpoint_t endpoint = {.name = "ep1", .connections = 40};
-    endpoint_server_t server = {.listener = CbwNet_Listen("127.0.0.1:0", NULL),
-                                .behaviour = item->behaviour};
-    struct sockaddr_in local = {.sin_port = 0};
-    socklen_t length = sizeof(local);
+    server_t server = {
+        .base = {.loop = loop,
+                 .ops = &ops,
+                 .context = &server,
+                 .endpoint = {.connections = 40}},
+        .behaviour = item->behaviour,
+    };
     endpoint_link_t *endpoint_link;
 
     g_test_message("%s", item->name);
-    daemon->loop = loop;
-    getsockname(server.listener, (struct sockaddr *)&local, &length);
-    snprintf(endpoint.address, sizeof(endpoint.address), "127.0.0.1:%d",
-             ntohs(local.sin_port));
-    endpoint_link = driver->open(daemon, "db", &endpoint, 8, &events, NULL);
+    endpoint_link =
+        EndpointServer_Open(&server.base, driver, daemon, 8, &events);
     for (int i = 0; i < STEPS_MAX && item->steps[i].trace != NULL; i++) {
         run_step(&server, driver, endpoint_link, &item->steps[i]);
     }
@@ -240,13 +225,10 @@
     g_assert_cmpint(server.outside, ==, item->outside);
     g_assert_cmpint(driver->has_idle_connection(endpoint_link, ""), ==,
                     item->idle);
-    driver->close(endpoint_link);
-    ev_run(loop, EVRUN_NOWAIT);
-    for (int i = 0; i < server.count; i++) {
-        close(server.peers[i].fd);
+    EndpointServer_Close(&server.base, driver, endpoint_link);
+    for (int i = 0; i < server.base.count; i++) {
         g_string_free(server.peers[i].input, TRUE);
     }
-    close(server.listener);
     g_free(daemon);
 }
 
