test_libcarobwind: destroy the event loops of the connection driver tests

Each test of /connection-driver creates an event loop, and none destroyed it. LeakSanitizer reported 2056 bytes in 2 allocations and the program ended with 1, which the check counts as a failure of the sanitized kernel tests.

Each test destroys its loop at the end. Nothing else changes.

Failed before: under the sanitizers, /connection-driver alone and with /transaction-driver, /statement-text and /platform: all 27 tests ok, exit code 1. Passes now: exit code 0, no report, also beside /given-up-calls.

--- a/src/test_libcarobwind/test_connection_driver.c
+++ b/src/test_libcarobwind/test_connection_driver.c
@@ -228,6 +228,7 @@
     for (size_t i = 0; i < G_N_ELEMENTS(driver_cases); i++) {
         check_driver(&driver_cases[i]);
     }
+    ev_loop_destroy(loop);
 }
 
 #define ANSWER_END "COMPLETE 7.1f\r\nREADY I 3.9\r\n"
@@ -306,6 +307,7 @@
     }
     g_string_free(last_result, TRUE);
     last_result = NULL;
+    ev_loop_destroy(loop);
 }
 
 static const endpoint_driver_t *next_driver;
@@ -350,6 +352,7 @@
     g_assert_cmpint(server.base.count, ==, 2); /* on another connection */
     EndpointServer_Close(&server.base, next_driver, next_link);
     g_free(daemon);
+    ev_loop_destroy(loop);
 }
 
 /* A name of a database or an endpoint was sent as a message of its own. */
@@ -383,6 +386,7 @@
     }
     ev_run(loop, EVRUN_NOWAIT);
     g_free(daemon);
+    ev_loop_destroy(loop);
 }
 
 #define OK "COMPLETE -\r\nREADY I 1.1\r\n"
@@ -449,6 +453,7 @@
         EndpointServer_Close(&server.base, driver, endpoint_link);
         g_free(daemon);
     }
+    ev_loop_destroy(loop);
 }
 
 void
