--- a/src/test_libcarobwind/explorer.c
+++ b/src/test_libcarobwind/explorer.c
@@ -24,7 +24,7 @@
     uint32_t step;
 } visited_t;
 
-/* The visited states, with a hash table of open addressing over them. */
+/* The visited states, indexed by an open-addressing hash table. */
 typedef struct {
     visited_t *items;
     size_t count;
@@ -116,9 +116,9 @@
     ExplorerWorld_state = NULL;
 }
 
-/* Takes every possible step from one state, but for those that exceed a size
- * of the model. Returns 0, or -1 when the exploration ends: at a violation or
- * the limit of states. */
+/* Takes every possible step from one state, except those that exceed a size of
+ * the model. Returns 0, or -1 when the exploration ends: at a violation or the
+ * limit of states. */
 static int
 expand(size_t index, visited_set_t *visited, explorer_result_t *result)
 {
--- a/src/test_libcarobwind/explorer.h
+++ b/src/test_libcarobwind/explorer.h
@@ -3,9 +3,9 @@
  * fake store through the possible orders of their messages, and checks the
  * invariants of ExplorerWorld_FindViolation in each new state.
  *
- * It is no proof: it stops at the limits of explorer_settings_t, leaves out
- * steps that exceed a fixed size of the model (explorer_world.h), and takes
- * states with equal 64-bit hashes for the same. */
+ * The search is not exhaustive: it stops at the limits of explorer_settings_t,
+ * omits steps that exceed a fixed size of the model (explorer_world.h), and
+ * treats states with equal 64-bit hashes as equal. */
 #ifndef TEST_LIBCAROBWIND_EXPLORER_H
 #define TEST_LIBCAROBWIND_EXPLORER_H
 
@@ -21,25 +21,25 @@
     RULE_ANSWER_SEQUENCE, /* counts state calls sent before the answer */
     RULE_LAST_TERM,       /* counts positions of entries of other terms */
     RULE_FENCE_MAJORITY,  /* promotes after fencing a single endpoint */
-    RULE_HIGHEST_LOG,     /* promotes a fenced endpoint whatever its log */
-    RULE_ONE_PROMOTER,    /* the store swaps without comparing versions */
-    RULE_FENCE,           /* fenced primaries stay primary and execute
-                             calls of lower terms */
-    RULE_REQUEST_KEY,     /* endpoints execute a known request key again */
-    RULE_TOMBSTONE,       /* answers notrun without writing a tombstone */
+    RULE_HIGHEST_LOG,  /* promotes a fenced endpoint regardless of its log */
+    RULE_ONE_PROMOTER, /* the store swaps without comparing versions */
+    RULE_FENCE,        /* fenced primaries stay primary and execute
+                          calls of lower terms */
+    RULE_REQUEST_KEY,  /* endpoints execute a known request key again */
+    RULE_TOMBSTONE,    /* answers notrun without writing a tombstone */
     RULE_COUNT_,
 } explorer_rule_t;
 
 /* Name of each explorer_rule_t. */
 extern const char *const Explorer_RuleString[];
 
-/* What the explorer may do. All counts but states_max are limits for one path,
+/* Limits of the exploration. All counts except states_max apply to one path,
  * the sequence of steps from the initial state to another. */
 typedef struct {
     explorer_rule_t without; /* the disabled rule */
     bool position;           /* writes have confirm = position, else term */
-    int depth;               /* most steps of a path */
-    size_t states_max;       /* most distinct states */
+    int depth;               /* maximum steps of a path */
+    size_t states_max;       /* maximum distinct states */
     unsigned writers;        /* mask of owners that send the write */
     unsigned promoters;      /* mask of owners that start promotions */
     int promotions;          /* promotions started */
@@ -57,7 +57,7 @@
 
 typedef struct {
     size_t states; /* distinct states found */
-    int depth;     /* most steps up to which all paths were taken */
+    int depth;     /* depth to which all paths were explored */
     /* Neither a violation nor settings.states_max ended the exploration. Steps
      * that exceed a size of the model and paths longer than settings.depth are
      * left out nevertheless. */
--- a/src/test_libcarobwind/explorer_world.h
+++ b/src/test_libcarobwind/explorer_world.h
@@ -1,6 +1,6 @@
 /* The model that the explorer checks: fake endpoints, a fake store, the
  * messages in flight, and reduced owners that use the confirmation and
- * promotion code of the kernel (libcarobwind). The model follows one write. */
+ * promotion code of the kernel (libcarobwind). The model tracks one write. */
 #ifndef TEST_LIBCAROBWIND_EXPLORER_WORLD_H
 #define TEST_LIBCAROBWIND_EXPLORER_WORLD_H
 
@@ -22,9 +22,9 @@
 
 typedef enum {
     ENTRY_BEGIN,    /* begins a term */
-    ENTRY_WRITE,    /* the write that is followed */
+    ENTRY_WRITE,    /* the tracked write */
     ENTRY_OTHER,    /* a write of another caller */
-    ENTRY_TOMBSTONE /* cancels the write that is followed */
+    ENTRY_TOMBSTONE /* cancels the tracked write */
 } model_entry_type_t;
 
 typedef struct {
@@ -76,7 +76,7 @@
     uint64_t claimant;
 } model_message_t;
 
-/* An owner, reduced to what concerns the write that is followed. */
+/* An owner, reduced to the state that concerns the tracked write. */
 typedef struct {
     bool crashed;
     bool has_primary; /* `primary` and `term` are valid */
--- a/src/test_libcarobwind/fake_group.c
+++ b/src/test_libcarobwind/fake_group.c
@@ -14,10 +14,8 @@
 };
 
 /* Kinds that write: "payment" (confirm = position), "quick" (term), "bare"
- * (none) and "reading" (position; a write in spite of its name). Kinds that
- * read: "balance" (data of an age up to 2 s), "account" (any age) and
- * "latest".
- */
+ * (none) and "reading" (position; a write despite its name). Kinds that read:
+ * "balance" (data of an age up to 2 s), "account" (any age) and "latest". */
 static const char default_inventory[] =
     "data-centre n { region = \"r\" }\n"
     "rank urgent { floor = 0 }\n"
--- a/src/test_libcarobwind/fake_group.h
+++ b/src/test_libcarobwind/fake_group.h
@@ -74,7 +74,7 @@
     uint64_t record_version;
     cbw_group_record_t record;
     cbw_random_t random;
-    bool peers_reach_primary;         /* as the owner's ask_reach is told */
+    bool peers_reach_primary;         /* result of the owner's ask_reach */
     int ownership_moves;              /* calls of the owner's move_ownership */
     fake_answer_callback_t on_answer; /* NULL: none */
     void *context;
--- a/src/test_libcarobwind/large_fleet.c
+++ b/src/test_libcarobwind/large_fleet.c
@@ -340,7 +340,7 @@
         CbwMembership_DetectColdStart(&host->membership, LargeNet_Fleet->now);
     }
     else {
-        /* It asks two hosts of the list for theirs. */
+        /* Fetches the member lists of two hosts. */
         request_list(index, (index + 1) % restarted->count);
         request_list(index, (index + 2) % restarted->count);
     }
@@ -371,7 +371,7 @@
     if (host->down || LargeNet_Fleet->now < host->paused_until) {
         return;
     }
-    /* A loop that is late ticks late. */
+    /* A busy event loop delays the tick. */
     if (host->busy_until > LargeNet_Fleet->now + TICK) {
         return;
     }
--- a/src/test_libcarobwind/large_fleet.h
+++ b/src/test_libcarobwind/large_fleet.h
@@ -1,8 +1,8 @@
-/* A fleet of up to some thousand hosts in virtual time, with the membership of
- * each. Messages take time on the way, on the links of both hosts, and on
- * their processors, as on the small hosts of the users' deployments; a message
- * on a connection that was not used for 30 s waits for a new one. Their sizes
- * are those of the XDR codecs. Bytes are counted without headers of TCP/IP. */
+/* Simulates the membership of a fleet of up to several thousand hosts in
+ * virtual time. Messages are delayed by the network, by the links of both
+ * hosts and by their processors, which are those of small hosts; a message on
+ * a connection that was idle for 30 s waits for a new one. Message sizes are
+ * those of the XDR codecs, without TCP/IP headers. */
 #ifndef TEST_LIBCAROBWIND_LARGE_FLEET_H
 #define TEST_LIBCAROBWIND_LARGE_FLEET_H
 
@@ -17,15 +17,15 @@
     cbw_membership_t membership;
     cbw_traffic_t traffic;
     bool down;
-    int region_cut; /* hosts of different values do not reach each other */
+    int region_cut; /* hosts with different values cannot reach each other */
     uint64_t incarnation;
     cbw_time_t started_at;
-    cbw_time_t ready_at;     /* enters service then; 0: it has */
+    cbw_time_t ready_at;     /* when it enters service; 0: in service */
     cbw_time_t busy_until;   /* the processor */
     cbw_time_t output_until; /* the link, in each direction */
     cbw_time_t input_until;
-    cbw_time_t paused_until; /* the process is stopped until then */
-    bool slow;               /* what others find about it is not wrong */
+    cbw_time_t paused_until; /* the process is suspended until then */
+    bool slow;               /* findings about it do not count as false */
     double load;             /* share of the link that statements take */
 } large_host_t;
 
@@ -40,20 +40,20 @@
     uint64_t late; /* probes answered after their time limit */
 } large_fleet_t;
 
-/* Starts `count` hosts that have run for long: each knows all others. */
+/* Starts `count` hosts, each of which knows all others. */
 void LargeFleet_Start(large_fleet_t *fleet, int count);
 void LargeFleet_Finish(large_fleet_t *fleet);
-/* Starts a host anew at the present time. It knows the others from a list. */
+/* Restarts a host at the current time. It knows the others from a list. */
 void LargeFleet_Restart(large_fleet_t *fleet, int host, bool cold);
 void LargeFleet_Run(large_fleet_t *fleet, cbw_time_t length);
-/* Forgets what was counted. */
+/* Resets the counts to 0. */
 void LargeFleet_ResetCounts(large_fleet_t *fleet);
-/* Returns the pairs of running hosts of one side of which the first does not
- * see the second as alive. */
+/* Returns the number of pairs of running hosts on one side of a cut of which
+ * the first does not see the second as alive. */
 size_t LargeFleet_CountDisagreements(const large_fleet_t *fleet);
 /* Bytes sent and received by a host. */
 uint64_t LargeFleet_BytesOf(const large_host_t *host);
-/* The bytes of the host in the middle, and of the busiest one. */
+/* The median and the maximum of the bytes of a host. */
 void LargeFleet_Spread(const large_fleet_t *fleet, uint64_t *median,
                        uint64_t *busiest);
 
--- a/src/test_libcarobwind/large_fleet_net.c
+++ b/src/test_libcarobwind/large_fleet_net.c
@@ -11,8 +11,7 @@
 #define PROCESSOR_SHARE 0.1
 #define MICROSECOND (Cbw_MSEC / 1000)
 /* Processor time of a message and of a byte of it, and of a new connection at
- * either end, on a whole core. Measured: a daemon of an idle fleet takes 0.4 %
- * of a core for 9.5 messages and its ticks (docs/CAPACITY.md). */
+ * either end, on a whole core (docs/CAPACITY.md). */
 #define MESSAGE_COST (60 * MICROSECOND)
 #define BYTE_COST_NS 8
 #define CONNECTION_COST (60 * MICROSECOND)
@@ -164,8 +163,8 @@
 
 /* Messages. */
 
-/* Puts work on the processor of a host that becomes ready for it at `at`.
- * Returns when it is done. */
+/* Occupies the processor of a host for `cost`, from `at` at the earliest.
+ * Returns when this ends. */
 static cbw_time_t
 work(large_host_t *host, cbw_time_t at, cbw_time_t cost)
 {
@@ -251,7 +250,7 @@
                 2 * path_time(message->from, message->to));
 }
 
-/* The last byte of a message is at the receiver's link. */
+/* The last byte of a message has reached the receiver's link. */
 void
 LargeNet_OnArrived(message_t *message)
 {
--- a/src/test_libcarobwind/large_fleet_net.h
+++ b/src/test_libcarobwind/large_fleet_net.h
@@ -16,7 +16,7 @@
     uint32_t incarnation;
 } compact_t;
 
-/* What a message waits for next. */
+/* The next step of a message. */
 typedef enum { STAGE_CONNECTED, STAGE_ARRIVED, STAGE_RECEIVED } stage_t;
 
 typedef struct message {
@@ -51,7 +51,7 @@
 
 /* Removes the message that is due first. */
 message_t *LargeNet_Pop(void);
-/* Whether two hosts are on the same side of a cut. */
+/* Returns whether two hosts are on the same side of a cut. */
 bool LargeNet_CanReach(int a, int b);
 /* Returns the host called `name`. */
 int LargeNet_IndexOf(const char *name);
@@ -67,9 +67,9 @@
 cbw_traffic_place_t LargeNet_PlaceOf(int a, int b);
 /* Puts a message on the link of its sender. */
 void LargeNet_PutOnLink(message_t *message);
-/* Sends a message, which this owns from then on. */
+/* Sends a message and takes ownership of it. */
 void LargeNet_Transmit(message_t *message);
-/* The last byte of a message is at the link of its receiver. */
+/* The last byte of a message has reached the link of its receiver. */
 void LargeNet_OnArrived(message_t *message);
 /* Returns a call with `count` records, to be sent or freed. */
 message_t *LargeNet_NewMessage(int from, int to, uint32_t kind, size_t count);
--- a/src/test_libcarobwind/pool_fleet.c
+++ b/src/test_libcarobwind/pool_fleet.c
@@ -90,8 +90,8 @@
     return PoolFleet_Between(fleet, Cbw_MSEC / 2, 2 * Cbw_MSEC);
 }
 
-/* Whether the process that the event is for still runs. A paused one handles
- * it later; it is kept then. */
+/* Returns whether the process that the event is for can handle it now. A
+ * paused process handles it later; `*kept` is set then. */
 bool
 PoolFleet_IsDeliverable(fleet_t *fleet, event_t *event, bool *kept)
 {
--- a/src/test_libcarobwind/pool_fleet.h
+++ b/src/test_libcarobwind/pool_fleet.h
@@ -1,13 +1,13 @@
 /* A fleet in virtual time: several pools of one database, each the owner on
- * its host, with the store, the promotion service, the endpoints and callers
- * between them. Each seed draws its own disruptions. The world notes when
- * promotions take effect and checks what callers are told against that. */
+ * its host, with the store, the promotion service, the endpoints and callers.
+ * The seed determines the disruptions. The simulation records when promotions
+ * take effect and checks the answers to callers against that. */
 #ifndef TEST_LIBCAROBWIND_POOL_FLEET_H
 #define TEST_LIBCAROBWIND_POOL_FLEET_H
 
 #include "carobwind/types.h"
 
-/* What may happen in a run. */
+/* Disruptions of a run. */
 typedef struct {
     const char *name;
     bool store_cuts;       /* hosts lose the store, or it is down for all */
@@ -37,7 +37,7 @@
     int lower_fences; /* promotion requests with a token below an earlier one's
                        */
     int orders_in_turn; /* requests of two hosts within the lease of 3 s */
-    int quiet_failures; /* requests that failed after all troubles had ended */
+    int quiet_failures; /* requests that failed after the disruptions ended */
     int quiet_successes;
     char first_fault[256];
 } fleet_result_t;
--- a/src/test_libcarobwind/pool_fleet_callers.c
+++ b/src/test_libcarobwind/pool_fleet_callers.c
@@ -1,4 +1,4 @@
-/* The callers of a fleet, and the check of what they are told. */
+/* The callers of a fleet, and the check of their answers. */
 
 #include <stdio.h>
 
@@ -234,8 +234,8 @@
     CbwPool_Submit(&host->pool, fleet->now, request);
 }
 
-/* `op_call` does not know the request: the pool's list of running requests
- * does. */
+/* `op_call` does not get the request: finds it in the pool's list of running
+ * requests. */
 void
 PoolFleet_NoteRunningCalls(fleet_t *fleet, host_t *host)
 {
--- a/src/test_libcarobwind/pool_fleet_hosts.c
+++ b/src/test_libcarobwind/pool_fleet_hosts.c
@@ -1,11 +1,11 @@
-/* The hosts of a fleet: their processes, and what they ask each other. */
+/* The hosts of a fleet: their processes, and their calls to each other. */
 
 #include "pool_fleet_world.h"
 
 #include <stdio.h>
 #include <string.h>
 
-/* Hosts among each other. */
+/* Calls between hosts. */
 
 static bool
 counts_as_dead(const fleet_t *fleet, int from, int to)
--- a/src/test_libcarobwind/pool_fleet_platform.c
+++ b/src/test_libcarobwind/pool_fleet_platform.c
@@ -29,8 +29,8 @@
     return !fleet->store_down && !fleet->store_cut[host];
 }
 
-/* Carries the call out at the store. A call that cannot be answered ends as
- * lost at its timeout, as if no answer had come. */
+/* Executes the call at the store. A call that cannot be answered ends as lost
+ * at its timeout. */
 static void
 run_store_call(fleet_t *fleet, event_t *event)
 {
@@ -308,7 +308,7 @@
     }
     if (CbwPosition_Compare(fleet->acknowledged,
                             (cbw_position_t){e->last_term, e->index}) > 0) {
-        /* The promotion discards what it lacks. */
+        /* The promotion discards entries that the new primary lacks. */
         fleet->acknowledged = (cbw_position_t){e->last_term, e->index};
     }
     PoolFleet_Trace(
@@ -405,8 +405,7 @@
     PoolFleet_Schedule(fleet, delay, event);
 }
 
-/* What is held up on the way is lost when its sender ends the call, or ends.
- */
+/* Delayed orders are lost when their sender cancels the call or terminates. */
 void
 PoolFleet_DropOrdersOnTheWay(fleet_t *fleet, const host_t *host)
 {
@@ -433,7 +432,7 @@
     host->order++;
 }
 
-/* The endpoints follow the leader that they reach. */
+/* Endpoints that reach the leader follow it. */
 void
 PoolFleet_TickEndpoints(fleet_t *fleet)
 {
--- a/src/test_libcarobwind/pool_fleet_troubles.c
+++ b/src/test_libcarobwind/pool_fleet_troubles.c
@@ -5,7 +5,7 @@
 #include <stdarg.h>
 #include <stdio.h>
 
-/* Troubles. */
+/* Disruptions. */
 
 typedef void (*undo_t)(fleet_t *, event_t *);
 
@@ -77,7 +77,7 @@
 {
     endpoint_t *e = &fleet->endpoints[event->endpoint];
 
-    /* Its log goes to a new endpoint at another address. */
+    /* Its log moves to a new endpoint at another address. */
     if (e->up && e->leaving && fleet->leader != event->endpoint) {
         e->incarnation++;
         e->primary = false;
--- a/src/test_libcarobwind/pool_fleet_world.h
+++ b/src/test_libcarobwind/pool_fleet_world.h
@@ -1,4 +1,4 @@
-/* The world of pool_fleet.h, for its source files. */
+/* Declarations that the source files of pool_fleet.h share. */
 #ifndef TEST_LIBCAROBWIND_POOL_FLEET_WORLD_H
 #define TEST_LIBCAROBWIND_POOL_FLEET_WORLD_H
 
@@ -13,21 +13,21 @@
 #define TICK (10 * Cbw_MSEC)
 #define PROMOTE_TIME (600 * Cbw_MSEC)
 #define PROMOTE_TIME_MAX (900 * Cbw_MSEC)
-/* Two hosts may not order within it. */
+/* Within this time of an order no other host may order. */
 #define ORDER_LEASE (3 * Cbw_SEC)
 #define STEP_DOWN_AFTER Cbw_SEC
-/* TCP gives up bytes that are not acknowledged by then. */
+/* TCP discards bytes that stay unacknowledged for this long. */
 #define UNACKNOWLEDGED_MAX (2 * Cbw_SEC)
 #define STORE_CALL_TIMEOUT (700 * Cbw_MSEC)
 #define PEER_CALL_TIMEOUT (250 * Cbw_MSEC)
-/* A host that stops has ended by then. */
+/* Longest time that a host takes to stop. */
 #define STOP_LIMIT (6 * Cbw_SEC)
 #define DEAD_AFTER (1200 * Cbw_MSEC)
 #define UNLISTED_AFTER (3600 * Cbw_MSEC)
 #define QUIET_TIME (25 * Cbw_SEC)
 #define QUIET_MEASURED (5 * Cbw_SEC)
 #define FIRST_TERM 3
-/* More terms than a run has promotions. */
+/* Exceeds the number of promotions of a run. */
 #define TERMS_MAX 256
 
 typedef struct fleet fleet_t;
--- a/src/test_libcarobwind/pool_world.h
+++ b/src/test_libcarobwind/pool_world.h
@@ -68,8 +68,8 @@
                             const endpoint_report_t reports[3]);
 /* Makes room for further calls in `sent`. */
 void PoolWorld_ForgetClosedCalls(pool_world_t *world);
-/* Answers the pending calls to the store, and those that the pool makes
- * thereupon. */
+/* Answers the pending calls to the store, and those that the pool makes in
+ * response. */
 void PoolWorld_ServeStore(pool_world_t *world);
 /* Advances the time by `step`. Then ticks the pool, which is to hold the
  * tenure, and answers its calls to the store, and does both once more, since
@@ -78,8 +78,8 @@
 /* Ticks for `duration`, answering the store and the state calls. */
 void PoolWorld_Run(pool_world_t *world, cbw_time_t duration,
                    const endpoint_report_t reports[3]);
-/* As PoolWorld_Run, until the pool requests a promotion, for `limit` at the
- * most. Returns whether it did: of world->promotion_target. */
+/* As PoolWorld_Run, until the pool requests a promotion (of
+ * world->promotion_target), for `limit` at most. Returns whether it did. */
 bool PoolWorld_RunUntilOrder(pool_world_t *world, cbw_time_t limit,
                              const endpoint_report_t reports[3]);
 /* Ticks without a store until the tenure has expired. */
--- a/src/test_libcarobwind/quota_world.h
+++ b/src/test_libcarobwind/quota_world.h
@@ -43,7 +43,7 @@
     uint64_t ran;
 } quota_demand_t;
 
-/* What goes wrong, as shares of 1. */
+/* Probabilities of faults, 0 to 1. */
 typedef struct {
     double lost_messages;
     double delayed_messages; /* by up to 6 s */
@@ -68,14 +68,14 @@
 /* Events. A killed host returns after `duration`. */
 void QuotaWorld_Kill(quota_world_t *world, int host, cbw_time_t duration);
 void QuotaWorld_Freeze(quota_world_t *world, int host, cbw_time_t duration);
-/* Has another host take `database` over in an orderly way; the present owner
- * serves for `overlap` longer. */
+/* Hands `database` over to another host; the present owner serves for
+ * `overlap` longer. */
 void QuotaWorld_Move(quota_world_t *world, int database, cbw_time_t overlap);
 /* Runs for `duration`. Fails the test when the bound is exceeded. */
 void QuotaWorld_Run(quota_world_t *world, cbw_time_t duration);
 /* Sets the counts of `asked` and `ran` to 0. */
 void QuotaWorld_ResetCounts(quota_world_t *world);
-/* Messages between different hosts since the begin. */
+/* Messages between different hosts since the start. */
 uint64_t QuotaWorld_Messages(const quota_world_t *world);
 /* Largest share of the bound that a window used so far; 1: all of it. */
 double QuotaWorld_Peak(const quota_world_t *world);
--- a/src/test_libcarobwind/quota_world_operations.c
+++ b/src/test_libcarobwind/quota_world_operations.c
@@ -17,8 +17,8 @@
     int attempts_left; /* that do not run */
 } sim_operation_t;
 
-/* Returns the most that any limit in force in the last two windows allows: a
- * lowered limit binds one window after it is in force. */
+/* Returns the maximum that any limit of the last two windows allows: a lowered
+ * limit is binding one window after it takes effect. */
 static double
 allowed_now(const quota_world_t *world, const sim_workspace_t *workspace)
 {
@@ -103,8 +103,8 @@
     }
 }
 
-/* Returns a host that serves the database, or -1: the holder or, while it does
- * still, a previous owner. */
+/* Returns a host that serves the database, the holder or a previous owner that
+ * still serves; -1 when there is none. */
 static int
 find_server(quota_world_t *world, int database)
 {
--- a/src/test_libcarobwind/quota_world_parts.h
+++ b/src/test_libcarobwind/quota_world_parts.h
@@ -1,4 +1,4 @@
-/* Declarations that the source files of the quotas' world share. */
+/* Declarations that the source files of quota_world.h share. */
 #ifndef TEST_LIBCAROBWIND_QUOTA_WORLD_PARTS_H
 #define TEST_LIBCAROBWIND_QUOTA_WORLD_PARTS_H
 
@@ -6,7 +6,7 @@
 
 /* Times of operations that are kept for the sliding window. */
 #define HISTORY_MAX 65536
-/* Most changes of a limit that a window can be checked against. */
+/* Maximum number of changes of a limit that a window is checked against. */
 #define LIMITS_MAX 16
 
 typedef struct {
@@ -41,7 +41,7 @@
     double peak;
 };
 
-/* Returns whether the host's process does anything now. */
+/* Returns whether the host's process runs at present. */
 bool QuotaWorld_IsRunning_(const quota_world_t *world,
                            const quota_host_t *host);
 /* Sends the claims, or the requests to lend, of an owner that are due. */
--- a/src/test_libcarobwind/test_acceptor.c
+++ b/src/test_libcarobwind/test_acceptor.c
@@ -92,8 +92,8 @@
     ev_loop_destroy(world->loop);
 }
 
-/* Guards against a connection that is closed to make room when no other one
- * waits: the one that reached the limit would go. */
+/* Guards against closing a connection to make room when no further one is
+ * waiting: the one that reached the limit would be closed. */
 static void
 test_at_limit(void)
 {
@@ -115,8 +115,8 @@
     finish(&world, 3);
 }
 
-/* Guards against a loop that spins on a connection which it cannot accept, and
- * against one that never accepts again. */
+/* Guards against a busy loop on a connection that cannot be accepted, and
+ * against an acceptor that never resumes. */
 static void
 test_pause(void)
 {
--- a/src/test_libcarobwind/test_access.c
+++ b/src/test_libcarobwind/test_access.c
@@ -53,7 +53,7 @@
     return access;
 }
 
-/* What a session that starts is told. Guards against callers without a known
+/* The result of the start of a session. Guards against callers without a known
  * key that are served, and against the name of another workspace. */
 static void
 test_start(void)
@@ -95,9 +95,9 @@
     }
 }
 
-/* A configuration changes under an open session. Guards against revoked keys
- * that run on, and against sessions that are closed though their key remains.
- */
+/* A configuration changes during a session. Guards against revoked keys that
+ * stay usable, and against sessions that are closed although their key
+ * remains. */
 static void
 test_change(void)
 {
@@ -145,8 +145,8 @@
     }
 }
 
-/* Guards against an unusable workspace that takes others with it, or that
- * leaves its keys in force. */
+/* Guards against an unusable workspace that invalidates others, or whose keys
+ * remain in force. */
 static void
 test_unusable_workspaces(void)
 {
@@ -186,8 +186,8 @@
     }
 }
 
-/* Guards against keys in the record that hosts pass on to each other, and
- * against a host that understands it differently. */
+/* Guards against keys in the record that hosts forward to each other, and
+ * against a host that interprets it differently. */
 static void
 test_hidden_keys(void)
 {
--- a/src/test_libcarobwind/test_bootstrap.c
+++ b/src/test_libcarobwind/test_bootstrap.c
@@ -58,8 +58,8 @@
                                : CBW_BOOTSTRAP_EMPTY);
 }
 
-/* Asks a peer. A host sends to one after the other, also what the caller does
- * not wait for any more. */
+/* Asks a peer. A host sends its transfers one after the other, including those
+ * whose caller has stopped waiting. */
 static void
 ask(world_t *world, host_t *host, size_t asked, cbw_time_t now)
 {
@@ -160,8 +160,8 @@
 }
 
 /* All hosts of a large data centre start, and a host needs 20 ms to send the
- * records to another. Asked by all others, the first two gave up calls and
- * were asked again until all had read the store. */
+ * records to another. Guards against calls to the first two hosts that time
+ * out and are repeated until all hosts have read the store. */
 static void
 test_all_start_large(void)
 {
@@ -178,9 +178,8 @@
     g_assert_cmpint(last, <=, Cbw_SEC);
 }
 
-/* A data centre of a fleet of 300 hosts starts with the records of 770
- * databases: 577 kB, 460 ms of a link of 10 Mbit/s. Each host read them from
- * the store, which then had 300 of these transfers at once. */
+/* A data centre starts with the records of 770 databases: 577 kB, 460 ms of a
+ * link of 10 Mbit/s. Guards against a store that all hosts read at once. */
 static void
 test_all_start_slow_links(void)
 {
@@ -219,8 +218,8 @@
                         CALL_TIME + 10 * Cbw_MSEC);
 }
 
-/* One host starts in a running fleet, in any place of the order: it does not
- * read the store. */
+/* One host starts in a running fleet, at any position of the order: it does
+ * not read the store. */
 static void
 test_one_restarts(void)
 {
--- a/src/test_libcarobwind/test_connection_cache.c
+++ b/src/test_libcarobwind/test_connection_cache.c
@@ -7,13 +7,12 @@
 #include "pool_world.h"
 #include "suites.h"
 
-/* Replays the demand of one endpoint of deployment P in virtual time: 87
- * workspaces of Zipf-distributed size share 64 connections, which are 9/20 of
- * 144. */
+/* Replays the demand of one endpoint in virtual time: 87 workspaces of
+ * Zipf-distributed size share 64 connections. */
 #define WORKSPACES 87
 #define EXPONENT 1.2
 #define LIMIT 64
-#define RATE 39.0 /* statements a second: 935 over 24 endpoints */
+#define RATE 39.0 /* statements a second */
 #define DURATION (300 * Cbw_SEC)
 #define WARM_UP (60 * Cbw_SEC)  /* not counted */
 #define SERVICE (45 * Cbw_MSEC) /* on average */
@@ -267,8 +266,8 @@
     {"in turns", DEMAND_TURNS, 0.5},
 };
 
-/* The policy "demand" opens fewer connections than plain least-recently-used
- * does, and no more where demand moves. */
+/* The policy "demand" opens fewer connections than plain least-recently-used,
+ * and not more when demand shifts. */
 static void
 test_compare_with_lru(void)
 {
@@ -357,7 +356,7 @@
      .chosen = 0},
 };
 
-/* Which idle connection gives way. */
+/* Which idle connection is closed for a new one. */
 static void
 test_choice(void)
 {
--- a/src/test_libcarobwind/test_connection_driver.c
+++ b/src/test_libcarobwind/test_connection_driver.c
@@ -238,7 +238,7 @@
     const char *name;
     const char *rows;
     size_t size;
-    bool lost; /* the connection fails */
+    bool lost; /* the driver closes the connection */
 } answer_case_t;
 
 static const answer_case_t answer_cases[] = {
@@ -289,8 +289,8 @@
     g_free(daemon);
 }
 
-/* A row whose data looks like the protocol ended the answer, or an answer that
- * arrived in parts was changed. */
+/* Guards against a row whose data resembles the protocol and ends the answer,
+ * and against changes of an answer that arrives in parts. */
 static void
 test_row_ends_answer(void)
 {
@@ -299,7 +299,7 @@
     for (size_t i = 0; i < G_N_ELEMENTS(answer_cases); i++) {
         size_t size = answer_cases[i].size + strlen(ANSWER_END);
         g_test_message("%s", answer_cases[i].name);
-        /* One that fails the connection is sent at once. */
+        /* An answer that closes the connection is sent in one part. */
         for (size_t first = answer_cases[i].lost ? size : 1; first <= size;
              first++) {
             check_answer(&answer_cases[i], first);
@@ -330,8 +330,8 @@
     g_assert_true(next_driver->call(next_link, &call));
 }
 
-/* An endpoint that sends more than the answer in one packet had the rest taken
- * for the answer to the statement that was sent next, before it ran. */
+/* Guards against taking bytes after an answer for the answer to the next
+ * statement, which has not run yet. */
 static void
 test_next_statement_gets_rest(void)
 {
@@ -355,7 +355,8 @@
     ev_loop_destroy(loop);
 }
 
-/* A name of a database or an endpoint was sent as a message of its own. */
+/* Guards against a name of a database or an endpoint that is sent as a
+ * separate message. */
 static void
 test_name_is_message(void)
 {
@@ -407,7 +408,7 @@
      {OK OK, FAIL("BUSY"), OK},
      {CBW_REPLY_OK, CBW_REPLY_BUSY, CBW_REPLY_OK},
      1},
-    /* Later statements would find the same gap in what the endpoint has. */
+    /* Replaced, as later statements would fail likewise. */
     {"name unknown",
      {OK OK, FAIL("NOSTMT"), OK OK, OK},
      {CBW_REPLY_OK, CBW_REPLY_BUSY, CBW_REPLY_OK, CBW_REPLY_OK},
@@ -418,8 +419,8 @@
      2},
 };
 
-/* A connection whose endpoint lacks a prepared statement that the driver holds
- * for prepared must not be used again. */
+/* A connection whose endpoint lacks a statement that the driver considers
+ * prepared must not be used again. */
 static void
 test_unknown_statement(void)
 {
--- a/src/test_libcarobwind/test_gate.c
+++ b/src/test_libcarobwind/test_gate.c
@@ -7,7 +7,7 @@
 #include "suites.h"
 
 /* Replays load in virtual time: requests arrive at random for an endpoint with
- * a few slots, wait in a queue in order of arrival, and are given up after 60
+ * a few slots, wait in a queue in order of arrival, and are refused after 60
  * percent of their target, as in a pool. */
 
 #define SLOTS 2
@@ -79,7 +79,7 @@
     replay->now += STEP;
     replay->arrivals_due += rate * (double)STEP / 1e6;
     while (replay->arrivals_due >= 1) {
-        /* One or none or two, so that arrivals are uneven. */
+        /* 0 to 2, so that arrivals are uneven. */
         size_t count = (size_t)CbwRandom_Below(&replay->random, 3);
         replay->arrivals_due -= 1;
         for (size_t i = 0; i < count; i++) {
@@ -126,9 +126,8 @@
     CbwRandom_Init(&replay->random, 51);
 }
 
-/* Half as much again as can be served, for ten seconds: the slots stay busy,
- * what cannot be served is refused at once, and what is served waits shortly.
- */
+/* 1.5 times the capacity for ten seconds: the slots stay busy, excess requests
+ * are refused at once, and the others wait only briefly. */
 static void
 test_overload(void)
 {
@@ -146,8 +145,8 @@
     g_assert_cmpuint(replay.served_soon * 10, >=, replay.served * 9);
 }
 
-/* A burst that can be served in time is let in whole, also after a busy time.
- */
+/* A burst that can be served in time is admitted completely, also after a busy
+ * period. */
 static void
 test_burst(void)
 {
@@ -164,8 +163,8 @@
     g_assert_cmpuint(replay.given_up, ==, 0);
 }
 
-/* An interruption of a second, as by a failover, does not count as slowness:
- * soon after it all requests of an ordinary load are let in. */
+/* An interruption of a second, as by a failover, does not count as overload:
+ * soon after it all requests of an ordinary load are admitted. */
 static void
 test_interruption(void)
 {
@@ -181,7 +180,7 @@
     g_assert_cmpuint(replay.given_up, ==, 0);
 }
 
-/* After an overload an ordinary load is let in again. */
+/* After an overload an ordinary load is admitted again. */
 static void
 test_overload_ends(void)
 {
@@ -195,7 +194,7 @@
     g_assert_cmpuint(replay.refused, ==, 0);
 }
 
-/* Callers that are refused together are not told to come back together. */
+/* Callers that are refused at the same time get different retry times. */
 static void
 test_retry_times_spread(void)
 {
--- a/src/test_libcarobwind/test_given_up_calls.c
+++ b/src/test_libcarobwind/test_given_up_calls.c
@@ -1,5 +1,5 @@
-/* A call that its sender gave up takes no effect later: what the remote end
- * has not received by then never reaches it. */
+/* A cancelled call takes no effect later: bytes that the remote end has not
+ * received by then never reach it. */
 #include <arpa/inet.h>
 #include <errno.h>
 #include <ev.h>
@@ -18,7 +18,7 @@
 #include "share/reaper.h"
 #include "suites.h"
 
-/* Larger than what a connection of the server below receives unread. */
+/* Larger than the receive buffer of a connection of the server below. */
 #define TEXT_SIZE ((size_t)100000)
 /* Rounds of the event loop, 1 ms each, until a wait has failed. */
 #define ROUNDS_MAX 500
@@ -120,8 +120,8 @@
     return total;
 }
 
-/* Checks that a call of at least TEXT_SIZE bytes that was given up ended with
- * a reset, without its remaining bytes. */
+/* Checks that a cancelled call of at least TEXT_SIZE bytes ended with a reset,
+ * without its remaining bytes. */
 static void
 check_discarded(int fd)
 {
@@ -135,7 +135,8 @@
     close(fd);
 }
 
-/* Finds this process's other end of a connection that it accepted. */
+/* Returns this process's socket at the other end of an accepted connection; -1
+ * when there is none. */
 static int
 find_other_end(int accepted)
 {
@@ -200,7 +201,7 @@
     close(listener);
 }
 
-/* The kernel gives up bytes that stay unacknowledged, with no help from the
+/* The kernel discards bytes that stay unacknowledged, without action of the
  * process. */
 static void
 test_acknowledge_timeout(void)
@@ -230,7 +231,7 @@
 {
     static char address[Cbw_ADDRESS_MAX];
 
-    /* The driver keeps its client, so that all tests share the server. */
+    /* The driver keeps its client, so all tests share the server. */
     static int fd = -1;
     if (fd < 0) {
         fd = start_server(address);
--- a/src/test_libcarobwind/test_large_fleet.c
+++ b/src/test_libcarobwind/test_large_fleet.c
@@ -10,7 +10,7 @@
 
 #define SETTLE_TIME (3 * Cbw_SEC)
 #define DATABASES 300
-/* Hosts from one that is asked for owners to the next. */
+/* Interval between the hosts that are asked for owners. */
 #define OBSERVER_STEP 23
 
 static large_fleet_t fleet;
@@ -36,7 +36,7 @@
     }
 }
 
-/* What happens to the fleet while it is measured. */
+/* Disruption of the fleet during the measurement. */
 
 static void
 run_calm(void)
@@ -57,7 +57,7 @@
             LargeFleet_Run(&fleet, Cbw_MSEC);
         }
     }
-    /* Requests take detours by wrong owners while hosts do not agree. */
+    /* Requests are forwarded to wrong owners while hosts disagree. */
     for (int step = 0; step < 40; step++) {
         LargeFleet_Run(&fleet, 250 * Cbw_MSEC);
         if (fleet.count <= 300) {
@@ -113,8 +113,8 @@
     LargeFleet_Run(&fleet, 5 * Cbw_SEC);
 }
 
-/* The loops of a tenth of the hosts are late by 350 ms again and again: they
- * must not find hosts dead that are well. */
+/* The event loops of a tenth of the hosts are late by 350 ms repeatedly: these
+ * hosts must not declare live hosts dead. */
 static void
 run_late_observers(void)
 {
@@ -131,8 +131,8 @@
 typedef struct {
     const char *name;
     void (*run)(void);
-    /* Bounds at 300 hosts: bytes a second of the host in the middle and of the
-     * busiest one, and wrong findings (-1: not bounded). */
+    /* Bounds at 300 hosts: median and maximum of bytes a second of a host, and
+     * false findings (-1: not bounded). */
     double median;
     double busiest;
     int suspicions;
@@ -216,8 +216,8 @@
     g_strfreev(words);
 }
 
-/* Bytes that grow with the fleet, and findings about hosts that are well, fed
- * each other until 300 hosts served nothing. */
+/* Guards against a feedback between traffic that grows with the fleet and
+ * false findings about live hosts. */
 static void
 test_300_hosts(gconstpointer data)
 {
@@ -249,8 +249,8 @@
     LargeFleet_Finish(&fleet);
 }
 
-/* Control of a calm host costs at 300 hosts at most 1.5 times what it does at
- * 30, a target of the page. */
+/* Control traffic of an idle host at 300 hosts is at most 1.5 times that at
+ * 30. */
 static void
 test_growth(void)
 {
--- a/src/test_libcarobwind/test_local_health.c
+++ b/src/test_libcarobwind/test_local_health.c
@@ -5,9 +5,9 @@
 
 #define TICK (20 * Cbw_MSEC)
 
-/* A host that takes its own delay for that of others finds them dead; one that
- * takes a slow peer, a far one or a partition for its own delay finds dead
- * hosts too late. */
+/* Guards against a host that attributes its own delay to others and declares
+ * them dead, and against one that attributes a slow or distant peer or a
+ * partition to its own delay and detects dead hosts too late. */
 static void
 test_delay(void)
 {
@@ -15,7 +15,7 @@
         const char *name;
         cbw_time_t tick_delay; /* of one tick */
         cbw_time_t round_trips[6];
-        cbw_time_t after; /* from the last event until the question */
+        cbw_time_t after; /* from the last event until the check */
         cbw_time_t expected;
     } cases[] = {
         {"nothing seen", 0, {0}, 0, 0},
--- a/src/test_libcarobwind/test_membership.c
+++ b/src/test_libcarobwind/test_membership.c
@@ -157,7 +157,7 @@
     }
 }
 
-/* Hosts that have much to learn fetch the whole list of another one. */
+/* Hosts that lack many updates fetch the whole list of another one. */
 static void
 exchange_lists(void)
 {
@@ -414,8 +414,8 @@
 }
 
 /* After a power loss of the whole fleet the hosts know each other from the
- * list only. They must agree on the owners before they have heard from each
- * other, and at each step of the start. */
+ * list only. They must agree on the owners before they exchange messages, and
+ * at each step of the start. */
 static void
 test_cold_start(void)
 {
@@ -441,9 +441,8 @@
 /* Guards against a cold start of a large fleet after which hosts see others as
  * joining, or dead, for many seconds: a probe carries a few updates only, and
  * each host changes its state twice. All hosts must agree shortly after the
- * end of the cold start, since requests take detours by wrong owners from then
- * on.
- */
+ * end of the cold start, since requests are forwarded to wrong owners from
+ * then on. */
 static void
 test_cold_start_large(void)
 {
@@ -489,8 +488,8 @@
     finish_fleet();
 }
 
-/* A host that restarts and joins a running fleet does not take this for a cold
- * start. */
+/* A host that restarts and joins a running fleet does not assume a cold start.
+ */
 static void
 test_join_is_no_cold_start(void)
 {
--- a/src/test_libcarobwind/test_memory_budget.c
+++ b/src/test_libcarobwind/test_memory_budget.c
@@ -27,8 +27,8 @@
     }
 }
 
-/* Closes all accounts. Nothing may be left over: what is lost from the sums
- * would be missing for good. */
+/* Closes all accounts and checks that the sums return to 0: memory lost from
+ * them would never be available again. */
 static void
 finish(world_t *world)
 {
@@ -81,7 +81,8 @@
     g_assert_true(CbwMemoryBudget_NextToResume(&world.budget, 200) ==
                   &world.accounts[3]);
     g_assert_null(CbwMemoryBudget_NextToResume(&world.budget, 200));
-    /* One whose connection ends gives its grant back, or its place. */
+    /* A connection that ends releases its grant, or its place among those that
+     * wait. */
     CbwMemoryAccount_Detach(&world.accounts[6]);
     CbwMemoryAccount_Close(&world.accounts[1]);
     g_assert_null(CbwMemoryBudget_NextToResume(&world.budget, 200));
@@ -144,7 +145,7 @@
     CbwMemoryAccount_SetInput(&world.accounts[0], 0, 200);
     g_assert_true(CbwMemoryBudget_NextToResume(&world.budget, 200) ==
                   &world.accounts[1]);
-    /* A session that gets a workspace takes its grant along. */
+    /* A session that gets a workspace keeps its grant. */
     CbwMemoryAccount_SetWorkspace(&world.accounts[1], "c");
     g_assert_cmpuint(world.accounts[6].share->granted, ==,
                      2 * Cbw_MEMORY_GRANT);
@@ -368,7 +369,7 @@
         }
         g_assert_cmpuint(sum + limits[i] / 16, <, limits[i]);
         if (limits[i] >= 1024) {
-            /* Up to 300 sessions come back to one host at once. */
+            /* Up to 300 sessions reconnect to one host at once. */
             g_assert_cmpuint(shares.ports[CBW_PORT_CALLERS], >=, 300);
         }
     }
--- a/src/test_libcarobwind/test_nonce.c
+++ b/src/test_libcarobwind/test_nonce.c
@@ -4,7 +4,7 @@
 #include "suites.h"
 
 #define HERE "10.1.0.8:8782"
-/* Two starts of a process, by their random numbers. */
+/* Two starts of a process, identified by their random numbers. */
 #define FORMER UINT64_C(0x1234567887654321)
 #define PRESENT UINT64_C(0xfedcba98ffffffff)
 
--- a/src/test_libcarobwind/test_odd_records.c
+++ b/src/test_libcarobwind/test_odd_records.c
@@ -274,7 +274,7 @@
     }
 }
 
-/* Thousands of routes, in an order of their own: each is found. */
+/* Thousands of routes, not sorted by name: each is found. */
 static void
 test_many_routes(void)
 {
--- a/src/test_libcarobwind/test_offload.c
+++ b/src/test_libcarobwind/test_offload.c
@@ -3,8 +3,9 @@
 #include "carobwind/offload.h"
 #include "suites.h"
 
-/* Guards against reads that cross the border without need, and against reads
- * that wait here while they could be served there. Times are milliseconds. */
+/* Guards against reads that leave the region without need, and against reads
+ * that wait here while the other region could serve them. Times are
+ * milliseconds. */
 static void
 test_cases(void)
 {
@@ -79,7 +80,7 @@
     }
 }
 
-/* Guards against a price without effect. */
+/* Guards against a cost without effect. */
 static void
 test_price(void)
 {
@@ -103,9 +104,9 @@
 }
 
 /* A burst of 2.5 times the capacity here, for 2 s, in steps of 1 ms: eight
- * slots of 26 ms here, four of 86 ms there. Guards against all or nothing: the
- * excess leaves, the slots here stay busy, and nothing leaves once the burst
- * is over. */
+ * slots of 26 ms here, four of 86 ms there. Guards against sending all reads
+ * or none: the excess leaves, the slots here stay busy, and nothing leaves
+ * once the burst is over. */
 static void
 test_burst(void)
 {
--- a/src/test_libcarobwind/test_owner.c
+++ b/src/test_libcarobwind/test_owner.c
@@ -205,9 +205,9 @@
     FakeGroup_Finish(&group);
 }
 
-/* The request's time runs out while the CANCEL call that settles its key is in
- * flight: the request is answered once, and the end of that call, which comes
- * later, must not change the count of statements in flight again. */
+/* The request expires while the CANCEL call that settles its key is in flight:
+ * the request is answered once, and the later end of that call must not change
+ * the count of statements in flight again. */
 static void
 test_settling_times_out(void)
 {
--- a/src/test_libcarobwind/test_placement.c
+++ b/src/test_libcarobwind/test_placement.c
@@ -82,8 +82,8 @@
 }
 
 /* After random changes of members and of databases' data centres, the owners
- * are those that a look at all members names. Without regions these are the
- * owners of CbwMembership_FindOwner, as before there were any. */
+ * are those that a search of all members finds. Without regions these are the
+ * owners of CbwMembership_FindOwner. */
 static void
 check_random_changes(const cbw_regions_t *regions)
 {
@@ -167,8 +167,8 @@
     check_random_changes(&regions);
 }
 
-/* Guards against an owner beyond the region's border while the region has a
- * usable host. */
+/* Guards against an owner outside the region while the region has a usable
+ * host. */
 static void
 test_nearest_owner(void)
 {
@@ -220,8 +220,8 @@
     }
 }
 
-/* Guards against an owner that takes a database from a holder which lives, and
- * against a hand-over that never ends. */
+/* Guards against an owner that takes a database from a live holder, and
+ * against a handover that never ends. */
 static void
 test_handover(void)
 {
@@ -235,7 +235,7 @@
         bool assigned; /* after the event */
         bool due;
     } cases[] = {
-        /* The holder, from the news of the home to the next owner's tenure. */
+        /* The holder, from learning of the home to the next owner's tenure. */
         {true, 0, LEARN, true, false, true, false},
         {false, 3000, LEARN, true, true, true, true},
         {false, 3000, SENT, true, true, true, false},
@@ -252,7 +252,7 @@
         /* A holder whose next owner never answers serves on unassigned. */
         {true, 9999, LEARN, true, true, true, true},
         {false, 10000, LEARN, true, true, false, false},
-        /* The next owner waits, then holds the tenure or gives up waiting. */
+        /* The next owner waits, then holds the tenure or stops waiting. */
         {true, 0, OWN, false, true, false, false},
         {false, 9999, OWN, false, true, false, false},
         {false, 500, OWN, true, true, true, false},
--- a/src/test_libcarobwind/test_pool.c
+++ b/src/test_libcarobwind/test_pool.c
@@ -177,9 +177,8 @@
     }
 }
 
-/* Answers all state calls: `primary` reports itself as such (-1: none), in
- * term 4 if it was promoted, and `positions` are the endpoints' log positions.
- */
+/* Answers all state calls: `primary` reports that role (-1: none), in term 4
+ * if it was promoted, and `positions` are the endpoints' log positions. */
 static void
 answer_state_calls(pool_world_t *world, int primary, const uint64_t *positions)
 {
@@ -379,9 +378,9 @@
     PoolWorld_Finish(&world);
 }
 
-/* Asking the candidate whether it leads by now must not open a connection each
- * time that it is busy with reads: these would use up the connections, and the
- * candidate would count as down and another one be ordered. */
+/* State calls to a candidate that is busy with reads must not open a
+ * connection each: they would use up the connections, so that the candidate
+ * counts as down and another one is ordered. */
 static void
 test_polls_of_candidate_reuse_connections(void)
 {
@@ -401,7 +400,7 @@
     read = PoolWorld_NewRequest(&world, false, CBW_READ_BOUNDED);
     for (int i = 0; i < 20; i++) {
         sent_call_t *sent;
-        /* A read is in flight at the candidate all the time. */
+        /* A read stays in flight at the candidate. */
         world.pool.endpoints[2].unanswered_since = world.now;
         PoolWorld_Tick(&world, 50 * Cbw_MSEC);
         while ((sent = PoolWorld_LastOpenCall(&world, CBW_CALL_STATE)) !=
@@ -695,9 +694,9 @@
     PoolWorld_Finish(&world);
 }
 
-/* A request that the endpoints' protocol cannot carry was sent: parts of it
- * would run as messages of their own. A transaction that it belongs to ends.
- */
+/* Guards against sending a request that the endpoints' protocol cannot carry:
+ * parts of it would run as separate messages. A transaction that it belongs to
+ * ends. */
 static void
 test_uncarried_request_is_sent(void)
 {
@@ -728,8 +727,9 @@
     }
 }
 
-/* A transaction that was begun twice never ends: the pool takes the reply to
- * one copy for the other's, which stays busy and does not expire. */
+/* Guards against a transaction that is begun twice and never ends: the pool
+ * would take the reply to one copy for the other's, which stays busy and does
+ * not expire. */
 static void
 test_transaction_begun_twice(void)
 {
--- a/src/test_libcarobwind/test_pool_observer.c
+++ b/src/test_libcarobwind/test_pool_observer.c
@@ -3,22 +3,21 @@
 #include "pool_world.h"
 #include "suites.h"
 
-/* What an owner does about a primary that is silent for a while. Times are in
- * milliseconds. */
+/* How an owner handles a primary that is unresponsive for a while. Times are
+ * in milliseconds. */
 typedef struct {
     const char *name;
     int observer_delay;
     bool witnesses_silent;
     int silent_for; /* the primary */
-    /* When a promotion may be requested, from the beginning of the silence;
-     * `latest` 0: never. */
+    /* When a promotion may be requested, after the primary became
+     * unresponsive; `latest` 0: never. */
     int earliest;
     int latest;
 } observer_case_t;
 
-/* On a host whose own link was full, state calls timed out at a primary that
- * was well, and it was promoted away: 187 times on a day without a fault at
- * 300 hosts. */
+/* Guards against the replacement of a live primary by a host whose own link is
+ * saturated, so that its state calls time out. */
 static void
 test_cases(void)
 {
--- a/src/test_libcarobwind/test_pool_orders.c
+++ b/src/test_libcarobwind/test_pool_orders.c
@@ -20,9 +20,9 @@
     g_assert_cmpstr(world->promotion_target, ==, "e1");
 }
 
-/* The swap that publishes e1 has no answer, and e1 does not respond any more.
- * While the store may still carry the swap out, a promotion of e2 would take
- * effect at a database whose record names e1. */
+/* The swap that publishes e1 has no answer, and e1 no longer responds. While
+ * the store may still execute the swap, a promotion of e2 would take effect at
+ * a database whose record names e1. */
 static void
 test_late_publication(void)
 {
@@ -55,9 +55,9 @@
     PoolWorld_Finish(&world);
 }
 
-/* The swap that begins a promotion is carried out, but its answer is lost, and
- * the primary is listed again: the promotion goes on nevertheless, since the
- * record says that it has begun. */
+/* The swap that begins a promotion is executed, but its answer is lost, and
+ * the primary is listed again: the promotion continues, since the record says
+ * that it has begun. */
 static void
 test_unanswered_claim(void)
 {
@@ -116,7 +116,7 @@
             CbwPool_OnPromoteReply(&world.pool, world.now, item->status);
         }
         else {
-            over += Cbw_SEC; /* until it is given up */
+            over += Cbw_SEC; /* until it times out */
         }
         world.unlisted[1] = true;
         PoolWorld_SetEndpoints(&world);
@@ -175,8 +175,8 @@
     PoolWorld_Finish(&world);
 }
 
-/* The primary in the record has lost its lead to e2, as by a request that took
- * effect later than is specified. A promotion brings the record up to date. */
+/* The primary in the record was replaced by e2, as by a request that took
+ * effect later than specified. A promotion updates the record. */
 static void
 test_primary_lost_lead(void)
 {
@@ -285,7 +285,7 @@
 }
 
 /* The release of a tenure that is needed again had no answer: the store may
- * yet carry it out, and the next owner would wait for nobody. */
+ * still execute it, and the next owner would not wait for this one. */
 static void
 test_unanswered_release(void)
 {
--- a/src/test_libcarobwind/test_pool_quota.c
+++ b/src/test_libcarobwind/test_pool_quota.c
@@ -31,7 +31,7 @@
     world->inventory.database_count = 1;
     world->inventory.workspaces = &world->workspace;
     world->inventory.workspace_count = 1;
-    /* An owner for long: its bucket is full. */
+    /* The owner has served long enough to fill its bucket. */
     CbwQuota_Init(&world->quota, world->pool_world.now - 60 * Cbw_SEC,
                   &world->counters);
     world->pool_world.pool.counters = &world->counters;
@@ -175,8 +175,8 @@
     PoolWorld_FreeRequest(second);
 }
 
-/* Beyond the limit a request is refused at once, with the time to come back
- * and the quota's name. Requests of others are not. */
+/* Above the limit a request is refused at once, with the retry time and the
+ * quota's name. Requests of other workspaces are not. */
 static void
 test_refusal(void)
 {
--- a/src/test_libcarobwind/test_pool_reads.c
+++ b/src/test_libcarobwind/test_pool_reads.c
@@ -115,7 +115,7 @@
     PoolWorld_Finish(&world);
 }
 
-/* Guards against a promotion, by this owner or after it gave the tenure up,
+/* Guards against a promotion, by this owner or after it released the tenure,
  * while a dispatcher may serve what the promotion discards. */
 static void
 test_promotion_waits_for_lease(void)
@@ -138,8 +138,8 @@
     PoolWorld_Finish(&world);
 }
 
-/* Guards against a dispatcher that asks again and again, and so keeps another
- * owner's promotion waiting. */
+/* Guards against a dispatcher whose repeated requests delay another owner's
+ * promotion indefinitely. */
 static void
 test_relinquish_ends_leases(void)
 {
@@ -160,9 +160,9 @@
     PoolWorld_Finish(&world);
 }
 
-/* Guards against an owner's reads that cross the border while its own region
- * has capacity or the queue is short, and against a queue that waits while the
- * other region could help. */
+/* Guards against an owner's reads that leave the region while it has capacity
+ * or the queue is short, and against a queue that waits while the other region
+ * could help. */
 static void
 test_owner_stays_in_region(void)
 {
@@ -261,7 +261,7 @@
             g_assert_nonnull(call);
             g_assert_cmpuint(call->call.min_term, ==, 3);
             g_assert_cmpuint(call->call.min_position, ==, cases[i].position);
-            /* The replica lacks it: the owner's turn, at once. */
+            /* The replica lacks it: handed back to the owner at once. */
             PoolWorld_Reply(&world, call, CBW_REPLY_BEHIND, 8);
             g_assert_true(world.last_answered == read);
             g_assert_cmpint(read->answer.outcome, ==, CBW_OUTCOME_PENDING);
--- a/src/test_libcarobwind/test_pool_terms.c
+++ b/src/test_libcarobwind/test_pool_terms.c
@@ -1,6 +1,6 @@
-/* Tests of what the pool makes of an endpoint that reports itself as the
- * primary: in the term that it has just been promoted to, or in one that
- * another endpoint has superseded. */
+/* Tests of how the pool treats an endpoint that reports itself as the primary:
+ * in the term that it has just been promoted to, or in one that another
+ * endpoint has superseded. */
 
 #include <glib.h>
 
@@ -280,10 +280,10 @@
     PoolWorld_Finish(&world);
 }
 
-/* A primary that was replaced has gone on: its log has entries that its
+/* A primary that was replaced continued to write: its log has entries that its
  * successor lacked. It is not promoted again if another endpoint can be, and
- * serves no read before it has discarded them: what reads have not shown since
- * would be back. */
+ * serves no read before it has discarded them: entries that reads have not
+ * shown since would reappear. */
 static void
 test_discarded_entries(void)
 {
@@ -311,8 +311,8 @@
     PoolWorld_FreeRequest(read);
 }
 
-/* The position in the answer tells in which term a commit was made: one of a
- * superseded term is not acknowledged, whoever is the primary by now. */
+/* The position in the answer states the term of a commit: one of a superseded
+ * term is not acknowledged, whichever endpoint is the primary now. */
 static void
 test_commit_of_superseded_term(void)
 {
@@ -378,8 +378,8 @@
     PoolWorld_Finish(&world);
 }
 
-/* A group that was set up anew begins with a low term: removing its record
- * makes the owner forget the terms of before. */
+/* A group that was set up again begins with a low term: removing its record
+ * makes the owner discard the previous terms. */
 static void
 test_removed_record_resets_terms(void)
 {
--- a/src/test_libcarobwind/test_quota.c
+++ b/src/test_libcarobwind/test_quota.c
@@ -93,9 +93,9 @@
 }
 
 /* A new owner does not know what its predecessor lent. It has the start credit
- * and a part of its base share at once, and all of it when loans have ended.
- * Guards against a restart of all hosts after which nothing is served, and
- * against a share that is used twice. */
+ * and a part of its base share at once, and the whole share when loans have
+ * ended. Guards against a restart of all hosts after which nothing is served,
+ * and against a share that is used twice. */
 static void
 test_new_owner(void)
 {
@@ -163,8 +163,8 @@
     CbwQuota_Finish(&world.quota);
 }
 
-/* A refusal tells when to come back, and its begin and end are reported once.
- */
+/* A refusal states the retry time, and the begin and end of refusing are
+ * reported once each. */
 static void
 test_refusal(void)
 {
@@ -244,8 +244,8 @@
     }
 }
 
-/* A lowered limit cuts what has been filled up; a raised one applies at once;
- * an endless one ends the state. */
+/* A lowered limit cuts the accumulated tokens; a raised one applies at once;
+ * without a limit the state is removed. */
 static void
 test_changed_limit(void)
 {
--- a/src/test_libcarobwind/test_quota_fleet.c
+++ b/src/test_libcarobwind/test_quota_fleet.c
@@ -19,10 +19,10 @@
     return (double)demand->ran / MIN(asked, allowed);
 }
 
-/* Demanded above its limit, a workspace gets at least 0.95 of it, also when
- * all its work is on one database, and then within a second. Below its limit
- * little is refused: arrivals at random come in clusters, which a small limit
- * without a burst has no room for on each of the databases. */
+/* With demand above its limit, a workspace gets at least 0.95 of it, also when
+ * all its work is on one database, and then within a second. With demand below
+ * the limit few requests are refused: random arrivals are clustered, and a
+ * small limit without a burst has no room for a cluster on each database. */
 static void
 test_stable_fleet(void)
 {
@@ -81,7 +81,8 @@
     }
 }
 
-/* State and messages end with the demand, and do not grow with the hosts. */
+/* State and messages end with the demand, and do not grow with the number of
+ * hosts. */
 static void
 test_idle_fleet(void)
 {
--- a/src/test_libcarobwind/test_read_dispatch.c
+++ b/src/test_libcarobwind/test_read_dispatch.c
@@ -269,7 +269,7 @@
         served += world.served;
         refused += world.refused;
     }
-    /* The test is of no use if hardly any read is served. */
+    /* The test proves nothing if hardly any read is served. */
     g_assert_cmpuint(served, >, refused / 4);
 }
 
--- a/src/test_libcarobwind/test_regions.c
+++ b/src/test_libcarobwind/test_regions.c
@@ -8,8 +8,8 @@
 
 #define TWO_REGIONS "{\"a1\":\"west\",\"b1\":\"east\",\"a2\":\"west\"}"
 
-/* Guards against tables that hosts read in different ways, and against a start
- * that goes on with half of a table. */
+/* Guards against tables that hosts interpret differently, and against a start
+ * with half of a table. */
 static void
 test_settings(void)
 {
@@ -119,8 +119,9 @@
     }
 }
 
-/* Guards against an owner that moves to and fro while the primary changes, and
- * against hosts that choose differently when one endpoint is the primary. */
+/* Guards against an owner that moves back and forth while the primary changes,
+ * and against hosts that choose differently when one endpoint is the primary.
+ */
 static void
 test_choose_home(void)
 {
@@ -137,9 +138,9 @@
         {"prp", "b1", "b1"}, /* two: as before */
         {"prp", "a1", "a1"},
         {"prp", "a2", "a2"},
-        {"rrr", NULL, "a1"}, /* nothing is known of before */
+        {"rrr", NULL, "a1"}, /* no previous home */
         {"rpp", NULL, "a2"},
-        {"-rr", "a1", "a2"}, /* the former home has no endpoint any more */
+        {"-rr", "a1", "a2"}, /* the previous home has no endpoint */
         {"-pp", "a1", "a2"},
         {"---", "a1", ""},
     };
--- a/src/test_libcarobwind/test_registry.c
+++ b/src/test_libcarobwind/test_registry.c
@@ -288,11 +288,11 @@
 #define LIST_SIZE 100
 
 /* Guards against fetches that grow with the square of the fleet: the store
- * returns a list in the order of its keys, not of its versions, and a host
- * that starts applied it in that order. It numbered most records anew, so that
- * its revision was above that of the fleet, and all others fetched all its
- * records. A host that reads the state that the others have announces their
- * revision. */
+ * returns a list in the order of its keys, not of its versions. A host that
+ * applied it in that order would renumber most records, so that its revision
+ * exceeds that of the fleet, and all others would fetch all its records. A
+ * host that reads the state that the others have must announce their revision.
+ */
 static void
 test_list_keeps_revisions(void)
 {
@@ -305,7 +305,7 @@
     RegistryRecords_Init(&newcomer, &driver, &counters);
     for (int i = 0; i < LIST_SIZE; i++) {
         snprintf(keys[i], sizeof(keys[i]), PREFIX "e%03d", i);
-        /* 37 is prime to the size, so each version occurs once. */
+        /* 37 and the size are coprime, so each version occurs once. */
         items[i] =
             (store_item_t){.key = keys[i],
                            .value = (char *)"10.0.0.1:1",
--- a/src/test_libcarobwind/test_scheduling.c
+++ b/src/test_libcarobwind/test_scheduling.c
@@ -214,7 +214,7 @@
         if (fraction(&replay->random) < usual / 2) {
             arrive(replay, choose_workspace(replay));
         }
-        /* Two chances, as a flood may exceed one request in a step. */
+        /* Two draws, as a flood may exceed one request in a step. */
         for (int i = 0; i < 2; i++) {
             if (fraction(&replay->flood_random) < extra / 2) {
                 arrive(replay, flooder);
--- a/src/test_libcarobwind/test_session.c
+++ b/src/test_libcarobwind/test_session.c
@@ -335,7 +335,7 @@
         int quiet_for;
         bool closes;
     } times[] = {
-        {CBW_SESSION_IDLE, 0, 5000, false}, /* the balancer has to learn it */
+        {CBW_SESSION_IDLE, 0, 5000, false}, /* the balancer must notice it */
         {CBW_SESSION_IDLE, 400, 100, false},
         {CBW_SESSION_IDLE, 400, 400, true},
         {CBW_SESSION_IN_TRANSACTION, 2000, 1000, false},
--- a/src/test_libcarobwind/test_spread.c
+++ b/src/test_libcarobwind/test_spread.c
@@ -80,7 +80,7 @@
                 (steps + (int)host) % PROBE_STEPS == 0) {
                 announce(world, now, host, random_host(world, 0, HOSTS));
             }
-            /* Fetches later what it heard of. */
+            /* Fetches a change that was announced to it earlier. */
             if (!world->has_change[host] && world->heard_remote[host] &&
                 CbwSpread_MayFetch(&world->spread[host], now, false)) {
                 receive(world, now, host, false);
@@ -128,7 +128,7 @@
 }
 
 /* The first hosts of the data centres do not respond: the others wait for them
- * no longer than a moment. */
+ * only briefly. */
 static void
 test_first_hosts_silent(void)
 {
@@ -172,9 +172,9 @@
     }
 }
 
-/* Guards against fetches that feed themselves: a list that takes longer than
- * the time limit is sent again and again, and all hosts fetch all differences
- * that end by themselves. */
+/* Guards against self-sustaining fetches: a list that takes longer than the
+ * time limit is sent repeatedly, and all hosts fetch differences that would
+ * resolve themselves. */
 static void
 test_back_off(void)
 {
@@ -216,8 +216,8 @@
                     Cbw_SPREAD_FETCH_TIMEOUT);
 }
 
-/* A large fleet repairs a difference only when its records are at rest, and at
- * the latest after a while; a small one at once. */
+/* A large fleet repairs a difference only once its records have stopped
+ * changing, or after a time limit; a small one at once. */
 static void
 test_repair(void)
 {
--- a/src/test_libcarobwind/test_statement_text.c
+++ b/src/test_libcarobwind/test_statement_text.c
@@ -1,7 +1,7 @@
-/* The way of a caller's statement from the bytes that it sends to those that
- * an endpoint receives, without sockets: caller driver, session, endpoint
- * driver. A message ends at CR LF; all other bytes but NUL belong to it. A
- * text with a line feed reaches no endpoint, as some end a message there. */
+/* The path of a statement from the bytes that a caller sends to those that an
+ * endpoint receives, without sockets: caller driver, session, endpoint driver.
+ * A message ends at CR LF; all other bytes except NUL belong to it. A text
+ * with a line feed is not sent to endpoints, as some end a message there. */
 #include <glib.h>
 #include <stdio.h>
 #include <string.h>
@@ -20,8 +20,8 @@
 typedef struct {
     GHashTable *values;   /* session values by name */
     GHashTable *prepared; /* shapes by name */
-    char *statement;      /* the last one; of EXECUTE without its name */
-    char *shape;          /* that it executed; "" without EXECUTE */
+    char *statement;      /* the latest; of EXECUTE, the text after the name */
+    char *shape;          /* of the latest; "" unless EXECUTE */
     int statements;       /* of callers */
 } received_t;
 
@@ -54,8 +54,8 @@
     g_free(path->received.shape);
 }
 
-/* Returns the text after the first blank, which ends the word before it; the
- * end of the text without one. */
+/* Replaces the first blank by a NUL and returns the text after it; returns the
+ * end of the text if there is none. */
 static char *
 split_word(char *text)
 {
@@ -150,7 +150,7 @@
 }
 
 typedef enum {
-    MISREAD, /* not taken as one statement */
+    MISREAD, /* not decoded as one statement */
     REFUSED,
     ACCEPTED,
 } sent_t;
@@ -353,8 +353,8 @@
     }
 }
 
-/* The last byte of a text was lost when it was a blank or a carriage return,
- * and a line feed ended the message. */
+/* Guards against the loss of a blank or a carriage return at the end of a
+ * text, and against a line feed that ends the message. */
 static void
 test_text_is_cut(gconstpointer data)
 {
@@ -384,7 +384,8 @@
     }
 }
 
-/* A commit was refused for the blank that the decoder accepts. */
+/* Guards against refusing COMMIT with a trailing blank, which the decoder
+ * accepts. */
 static void
 test_commit_is_refused(void)
 {
@@ -400,8 +401,8 @@
     finish_path(&path);
 }
 
-/* Each byte but NUL and the line feed arrives as it was sent, also at the ends
- * of a long text. */
+/* Each byte except NUL and the line feed arrives as it was sent, also at the
+ * ends of a text. */
 static void
 test_byte_is_lost(void)
 {
@@ -416,8 +417,8 @@
     }
 }
 
-/* Messages in one packet were taken for another number of them, or a message
- * in parts ended early. */
+/* Guards against joined or split messages of one packet, and against the early
+ * end of a message that arrives in parts. */
 static void
 test_messages_are_joined(void)
 {
@@ -444,8 +445,8 @@
     g_string_free(bytes, TRUE);
 }
 
-/* What an owner gets from a peer, or from callers over RESP. NULL: unlike in
- * the fitting request below. */
+/* A request from a peer or from a RESP caller. NULL: the default of the test.
+ */
 typedef struct {
     const char *name;
     cbw_verb_t verb;
@@ -506,7 +507,8 @@
     {.name = "verb for request keys", CBW_VERB_BEGIN, "", .transaction = 1},
 };
 
-/* A request whose texts end a message or a field of it was sent as it is. */
+/* Guards against sending a request whose texts end a message or a field of it.
+ */
 static void
 test_request_holds_messages(void)
 {
--- a/src/test_libcarobwind/test_traffic.c
+++ b/src/test_libcarobwind/test_traffic.c
@@ -4,9 +4,8 @@
 #include "carobwind/traffic.h"
 #include "suites.h"
 
-/* The page tells the kinds, directions and places apart, and says nothing of
- * what was not counted: a mix-up would lead a search for the cause of traffic
- * astray. */
+/* The metrics distinguish kinds, directions and places, and omit series
+ * without counts: a mix-up would mislead a search for the cause of traffic. */
 static void
 test_format(void)
 {
--- a/src/test_libcarobwind/test_transaction_driver.c
+++ b/src/test_libcarobwind/test_transaction_driver.c
@@ -1,5 +1,5 @@
 /* The endpoint driver's connections and transactions, against an endpoint on
- * loopback that knows in which transaction each statement runs. */
+ * loopback that tracks in which transaction each statement runs. */
 #include <ev.h>
 #include <glib.h>
 #include <stdio.h>
@@ -14,8 +14,8 @@
 #define CONNECTIONS_MAX 8
 #define STEPS_MAX 8
 
-/* How the endpoint departs from the protocol, or its state from what the
- * driver knows. */
+/* How the endpoint deviates from the protocol, or its state from what the
+ * driver assumes. */
 typedef enum {
     TRUE_ENDPOINT,
     IGNORES_BEGIN,        /* answers BEGIN with COMPLETE and state I */
@@ -146,7 +146,7 @@
     }
 }
 
-/* What the pool does next. */
+/* A call of the pool. */
 typedef struct {
     cbw_call_verb_t verb;
     const char *trace;    /* see `run`; NULL: none, `end` is called */
@@ -232,9 +232,9 @@
     g_free(daemon);
 }
 
-/* A statement runs in the transaction of another client: the pool ends one of
- * two transactions that a request begun twice has left, and the driver takes
- * the other's connection for idle. */
+/* Guards against a statement that runs in the transaction of another client:
+ * when a request has begun two transactions, the pool ends one, and the driver
+ * would consider the other's connection idle. */
 static void
 test_begun_twice(void)
 {
@@ -258,8 +258,8 @@
     }
 }
 
-/* A statement that ran outside of its transaction, or in an unknown one, is
- * reported as done, and its connection is used again. */
+/* Guards against a statement that runs outside its transaction, or in an
+ * unknown one, and is reported as done, and against reusing its connection. */
 static void
 test_other_state(void)
 {
--- a/src/test_libcarobwind/test_witness.c
+++ b/src/test_libcarobwind/test_witness.c
@@ -7,8 +7,9 @@
 #define N CBW_WITNESS_DOES_NOT
 #define S CBW_WITNESS_SILENT
 
-/* A promotion for no reason follows when silence is taken for a primary that
- * is lost; none at all when a few silent peers hide one that is. */
+/* Guards against needless promotions when unresponsive peers count as evidence
+ * of a lost primary, and against a lost primary that a few unresponsive peers
+ * hide. */
 static void
 test_verdicts(void)
 {
