test_libcarobwind: use the usual terms in static names and messages

troubles -> disruptions (the simulated fleet) and faults (quotas), given_up -> expired, silent -> unresponsive, peer -> connection in the transaction test, where it is a connection of the server and not a host; the texts that tests print follow. Test paths, seeds, case values and assertions are unchanged.

--- a/src/test_libcarobwind/pool_fleet.c
+++ b/src/test_libcarobwind/pool_fleet.c
@@ -174,7 +174,7 @@
 }
 
 void
-PoolFleet_Play(uint64_t seed, const fleet_troubles_t *troubles,
+PoolFleet_Play(uint64_t seed, const fleet_disruptions_t *disruptions,
                cbw_time_t duration, bool verbose, fleet_result_t *result)
 {
     fleet_t *fleet = g_new0(fleet_t, 1);
@@ -182,12 +182,12 @@
 
     memset(result, 0, sizeof(*result));
     CbwRandom_Init(&fleet->random, seed);
-    fleet->troubles = troubles;
+    fleet->disruptions = disruptions;
     fleet->result = result;
     fleet->verbose = verbose;
     fleet->now = 1000 * Cbw_SEC;
-    fleet->troubles_end = fleet->now + duration;
-    fleet->end = fleet->troubles_end + QUIET_TIME;
+    fleet->disruptions_end = fleet->now + duration;
+    fleet->end = fleet->disruptions_end + QUIET_TIME;
     set_up(fleet);
     PoolFleet_Schedule(fleet, 0, PoolFleet_NewEvent(tick, 0, 0));
     PoolFleet_Schedule(fleet, Cbw_SEC,
--- a/src/test_libcarobwind/pool_fleet.h
+++ b/src/test_libcarobwind/pool_fleet.h
@@ -23,7 +23,7 @@
     bool lost_orders;      /* answers of the promotion service are lost */
     bool differing_views;  /* callers use all hosts, and two are assigned */
     bool workspaces;       /* callers belong to workspaces, and some leave */
-} fleet_troubles_t;
+} fleet_disruptions_t;
 
 typedef struct {
     int commits_acknowledged;
@@ -42,9 +42,9 @@
     char first_fault[256];
 } fleet_result_t;
 
-/* Plays `duration` with `troubles`, then some quiet seconds. `verbose` prints
- * each event. */
-void PoolFleet_Play(uint64_t seed, const fleet_troubles_t *troubles,
+/* Plays `duration` with `disruptions`, then some quiet seconds. `verbose`
+ * prints each event. */
+void PoolFleet_Play(uint64_t seed, const fleet_disruptions_t *disruptions,
                     cbw_time_t duration, bool verbose, fleet_result_t *result);
 
 #endif
--- a/src/test_libcarobwind/pool_fleet_callers.c
+++ b/src/test_libcarobwind/pool_fleet_callers.c
@@ -189,7 +189,7 @@
         request->verb =
             operation->step == 2 ? CBW_VERB_COMMIT : CBW_VERB_STATEMENT;
     }
-    if (fleet->troubles->workspaces) {
+    if (fleet->disruptions->workspaces) {
         choose_workspace(fleet, request);
     }
     operation->run = NULL;
@@ -255,7 +255,7 @@
 void
 PoolFleet_NewOperation(fleet_t *fleet, event_t *event)
 {
-    int owner_percent = fleet->troubles->differing_views ? 45 : 97;
+    int owner_percent = fleet->disruptions->differing_views ? 45 : 97;
     operation_t *operation = g_new0(operation_t, 1);
     event_t *again;
 
@@ -284,7 +284,7 @@
     /* Entries whose views differ send to another host. */
     submit(fleet, operation,
            PoolFleet_Chance(fleet, owner_percent) ||
-                   fleet->now >= fleet->troubles_end
+                   fleet->now >= fleet->disruptions_end
                ? fleet->owner
                : (int)CbwRandom_Below(&fleet->random, HOSTS));
 }
--- a/src/test_libcarobwind/pool_fleet_troubles.c
+++ b/src/test_libcarobwind/pool_fleet_disruptions.c
@@ -163,24 +163,24 @@
 static void
 disrupt_hosts(fleet_t *fleet, int which, int host, cbw_time_t length)
 {
-    const fleet_troubles_t *troubles = fleet->troubles;
+    const fleet_disruptions_t *disruptions = fleet->disruptions;
     int other =
         (host + 1 + (int)CbwRandom_Below(&fleet->random, HOSTS - 1)) % HOSTS;
 
     switch (which) {
     case 0:
-        if (troubles->store_cuts) {
+        if (disruptions->store_cuts) {
             set_for(fleet, &fleet->store_cut[host], length, "store cut h%d",
                     host);
         }
         break;
     case 1:
-        if (troubles->store_cuts && PoolFleet_Chance(fleet, 30)) {
+        if (disruptions->store_cuts && PoolFleet_Chance(fleet, 30)) {
             set_for(fleet, &fleet->store_down, length, "store down");
         }
         break;
     case 2:
-        if (troubles->host_cuts) {
+        if (disruptions->host_cuts) {
             set_for(fleet, &fleet->host_cut[host][other], length,
                     "cut h%d-h%d", host, other);
             set_for(fleet, &fleet->host_cut[other][host], length,
@@ -188,12 +188,12 @@
         }
         break;
     case 3:
-        if (troubles->restarts) {
+        if (disruptions->restarts) {
             stop_host(fleet, &fleet->hosts[host]);
         }
         break;
     case 4:
-        if (troubles->pauses) {
+        if (disruptions->pauses) {
             pause_host(fleet, &fleet->hosts[host]);
         }
         break;
@@ -209,7 +209,7 @@
 static void
 disrupt_endpoints(fleet_t *fleet, int which, int host, cbw_time_t length)
 {
-    const fleet_troubles_t *troubles = fleet->troubles;
+    const fleet_disruptions_t *disruptions = fleet->disruptions;
     int e = PoolFleet_Chance(fleet, 60)
                 ? fleet->leader
                 : (int)CbwRandom_Below(&fleet->random, ENDPOINTS);
@@ -218,18 +218,18 @@
 
     switch (which) {
     case 0:
-        if (troubles->endpoint_crashes) {
+        if (disruptions->endpoint_crashes) {
             crash_endpoint(fleet, e);
         }
         break;
     case 1:
-        if (troubles->endpoint_cuts) {
+        if (disruptions->endpoint_cuts) {
             set_for(fleet, &fleet->endpoint_cut[host][e], length,
                     "cut h%d-e%d", host, e);
         }
         break;
     case 2:
-        if (troubles->group_cuts) {
+        if (disruptions->group_cuts) {
             set_for(fleet, &fleet->group_cut[e][other], length, "cut e%d-e%d",
                     e, other);
             set_for(fleet, &fleet->group_cut[other][e], length, "cut e%d-e%d",
@@ -237,12 +237,12 @@
         }
         break;
     case 3:
-        if (troubles->releases) {
+        if (disruptions->releases) {
             leave_endpoint(fleet, e);
         }
         break;
     case 4:
-        if (troubles->endpoint_cuts && fleet->endpoints[e].up &&
+        if (disruptions->endpoint_cuts && fleet->endpoints[e].up &&
             fleet->endpoints[e].unregistered_at == 0) {
             event_t *event = PoolFleet_NewEvent(end_unregistered, 0, 0);
             PoolFleet_Trace(fleet, "e%d loses the store", e);
@@ -252,7 +252,7 @@
         }
         break;
     default:
-        if (troubles->late_orders) {
+        if (disruptions->late_orders) {
             set_for(fleet, &fleet->orders_slow, length, "orders slow");
         }
         break;
@@ -269,7 +269,7 @@
     cbw_time_t length = PoolFleet_Between(fleet, 200 * Cbw_MSEC, 9 * Cbw_SEC);
 
     (void)event;
-    if (fleet->now >= fleet->troubles_end) {
+    if (fleet->now >= fleet->disruptions_end) {
         return;
     }
     if (which < 6) {
--- a/src/test_libcarobwind/pool_fleet_hosts.c
+++ b/src/test_libcarobwind/pool_fleet_hosts.c
@@ -183,7 +183,7 @@
     fleet->host_lost_at[host->index] = 0;
     CbwPool_Init(
         &host->pool, "db",
-        CbwQueue_Policy(fleet->troubles->workspaces ? "fair" : "ranked"),
+        CbwQueue_Policy(fleet->disruptions->workspaces ? "fair" : "ranked"),
         ranks, G_N_ELEMENTS(ranks), &ops, host, ++fleet->next_nonce,
         host->name, "north", NULL);
     PoolFleet_SetEndpoints(fleet, host);
@@ -216,8 +216,8 @@
     for (int i = 0; i < HOSTS; i++) {
         fleet->hosts[i].assigned =
             i == owner ||
-            (fleet->troubles->differing_views &&
-             fleet->now < fleet->troubles_end && i == (owner + 1) % HOSTS);
+            (fleet->disruptions->differing_views &&
+             fleet->now < fleet->disruptions_end && i == (owner + 1) % HOSTS);
     }
 }
 
--- a/src/test_libcarobwind/pool_fleet_platform.c
+++ b/src/test_libcarobwind/pool_fleet_platform.c
@@ -76,8 +76,8 @@
     event_t *call =
         PoolFleet_NewEvent(run_store_call, host->index, host->generation);
     event_t *lost;
-    bool answer_lost = fleet->troubles->lost_swaps &&
-                       fleet->now < fleet->troubles_end &&
+    bool answer_lost = fleet->disruptions->lost_swaps &&
+                       fleet->now < fleet->disruptions_end &&
                        PoolFleet_Chance(fleet, 6);
     cbw_time_t delay = PoolFleet_NetworkDelay(fleet) + 2 * Cbw_MSEC;
 
@@ -365,7 +365,7 @@
         effect->run = take_effect;
         PoolFleet_Schedule(
             fleet,
-            fleet->orders_slow && fleet->now < fleet->troubles_end
+            fleet->orders_slow && fleet->now < fleet->disruptions_end
                 ? PoolFleet_Between(fleet, PROMOTE_TIME / 2, PROMOTE_TIME_MAX)
                 : PROMOTE_TIME,
             effect);
@@ -385,13 +385,13 @@
     fleet_t *fleet = host->fleet;
     event_t *event =
         PoolFleet_NewEvent(receive_order, host->index, host->generation);
-    bool troubled = fleet->now < fleet->troubles_end;
+    bool disrupted = fleet->now < fleet->disruptions_end;
     cbw_time_t delay = PoolFleet_NetworkDelay(fleet);
 
-    if (troubled && fleet->troubles->late_orders && fleet->orders_slow) {
+    if (disrupted && fleet->disruptions->late_orders && fleet->orders_slow) {
         delay = PoolFleet_Between(fleet, 0, 6 * Cbw_SEC);
     }
-    event->flag = troubled && fleet->troubles->lost_orders &&
+    event->flag = disrupted && fleet->disruptions->lost_orders &&
                   PoolFleet_Chance(fleet, 30);
     event->endpoint = endpoint[1] - '0';
     event->version = (uint64_t)fleet->endpoints[event->endpoint].incarnation;
--- a/src/test_libcarobwind/pool_fleet_world.h
+++ b/src/test_libcarobwind/pool_fleet_world.h
@@ -127,11 +127,11 @@
 
 struct fleet {
     cbw_random_t random;
-    const fleet_troubles_t *troubles;
+    const fleet_disruptions_t *disruptions;
     fleet_result_t *result;
     bool verbose;
     cbw_time_t now;
-    cbw_time_t troubles_end;
+    cbw_time_t disruptions_end;
     cbw_time_t end;
     uint64_t sequence;
     GQueue events;
@@ -211,7 +211,7 @@
 void PoolFleet_NoteRunningCalls(fleet_t *fleet, host_t *host);
 void PoolFleet_NewOperation(fleet_t *fleet, event_t *event);
 
-/* Disruptions (pool_fleet_troubles.c). */
+/* Disruptions (pool_fleet_disruptions.c). */
 
 void PoolFleet_Disrupt(fleet_t *fleet, event_t *event);
 
--- a/src/test_libcarobwind/pool_world.c
+++ b/src/test_libcarobwind/pool_world.c
@@ -120,7 +120,7 @@
     pool_world_t *world = context;
 
     (void)endpoint;
-    if (world->witnesses_silent) {
+    if (world->witnesses_unresponsive) {
         CbwPool_OnReachUnknown(&world->pool, world->now);
         return;
     }
--- a/src/test_libcarobwind/pool_world.h
+++ b/src/test_libcarobwind/pool_world.h
@@ -51,9 +51,9 @@
     int relinquish_requests;
     int step_downs; /* step-down calls sent */
     char redirected_to[Cbw_NAME_MAX];
-    bool carries_nothing;   /* ops.can_carry refuses each request */
-    int transactions_ended; /* calls of ops.end_transaction */
-    bool witnesses_silent;  /* too few peers answer ops.ask_reach */
+    bool carries_nothing;        /* ops.can_carry refuses each request */
+    int transactions_ended;      /* calls of ops.end_transaction */
+    bool witnesses_unresponsive; /* too few peers answer ops.ask_reach */
 } pool_world_t;
 
 /* Initializes the world without endpoints and without a record. */
--- a/src/test_libcarobwind/quota_world.c
+++ b/src/test_libcarobwind/quota_world.c
@@ -180,10 +180,10 @@
     return &world->workspaces[workspace].demand;
 }
 
-quota_troubles_t *
-QuotaWorld_Troubles(quota_world_t *world)
+quota_faults_t *
+QuotaWorld_Faults(quota_world_t *world)
 {
-    return &world->troubles;
+    return &world->faults;
 }
 
 cbw_random_t *
--- a/src/test_libcarobwind/quota_world.h
+++ b/src/test_libcarobwind/quota_world.h
@@ -49,7 +49,7 @@
     double delayed_messages; /* by up to 6 s */
     double held_back;        /* operations sent up to 0.9 s later */
     double not_run;          /* operations that did not run and are repeated */
-} quota_troubles_t;
+} quota_faults_t;
 
 typedef struct quota_world quota_world_t;
 
@@ -61,7 +61,7 @@
 void QuotaWorld_SetLimit(quota_world_t *world, int workspace, double rate,
                          double burst);
 quota_demand_t *QuotaWorld_Demand(quota_world_t *world, int workspace);
-quota_troubles_t *QuotaWorld_Troubles(quota_world_t *world);
+quota_faults_t *QuotaWorld_Faults(quota_world_t *world);
 cbw_random_t *QuotaWorld_Random(quota_world_t *world);
 quota_host_t *QuotaWorld_Host(quota_world_t *world, int host);
 cbw_time_t QuotaWorld_Now(const quota_world_t *world);
--- a/src/test_libcarobwind/quota_world_messages.c
+++ b/src/test_libcarobwind/quota_world_messages.c
@@ -35,11 +35,10 @@
         world->message_count++;
         if (world->hosts[message->from].cut_off ||
             world->hosts[message->to].cut_off ||
-            CbwRandom_Unit(&world->random) < world->troubles.lost_messages) {
+            CbwRandom_Unit(&world->random) < world->faults.lost_messages) {
             return;
         }
-        if (CbwRandom_Unit(&world->random) <
-            world->troubles.delayed_messages) {
+        if (CbwRandom_Unit(&world->random) < world->faults.delayed_messages) {
             delay = (cbw_time_t)CbwRandom_Below(&world->random, 6 * Cbw_SEC);
         }
     }
--- a/src/test_libcarobwind/quota_world_operations.c
+++ b/src/test_libcarobwind/quota_world_operations.c
@@ -147,12 +147,12 @@
         g_assert_cmpint(retry_after, >, 0);
         return;
     }
-    if (CbwRandom_Unit(&world->random) < world->troubles.held_back) {
+    if (CbwRandom_Unit(&world->random) < world->faults.held_back) {
         operation.due +=
             (cbw_time_t)CbwRandom_Below(&world->random, 900 * Cbw_MSEC);
     }
     operation.attempts_left =
-        CbwRandom_Unit(&world->random) < world->troubles.not_run;
+        CbwRandom_Unit(&world->random) < world->faults.not_run;
     if (world->now < operation.due || !send_operation(world, &operation)) {
         sim_operation_t *copy = malloc(sizeof(*copy));
         g_assert_nonnull(copy);
--- a/src/test_libcarobwind/quota_world_parts.h
+++ b/src/test_libcarobwind/quota_world_parts.h
@@ -34,7 +34,7 @@
     int holders[QUOTA_DATABASES];
     uint64_t last_term;
     uint64_t last_nonce;
-    quota_troubles_t troubles;
+    quota_faults_t faults;
     cbw_link_t messages;
     cbw_link_t operations;
     uint64_t message_count;
--- a/src/test_libcarobwind/test_bootstrap.c
+++ b/src/test_libcarobwind/test_bootstrap.c
@@ -15,9 +15,9 @@
 typedef struct {
     cbw_bootstrap_t bootstrap;
     cbw_time_t starts_at;
-    bool silent;  /* does not answer peers */
-    bool loaded;  /* has the records */
-    bool reading; /* the store */
+    bool unresponsive; /* does not answer peers */
+    bool loaded;       /* has the records */
+    bool reading;      /* the store */
     size_t asked;
     cbw_time_t done_at; /* of the call or read in flight; 0: none */
     bool lost;          /* the call gets no answer in time */
@@ -66,12 +66,13 @@
     host_t *peer = &world->hosts[asked];
     cbw_time_t answered_at = now + CALL_TIME;
 
-    if (peer->loaded && !peer->silent) {
+    if (peer->loaded && !peer->unresponsive) {
         peer->free_at = MAX(peer->free_at, now) + world->transfer_time;
         answered_at = peer->free_at + CALL_TIME;
     }
     host->asked = asked;
-    host->lost = peer->silent || answered_at > now + host->bootstrap.timeout;
+    host->lost =
+        peer->unresponsive || answered_at > now + host->bootstrap.timeout;
     host->done_at = host->lost ? now + host->bootstrap.timeout : answered_at;
 }
 
@@ -246,7 +247,7 @@
     init_world(&world, HOSTS);
     for (size_t i = 0; i < HOSTS; i++) {
         world.hosts[i].loaded = i != 5;
-        world.hosts[i].silent = i < 2;
+        world.hosts[i].unresponsive = i < 2;
     }
     world.hosts[5].starts_at = STEP;
     run(&world);
--- a/src/test_libcarobwind/test_gate.c
+++ b/src/test_libcarobwind/test_gate.c
@@ -29,7 +29,7 @@
     /* Counts since the last reset. */
     size_t arrived;
     size_t refused;
-    size_t given_up;
+    size_t expired;
     size_t served;
     size_t served_soon; /* after a wait of up to half of the target */
     cbw_time_t slots_busy;
@@ -41,7 +41,7 @@
 {
     replay->arrived = 0;
     replay->refused = 0;
-    replay->given_up = 0;
+    replay->expired = 0;
     replay->served = 0;
     replay->served_soon = 0;
     replay->slots_busy = 0;
@@ -89,7 +89,7 @@
     while (replay->length > 0 &&
            (replay->now - replay->queue[replay->head]) * 100 > TARGET * 60) {
         take(replay);
-        replay->given_up++;
+        replay->expired++;
     }
     for (int i = 0; i < SLOTS; i++) {
         double share;
@@ -137,11 +137,11 @@
     run(&replay, 2 * Cbw_SEC, 1.5, true);
     reset_counts(&replay);
     run(&replay, 10 * Cbw_SEC, 1.5, true);
-    g_test_message("arrived %zu served %zu soon %zu refused %zu given up %zu",
+    g_test_message("arrived %zu served %zu soon %zu refused %zu expired %zu",
                    replay.arrived, replay.served, replay.served_soon,
-                   replay.refused, replay.given_up);
+                   replay.refused, replay.expired);
     g_assert_cmpint(replay.slots_busy, >=, 10 * Cbw_SEC * SLOTS * 97 / 100);
-    g_assert_cmpuint(replay.given_up * 10, <=, replay.refused);
+    g_assert_cmpuint(replay.expired * 10, <=, replay.refused);
     g_assert_cmpuint(replay.served_soon * 10, >=, replay.served * 9);
 }
 
@@ -160,7 +160,7 @@
     }
     g_assert_cmpuint(replay.refused, ==, 0);
     run(&replay, Cbw_SEC, 0, true);
-    g_assert_cmpuint(replay.given_up, ==, 0);
+    g_assert_cmpuint(replay.expired, ==, 0);
 }
 
 /* An interruption of a second, as by a failover, does not count as overload:
@@ -177,7 +177,7 @@
     reset_counts(&replay);
     run(&replay, 4 * Cbw_SEC, 0.7, true);
     g_assert_cmpuint(replay.refused, ==, 0);
-    g_assert_cmpuint(replay.given_up, ==, 0);
+    g_assert_cmpuint(replay.expired, ==, 0);
 }
 
 /* After an overload an ordinary load is admitted again. */
--- a/src/test_libcarobwind/test_liveness.c
+++ b/src/test_libcarobwind/test_liveness.c
@@ -10,8 +10,8 @@
  * in milliseconds; -1: never. */
 typedef struct {
     const char *what;
-    int silent_from;     /* bytes arrive each 50 ms before that */
-    int silent_to;       /* and after that */
+    int unresponsive_from; /* bytes arrive each 50 ms before that */
+    int unresponsive_to;   /* and after that */
     int successor_heard; /* the fresh connection carries an answer from then */
     int probe;           /* expected times */
     int retire;
@@ -21,16 +21,18 @@
 
 static const liveness_case_t cases[] = {
     {"answers all the time", -1, -1, -1, -1, -1, -1, 0},
-    {"pauses shortly", 500, 600, -1, -1, -1, -1, 0},
-    {"silent for 250 ms: probed, not retired", 500, 750, -1, 630, -1, -1, 0},
+    {"pauses briefly", 500, 600, -1, -1, -1, -1, 0},
+    {"unresponsive for 250 ms: probed, not retired", 500, 750, -1, 630, -1, -1,
+     0},
     {"frozen for a second: retired, not lost", 500, 1500, 1500, 630, 810, -1,
      0},
-    {"silent for good, like its successor", 500, 9999, -1, 630, 810, -1, 0},
-    {"lost track of, its successor works", 500, 9999, 820, 630, 810, 1030, 0},
-    {"slow to wake up after its successor", 500, 1100, 1000, 630, 810, -1, 0},
-    {"as silent as this host is late: not retired", 500, 1000, -1, 630, -1, -1,
-     200},
-    {"silent for longer than that", 500, 9999, -1, 630, 1210, -1, 200},
+    {"unresponsive, like its successor", 500, 9999, -1, 630, 810, -1, 0},
+    {"connection lost, its successor works", 500, 9999, 820, 630, 810, 1030,
+     0},
+    {"responds again after its successor", 500, 1100, 1000, 630, 810, -1, 0},
+    {"unresponsive within the local delay: not retired", 500, 1000, -1, 630,
+     -1, -1, 200},
+    {"unresponsive for longer than that", 500, 9999, -1, 630, 1210, -1, 200},
 };
 
 static void
@@ -45,9 +47,10 @@
         int lost = -1;
         for (cbw_time_t now = STEP; now <= RUN_TIME && lost < 0; now += STEP) {
             int ms = (int)(now / Cbw_MSEC);
-            bool silent = c->silent_from >= 0 && ms > c->silent_from &&
-                          ms < c->silent_to;
-            if (!silent && ms % 50 == 0) {
+            bool unresponsive = c->unresponsive_from >= 0 &&
+                                ms > c->unresponsive_from &&
+                                ms < c->unresponsive_to;
+            if (!unresponsive && ms % 50 == 0) {
                 liveness.heard_at = now;
                 liveness.probed = false;
             }
--- a/src/test_libcarobwind/test_placement.c
+++ b/src/test_libcarobwind/test_placement.c
@@ -227,7 +227,7 @@
 {
     enum { LEARN, OWN, SENT, READY, NOT_READY };
     static const struct {
-        bool anew;     /* of another host */
+        bool new_host; /* of another host */
         cbw_time_t at; /* milliseconds after the home moved */
         int event;     /* LEARN: of a home elsewhere, OWN: here */
         bool holds;
@@ -271,7 +271,7 @@
     g_assert_false(CbwHandover_IsDue(&handover, 0, true, true));
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
         cbw_time_t now = moved_at + cases[i].at * Cbw_MSEC;
-        if (cases[i].anew) {
+        if (cases[i].new_host) {
             memset(&handover, 0, sizeof(handover));
         }
         switch (cases[i].event) {
--- a/src/test_libcarobwind/test_pool_fleet.c
+++ b/src/test_libcarobwind/test_pool_fleet.c
@@ -11,7 +11,7 @@
 #define SEEDS 30
 #define DURATION (60 * Cbw_SEC)
 
-static const fleet_troubles_t cases[] = {
+static const fleet_disruptions_t cases[] = {
     {.name = "quiet"},
     {.name = "endpoints",
      .endpoint_crashes = true,
@@ -110,7 +110,7 @@
 static void
 play_case(gconstpointer data)
 {
-    const fleet_troubles_t *troubles = data;
+    const fleet_disruptions_t *disruptions = data;
     uint64_t first = read_number("POOL_FLEET_FIRST", 1);
     uint64_t end = first + read_number("POOL_FLEET_SEEDS", SEEDS);
     bool verbose = read_number("POOL_FLEET_TRACE", 0) != 0;
@@ -119,14 +119,14 @@
     int commits = 0;
 
     for (uint64_t seed = first; seed < end; seed++) {
-        PoolFleet_Play(seed, troubles, DURATION, verbose, &result);
-        check_result(troubles->name, seed, &result);
+        PoolFleet_Play(seed, disruptions, DURATION, verbose, &result);
+        check_result(disruptions->name, seed, &result);
         promotions += result.promotions;
         commits += result.commits_acknowledged;
     }
     g_test_message("%s: %" G_GUINT64_FORMAT
                    " seeds, %d promotions, %d commits acknowledged",
-                   troubles->name, end - first, promotions, commits);
+                   disruptions->name, end - first, promotions, commits);
 }
 
 void
--- a/src/test_libcarobwind/test_pool_freshness.c
+++ b/src/test_libcarobwind/test_pool_freshness.c
@@ -16,14 +16,14 @@
     /* Reports while the request is in flight at e0, two polls with each. A
      * round without a primary ends the list. */
     endpoint_report_t rounds[ROUNDS_MAX][3];
-    /* Then e2 is silent until the confirmation is too old, and the endpoints
-     * are listed again. */
+    /* Then e2 is unresponsive until the confirmation is too old, and the
+     * endpoints are listed again. */
     bool listed_again;
     bool done; /* whether the answer may count */
 } generation_case_t;
 
 static const generation_case_t generation_cases[] = {
-    {.name = "e0 leads on",
+    {.name = "e0 remains the primary",
      .rounds = {{{.primary = true, .term = 3}, {.term = 3}, {.term = 3}}},
      .done = true},
     {.name = "e1 replaced e0",
@@ -33,7 +33,7 @@
     {.name = "e1 replaced e0, then e0 leads again",
      .rounds = {{{.term = 4}, {.primary = true, .term = 4}, {.term = 4}},
                 {{.primary = true, .term = 5}, {.term = 5}, {.term = 5}}}},
-    {.name = "e1 replaced e0, which the record names still",
+    {.name = "e1 replaced e0, which the record still names",
      .rounds = {{{.term = 4}, {.primary = true, .term = 4}, {.term = 4}}},
      .listed_again = true},
 };
@@ -41,13 +41,13 @@
 static void
 list_again(pool_world_t *world)
 {
-    static const endpoint_report_t one_silent[] = {
+    static const endpoint_report_t one_unresponsive[] = {
         {.term = 4}, {.primary = true, .term = 4}, {.unresponsive = true}};
     cbw_time_t end =
         world->now + Cbw_POOL_CONFIRM_VALID_FOR + Cbw_POOL_CONFIRM_INTERVAL;
 
     while (world->now < end) {
-        PoolWorld_PollEndpoints(world, one_silent);
+        PoolWorld_PollEndpoints(world, one_unresponsive);
     }
     PoolWorld_SetEndpoints(world);
 }
--- a/src/test_libcarobwind/test_pool_observer.c
+++ b/src/test_libcarobwind/test_pool_observer.c
@@ -8,8 +8,8 @@
 typedef struct {
     const char *name;
     int observer_delay;
-    bool witnesses_silent;
-    int silent_for; /* the primary */
+    bool witnesses_unresponsive;
+    int unresponsive_for; /* the primary */
     /* When a promotion may be requested, after the primary became
      * unresponsive; `latest` 0: never. */
     int earliest;
@@ -25,11 +25,11 @@
         {"in time, the primary is dead", 0, false, 20000, 0, 1900},
         {"late, the primary is dead", 200, false, 20000, 4000, 7500},
         {"late, the primary answers late", 200, false, 2500, 0, 0},
-        {"in time, the witnesses are silent", 0, true, 20000, 600, 3000},
+        {"in time, the witnesses are unresponsive", 0, true, 20000, 600, 3000},
     };
-    static const endpoint_report_t silent[] = {
+    static const endpoint_report_t unresponsive[] = {
         {.unresponsive = true}, {.term = 3}, {.term = 3}};
-    static const endpoint_report_t well[] = {
+    static const endpoint_report_t responsive[] = {
         {.primary = true, .term = 3}, {.term = 3}, {.term = 3}};
 
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
@@ -40,13 +40,14 @@
 
         g_test_message("%s", c->name);
         PoolWorld_Init(&world);
-        world.witnesses_silent = c->witnesses_silent;
+        world.witnesses_unresponsive = c->witnesses_unresponsive;
         CbwPool_SetObserver(&world.pool, c->observer_delay * Cbw_MSEC,
-                            c->witnesses_silent);
+                            c->witnesses_unresponsive);
         began = world.now;
         ordered = PoolWorld_RunUntilOrder(
-            &world, (c->latest != 0 ? c->latest : c->silent_for) * Cbw_MSEC,
-            silent);
+            &world,
+            (c->latest != 0 ? c->latest : c->unresponsive_for) * Cbw_MSEC,
+            unresponsive);
         g_test_message("requested after %d ms",
                        ordered ? (int)((world.now - began) / Cbw_MSEC) : -1);
         g_assert_cmpint(ordered, ==, c->latest != 0);
@@ -54,7 +55,8 @@
             g_assert_cmpint(world.now - began, >=, c->earliest * Cbw_MSEC);
         }
         else {
-            g_assert_false(PoolWorld_RunUntilOrder(&world, 8 * Cbw_SEC, well));
+            g_assert_false(
+                PoolWorld_RunUntilOrder(&world, 8 * Cbw_SEC, responsive));
         }
         PoolWorld_Finish(&world);
     }
--- a/src/test_libcarobwind/test_pool_synchronous.c
+++ b/src/test_libcarobwind/test_pool_synchronous.c
@@ -74,7 +74,7 @@
 static void
 test_silent_replica_is_awaited(void)
 {
-    static const endpoint_report_t silent[] = {
+    static const endpoint_report_t unresponsive[] = {
         {.unresponsive = true},
         {.unresponsive = true},
         {.term = 3, .position = {3, 7}}};
@@ -85,13 +85,13 @@
         pool_world_t world;
 
         init_synchronous(&world);
-        g_assert_false(
-            PoolWorld_RunUntilOrder(&world, 4 * Cbw_SEC + LONG_WAIT, silent));
+        g_assert_false(PoolWorld_RunUntilOrder(&world, 4 * Cbw_SEC + LONG_WAIT,
+                                               unresponsive));
         g_assert_true(world.record.promoting);
         world.unlisted[1] = unlisted;
         PoolWorld_SetEndpoints(&world);
-        g_assert_true(PoolWorld_RunUntilOrder(&world, Cbw_SEC,
-                                              unlisted ? silent : answers));
+        g_assert_true(PoolWorld_RunUntilOrder(
+            &world, Cbw_SEC, unlisted ? unresponsive : answers));
         g_assert_cmpstr(world.promotion_target, ==, unlisted ? "e2" : "e1");
         PoolWorld_Finish(&world);
     }
--- a/src/test_libcarobwind/test_quota_fleet.c
+++ b/src/test_libcarobwind/test_quota_fleet.c
@@ -127,7 +127,7 @@
 }
 
 static void
-cause_trouble(quota_world_t *world)
+inject_fault(quota_world_t *world)
 {
     cbw_random_t *random = QuotaWorld_Random(world);
     int host = (int)CbwRandom_Below(random, QUOTA_HOSTS);
@@ -149,10 +149,10 @@
         QuotaWorld_Move(world, host % QUOTA_DATABASES, duration / 8);
         break;
     case 4:
-        QuotaWorld_Troubles(world)->lost_messages = 0.2;
+        QuotaWorld_Faults(world)->lost_messages = 0.2;
         break;
     case 5:
-        QuotaWorld_Troubles(world)->delayed_messages = 0.2;
+        QuotaWorld_Faults(world)->delayed_messages = 0.2;
         break;
     default:
         break;
@@ -160,10 +160,10 @@
 }
 
 static void
-end_troubles(quota_world_t *world)
+end_faults(quota_world_t *world)
 {
-    *QuotaWorld_Troubles(world) =
-        (quota_troubles_t){.held_back = 0.2, .not_run = 0.05};
+    *QuotaWorld_Faults(world) =
+        (quota_faults_t){.held_back = 0.2, .not_run = 0.05};
     for (int i = 0; i < QUOTA_HOSTS; i++) {
         QuotaWorld_Host(world, i)->cut_off = false;
     }
@@ -187,9 +187,9 @@
             change_demand(world, (int)j, rates[j]);
         }
         if (i % 3 == 0) {
-            end_troubles(world);
+            end_faults(world);
         }
-        cause_trouble(world);
+        inject_fault(world);
         if (i % 10 == 9) { /* all restart at once */
             cbw_time_t down = (cbw_time_t)CbwRandom_Below(random, Cbw_SEC);
             for (int j = 0; j < QUOTA_HOSTS; j++) {
--- a/src/test_libcarobwind/test_spread.c
+++ b/src/test_libcarobwind/test_spread.c
@@ -21,7 +21,7 @@
 typedef struct {
     cbw_spread_t spread[HOSTS];
     bool has_change[HOSTS];
-    bool silent[HOSTS];       /* does not respond to others */
+    bool unresponsive[HOSTS]; /* does not respond to others */
     bool heard_remote[HOSTS]; /* of the change, from another data centre */
     cbw_random_t random;
     size_t remote_fetches;
@@ -57,7 +57,7 @@
 {
     bool local = from / HOSTS_PER_CENTRE == to / HOSTS_PER_CENTRE;
 
-    if (world->has_change[to] || world->silent[to]) {
+    if (world->has_change[to] || world->unresponsive[to]) {
         return;
     }
     world->heard_remote[to] |= !local;
@@ -136,7 +136,7 @@
 
     start(&world);
     for (size_t i = 0; i < HOSTS; i++) {
-        world.silent[i] = i % HOSTS_PER_CENTRE < Cbw_SPREAD_FETCHERS;
+        world.unresponsive[i] = i % HOSTS_PER_CENTRE < Cbw_SPREAD_FETCHERS;
     }
     run(&world);
     g_assert_cmpuint(count_with_change(&world), ==,
--- a/src/test_libcarobwind/test_transaction_driver.c
+++ b/src/test_libcarobwind/test_transaction_driver.c
@@ -17,7 +17,7 @@
 /* How the endpoint deviates from the protocol, or its state from what the
  * driver assumes. */
 typedef enum {
-    TRUE_ENDPOINT,
+    CONFORMS,
     IGNORES_BEGIN,        /* answers BEGIN with COMPLETE and state I */
     ENDS_AFTER_FIRST,     /* the second statement runs outside */
     STAYS_OPEN_AFTER_END, /* COMMIT and ROLLBACK leave the transaction */
@@ -31,12 +31,12 @@
     bool open;      /* a transaction is open */
     char owner;     /* client whose transaction it is; 0: not yet known */
     int statements; /* since the transaction began */
-} peer_t;
+} server_connection_t;
 
 typedef struct {
     endpoint_server_t base;
     behaviour_t behaviour;
-    peer_t peers[CONNECTIONS_MAX];
+    server_connection_t connections[CONNECTIONS_MAX];
     int in_foreign; /* statements in the transaction of another client */
     int outside;    /* statements of a transaction that ran on their own */
 } server_t;
@@ -55,38 +55,39 @@
 }
 
 static void
-begin(server_t *server, peer_t *peer)
+begin(server_t *server, server_connection_t *connection)
 {
-    server->in_foreign += peer->open;
-    peer->open = server->behaviour != IGNORES_BEGIN;
-    peer->owner = 0;
-    peer->statements = 0;
+    server->in_foreign += connection->open;
+    connection->open = server->behaviour != IGNORES_BEGIN;
+    connection->owner = 0;
+    connection->statements = 0;
 }
 
 /* Runs a statement of the client that the first letter of `trace` names. A
  * capital letter: it belongs to a transaction. Returns the reply. */
 static const char *
-run(server_t *server, peer_t *peer, const char *trace)
+run(server_t *server, server_connection_t *connection, const char *trace)
 {
-    if (server->behaviour == ENDS_AFTER_FIRST && peer->statements == 1) {
-        peer->open = false;
+    if (server->behaviour == ENDS_AFTER_FIRST && connection->statements == 1) {
+        connection->open = false;
     }
     if (server->behaviour == OPENS_BY_ITSELF ||
         server->behaviour == FAILS_IN_OPEN_STATE) {
-        peer->open = true;
+        connection->open = true;
     }
-    if (peer->open && peer->owner == 0) {
-        peer->owner = trace[0];
+    if (connection->open && connection->owner == 0) {
+        connection->owner = trace[0];
     }
-    server->in_foreign += peer->open && peer->owner != trace[0];
-    server->outside += !peer->open && g_ascii_isupper(trace[0]);
-    peer->statements++;
+    server->in_foreign += connection->open && connection->owner != trace[0];
+    server->outside += !connection->open && g_ascii_isupper(trace[0]);
+    connection->statements++;
     return server->behaviour == FAILS_IN_OPEN_STATE ? "ERROR BUSY now"
                                                     : "COMPLETE 1.1";
 }
 
 static void
-answer_line(server_t *server, peer_t *peer, const char *line)
+answer_line(server_t *server, server_connection_t *connection,
+            const char *line)
 {
     const char *reply = "COMPLETE -";
     char trace[64] = "";
@@ -94,25 +95,26 @@
     char text[256];
 
     if (strncmp(line, "STARTUP ", 8) == 0) {
-        g_assert_cmpint(write(peer->fd, "READY I -\r\n", 11), ==, 11);
+        g_assert_cmpint(write(connection->fd, "READY I -\r\n", 11), ==, 11);
         return;
     }
     g_assert_cmpint(sscanf(line, "QUERY %63s %63s", trace, verb), ==, 2);
     if (strcmp(verb, "BEGIN") == 0) {
-        begin(server, peer);
+        begin(server, connection);
     }
     else if (strcmp(verb, "COMMIT") == 0 || strcmp(verb, "ROLLBACK") == 0) {
-        peer->open = server->behaviour == STAYS_OPEN_AFTER_END;
+        connection->open = server->behaviour == STAYS_OPEN_AFTER_END;
     }
     else if (strcmp(verb, "SET") != 0 && strcmp(verb, "DISCARD") != 0) {
-        reply = run(server, peer, trace);
+        reply = run(server, connection, trace);
     }
-    else if (server->behaviour == ENDS_AFTER_FIRST && peer->statements == 1) {
-        peer->open = false;
+    else if (server->behaviour == ENDS_AFTER_FIRST &&
+             connection->statements == 1) {
+        connection->open = false;
     }
     snprintf(text, sizeof(text), "%s\r\nREADY %c 1.1\r\n", reply,
-             peer->open ? 'T' : 'I');
-    g_assert_cmpint(write(peer->fd, text, strlen(text)), ==,
+             connection->open ? 'T' : 'I');
+    g_assert_cmpint(write(connection->fd, text, strlen(text)), ==,
                     (int)strlen(text));
 }
 
@@ -122,27 +124,27 @@
     server_t *server = context;
 
     g_assert_cmpint(index, <, CONNECTIONS_MAX);
-    server->peers[index] =
-        (peer_t){.fd = server->base.fds[index], .input = g_string_new(NULL)};
+    server->connections[index] = (server_connection_t){
+        .fd = server->base.fds[index], .input = g_string_new(NULL)};
 }
 
 static void
-read_peer(void *context, int index)
+read_connection(void *context, int index)
 {
     server_t *server = context;
-    peer_t *peer = &server->peers[index];
+    server_connection_t *connection = &server->connections[index];
     char bytes[1024];
-    ssize_t size = read(peer->fd, bytes, sizeof(bytes));
+    ssize_t size = read(connection->fd, bytes, sizeof(bytes));
     char *end;
 
     if (size <= 0) {
         return;
     }
-    g_string_append_len(peer->input, bytes, size);
-    while ((end = strstr(peer->input->str, "\r\n")) != NULL) {
+    g_string_append_len(connection->input, bytes, size);
+    while ((end = strstr(connection->input->str, "\r\n")) != NULL) {
         *end = '\0';
-        answer_line(server, peer, peer->input->str);
-        g_string_erase(peer->input, 0, end + 2 - peer->input->str);
+        answer_line(server, connection, connection->input->str);
+        g_string_erase(connection->input, 0, end + 2 - connection->input->str);
     }
 }
 
@@ -201,7 +203,7 @@
 static void
 check_transaction(const transaction_case_t *item)
 {
-    static const endpoint_server_ops_t ops = {on_accept, read_peer};
+    static const endpoint_server_ops_t ops = {on_accept, read_connection};
     static const endpoint_events_t events = {.on_reply = on_reply};
     const endpoint_driver_t *driver =
         CbwPlugin_Find(CBW_PLUGIN_ENDPOINT_DRIVER, "wire");
@@ -227,7 +229,7 @@
                     item->idle);
     EndpointServer_Close(&server.base, driver, endpoint_link);
     for (int i = 0; i < server.base.count; i++) {
-        g_string_free(server.peers[i].input, TRUE);
+        g_string_free(server.connections[i].input, TRUE);
     }
     g_free(daemon);
 }
@@ -264,7 +266,7 @@
 test_other_state(void)
 {
     static const transaction_case_t cases[] = {
-        {.name = "true endpoint",
+        {.name = "conforming endpoint",
          .steps = {{.trace = "A", .transaction = 7, .begins = true},
                    {.trace = "A", .transaction = 7, .values = "zone north\n"},
                    {.verb = CBW_CALL_COMMIT,
