test_libcarobwind: reword further comments

Second pass: figurative words ("goes on", "whatever", "takes for", "tells") are replaced by the usual terms. Comments only.

Measured: the 70 objects of the folder (gcc -O2 -g0, with __LINE__ defined as 1 since the assertions contain line numbers) are identical before and after.

--- a/src/test_libcarobwind/explorer.h
+++ b/src/test_libcarobwind/explorer.h
@@ -60,7 +60,7 @@
     int depth;     /* depth to which all paths were explored */
     /* Neither a violation nor settings.states_max ended the exploration. Steps
      * that exceed a size of the model and paths longer than settings.depth are
-     * left out nevertheless. */
+     * still omitted. */
     bool complete;
     bool violated;
     char violation[128];
--- a/src/test_libcarobwind/pool_fleet.h
+++ b/src/test_libcarobwind/pool_fleet.h
@@ -42,8 +42,8 @@
     char first_fault[256];
 } fleet_result_t;
 
-/* Plays `duration` with `disruptions`, then some quiet seconds. `verbose`
- * prints each event. */
+/* Simulates `duration` with `disruptions`, then some seconds without.
+ * `verbose` prints each event. */
 void PoolFleet_Play(uint64_t seed, const fleet_disruptions_t *disruptions,
                     cbw_time_t duration, bool verbose, fleet_result_t *result);
 
--- a/src/test_libcarobwind/test_access.c
+++ b/src/test_libcarobwind/test_access.c
@@ -10,7 +10,7 @@
 
 #define CONFIG_TEXT_MAX 2048
 
-/* A configuration with a route that needs a key and a public one. */
+/* A configuration with a route that requires a key and a public one. */
 static const char config_format[] =
     "{\"version\":7,\"routes\":["
     "{\"database\":\"closed\",\"routeType\":\"primary\",\"service\":\"s\"},"
--- a/src/test_libcarobwind/test_bootstrap.c
+++ b/src/test_libcarobwind/test_bootstrap.c
@@ -200,8 +200,8 @@
     g_assert_cmpint(last, <=, 6 * Cbw_SEC);
 }
 
-/* The first hosts start last, 0.3 s after the others: these get the records
- * all the same, and the first hosts then have them at once. */
+/* The first hosts start last, 0.3 s after the others: all hosts have the
+ * records shortly after that. */
 static void
 test_readers_start_last(void)
 {
--- a/src/test_libcarobwind/test_connection_cache.c
+++ b/src/test_libcarobwind/test_connection_cache.c
@@ -481,7 +481,7 @@
         cbw_request_t *requests[2];
         const sent_call_t *run;
         PoolWorld_Init(&world);
-        /* Its answer tells how far the primary's log reaches. */
+        /* Its answer states the end of the primary's log. */
         write = PoolWorld_NewRequest(&world, true, CBW_READ_LATEST);
         PoolWorld_Submit(&world, write);
         PoolWorld_Reply(&world, PoolWorld_LastOpenCall(&world, CBW_CALL_RUN),
--- a/src/test_libcarobwind/test_fuzz.c
+++ b/src/test_libcarobwind/test_fuzz.c
@@ -124,8 +124,8 @@
     }
 }
 
-/* The decoder buffers no more than its limit, whatever length a message
- * announces. */
+/* The decoder buffers no more than its limit, regardless of the length that a
+ * message announces. */
 static void
 test_resp_bounded(void)
 {
--- a/src/test_libcarobwind/test_large_fleet.c
+++ b/src/test_libcarobwind/test_large_fleet.c
@@ -174,8 +174,8 @@
 }
 
 /* Prints bytes and messages a host and second, sent and received, for the
- * numbers of hosts in LARGE_FLEET_SIZES (such as "30 100 300 1500"). Run by
- * hand, for docs/design/large-fleets.md. */
+ * numbers of hosts in LARGE_FLEET_SIZES (such as "30 100 300 1500"). Run
+ * manually, for docs/design/large-fleets.md. */
 static void
 test_measure(void)
 {
--- a/src/test_libcarobwind/test_membership.c
+++ b/src/test_libcarobwind/test_membership.c
@@ -311,7 +311,7 @@
     finish_fleet();
 }
 
-/* All hosts learn that a member leaves, and none takes it for an owner. */
+/* All hosts learn that a member leaves, and none considers it an owner. */
 static void
 test_leaving_spreads(void)
 {
@@ -504,9 +504,9 @@
     finish_fleet();
 }
 
-/* The order of the hosts of one data centre is the same for each of them, but
- * for itself; dead hosts are left out, those known from a list only are not.
- */
+/* The order of the hosts of one data centre is the same for each of them,
+ * except for itself; dead hosts are omitted, those known from a list only are
+ * not. */
 static void
 test_peer_order(void)
 {
--- a/src/test_libcarobwind/test_memory_budget.c
+++ b/src/test_libcarobwind/test_memory_budget.c
@@ -249,7 +249,7 @@
 
 typedef enum {
     STEP_OPEN,     /* opened at START */
-    STEP_STARTED,  /* its first message came at once */
+    STEP_STARTED,  /* its first message arrived immediately */
     STEP_PARTIAL,  /* then a part of a second one */
     STEP_UNREAD,   /* or output that is not taken */
     STEP_WAITING,  /* a large part that waits for a grant */
--- a/src/test_libcarobwind/test_nonce.c
+++ b/src/test_libcarobwind/test_nonce.c
@@ -45,8 +45,8 @@
     }
 }
 
-/* Owners of two starts at one address are told apart, and none has nonce 0,
- * which the tenure record keeps for no holder. */
+/* Owners of two starts at one address have different nonces, and none has
+ * nonce 0, which the tenure record reserves for no holder. */
 static void
 test_unique(void)
 {
--- a/src/test_libcarobwind/test_owner.c
+++ b/src/test_libcarobwind/test_owner.c
@@ -128,7 +128,7 @@
 }
 
 /* The answer to the swap that claims a term is lost: the promotion must read
- * the record back and go on, since the swap has taken effect. */
+ * the record back and continue, since the swap has taken effect. */
 static void
 test_failover_after_lost_swap(void)
 {
--- a/src/test_libcarobwind/test_platform.c
+++ b/src/test_libcarobwind/test_platform.c
@@ -422,7 +422,7 @@
 }
 
 /* A statement prepared as one text must not be executed as another one, also
- * when a caller chose both texts so that XXH64 does not tell them apart. */
+ * when a caller chose two texts with the same XXH64 hash. */
 static void
 test_names_tell_texts_apart(void)
 {
--- a/src/test_libcarobwind/test_policies.c
+++ b/src/test_libcarobwind/test_policies.c
@@ -96,7 +96,7 @@
     g_assert_cmpint(lookups_served, <=, 2);
 }
 
-/* The "fifo" policy serves in the order of arrival, whatever the rank. */
+/* The "fifo" policy serves in the order of arrival, regardless of the rank. */
 static void
 test_fifo_order(void)
 {
--- a/src/test_libcarobwind/test_pool.c
+++ b/src/test_libcarobwind/test_pool.c
@@ -309,8 +309,8 @@
 }
 
 /* An owner that pauses after it has begun a promotion must not request it when
- * it goes on and its tenure has expired: another owner may have promoted
- * meanwhile, and the order would go out twice. */
+ * it resumes and its tenure has expired: another owner may have promoted
+ * meanwhile, and the order would be sent twice. */
 static void
 test_paused_promoter_does_not_order(void)
 {
@@ -346,7 +346,8 @@
 }
 
 /* While another owner promotes, requests are redirected to it. This owner must
- * go on reading the record: it serves as soon as the promotion has ended. */
+ * continue to read the record: it serves as soon as the promotion has ended.
+ */
 static void
 test_serves_after_other_promotion(void)
 {
@@ -524,8 +525,8 @@
     PoolWorld_Finish(&world);
 }
 
-/* A new owner does not know how far the log of a leaving primary goes: a
- * replica counts as caught up only once the primary was asked. */
+/* A new owner does not know the end of the log of a leaving primary: a replica
+ * counts as caught up only after a reply of the primary. */
 static void
 test_new_owner_drains_primary(void)
 {
--- a/src/test_libcarobwind/test_pool_fleet.c
+++ b/src/test_libcarobwind/test_pool_fleet.c
@@ -1,6 +1,7 @@
-/* Runs of a fleet of pools with random disruptions, see pool_fleet.h. By hand:
- * POOL_FLEET_SEEDS=2000 for more seeds of each case, POOL_FLEET_FIRST=36 for
- * the first one, POOL_FLEET_TRACE=1 to print all events. */
+/* Runs of a fleet of pools with random disruptions, see pool_fleet.h. For
+ * manual runs: POOL_FLEET_SEEDS=2000 for more seeds of each case,
+ * POOL_FLEET_FIRST=36 for the first one, POOL_FLEET_TRACE=1 to print all
+ * events. */
 
 #include <glib.h>
 #include <stdlib.h>
--- a/src/test_libcarobwind/test_pool_freshness.c
+++ b/src/test_libcarobwind/test_pool_freshness.c
@@ -75,7 +75,7 @@
         list_again(&world);
     }
     g_test_message("%s, %s", item->name, writes ? "write" : "read");
-    /* A write's answer does not tell its term. */
+    /* A write's answer does not state its term. */
     PoolWorld_Reply(&world, run, CBW_REPLY_OK, writes ? 0 : 9);
     if (item->done) {
         /* A write is confirmed after its answer. */
@@ -142,8 +142,8 @@
     PoolWorld_FreeRequest(read);
 }
 
-/* An answer that e1 gave as a replica comes when e1 is the primary. It does
- * not tell how far the primary's log reached when the read was sent: e0 had
+/* An answer that e1 gave as a replica arrives when e1 is the primary. It does
+ * not state the end of the primary's log when the read was sent: e0 had
  * acknowledged more by then, which e1 received before its promotion. */
 static void
 test_late_answer_of_promoted_replica(void)
--- a/src/test_libcarobwind/test_pool_orders.c
+++ b/src/test_libcarobwind/test_pool_orders.c
@@ -1,5 +1,5 @@
-/* Tests of what may still take effect after the pool has gone on: a promotion
- * request without an answer, and a swap of the record without one. */
+/* Tests of calls that may take effect after the pool has stopped waiting for
+ * them: a promotion request and a swap of the record without an answer. */
 
 #include <glib.h>
 
@@ -127,7 +127,7 @@
     }
 }
 
-/* Nor does the pool let another owner promote meanwhile. */
+/* The pool keeps its tenure meanwhile, so that no other owner promotes. */
 static void
 test_order_keeps_tenure(void)
 {
--- a/src/test_libcarobwind/test_pool_synchronous.c
+++ b/src/test_libcarobwind/test_pool_synchronous.c
@@ -120,8 +120,8 @@
     PoolWorld_Finish(&world);
 }
 
-/* A leaving primary is replaced by a replica that stays only when one has its
- * log, and leads on until then. */
+/* A leaving primary is replaced only when a replica that stays has its log,
+ * and remains the primary until then. */
 static void
 test_leaving_primary_leads_on(void)
 {
--- a/src/test_libcarobwind/test_pool_terms.c
+++ b/src/test_libcarobwind/test_pool_terms.c
@@ -17,7 +17,7 @@
     {.unresponsive = true}};
 
 /* e1 is promoted to term 4 after e0 was unlisted, and e0 is listed again. It
- * still leads term 3, where its log has gone on. */
+ * still leads term 3, in which its log has grown. */
 static void
 promote_e1(pool_world_t *world)
 {
--- a/src/test_libcarobwind/test_queue_fair.c
+++ b/src/test_libcarobwind/test_queue_fair.c
@@ -87,7 +87,7 @@
 }
 
 /* Guards against a workspace that takes the dispatches of others by queueing
- * more: shares follow the weights, whatever the number of requests. */
+ * more: shares follow the weights, regardless of the number of requests. */
 static void
 test_shares(void)
 {
--- a/src/test_libcarobwind/test_read_dispatch.c
+++ b/src/test_libcarobwind/test_read_dispatch.c
@@ -63,8 +63,8 @@
     }
 }
 
-/* Guards against samples of a former owner or term, and against reads that go
- * to the owner though an older sample covers them. */
+/* Guards against samples of a previous owner or term, and against reads that
+ * go to the owner although an older sample covers them. */
 static void
 test_series(void)
 {
@@ -110,7 +110,8 @@
     }
 }
 
-/* Guards against questions without reads, and against several at once. */
+/* Guards against sample requests without reads, and against concurrent ones.
+ */
 static void
 test_asks(void)
 {
@@ -134,8 +135,8 @@
 #define STEPS 20000
 #define STEP (10 * Cbw_MSEC)
 
-/* A world with one log of writes, two owners, promotions, delayed answers and
- * a dispatcher that freezes now and then. */
+/* A simulation with one log of writes, two owners, promotions, delayed answers
+ * and a dispatcher that sometimes freezes. */
 typedef struct {
     cbw_random_t random;
     cbw_read_dispatch_t dispatch;
@@ -146,7 +147,7 @@
     uint64_t acknowledged[STEPS]; /* end of the log, by step */
     uint64_t term;
     uint64_t owner;
-    int moved; /* step at which the former owner last knew of the log */
+    int moved; /* last step of the log that the previous owner knows */
     size_t served;
     size_t refused;
 } world_t;
@@ -174,7 +175,7 @@
     world->acknowledged[world->step] =
         before + CbwRandom_Below(&world->random, 3);
     if (happens(world, 1000)) {
-        world->term++; /* a promotion; the log goes on */
+        world->term++; /* a promotion; the log continues */
     }
     if (happens(world, 700)) {
         world->owner++; /* the tenure moves */
@@ -185,9 +186,9 @@
     }
 }
 
-/* Asks an owner. It answers with what it knew some steps ago; the former
- * owner, with what it knew when its tenure moved. The answer is on its way for
- * up to 400 ms. */
+/* Asks an owner. It answers with its state of some steps ago; the previous
+ * owner, with its state when its tenure moved. The answer is delayed by up to
+ * 400 ms. */
 static void
 ask(world_t *world, cbw_time_t now)
 {
--- a/src/test_libcarobwind/test_registry.c
+++ b/src/test_libcarobwind/test_registry.c
@@ -560,8 +560,8 @@
     RegistryRecords_Finish(&b);
 }
 
-/* The digests that a host keeps up to date are those of a host that has just
- * fetched its records, whatever changes led to these. */
+/* The digests that a host maintains are those of a host that has just fetched
+ * its records, regardless of the changes that led to these. */
 static void
 test_digests_follow_changes(void)
 {
--- a/src/test_libcarobwind/test_scheduling.c
+++ b/src/test_libcarobwind/test_scheduling.c
@@ -382,9 +382,9 @@
 }
 
 /* The primary is down and none is promoted yet. Guards against writes that are
- * held though nothing can serve them: the first ones are refused after a part
- * of their target, later ones at once, with the cause; without
- * workspaces each is held for that time. */
+ * held although nothing can serve them: the first ones are refused after a
+ * part of their target, later ones at once, with the cause; without workspaces
+ * each is held for that time. */
 static void
 test_blocked_primary(void)
 {
--- a/src/test_libcarobwind/test_session.c
+++ b/src/test_libcarobwind/test_session.c
@@ -143,8 +143,9 @@
     CbwSession_Finish(&session);
 }
 
-/* A request that begins a transaction is sent twice under one id, and the
- * session goes on in the transaction of the wrong copy. */
+/* Guards against a request that begins a transaction and is sent twice under
+ * one id, after which the session would continue in the transaction of the
+ * wrong copy. */
 static void
 test_begun_again(void)
 {
@@ -234,9 +235,9 @@
     CbwRequest_Finish(&request);
 }
 
-/* A statement that is found to be wrong at the entry fails the transaction,
- * but the endpoint does not know: its transaction, with its connection, is
- * rolled back when the caller ends it. */
+/* A statement that the entry rejects fails the transaction without notice to
+ * the endpoint: its transaction, with its connection, is rolled back when the
+ * caller ends it. */
 static void
 test_local_error_rolls_back(void)
 {
--- a/src/test_libcarobwind/test_spread.c
+++ b/src/test_libcarobwind/test_spread.c
@@ -5,9 +5,9 @@
 #include "carobwind/spread.h"
 #include "suites.h"
 
-/* Replays how a change spreads over data centres in virtual time. A host that
+/* Replays in virtual time how a change spreads over data centres. A host that
  * gets it announces it at once to some hosts of its data centre and to one of
- * any, and each host announces what it has to one random host in each interval
+ * any, and each host announces its state to one random host in each interval
  * of probes. */
 
 #define CENTRES ((size_t)6)
--- a/src/test_libcarobwind/test_tenure.c
+++ b/src/test_libcarobwind/test_tenure.c
@@ -383,8 +383,8 @@
 }
 
 /* Random schedules: calls are applied and answered in any order, late or
- * never; owners pause, and begin and end promotions. Whatever happens, no
- * owner may acknowledge after another one has requested a promotion. */
+ * never; owners pause, and begin and end promotions. In all of them, no owner
+ * may acknowledge after another one has requested a promotion. */
 
 /* Returns whether an owner has a valid tenure after another one has requested
  * a promotion. An owner whose own record is promoting does not count, and
