test_libcarobwind: rename some functions of the simulated fleet

PoolFleet_Play -> Run, NoteRunningCalls -> RecordRunningCalls, DropOrdersOnTheWay -> DropDelayedOrders, PoolWorld_ForgetClosedCalls -> DiscardClosedCalls, run_calm -> run_idle (the test's path stays).

--- a/src/test_libcarobwind/pool_fleet.c
+++ b/src/test_libcarobwind/pool_fleet.c
@@ -174,8 +174,8 @@
 }
 
 void
-PoolFleet_Play(uint64_t seed, const fleet_disruptions_t *disruptions,
-               cbw_time_t duration, bool verbose, fleet_result_t *result)
+PoolFleet_Run(uint64_t seed, const fleet_disruptions_t *disruptions,
+              cbw_time_t duration, bool verbose, fleet_result_t *result)
 {
     fleet_t *fleet = g_new0(fleet_t, 1);
     event_t *event;
@@ -200,7 +200,7 @@
         event->run(fleet, event);
         for (int i = 0; i < HOSTS; i++) {
             if (fleet->hosts[i].running) {
-                PoolFleet_NoteRunningCalls(fleet, &fleet->hosts[i]);
+                PoolFleet_RecordRunningCalls(fleet, &fleet->hosts[i]);
             }
         }
         g_free(event);
--- a/src/test_libcarobwind/pool_fleet.h
+++ b/src/test_libcarobwind/pool_fleet.h
@@ -44,7 +44,7 @@
 
 /* Simulates `duration` with `disruptions`, then some seconds without.
  * `verbose` prints each event. */
-void PoolFleet_Play(uint64_t seed, const fleet_disruptions_t *disruptions,
-                    cbw_time_t duration, bool verbose, fleet_result_t *result);
+void PoolFleet_Run(uint64_t seed, const fleet_disruptions_t *disruptions,
+                   cbw_time_t duration, bool verbose, fleet_result_t *result);
 
 #endif
--- a/src/test_libcarobwind/pool_fleet_callers.c
+++ b/src/test_libcarobwind/pool_fleet_callers.c
@@ -193,7 +193,7 @@
         choose_workspace(fleet, request);
     }
     operation->run = NULL;
-    operation->noted_call = 0;
+    operation->recorded_call = 0;
 }
 
 static void
@@ -237,15 +237,15 @@
 /* `op_call` does not get the request: finds it in the pool's list of running
  * requests. */
 void
-PoolFleet_NoteRunningCalls(fleet_t *fleet, host_t *host)
+PoolFleet_RecordRunningCalls(fleet_t *fleet, host_t *host)
 {
     cbw_link_t *link = host->pool.running.next;
 
     for (; link != &host->pool.running; link = link->next) {
         cbw_request_t *request = Cbw_LIST_ITEM(link, cbw_request_t, link);
         operation_t *operation = (operation_t *)request;
-        if (operation->noted_call != request->call) {
-            operation->noted_call = request->call;
+        if (operation->recorded_call != request->call) {
+            operation->recorded_call = request->call;
             operation->run =
                 PoolFleet_NewRun(fleet, host->generation, request->call);
         }
--- a/src/test_libcarobwind/pool_fleet_hosts.c
+++ b/src/test_libcarobwind/pool_fleet_hosts.c
@@ -197,7 +197,7 @@
     event_t *event;
 
     PoolFleet_Trace(fleet, "h%d ends", host->index);
-    PoolFleet_DropOrdersOnTheWay(fleet, host);
+    PoolFleet_DropDelayedOrders(fleet, host);
     host->paused = false;
     host->running = false;
     host->generation = 0; /* nothing reaches it while it ends */
@@ -251,7 +251,7 @@
     while (host->running && !host->paused &&
            (waiting = g_queue_pop_head(&host->waiting)) != NULL) {
         waiting->run(fleet, waiting);
-        PoolFleet_NoteRunningCalls(fleet, host);
+        PoolFleet_RecordRunningCalls(fleet, host);
         g_free(waiting);
     }
 }
--- a/src/test_libcarobwind/pool_fleet_platform.c
+++ b/src/test_libcarobwind/pool_fleet_platform.c
@@ -407,7 +407,7 @@
 
 /* Delayed orders are lost when their sender cancels the call or terminates. */
 void
-PoolFleet_DropOrdersOnTheWay(fleet_t *fleet, const host_t *host)
+PoolFleet_DropDelayedOrders(fleet_t *fleet, const host_t *host)
 {
     GList *link = fleet->events.head;
 
@@ -428,7 +428,7 @@
     host_t *host = context;
 
     PoolFleet_Trace(host->fleet, "h%d cancels its order", host->index);
-    PoolFleet_DropOrdersOnTheWay(host->fleet, host);
+    PoolFleet_DropDelayedOrders(host->fleet, host);
     host->order++;
 }
 
--- a/src/test_libcarobwind/pool_fleet_world.h
+++ b/src/test_libcarobwind/pool_fleet_world.h
@@ -121,7 +121,7 @@
     cbw_time_t begun_at;
     bool measured;
     cbw_position_t needed; /* highest acknowledged as the operation began */
-    uint64_t noted_call;
+    uint64_t recorded_call;
     struct run *run; /* of the latest call; NULL: none */
 } operation_t;
 
@@ -190,7 +190,7 @@
 void PoolFleet_OpDetach(void *context, int slot);
 void PoolFleet_OpRequestPromotion(void *context, const char *endpoint,
                                   uint64_t fence);
-void PoolFleet_DropOrdersOnTheWay(fleet_t *fleet, const host_t *host);
+void PoolFleet_DropDelayedOrders(fleet_t *fleet, const host_t *host);
 void PoolFleet_OpCancelPromotion(void *context);
 void PoolFleet_TickEndpoints(fleet_t *fleet);
 void PoolFleet_UpdateListing(fleet_t *fleet);
@@ -208,7 +208,7 @@
 /* Callers (pool_fleet_callers.c). */
 
 void PoolFleet_OpAnswer(void *context, cbw_request_t *request);
-void PoolFleet_NoteRunningCalls(fleet_t *fleet, host_t *host);
+void PoolFleet_RecordRunningCalls(fleet_t *fleet, host_t *host);
 void PoolFleet_NewOperation(fleet_t *fleet, event_t *event);
 
 /* Disruptions (pool_fleet_disruptions.c). */
--- a/src/test_libcarobwind/pool_world.c
+++ b/src/test_libcarobwind/pool_world.c
@@ -267,7 +267,7 @@
 }
 
 void
-PoolWorld_ForgetClosedCalls(pool_world_t *world)
+PoolWorld_DiscardClosedCalls(pool_world_t *world)
 {
     int kept = 0;
 
@@ -304,7 +304,7 @@
     PoolWorld_Tick(world, Cbw_TENURE_RETRY_INTERVAL);
     g_assert_cmpint(world->pool.primary, ==, 0);
     PoolWorld_AnswerStates(world, first_reports);
-    PoolWorld_ForgetClosedCalls(world);
+    PoolWorld_DiscardClosedCalls(world);
 }
 
 void
@@ -317,7 +317,7 @@
         PoolWorld_Tick(world, RUN_STEP);
         PoolWorld_AnswerStates(world, reports);
         PoolWorld_ServeStore(world);
-        PoolWorld_ForgetClosedCalls(world);
+        PoolWorld_DiscardClosedCalls(world);
     }
 }
 
--- a/src/test_libcarobwind/pool_world.h
+++ b/src/test_libcarobwind/pool_world.h
@@ -67,7 +67,7 @@
 void PoolWorld_AnswerStates(pool_world_t *world,
                             const endpoint_report_t reports[3]);
 /* Makes room for further calls in `sent`. */
-void PoolWorld_ForgetClosedCalls(pool_world_t *world);
+void PoolWorld_DiscardClosedCalls(pool_world_t *world);
 /* Answers the pending calls to the store, and those that the pool makes in
  * response. */
 void PoolWorld_ServeStore(pool_world_t *world);
--- a/src/test_libcarobwind/test_large_fleet.c
+++ b/src/test_libcarobwind/test_large_fleet.c
@@ -39,7 +39,7 @@
 /* Disruption of the fleet during the measurement. */
 
 static void
-run_calm(void)
+run_idle(void)
 {
     LargeFleet_Run(&fleet, 20 * Cbw_SEC);
 }
@@ -140,7 +140,7 @@
 } event_t;
 
 static const event_t events[] = {
-    {"calm", run_calm, 4000, 5000, 0, 0},
+    {"calm", run_idle, 4000, 5000, 0, 0},
     {"start-of-all", run_start_of_all, 60000, 80000, -1, 0},
     {"rolling-restart", run_rolling_restart, 10000, 20000, -1, 0},
     {"region-cut", run_region_cut, 30000, 40000, -1, -1},
@@ -262,7 +262,7 @@
         LargeFleet_Start(&fleet, sizes[i]);
         LargeFleet_Run(&fleet, SETTLE_TIME);
         LargeFleet_ResetCounts(&fleet);
-        run_calm();
+        run_idle();
         LargeFleet_Spread(&fleet, &medians[i], &busiest);
         LargeFleet_Finish(&fleet);
     }
--- a/src/test_libcarobwind/test_pool_fleet.c
+++ b/src/test_libcarobwind/test_pool_fleet.c
@@ -120,7 +120,7 @@
     int commits = 0;
 
     for (uint64_t seed = first; seed < end; seed++) {
-        PoolFleet_Play(seed, disruptions, DURATION, verbose, &result);
+        PoolFleet_Run(seed, disruptions, DURATION, verbose, &result);
         check_result(disruptions->name, seed, &result);
         promotions += result.promotions;
         commits += result.commits_acknowledged;
--- a/src/test_libcarobwind/test_scheduling.c
+++ b/src/test_libcarobwind/test_scheduling.c
@@ -225,7 +225,7 @@
             PoolWorld_Tick(&replay->world, 0);
             PoolWorld_AnswerStates(&replay->world, reports);
         }
-        PoolWorld_ForgetClosedCalls(&replay->world);
+        PoolWorld_DiscardClosedCalls(&replay->world);
     }
 }
 
