--- a/test/check.tcl
+++ b/test/check.tcl
@@ -205,7 +205,7 @@
         -p /session -p /platform -p /limit -p /route -p /delta -p /admission \
         -p /confirm -p /given-up-calls -p /traffic -p /quota -p /pool-quota \
         -p /memory-budget -p /local-health -p /witness -p /connection-cache \
-        -p /connection-driver -p /queue-fair -p /scheduling -p /read-dispatch \
+        -p /connection-driver -p /transaction-driver -p /queue-fair -p /scheduling -p /read-dispatch \
         -p /pool-reads -p /regions -p /offload -p /acceptor -p /compression -p /store-relay -p /statement-text
 }
 run_scenarios
