Mutants of the texts of statements, their sizes and results

Cause: the mechanisms that keep texts unchanged had no mutant, so nothing showed that the scenarios find their absence. Two mutants no longer matched the code: releases-while-promoting matched nothing, as pools also await leases; resends-lost-writes matched a second place, the reply for a statement outside of its transaction.

Change: seven mutants, each with the scenario that must fail; the two fitted.

The patterns of all other mutants match the code; these were not run.

--- a/test/mutants.tcl
+++ b/test/mutants.tcl
@@ -124,7 +124,8 @@
 }
 mutant resends-lost-writes wire-answers-lost {
     src/libcarobwind/pool_reply.c
-    "if (request->writes)" "if (request->deadline < 0)"
+    "if (request->writes) {\n        CbwPool_Answer_(pool, request, CBW_OUTCOME_UNKNOWN, cause,\n                        \"the write was sent, and its answer is lost\");\n        return;\n    }"
+    ""
 }
 mutant short-tenure wire-store-away {
     src/libcarobwind/tenure.c
@@ -151,11 +152,11 @@
 }
 mutant releases-while-promoting wire-owner-stops-promoting {
     src/carobwindd/pool_task.c
-    "needed = needed || has_promotion_to_end(instance, now);"
-    "needed = needed || (has_promotion_to_end(instance, now) && now == 0);"
+    "needed = needed || has_promotion_to_end(instance, now) ||"
+    "needed = needed || (has_promotion_to_end(instance, now) && now == 0) ||"
     src/libcarobwind/pool.c
-    "if (CbwPool_IsPromoting(pool, now)) {\n        return false;\n    }\n    CbwTenure_Release"
-    "if (pool->stopping) {\n        return false;\n    }\n    CbwTenure_Release"
+    "if (CbwPool_IsPromoting(pool, now) || CbwPool_AwaitLeases_(pool, now)) {\n        return false;\n    }\n    CbwTenure_Release"
+    "if (pool->stopping || CbwPool_AwaitLeases_(pool, now)) {\n        return false;\n    }\n    CbwTenure_Release"
 }
 mutant exits-while-promoting wire-owner-stops-promoting-slowly {
     src/carobwindd/pool_task.c
@@ -190,6 +191,41 @@
     "if (pool->quota == NULL || request->workspace\[0\] != '\\\\0' ||"
 }
 
+# Mutants for the texts of statements and results.
+mutant ends-at-line-feed wire-commit-unchanged {
+    platform/wire.c
+    "if (feed > bytes && feed\[-1\] == '\\\\r')" "if (feed > bytes)"
+    platform/wire.c
+    "bytes\[size - LINE_END_SIZE\] = '\\\\0';"
+    "bytes\[size - 1 - (bytes\[size - 2\] == '\\\\r')\] = '\\\\0';"
+}
+mutant cuts-blanks wire-texts-unchanged {
+    platform/backend_text.c
+    "                        (gssize)call->statement_size);\n"
+    "                        (gssize)call->statement_size);\n    while (statement->str\[statement->len - 1\] == ' ') {\n        g_string_truncate(statement, statement->len - 1);\n    }\n"
+}
+mutant takes-line-feeds wire-shapes-and-values-unchanged {
+    platform/callers.c
+    "if (form == NULL || has_line_feed)"
+    "if (form == NULL || (has_line_feed && *text == '\\\\0'))"
+}
+mutant shares-names wire-shapes-and-values-unchanged {
+    platform/backend_text.c
+    "added.number = ++session->last_number;" "added.number = 1;"
+}
+mutant carries-anything wire-resp-callers {
+    platform/backend.c
+    ".can_carry = Backend_CanCarry," ".can_carry = NULL,"
+}
+mutant small-shapes limits-prepared-shape {
+    src/share/peer_rpc.h
+    "#define PEER_SHAPE_MAX 1048576" "#define PEER_SHAPE_MAX 4096"
+}
+mutant passes-any-result limits-large-results {
+    platform/backend_connection.c
+    "connection->result->len + size > Cbw_RESULT_MAX" "connection->result->len > SIZE_MAX - size"
+}
+
 # Replaces a text in a file. Fails if the file does not contain it.
 proc edit {path from to} {
     set file [open $path]
