test: reword comments and scenario descriptions

Change: comments and descriptions only.

Measured: the changed lines without a leading # are descriptions and one trailing comment.

--- a/test/lib/platform_standin.tcl
+++ b/test/lib/platform_standin.tcl
@@ -26,22 +26,22 @@
 #                             shape variables transaction}, see `record_run`
 #   keep KEY HEX              the primary commits the bytes HEX under KEY
 #   lists                     returns the number of linearizable range reads
-#   stale 0|1                 reads that may be stale return the present state
-#                             from now on, or the current one again
+#   stale 0|1                 1: reads that may be stale return the state of now
+#                             until `stale 0`
 #   reads                     returns the number of reads of the configuration
 #   unaware 0|1               a primary that is replaced does not notice it until
 #                             it is told to step down
 #   overlap MS                the same, but it also notices it after MS
 #   register NAME             publishes the record of an endpoint
-#   hold HOST                 promotion requests of HOST from now on are held up
-#                             on the way; "none": of no host
-#   held                      returns the requests held up: {holder endpoint fence}
-#   deliver                   the requests held up arrive; holds up none any more
+#   hold HOST                 promotion requests of HOST are delayed from now on;
+#                             "none": of no host
+#   held                      returns the delayed requests: {holder endpoint fence}
+#   deliver                   the delayed requests arrive; ends `hold`
 #   promote MS                sets the time from a promotion request to its effect
 #   unanswered N close|silent N promotion requests are accepted, but not answered:
 #                             the connection is closed or stays silent
-#   events                    returns the orders, promotions and commits in the
-#                             order in which they happened, see `note`
+#   events                    returns the promotion requests (`order`), promotions
+#                             and commits in the order of their times, see `note`
 #   late                      returns the keys that were written at an endpoint
 #                             after another one had begun a higher term
 #   quit                      exits
@@ -68,7 +68,7 @@
 set late_keys {}
 set notice_ms "" ;# see the command `overlap`; "": never
 set held_host none
-set held {} ;# channels whose next request is a promotion request held up
+set held {} ;# channels whose next request is a delayed promotion request
 set answers_to_omit 0 ;# of promotion requests
 set omission close
 set events {}
--- a/test/scenarios/clients.tcl
+++ b/test/scenarios/clients.tcl
@@ -133,8 +133,8 @@
     return $text
 }
 
-# Whether a caller with a new session gets a write done. Tries again while the
-# host is busy, as callers do.
+# Returns whether a write on a new session succeeds. Tries again while the host is
+# busy, as callers do.
 proc clients::is_served_wire {} {
     for {set try 0} {$try < 20} {incr try} {
         set channel [open 7000 1]
--- a/test/scenarios/wire.tcl
+++ b/test/scenarios/wire.tcl
@@ -316,9 +316,10 @@
     expect {[lsort -unique $late] eq "done"} $late
 }
 
-# Under load, the primary e-1 is unlisted and does not notice that e-2 is promoted.
-# It is listed again, and after `pause` ms e-2 is killed. No write is acknowledged
-# that e-1 committed after that promotion, and e-1 serves once it was promoted.
+# Under load, the registration of the primary e-1 is removed, and e-1 does not notice
+# that e-2 is promoted. It is registered again, and after `pause` ms e-2 is killed. No
+# write that e-1 committed after that promotion may be acknowledged, and e-1 must
+# serve once it has been promoted.
 proc wire::replace_unlisted_primary {pause} {
     fleet
     control kill e-3
@@ -342,12 +343,12 @@
 }
 
 scenario wire-primary-returns \
-    "a primary that was replaced unnoticed is listed again as its successor is killed" {
+    "an unaware replaced primary is registered again as its successor is killed" {
     wire::replace_unlisted_primary 0
 }
 
 scenario wire-primary-steps-down \
-    "a primary that was replaced unnoticed returns before its successor is killed" {
+    "an unaware replaced primary returns before its successor is killed" {
     wire::replace_unlisted_primary 600
 }
 
@@ -508,10 +509,9 @@
     expect {[string match "*event=in-force version=2*request=walk-dropped *cause=nodatabase*" $report]} $report
 }
 
-# After a loss of power, the hosts that the others join through (seed hosts) may
-# start last. The others must find each other through the store and serve
-# meanwhile (incident inc-9b70 of the workspace quotes). Here no process listens
-# on the join address.
+# After a loss of power, the hosts through which the others join (seed hosts) may
+# start last. The others must find each other in the store and serve meanwhile.
+# Here no process listens on the join address.
 scenario wire-seeds-down \
     "hosts find each other in the store without the seed host" {
     wire::fleet 3 [wire::network].1.9:7100
@@ -538,8 +538,7 @@
 }
 
 # A watch may miss a configuration change, which hosts must put in force
-# nevertheless. The same fault occurs in deploy/days/compact-drain.toml on the
-# workspace quotes with seed 192066740088.
+# nevertheless. The same fault occurs in deploy/days/compact-drain.toml.
 scenario wire-deaf-watch \
     "watches miss a configuration change; hosts still put it in force" {
     wire::fleet
@@ -554,10 +553,10 @@
     }
 }
 
-# Another writer leaves odd entries among the registrations and replaces a tenure
-# record: the daemons go on, follow later changes and serve.
+# Another writer stores malformed entries among the registrations and replaces a
+# tenure record. The daemons must keep running, follow later changes and serve.
 scenario wire-odd-entries \
-    "odd entries among the registrations and tenure records; service continues" {
+    "malformed registrations and tenure records; service continues" {
     wire::fleet
     after 1500
     lassign [wire::write_under_load 5 {
@@ -578,7 +577,7 @@
     foreach host {host1 host2 host3} {
         eventually {![catch {wire::connect $host new}]} 3000
     }
-    # A registration after the odd ones is followed.
+    # A later, valid registration takes effect.
     lassign [wire::write_under_load 4 { wire::control leave e-1 }] outcomes
     eventually {[wire::control primary] in {e-2 e-3}} 3000
     wire::check_writes $outcomes 0
@@ -594,7 +593,7 @@
 }
 
 # A host that does not respond for a while keeps the work that runs there: the
-# caller gets its answer when the host goes on. The same fault in
+# caller gets its answer when the host resumes. The same fault occurs in
 # deploy/days/nodes-slow.toml.
 scenario wire-owner-pauses \
     "the owner pauses for 0.7 s with a write in flight; the write is answered" {
@@ -615,10 +614,10 @@
     wire::check_writes {k1 done first done} 0
 }
 
-# Reads of the store that may be stale return what has been withdrawn meanwhile. A
-# host that restarts must not use it: neither a route, nor an endpoint that left.
+# Reads of the store that may be stale return records that were removed meanwhile.
+# A host that restarts must use neither a removed route nor an endpoint that left.
 scenario wire-restart-stale \
-    "a host restarts while the store returns stale lists; nothing old is in use" {
+    "a host restarts while the store returns stale lists; no removed record is used" {
     wire::fleet
     after 1500
     wire::control stale 1
@@ -644,11 +643,10 @@
         "an endpoint that left is in use"
 }
 
-# The registration of an endpoint that claims to be the primary has a name with a
-# blank: written to the first tenure record, it would make this unreadable. It names
-# no endpoint, so the real primary stays.
+# A registration that claims to be the primary has a name with a blank, which would
+# make the first tenure record unreadable. It is ignored, so the primary stays.
 scenario wire-odd-name-first \
-    "a registration with an odd name is there first; service begins" {
+    "the first registration has an invalid name; service begins" {
     wire::fleet 3 "" {
         wire::control odd "{servers/z blank}" {{{"service":"svc1","address":"127.0.0.1:80","zone":"north","slots":3,"state":"ready","dbRole":"primary"}}}
     }
@@ -661,8 +659,8 @@
     }
 }
 
-# Returns when processes made the decisions that begin with `decision`, in
-# milliseconds, the earliest first.
+# Returns the times at which processes made the decisions that begin with
+# `decision`, in milliseconds, the earliest first.
 proc wire::decision_times {processes decision} {
     set times {}
     foreach process $processes {
@@ -675,8 +673,8 @@
     return [lsort -integer $times]
 }
 
-# The member list maps the name to the new process, which knows nothing of the
-# tenure of the former one.
+# The member list maps the name to the new process, which does not know the tenure
+# of the former one.
 scenario wire-name-twice \
     "a host is replaced under its name while it is frozen; the promotion waits" {
     wire::fleet 3 [wire::network].1.2:7100
@@ -694,10 +692,11 @@
     expect {$waited >= 6000} $waited
 }
 
-# The order of the killed process takes effect after its end. The process that
-# starts at its address knows that its tenure has ended, which lasts for up to 6 s.
+# The promotion request of the killed process takes effect after its end. The new
+# process at its address knows that the killed one's tenure has ended, which would
+# otherwise last for up to 6 s.
 scenario wire-owner-killed-promoting \
-    "the owner is killed right after its order and starts again; the next order waits" {
+    "the owner is killed right after its promotion request and restarts; the next one waits" {
     wire::fleet 3 [wire::network].1.2:7100
     set channel [wire::connect host1 pay]
     eventually {[lindex [wire::query $channel "WRITE first x"] 0] eq "done"} 5000
@@ -714,10 +713,10 @@
     expect {$waited >= 3000 && $waited < 4500} $waited
 }
 
-# Sends SIGTERM to the owner host1 right after its order for a promotion, which
-# takes `promotion` ms. `body` is evaluated 1 s later. No other host orders: an
-# order that takes effect after another one, for another endpoint, would replace
-# the primary that serves by then.
+# Sends SIGTERM to the owner host1 right after its promotion request, which takes
+# `promotion` ms. `body` is evaluated 1 s later. No other host may request a
+# promotion: a request that takes effect after one for another endpoint would
+# replace the primary that serves by then.
 proc wire::stop_promoting_owner {promotion {body ""}} {
     fleet
     set channel [connect host1 pay]
@@ -739,18 +738,18 @@
 }
 
 scenario wire-owner-stops-promoting \
-    "SIGTERM to the owner right after its order; the promotion ends" {
+    "SIGTERM to the owner right after its promotion request; the promotion completes" {
     wire::stop_promoting_owner 1500
 }
 
-# Longer than a host without work takes to stop.
+# The promotion takes longer than the shutdown of an idle host.
 scenario wire-owner-stops-promoting-slowly \
-    "SIGTERM to the owner right after its order, which takes 3 s" {
+    "SIGTERM to the owner right after its promotion request, which takes 3 s" {
     wire::stop_promoting_owner 3000
 }
 
 scenario wire-owner-stops-promoting-store-away \
-    "SIGTERM to the owner right after its order; the store is away as it ends" {
+    "SIGTERM to the owner right after its promotion request; it ends with the store down" {
     wire::stop_promoting_owner 1500 {
         wire::control store down
         after 2200
@@ -758,8 +757,8 @@
     }
 }
 
-# Checks the stand-in's orders, promotions and commits, and that the last writes
-# are served.
+# Checks the stand-in's promotion requests, promotions and commits, and that the
+# last writes are served.
 proc wire::check_promotions {outcomes} {
     set events [control events]
     set file [open [fleet::log_file events] w]
@@ -774,10 +773,10 @@
     expect {[lsort -unique $late] eq "done"} $late
 }
 
-# The primary is killed, and the order to promote another endpoint is held up. This
-# endpoint is unlisted until, after `replace_owner`, the third one is promoted. After
-# `restore_owner` and `pause` ms under load, the order arrives, unless its
-# connection was reset.
+# The primary is killed, and the request to promote another endpoint is delayed.
+# This endpoint's registration is removed until, after `replace_owner`, the third
+# endpoint is promoted. After `restore_owner` and `pause` ms under load, the request
+# arrives, unless its connection was reset.
 proc wire::deliver_late_order {seconds replace_owner restore_owner pause} {
     fleet
     lassign [write_under_load $seconds {
@@ -800,23 +799,23 @@
 }
 
 scenario wire-late-order \
-    "an order to promote arrives after its sender gave it up for another endpoint" {
+    "a promotion request arrives after its sender cancelled it for another endpoint" {
     wire::deliver_late_order 10 {} {} 2000
 }
 
 scenario wire-late-order-after-pause \
-    "the owner pauses, another one promotes; the first one's order arrives later" {
+    "the owner pauses, another one promotes; the first one's request arrives later" {
     wire::deliver_late_order 26 { suspend host1 } { resume host1 } 5000
 }
 
 scenario wire-late-order-after-restart \
-    "the owner restarts, another one promotes; the first one's order arrives later" {
+    "the owner restarts, another one promotes; the first one's request arrives later" {
     wire::deliver_late_order 22 { stop host1 } { start host1 } 4000
 }
 
-# The first order takes effect after 900 ms and `omission` tells how its answer is
-# lost. Its endpoint crashes and starts again meanwhile, so that another one is
-# considered.
+# The first promotion request takes effect after 900 ms, and `omission` says how its
+# answer is lost. Its endpoint crashes and restarts meanwhile, so that another one
+# becomes a candidate.
 proc wire::lose_order_answer {omission} {
     fleet
     lassign [write_under_load 16 {
@@ -836,12 +835,12 @@
 }
 
 scenario wire-order-answer-lost \
-    "an order takes effect late, its connection closes unanswered, its endpoint restarts" {
+    "a late promotion request; its connection closes unanswered, its endpoint restarts" {
     wire::lose_order_answer close
 }
 
 scenario wire-order-unanswered \
-    "an order takes effect late and is never answered, its endpoint restarts" {
+    "a late promotion request is never answered, its endpoint restarts" {
     wire::lose_order_answer silent
 }
 
@@ -881,7 +880,7 @@
     expect {[string match "ERROR AUTHFAIL *" $answer]}
     eventually {[wire::is_closed $unknown]} 1000
     # kb is revoked while one session is idle and one is in a transaction; kc is
-    # added at the same time, and is taken by hosts that do not know it yet.
+    # added at the same time, and must be accepted by hosts that do not know it yet.
     set c [wire::connect host3 pay kb]
     expect {[wire::query $c "BEGIN"] eq {done {} T}}
     expect {[wire::query $c "WRITE k5 lost"] eq {done {} T}}
@@ -927,7 +926,7 @@
         expect {[lindex [wire::query $other "READ k1"] 0] eq "done"}
     }
     expect {$refused > 0}
-    # Half of the limit at the least, on a machine of any speed that asks for more.
+    # At least half of the limit, on any machine that is fast enough to exceed it.
     expect {[llength $served] >= 7 * 20 / 2} "[llength $served] served"
     for {set i 0} {$i < [llength $served]} {incr i} {
         set from [lindex $served $i]
--- a/test/scenarios/wire_limits.tcl
+++ b/test/scenarios/wire_limits.tcl
@@ -1,6 +1,6 @@
 # Statements, session data and results near the limits of the protocols: each is
-# served through every host, or refused by the first statement that cannot be
-# kept, and none costs another caller anything.
+# served through every host, or refused at the first statement that exceeds a
+# limit, and none affects another caller.
 
 namespace eval wire_limits {
     variable message_max 1048576 ;# bytes of a message with its line end
@@ -22,8 +22,8 @@
     return $answers
 }
 
-# Checks that no host holds another one for lost: that a plain write through
-# each is done, and that no call between hosts was repeated.
+# Checks that no host considers another one lost: that a plain write through each
+# is done, and that no call between hosts was repeated.
 proc wire_limits::check_fleet {} {
     foreach answer [through_each {} "WRITE plain v"] {
         expect {[lindex $answer 1] eq "done"} $answer
@@ -35,7 +35,7 @@
     }
 }
 
-# A shape of this many bytes.
+# Returns a shape of `size` bytes.
 proc wire_limits::shape {size} {
     return [string repeat q $size]
 }
@@ -95,7 +95,7 @@
             expect {[lrange $answer 1 2] eq [list done $rows]} $answers
         }
     }
-    # More than a host holds: a refusal that says so, not a lost answer.
+    # More than Cbw_RESULT_MAX is refused with this reason, not as a lost answer.
     wire::control rows 12
     foreach answer [wire_limits::through_each {} "READ large"] {
         expect {[lrange $answer 1 2] eq "FAILED 0"} $answer
--- a/test/scenarios/wire_regions.tcl
+++ b/test/scenarios/wire_regions.tcl
@@ -36,8 +36,8 @@
     expect {$next in $centre} "$line; the primary is [control primary]"
 }
 
-# Checks that no write fails while the owner moves, and that it moves once. The
-# promotion is over.
+# Checks that no write fails while the owner moves, and that it moves once. Called
+# after the promotion.
 proc wire::write_through_handover {} {
     set outcomes [lindex [write_under_load 6 {}] 0]
     expect {[lsort -unique [dict values $outcomes]] eq "done"} \
@@ -76,7 +76,7 @@
 }
 
 scenario wire-regions-reads \
-    "reads of the other region are served there, see the session's writes, and go on when the owner is lost" {
+    "reads of the other region are served there, see the session's writes, and continue when the owner is lost" {
     wire::region_fleet
     set a [wire::connect host2 own]
     set late 0
@@ -125,7 +125,7 @@
 }
 
 scenario wire-regions-dispatcher-pauses \
-    "a read dispatcher is paused, goes on with old samples, and ends" {
+    "a read dispatcher is suspended, resumes with outdated samples, and is killed" {
     wire::region_fleet
     set c [wire::connect host2 own]
     wire::query $c "READ k"
@@ -147,7 +147,7 @@
     after 1500
     set before [wire::sum_counter reads_dispatched_total $others]
     wire::expect_own_writes $a e 20
-    # The next in order serves as the dispatcher.
+    # The next host in order has become the dispatcher.
     set after [wire::sum_counter reads_dispatched_total $others]
     expect {$after - $before > 20} "$before, then $after"
 }
--- a/test/scenarios/wire_texts.tcl
+++ b/test/scenarios/wire_texts.tcl
@@ -530,14 +530,14 @@
 # sent, or when to connect), `plan` (the next statements).
 
 # Returns a text of a few bytes, mostly those that delimit messages and words. One in
-# four may hold line feeds, as these may be refused.
+# four may hold line feeds, since texts with these are refused.
 proc texts::random_text {} {
     set text ""
     set line_feed [expr {[soak::random_below 4] == 0 ? "\n" : "\r"}]
     for {set i [expr {1 + [soak::random_below 10]}]} {$i > 0} {incr i -1} {
         append text [soak::random_element [list " " " " \r $line_feed $line_feed \t a b c d e f]]
     }
-    # CR LF is the one text that can't be sent.
+    # CR LF would end the message.
     while {[string first \r\n $text] >= 0} {
         set text [string map {\r\n \r} $text]
     }
@@ -661,8 +661,8 @@
     }
 }
 
-# Guards against changed texts, mixed transactions and answers out of step while
-# hosts stop and primaries die in overlapping series.
+# Guards against changed texts, mixed transactions and answers to other queries
+# while hosts are restarted and primaries killed, also at the same time.
 scenario wire-texts-soak \
     "random texts and transactions while hosts are restarted and primaries killed" {
     texts::fleet
