Tell calls that a peer rejected, or that were not sent, from lost ones

Cause: the peer task reports each call without a result as unanswered. The router took it for lost: it avoided the host, moved its databases to the next one with takes_over, and answered a write with INDOUBT, or sent a read again and again until its deadline. But a call that cannot be encoded was not sent, one that the peer answers with GARBAGE_ARGS (for example an earlier version, whose limit for shapes is 4 KiB) did not run, and one for which no connection could be opened was not sent either.

Change: a failed call names why it failed: lost, unsent or refused. Refused: the request ends as not run (BUSY, or ABORTED within a transaction), without another attempt at that host, and the host is not avoided; a read that went to a read dispatcher goes to the owner. If an earlier copy may have had an effect it stays in doubt. The owner of a transaction does not know of such a failure: the session has it rolled back. Unsent: as lost, but not counted as sent.

--- a/Makefile
+++ b/Makefile
@@ -55,7 +55,10 @@
 $(BUILD)/bin/test_libcarobwind: $(BUILD)/carobwindd/caller_protocol.o \
 	$(BUILD)/carobwindd/messages.o $(BUILD)/carobwindd/registry_records.o \
 	$(BUILD)/carobwindd/registry_encode.o $(BUILD)/carobwindd/store_relay.o \
-	$(BUILD)/carobwindd/client_limits.o \
+	$(BUILD)/carobwindd/client_limits.o $(BUILD)/carobwindd/task.o \
+	$(BUILD)/carobwindd/peer_task.o $(BUILD)/carobwindd/peer_server.o \
+	$(BUILD)/carobwindd/peer_traffic.o $(BUILD)/carobwindd/router_task.o \
+	$(BUILD)/carobwindd/cancel.o \
 	$(BUILD)/carobwindd/region_settings.o \
 	$(BUILD)/platform/wire.o $(BUILD)/platform/callers.o \
 	$(BUILD)/platform/backend_text.o $(BUILD)/platform/backend.o \
--- a/include/carobwind/request.h
+++ b/include/carobwind/request.h
@@ -85,6 +85,8 @@
     char token[Cbw_TOKEN_MAX]; /* log position that the answer reflects */
     char reason[64];           /* why it was not done; for people */
     cbw_time_t retry_after;    /* 0: not suggested */
+    /* Its owner did not take it, and does not know that it failed. */
+    bool undelivered;
 } cbw_answer_t;
 
 /* A request's place in a queue of the policy "fair". */
--- a/include/carobwind/session.h
+++ b/include/carobwind/session.h
@@ -94,8 +94,10 @@
 void CbwSession_Plan(cbw_session_t *session, const cbw_statement_t *statement,
                      uint64_t transaction, cbw_request_t *request,
                      cbw_plan_t *plan);
-/* Updates the session by the answer to a forwarded request. */
-void CbwSession_OnAnswer(cbw_session_t *session, const cbw_request_t *request);
+/* Updates the session by the answer to a forwarded request. Returns whether
+ * the request's transaction, which the endpoint still has open, is to be
+ * rolled back. */
+bool CbwSession_OnAnswer(cbw_session_t *session, const cbw_request_t *request);
 
 /* How long a drain waits before it closes sessions, and how long a session
  * must have been quiet: meanwhile the load balancer learns that this host is
--- a/src/carobwindd/messages.h
+++ b/src/carobwindd/messages.h
@@ -236,6 +236,14 @@
     peer_sample_result sample;
 } peer_result_t;
 
+/* Why a call to a peer has no answer. */
+typedef enum {
+    OUTBOUND_LOST,    /* the peer may have received it */
+    OUTBOUND_UNSENT,  /* there is no connection: it was not sent */
+    OUTBOUND_REFUSED, /* it could not be encoded, or the peer could not decode
+                         it: it was not started, and would not be later */
+} outbound_failure_t;
+
 /* MESSAGE_OUTBOUND and MESSAGE_OUTBOUND_DONE: a call to a peer. It owns the
  * strings and arrays in `args` and `result`. Freed by the task that made it.
  */
@@ -246,7 +254,8 @@
     peer_args_t args;
     peer_result_t result; /* set when `answered` */
     bool answered;
-    cbw_time_t timeout; /* from when it is sent */
+    outbound_failure_t failure; /* unless `answered` */
+    cbw_time_t timeout;         /* from when it is sent */
     /* Must not be repeated: waits for the answer until its timeout, also while
      * the peer is silent. */
     bool patient;
--- a/src/carobwindd/peer_task.c
+++ b/src/carobwindd/peer_task.c
@@ -46,14 +46,20 @@
 /* Client connections. */
 
 static void
-finish_call(outbound_t *call, bool answered)
+finish_call(outbound_t *call)
 {
     CbwList_Remove(&call->message.link);
-    call->answered = answered;
     Task_Post(TASK_PEER, call->reply_to, MESSAGE_OUTBOUND_DONE,
               &call->message);
 }
 
+static void
+fail_call(outbound_t *call, outbound_failure_t failure)
+{
+    call->failure = failure;
+    finish_call(call);
+}
+
 static void
 free_client(void *object)
 {
@@ -76,7 +82,8 @@
         g_hash_table_remove(clients_by_address, client->address);
     }
     while ((link = client->calls.next) != &client->calls) {
-        finish_call(Cbw_LIST_ITEM(link, outbound_t, message.link), false);
+        fail_call(Cbw_LIST_ITEM(link, outbound_t, message.link),
+                  OUTBOUND_LOST);
     }
     CbwReaper_Defer(free_client, client);
 }
@@ -120,13 +127,19 @@
     PeerTraffic_CountReceived(local_daemon, client->place, call->procedure,
                               rpc);
     decode = Peer_Codecs[call->procedure].result;
-    if (result != NULL && decode(result, &call->result)) {
-        finish_call(call, true);
+    if (result == NULL) {
+        /* Peers reject calls only before they start them. */
+        fail_call(call, OUTBOUND_REFUSED);
+        return;
+    }
+    if (decode(result, &call->result)) {
+        call->answered = true;
+        finish_call(call);
         return;
     }
     xdr_free(decode, &call->result);
     memset(&call->result, 0, sizeof(call->result));
-    finish_call(call, false);
+    fail_call(call, OUTBOUND_LOST);
 }
 
 static bool
@@ -202,7 +215,7 @@
         client = open_client(call->address);
     }
     if (client == NULL) {
-        finish_call(call, false);
+        fail_call(call, OUTBOUND_UNSENT);
         return;
     }
     if (CbwList_IsEmpty(&client->calls)) {
@@ -216,7 +229,7 @@
                         Peer_Codecs[call->procedure].args, &call->args);
     PeerTraffic_CountSent(local_daemon, client->place, call->procedure, bytes);
     if (bytes == 0) {
-        finish_call(call, false);
+        fail_call(call, OUTBOUND_REFUSED);
     }
 }
 
@@ -242,7 +255,7 @@
     Cbw_LIST_FOREACH (&client->calls, link, safe) {
         outbound_t *call = Cbw_LIST_ITEM(link, outbound_t, message.link);
         if (now >= call->deadline) {
-            finish_call(call, false);
+            fail_call(call, OUTBOUND_LOST);
         }
     }
 }
@@ -267,7 +280,7 @@
     Cbw_LIST_FOREACH (&client->calls, link, safe) {
         outbound_t *call = Cbw_LIST_ITEM(link, outbound_t, message.link);
         if (!call->patient) {
-            finish_call(call, false);
+            fail_call(call, OUTBOUND_LOST);
         }
     }
 }
--- a/src/carobwindd/router_task.c
+++ b/src/carobwindd/router_task.c
@@ -96,21 +96,27 @@
 routing_deadline(const cbw_request_t *request)
 {
     bool needs_settling = request->maybe_sent && request->key[0] != '\0';
-    bool may_have_effect = request->maybe_sent && request->writes;
+    bool may_have_written = request->maybe_sent && request->writes;
 
-    if (request->target > 0 && request->key[0] == '\0' && !may_have_effect) {
+    if (request->target > 0 && request->key[0] == '\0' && !may_have_written) {
         return request->arrived_at + request->target / EARLY_REFUSAL_DIVISOR;
     }
 
     return request->deadline + (needs_settling ? Cbw_OWNER_SETTLE_GRACE : 0);
 }
 
+/* Whether a request that is given up may have had an effect: a read may have
+ * run, but has none. */
+static bool
+may_have_effect(const cbw_request_t *request)
+{
+    return request->maybe_sent && (request->writes || request->key[0] != '\0');
+}
+
 static void
 fail_without_answer(job_t *job)
 {
-    /* A read may have run, but has no effect. */
-    bool in_doubt = job->request.maybe_sent &&
-                    (job->request.writes || job->request.key[0] != '\0');
+    bool in_doubt = may_have_effect(&job->request);
 
     job->request.answer.retry_after = in_doubt ? 0 : EARLY_REFUSAL_RETRY_AFTER;
     job->request.answer.cause = in_doubt ? CBW_CAUSE_TIMEOUT : CBW_CAUSE_BUSY;
@@ -421,22 +427,23 @@
     route_later(job);
 }
 
-/* The peer did not answer: the request may have run. */
+/* The peer did not answer: the request may have run, if it was sent. */
 static void
-on_forward_lost(job_t *job)
+on_forward_lost(job_t *job, bool sent)
 {
     cbw_request_t *request = &job->request;
 
     avoid_host(job->host);
     job->to_owner |= request->dispatches;
-    request->maybe_sent = true;
-    if (is_in_doubt_without_answer(request)) {
+    request->maybe_sent |= sent;
+    if (sent && is_in_doubt_without_answer(request)) {
         request->answer.cause =
             CBW_CAUSE_IN_DOUBT; /* no key to settle it by */
         end_job(job, CBW_OUTCOME_UNKNOWN, "the owner is lost");
         return;
     }
-    if (request->transaction != 0 && request->verb == CBW_VERB_COMMIT) {
+    if (sent && request->transaction != 0 &&
+        request->verb == CBW_VERB_COMMIT) {
         request->verb = CBW_VERB_SETTLE;
     }
     else if (request->transaction != 0 && request->verb != CBW_VERB_SETTLE &&
@@ -455,6 +462,45 @@
     retry_later(job);
 }
 
+/* The request cannot be passed on to the peer, for example because the peer is
+ * of an earlier version with lower limits. It did not run there, and would
+ * not when it is sent again. The peer works otherwise. */
+static void
+on_forward_refused(job_t *job)
+{
+    cbw_request_t *request = &job->request;
+    bool in_doubt = may_have_effect(request); /* by an earlier copy */
+
+    if (request->dispatches) {
+        job->to_owner = true;
+        route(job);
+        return;
+    }
+    request->answer.undelivered = true;
+    request->answer.cause = in_doubt ? CBW_CAUSE_IN_DOUBT
+                            : request->transaction != 0 && !request->begins
+                                ? CBW_CAUSE_ABORTED
+                                : CBW_CAUSE_BUSY;
+    end_job(job, in_doubt ? CBW_OUTCOME_UNKNOWN : CBW_OUTCOME_NOTRUN,
+            "it cannot be passed on to the owner");
+}
+
+static void
+on_forward_failed(job_t *job, outbound_failure_t failure)
+{
+    switch (failure) {
+    case OUTBOUND_LOST:
+        on_forward_lost(job, true);
+        break;
+    case OUTBOUND_UNSENT:
+        on_forward_lost(job, false);
+        break;
+    case OUTBOUND_REFUSED:
+        on_forward_refused(job);
+        break;
+    }
+}
+
 static void
 remember_move(const job_t *job)
 {
@@ -553,7 +599,7 @@
         on_answer(job);
     }
     else {
-        on_forward_lost(job);
+        on_forward_failed(job, outbound->failure);
     }
     Outbound_Free(outbound);
 }
--- a/src/carobwindd/session_task.c
+++ b/src/carobwindd/session_task.c
@@ -132,7 +132,9 @@
                    CbwNet_Now() - request->arrived_at);
     SessionReport_LogFailure(session, request, job->host);
     memcpy(session->host, job->host, Cbw_NAME_MAX);
-    CbwSession_OnAnswer(&session->session, request);
+    if (CbwSession_OnAnswer(&session->session, request)) {
+        send_rollback(session, request->transaction);
+    }
     session->job = NULL;
     CbwMemoryAccount_Set(&session->account, CBW_MEMORY_STATEMENTS, 0);
     CbwMemoryAccount_OnAnswer(&session->account, SessionLimits_State(session),
--- a/src/libcarobwind/session.c
+++ b/src/libcarobwind/session.c
@@ -382,7 +382,7 @@
     }
 }
 
-void
+bool
 CbwSession_OnAnswer(cbw_session_t *session, const cbw_request_t *request)
 {
     bool done = request->answer.outcome == CBW_OUTCOME_DONE;
@@ -390,6 +390,7 @@
         request->transaction == 0
             ? request->writes
             : request->verb == CBW_VERB_COMMIT && session->has_written;
+    bool rolls_back;
 
     /* Only what commits the session's own writes advances its token. A read
      * may have seen an older position, which must not move the token back. */
@@ -397,8 +398,9 @@
         memcpy(session->token, request->answer.token, sizeof(session->token));
     }
     if (request->transaction == 0) {
-        return;
+        return false;
     }
+    rolls_back = session->begun && request->answer.undelivered;
     if (request->verb == CBW_VERB_COMMIT) {
         end_transaction(session);
     }
@@ -410,6 +412,7 @@
     else {
         session->state = CBW_SESSION_FAILED;
     }
+    return rolls_back;
 }
 
 bool
--- a/src/test_libcarobwind/suites.h
+++ b/src/test_libcarobwind/suites.h
@@ -26,6 +26,7 @@
 void Suite_AddOddRecords(void);
 void Suite_AddOffload(void);
 void Suite_AddOwner(void);
+void Suite_AddPeerCalls(void);
 void Suite_AddPolicies(void);
 void Suite_AddPool(void);
 void Suite_AddPoolConfirm(void);
--- a/src/test_libcarobwind/test_main.c
+++ b/src/test_libcarobwind/test_main.c
@@ -30,6 +30,7 @@
     Suite_AddOddRecords();
     Suite_AddOffload();
     Suite_AddOwner();
+    Suite_AddPeerCalls();
     Suite_AddPolicies();
     Suite_AddPool();
     Suite_AddPoolConfirm();
--- a/src/test_libcarobwind/test_session.c
+++ b/src/test_libcarobwind/test_session.c
@@ -293,6 +293,52 @@
     CbwSession_Finish(&session);
 }
 
+/* A statement or COMMIT that the owner did not take: guards against a
+ * transaction that stays open at the endpoint, as its owner does not know that
+ * it failed. */
+static void
+test_undelivered_rolls_back(void)
+{
+    static const struct {
+        cbw_statement_kind_t kind;
+        bool begun; /* at the endpoint */
+        bool undelivered;
+        bool rolls_back;
+        cbw_session_state_t state;
+    } kinds[] = {
+        {CBW_STATEMENT_READ, true, true, true, CBW_SESSION_FAILED},
+        {CBW_STATEMENT_COMMIT, true, true, true, CBW_SESSION_IDLE},
+        {CBW_STATEMENT_READ, true, false, false, CBW_SESSION_FAILED},
+        {CBW_STATEMENT_COMMIT, true, false, false, CBW_SESSION_IDLE},
+        {CBW_STATEMENT_READ, false, true, false, CBW_SESSION_FAILED},
+    };
+    static const step_t begin = {.kind = CBW_STATEMENT_BEGIN, .name = ""};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(kinds); i++) {
+        step_t step = {.kind = kinds[i].kind, .name = ""};
+        cbw_session_t session;
+        cbw_request_t request;
+        cbw_plan_t result;
+        g_test_message("case %zu", i);
+        CbwSession_Init(&session);
+        if (kinds[i].begun) {
+            begin_at_endpoint(&session, CBW_STATEMENT_WRITE, "");
+        }
+        else {
+            plan(&session, &begin, &request, &result);
+            CbwRequest_Finish(&request);
+        }
+        plan(&session, &step, &request, &result);
+        request.answer.outcome = CBW_OUTCOME_NOTRUN;
+        request.answer.undelivered = kinds[i].undelivered;
+        g_assert_cmpint(CbwSession_OnAnswer(&session, &request), ==,
+                        kinds[i].rolls_back);
+        g_assert_cmpint(session.state, ==, kinds[i].state);
+        CbwRequest_Finish(&request);
+        CbwSession_Finish(&session);
+    }
+}
+
 /* The token advances with the commit of a transaction that wrote, not with its
  * writes, and not with a commit after reads, which may come from a replica. */
 static void
@@ -434,6 +480,8 @@
                     test_local_error_rolls_back);
     g_test_add_func("/session/endpoint-error-needs-no-rollback",
                     test_endpoint_error_needs_no_rollback);
+    g_test_add_func("/session/undelivered-rolls-back",
+                    test_undelivered_rolls_back);
     g_test_add_func("/session/token-advances-with-commit",
                     test_token_advances_with_commit);
     g_test_add_func("/session/close-while-draining",
