Fail the transaction when the entry refuses a statement before its plan

Cause: a statement whose id has a line feed or is too long, for which the host has no memory, or whose kind has no route any more, was answered with an error and READY T: the session did not hear of it. The transaction could go on, and be committed without the statement.

Change: CbwSession_Fail fails the open transaction. Errors of plans use it as before, and the session task for each statement that it refuses itself. The caller then gets E and has to end the transaction, which rolls it back at the endpoint; outside of one the session stays idle.

--- a/include/carobwind/session.h
+++ b/include/carobwind/session.h
@@ -94,6 +94,9 @@
 void CbwSession_Plan(cbw_session_t *session, const cbw_statement_t *statement,
                      uint64_t transaction, cbw_request_t *request,
                      cbw_plan_t *plan);
+/* A statement failed without being forwarded: fails the open transaction, if
+ * there is one. The caller has to end it. */
+void CbwSession_Fail(cbw_session_t *session);
 /* Updates the session by the answer to a forwarded request. Returns whether
  * the request's transaction, which the endpoint still has open, is to be
  * rolled back. */
--- a/src/carobwindd/session_task.c
+++ b/src/carobwindd/session_task.c
@@ -119,6 +119,15 @@
     write_answer(session, &answer);
 }
 
+/* Answers a statement that was not planned, or whose plan cannot be carried
+ * out. */
+static void
+refuse_statement(session_t *session, cbw_cause_t cause, const char *reason)
+{
+    CbwSession_Fail(&session->session);
+    answer_locally(session, cause, reason);
+}
+
 /* Answers from owners. */
 
 static void
@@ -239,14 +248,14 @@
     cbw_plan_t plan;
 
     if (strlen(statement->id) >= sizeof(job->request.trace)) {
-        answer_locally(session, CBW_CAUSE_MALFORMED, "the id is too long");
+        refuse_statement(session, CBW_CAUSE_MALFORMED, "the id is too long");
         Job_Free(job);
         return;
     }
     if (CbwSession_Keeps(statement) &&
         !ClientLimits_MayKeep(&session->account, strlen(statement->text))) {
-        answer_locally(session, CBW_CAUSE_BUSY,
-                       "this host has no memory for it now");
+        refuse_statement(session, CBW_CAUSE_BUSY,
+                         "this host has no memory for it now");
         Job_Free(job);
         return;
     }
@@ -277,8 +286,8 @@
                      "configuration=%" PRId64,
                      statement->id, session->access.kind,
                      self.config->inventory.version);
-        answer_locally(session, CBW_CAUSE_NO_DATABASE,
-                       "no route has this name");
+        refuse_statement(session, CBW_CAUSE_NO_DATABASE,
+                         "no route has this name");
         break;
     }
     if (plan.rolls_back) {
@@ -371,7 +380,7 @@
             end_session(session);
             return;
         }
-        answer_locally(session, CBW_CAUSE_MALFORMED, "not understood");
+        refuse_statement(session, CBW_CAUSE_MALFORMED, "not understood");
         break;
     }
 }
--- a/src/libcarobwind/session.c
+++ b/src/libcarobwind/session.c
@@ -198,16 +198,22 @@
     return session->encoded_values;
 }
 
+void
+CbwSession_Fail(cbw_session_t *session)
+{
+    if (session->state == CBW_SESSION_IN_TRANSACTION) {
+        session->state = CBW_SESSION_FAILED;
+        session->failed_locally = session->begun;
+    }
+}
+
 /* Planning. */
 
 static void
 plan_error(cbw_session_t *session, cbw_plan_t *plan, cbw_cause_t cause,
            const char *reason)
 {
-    if (session->state == CBW_SESSION_IN_TRANSACTION) {
-        session->state = CBW_SESSION_FAILED;
-        session->failed_locally = session->begun;
-    }
+    CbwSession_Fail(session);
     *plan = (cbw_plan_t){CBW_PLAN_ERROR, cause, reason, false};
 }
 
--- a/src/test_libcarobwind/test_session.c
+++ b/src/test_libcarobwind/test_session.c
@@ -293,6 +293,47 @@
     CbwSession_Finish(&session);
 }
 
+/* A statement that the entry refuses before it is planned: guards against a
+ * transaction that can be committed without it. */
+static void
+test_refused_before_plan(void)
+{
+    static const step_t begin = {.kind = CBW_STATEMENT_BEGIN, .name = ""};
+    static const step_t read = {.kind = CBW_STATEMENT_READ, .name = ""};
+    static const step_t commit = {.kind = CBW_STATEMENT_COMMIT, .name = ""};
+
+    for (int begun = 0; begun < 2; begun++) {
+        cbw_session_t session;
+        cbw_request_t request;
+        cbw_plan_t result;
+        g_test_message("begun at the endpoint: %d", begun);
+        CbwSession_Init(&session);
+        CbwSession_Fail(&session);
+        g_assert_cmpint(session.state, ==, CBW_SESSION_IDLE);
+        if (begun) {
+            begin_at_endpoint(&session, CBW_STATEMENT_WRITE, "");
+        }
+        else {
+            plan(&session, &begin, &request, &result);
+            CbwRequest_Finish(&request);
+        }
+        /* The second time it has failed already. */
+        for (int i = 0; i < 2; i++) {
+            CbwSession_Fail(&session);
+            g_assert_cmpint(session.state, ==, CBW_SESSION_FAILED);
+        }
+        plan(&session, &read, &request, &result);
+        g_assert_cmpint(result.cause, ==, CBW_CAUSE_MALFORMED);
+        CbwRequest_Finish(&request);
+        plan(&session, &commit, &request, &result);
+        g_assert_cmpint(result.cause, ==, CBW_CAUSE_ABORTED);
+        g_assert_cmpint(result.rolls_back, ==, begun);
+        g_assert_cmpint(session.state, ==, CBW_SESSION_IDLE);
+        CbwRequest_Finish(&request);
+        CbwSession_Finish(&session);
+    }
+}
+
 /* A statement or COMMIT that the owner did not take: guards against a
  * transaction that stays open at the endpoint, as its owner does not know that
  * it failed. */
@@ -480,6 +521,7 @@
                     test_local_error_rolls_back);
     g_test_add_func("/session/endpoint-error-needs-no-rollback",
                     test_endpoint_error_needs_no_rollback);
+    g_test_add_func("/session/refused-before-plan", test_refused_before_plan);
     g_test_add_func("/session/undelivered-rolls-back",
                     test_undelivered_rolls_back);
     g_test_add_func("/session/token-advances-with-commit",
--- a/test/scenarios/wire_texts.tcl
+++ b/test/scenarios/wire_texts.tcl
@@ -192,7 +192,7 @@
 }
 
 # Applies the answer to a query to its session and checks that it belongs to the
-# query. Returns a list: outcome (done, an error code, silent or closed), rows.
+# query. Returns a list: outcome (done, an error code, silent or closed), rows, state.
 proc texts::end_query {channel id messages} {
     variable sent
     variable session
@@ -216,7 +216,7 @@
     }
     dict set sent $id outcome $outcome
     if {$outcome in {closed silent}} {
-        return [list $outcome {}]
+        return [list $outcome {} ""]
     }
     if {$outcome eq "NOSTMT" && [dict get $query shape] ne ""} {
         fault "$label: its prepared statement is unknown"
@@ -243,10 +243,10 @@
     if {$state eq "I"} {
         dict set session($channel) transaction 0
     }
-    return [list $outcome $rows]
+    return [list $outcome $rows $state]
 }
 
-# Runs a query and returns its outcome and its rows.
+# Runs a query and returns its outcome, its rows and the state after it.
 proc texts::query {channel text label {packets whole} {id ""}} {
     set id [start_query $channel $text $label $packets $id]
     return [end_query $channel $id [receive $channel]]
@@ -458,36 +458,68 @@
     texts::expect_no_faults
 }
 
-# Guards against ids that are changed or that split a message.
+# Runs a query whose id must be refused, after which the session must be in `state`
+# and in step.
+proc texts::run_refused {channel text label id state} {
+    lassign [query $channel $text $label whole $id] outcome rows found
+    if {$outcome ne "MALFORMED" || $found ne $state} {
+        fault "$label: $text was answered with $outcome, state $found, not $state"
+    }
+}
+
+# Guards against ids that are changed or that split a message, and against
+# transactions that are committed without a statement whose id was refused.
 scenario wire-ids-unchanged "query ids that hold or end in CR, LF, tabs and other bytes" {
     texts::fleet
     set number 0
+    set failed {}
     foreach host {host1 host2 host3} {
-        foreach {kind end} {
-            plain x  cr \r  two-crs \r\r  lf \n  lf-inside \nx  cr-inside \rx  tab \tx
-            like-a-message \nQUERY\tx  other-bytes \xe9\xff\x01
-        } {
+        foreach {kind end is_refused} [list \
+            plain x 0  cr \r 0  two-crs \r\r 0  lf \n 1  lf-inside \nx 1  cr-inside \rx 0 \
+            tab \tx 0  like-a-message \nQUERY\tx 1  other-bytes \xe9\xff\x01 0 \
+            too-long [string repeat x 100] 1] {
+            set label "$host, $kind"
             set channel [texts::connect $host own]
             foreach text {"READ k" "WRITE k v" BEGIN "WRITE k v" COMMIT "READ last"} {
-                set outcome [lindex [texts::query $channel $text "$host, $kind" \
-                    whole i[incr number]$end] 0]
-                if {$outcome eq "MALFORMED" && [string first \n $end] >= 0} {
-                    # Refused, and in step.
-                    set outcome [lindex [texts::query $channel "READ last" "$host, $kind"] 0]
-                    if {$outcome ne "done"} {
-                        texts::fault "$host, $kind: the next statement was not served: $outcome"
-                    }
-                    break
+                set id i[incr number]$end
+                if {$is_refused} {
+                    texts::run_refused $channel $text $label $id I
+                    continue
                 }
+                set outcome [lindex [texts::query $channel $text $label whole $id] 0]
                 if {$outcome ne "done"} {
-                    texts::fault "$host, $kind: $text was not served: $outcome"
+                    texts::fault "$label: $text was not served: $outcome"
+                    break
+                }
+            }
+            foreach text {"READ k" "WRITE k v" COMMIT ROLLBACK} {
+                if {!$is_refused} {
                     break
                 }
+                set key f[incr number]
+                lappend failed $key
+                foreach {statement expected} [list BEGIN {done T} "WRITE $key v" {done T} \
+                    "" "" COMMIT {ABORTED I} "READ last" {done I}] {
+                    if {$statement eq ""} {
+                        texts::run_refused $channel $text $label i[incr number]$end E
+                        continue
+                    }
+                    lassign [texts::query $channel $statement $label] outcome rows state
+                    if {[list $outcome $state] ne $expected} {
+                        texts::fault "$label: with $text refused, $statement was answered with\
+                            $outcome, state $state, not $expected"
+                    }
+                }
             }
             texts::disconnect $channel
         }
     }
     texts::check_runs 1
+    foreach entry [wire::control log [wire::control primary]] {
+        if {[lindex $entry 1] in $failed} {
+            texts::fault "[lindex $entry 1] was committed without a statement that was refused"
+        }
+    }
     texts::expect_no_faults
 }
 
