Test of failed calls: do not leak the text that is not encoded

The sanitized /peer-calls/failures failed with a leak of 1 MiB: xdr_free does not free a string that is longer than its limit in the protocol, such as the shape of the case "write that is not encoded". No shape that a session keeps is as long. The case has a too long statement now, which is opaque data, is not encoded either, and is freed.

Failed before, with the sanitizers; passes now with and without them.

--- a/src/test_libcarobwind/test_peer_calls.c
+++ b/src/test_libcarobwind/test_peer_calls.c
@@ -31,7 +31,7 @@
 typedef struct {
     const char *name;
     peers_t peers;
-    size_t shape_size; /* 0: not prepared */
+    size_t size; /* of the statement */
     cbw_verb_t verb;
     bool writes;
     bool in_transaction; /* which the owner, "h2", has begun */
@@ -53,7 +53,7 @@
      CBW_OUTCOME_NOTRUN, CBW_CAUSE_ABORTED, 1, false},
     {"rejected write after a lost copy", PEERS_REJECT, 10, CBW_VERB_STATEMENT,
      true, false, true, CBW_OUTCOME_UNKNOWN, CBW_CAUSE_IN_DOUBT, 1, false},
-    {"write that is not encoded", PEERS_REJECT, PEER_SHAPE_MAX + 1,
+    {"write that is not encoded", PEERS_REJECT, PEER_STATEMENT_MAX + 1,
      CBW_VERB_STATEMENT, true, false, false, CBW_OUTCOME_NOTRUN,
      CBW_CAUSE_BUSY, 0, false},
     {"lost write", PEERS_CLOSE, 10, CBW_VERB_STATEMENT, true, false, false,
@@ -206,19 +206,18 @@
 {
     job_t *job = Job_New();
     cbw_request_t *request = &job->request;
+    char *text = g_strnfill(item->size, 'x');
 
     strcpy(request->database, "d");
     request->verb = item->verb;
     request->writes = item->writes;
     request->maybe_sent = item->maybe_sent;
-    CbwRequest_SetStatement(request, "k v", 3);
-    if (item->shape_size > 0) {
-        request->shape = g_strnfill(item->shape_size, 'x');
-    }
+    CbwRequest_SetStatement(request, text, item->size);
     if (item->in_transaction) {
         request->transaction = TRANSACTION;
         strcpy(job->host, "h2");
     }
+    g_free(text);
     request->arrived_at = CbwNet_Now();
     request->deadline = request->arrived_at + DEADLINE;
     done = NULL;
