Test which failed calls roll back, and reads that a dispatcher rejects

/peer-calls/failures checks that exactly the refused calls are marked as not delivered, for the session to roll back; /peer-calls/rejected-by-dispatcher, that a read which a read dispatcher rejects is sent to the owner once.

--- a/src/test_libcarobwind/test_peer_calls.c
+++ b/src/test_libcarobwind/test_peer_calls.c
@@ -152,9 +152,10 @@
     (void)old_state;
 }
 
-/* Posts a view of this host, which serves no database, and two peers. */
+/* Posts a view of this host, which serves no database, and two peers, "h2" of
+ * its data centre and "h3" of `other_centre`. */
 static void
-post_view(const char *address)
+post_view(const char *address, const char *other_centre)
 {
     static const cbw_membership_ops_t ops = {on_probe, on_change};
     static const char *const names[] = {"h2", "h3"};
@@ -167,8 +168,10 @@
                        NULL, "h1", "z1", "127.0.0.1:1", 1, 1);
     view->membership.members[0].record.state = CBW_MEMBER_LEAVING;
     for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
-        cbw_member_record_t record = {
-            .data_centre = "z1", .state = CBW_MEMBER_ALIVE, .incarnation = 1};
+        cbw_member_record_t record = {.state = CBW_MEMBER_ALIVE,
+                                      .incarnation = 1};
+        snprintf(record.data_centre, sizeof(record.data_centre), "%s",
+                 i == 0 ? "z1" : other_centre);
         snprintf(record.name, sizeof(record.name), "%s", names[i]);
         snprintf(record.address, sizeof(record.address), "%s", address);
         CbwMembership_ApplyUpdate(&view->membership, CbwNet_Now(), &record);
@@ -179,8 +182,10 @@
     Task_Post(TASK_MEMBER, TASK_ROUTER, MESSAGE_VIEW, &message->message);
 }
 
+/* Posts a configuration with one database, whose home is a data centre, and
+ * which has a replica in this host's. */
 static void
-post_config(void)
+post_config(const char *home)
 {
     config_message_t *message = calloc(1, sizeof(*message));
     config_t *config = calloc(1, sizeof(*config));
@@ -193,7 +198,10 @@
     g_assert_nonnull(inventory->databases);
     inventory->database_count = 1;
     strcpy(inventory->databases[0].name, "d");
-    strcpy(inventory->databases[0].home, "z1");
+    snprintf(inventory->databases[0].home, Cbw_NAME_MAX, "%s", home);
+    inventory->databases[0].endpoint_count = 1;
+    strcpy(inventory->databases[0].endpoints[0].data_centre, "z1");
+    inventory->databases[0].endpoints[0].connections = 100;
     config->references = 1;
     message->config = config;
     CbwList_Init(&message->message.link);
@@ -231,19 +239,34 @@
     return job;
 }
 
-static void
-start_host(void)
+/* Starts the peers' listener and, for the first test, the host. Returns the
+ * listener, and its address in `text`. */
+static int
+start(char *text)
 {
+    struct sockaddr_in address = {.sin_port = 0};
+    socklen_t length = sizeof(address);
+    int listener = CbwNet_Listen("127.0.0.1:0", NULL);
+
+    g_assert_cmpint(listener, >=, 0);
+    getsockname(listener, (struct sockaddr *)&address, &length);
+    snprintf(text, Cbw_ADDRESS_MAX, "127.0.0.1:%d", ntohs(address.sin_port));
+    calls = 0;
+    if (loop != NULL) {
+        return listener;
+    }
     loop = ev_loop_new(EVFLAG_AUTO);
     local.loop = loop;
     local.settings.peers_address = "127.0.0.1:0";
     local.settings.owner_policy = "rendezvous";
+    local.settings.data_centre = "z1";
     strcpy(local.local_ip, "127.0.0.1");
     CbwReaper_Start(loop);
     ClientLimits_Start(&local);
     Task_Register(loop, TASK_ENTRY, on_entry_message, NULL);
     RouterTask_Start(&local);
     g_assert_cmpint(PeerTask_Start(&local, NULL), ==, 0);
+    return listener;
 }
 
 /* Guards against a call that an owner rejects, or that cannot be sent, being
@@ -252,16 +275,10 @@
 static void
 test_failures(void)
 {
-    struct sockaddr_in address = {.sin_port = 0};
-    socklen_t length = sizeof(address);
     char text[Cbw_ADDRESS_MAX];
-    int listener = CbwNet_Listen("127.0.0.1:0", NULL);
+    int listener = start(text);
 
-    g_assert_cmpint(listener, >=, 0);
-    getsockname(listener, (struct sockaddr *)&address, &length);
-    snprintf(text, sizeof(text), "127.0.0.1:%d", ntohs(address.sin_port));
-    start_host();
-    post_config();
+    post_config("z1");
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
         const case_t *item = &cases[i];
         const case_t next = {.peers = item->peers, .writes = true};
@@ -269,12 +286,14 @@
         job_t *job;
         g_test_message("%s", item->name);
         peers = item->peers;
-        post_view(item->peers == PEERS_ABSENT ? "nowhere" : text);
+        post_view(item->peers == PEERS_ABSENT ? "nowhere" : text, "z1");
         calls = 0;
         job = run_job(item, listener);
         g_assert_cmpint(job->request.answer.outcome, ==, item->outcome);
         g_assert_cmpint(job->request.answer.cause, ==, item->cause);
         g_assert_cmpint(calls, <=, item->calls_max);
+        /* Only of those is an open transaction rolled back by the entry. */
+        g_assert_cmpint(job->request.answer.undelivered, ==, !item->avoided);
         memcpy(host, job->host, sizeof(host));
         Job_Free(job);
         if (item->peers != PEERS_ABSENT && !item->in_transaction) {
@@ -292,8 +311,36 @@
     close(listener);
 }
 
+/* Guards against a read that a read dispatcher rejects being refused without
+ * the owner, which may take it, being asked; or asked more than once. */
+static void
+test_rejected_by_dispatcher(void)
+{
+    static const case_t read = {.size = 10};
+    char text[Cbw_ADDRESS_MAX];
+    int listener = start(text);
+    job_t *job;
+
+    CbwRegions_Add(&local.settings.regions, "z1", "r1", NULL);
+    CbwRegions_Add(&local.settings.regions, "z2", "r2", NULL);
+    g_assert_true(local.settings.regions.several);
+    post_config("z2");
+    post_view(text, "z2");
+    peers = PEERS_REJECT;
+    job = run_job(&read, listener);
+    g_assert_cmpint(calls, ==, 2);
+    g_assert_cmpstr(job->host, ==, "h3");
+    g_assert_cmpint(job->request.answer.outcome, ==, CBW_OUTCOME_NOTRUN);
+    g_assert_cmpint(job->request.answer.cause, ==, CBW_CAUSE_BUSY);
+    Job_Free(job);
+    memset(&local.settings.regions, 0, sizeof(local.settings.regions));
+    close(listener);
+}
+
 void
 Suite_AddPeerCalls(void)
 {
     g_test_add_func("/peer-calls/failures", test_failures);
+    g_test_add_func("/peer-calls/rejected-by-dispatcher",
+                    test_rejected_by_dispatcher);
 }
