libcarobwind: reword comments of counters, calls, requests and the log

Some comments were hard to read without the history of the code ("left out", "began to be leased", "it goes behind"), and one told how a limit had been measured. The status MISPLACED now says what follows from it: a write may have been committed.

Comments only.

--- a/include/carobwind/counter.h
+++ b/include/carobwind/counter.h
@@ -23,7 +23,7 @@
     CBW_COUNTER_READS_PRIMARY,
     CBW_COUNTER_READS_REPLICA,
     CBW_COUNTER_READS_DISPATCHED, /* sent by a read dispatcher */
-    /* Reads that a read dispatcher left to the owner. */
+    /* Reads that a read dispatcher returned for the owner. */
     CBW_COUNTER_READS_HANDED_BACK,
     CBW_COUNTER_SAMPLES_ASKED, /* of owners */
     /* Requests sent to endpoints, by where those are from the host that sent
@@ -48,16 +48,18 @@
     CBW_COUNTER_PROMOTIONS_STARTED,
     CBW_COUNTER_PROMOTIONS_WON,
     CBW_COUNTER_PROMOTIONS_LOST,
-    CBW_COUNTER_ORDERS_CANCELLED,   /* promotion requests without a reply */
-    CBW_COUNTER_SWAPS_UNANSWERED,   /* of a tenure's record */
-    CBW_COUNTER_COMMITS_SUPERSEDED, /* answered, and not acknowledged */
+    CBW_COUNTER_ORDERS_CANCELLED, /* promotion requests without a reply */
+    CBW_COUNTER_SWAPS_UNANSWERED, /* of the tenure record */
+    /* Run by an endpoint, but not acknowledged, as another one may have been
+     * promoted. */
+    CBW_COUNTER_COMMITS_SUPERSEDED,
     CBW_COUNTER_CONNECTIONS_OPENED,
     CBW_COUNTER_CONNECTIONS_LOST,
-    /* Answers by which an endpoint does not know a prepared statement that its
-     * connection had prepared. */
+    /* Replies that a prepared statement is unknown, though it was prepared on
+     * the same connection. */
     CBW_COUNTER_STATEMENTS_UNKNOWN,
-    /* Answers after which an endpoint had a transaction open on a connection
-     * that carried none, or none on one that did. */
+    /* Replies after which an endpoint reports an open transaction on a
+     * connection that has none, or none on a connection that has one. */
     CBW_COUNTER_TRANSACTION_MISMATCHES,
     /* Opened though one of another workspace was idle. */
     CBW_COUNTER_CONNECTIONS_OPENED_FOR_WORKSPACE,
@@ -80,15 +82,15 @@
     CBW_COUNTER_PROBES,
     CBW_COUNTER_CONFIG_APPLIED,
     CBW_COUNTER_CONFIG_FETCHED,
-    CBW_COUNTER_RECORDS_UNUSABLE, /* of the store, and left out */
+    CBW_COUNTER_RECORDS_UNUSABLE, /* store records that were skipped */
     CBW_COUNTER_SESSIONS,
     CBW_COUNTER_KINDS_REFUSED,     /* sessions that named an unknown kind */
     CBW_COUNTER_KEYS_REFUSED,      /* sessions with an unknown key */
-    CBW_COUNTER_SESSIONS_REVOKED,  /* their kind or key is gone */
-    CBW_COUNTER_WORKSPACE_UNKNOWN, /* requests of workspaces that are gone */
+    CBW_COUNTER_SESSIONS_REVOKED,  /* their kind or key was removed */
+    CBW_COUNTER_WORKSPACE_UNKNOWN, /* requests of removed workspaces */
     CBW_COUNTER_TRANSACTIONS,
-    CBW_COUNTER_QUOTA_LENT,     /* shares that began to be lent */
-    CBW_COUNTER_QUOTA_BORROWED, /* shares that began to be leased */
+    CBW_COUNTER_QUOTA_LENT,     /* shares newly lent */
+    CBW_COUNTER_QUOTA_BORROWED, /* shares newly borrowed */
     CBW_COUNTER_QUOTA_MESSAGES, /* calls between owners and granters */
     /* Connections that other processes opened and this one closed, by cause
      * (cbw_close_reason_t). */
@@ -99,7 +101,7 @@
     CBW_COUNTER_CLIENTS_CLOSED_DELIVERED, /* did not close after an error */
     CBW_COUNTER_MESSAGES_TOO_LARGE,
     CBW_COUNTER_SESSION_DATA_REFUSED, /* no memory for values, statements */
-    CBW_COUNTER_ACCEPTS_PAUSED,       /* times: no descriptor was to be had */
+    CBW_COUNTER_ACCEPTS_PAUSED,       /* no descriptor was available */
     CBW_COUNTER_COUNT_,
 } cbw_counter_id_t;
 
--- a/include/carobwind/endpoint.h
+++ b/include/carobwind/endpoint.h
@@ -34,14 +34,15 @@
     CBW_REPLY_BEHIND,    /* its log lacks `min_position`: not run */
     CBW_REPLY_TIMEOUT,   /* it ran, and did not finish in time */
     CBW_REPLY_TOO_LARGE, /* it ran; its result exceeds Cbw_RESULT_MAX */
-    CBW_REPLY_MISPLACED, /* it ran, outside of its transaction or in an unknown
-                            one */
+    /* It ran, outside of its transaction or in an unknown one: a write may
+     * have been committed. */
+    CBW_REPLY_MISPLACED,
 } cbw_reply_status_t;
 
 /* Text of each cbw_reply_status_t, indexed by value. */
 extern const char *const CbwEndpoint_StatusString[];
 
-/* Number of term beginnings in a state: the latest ones are reported. */
+/* Most term beginnings in a state; the latest ones are reported. */
 #define Cbw_TERM_BEGINS_MAX 8
 
 /* The position in the log where a term began. */
@@ -54,7 +55,7 @@
 typedef struct {
     uint64_t term; /* the endpoint refuses lower terms */
     bool primary;
-    /* A term: that of the primary it replicates from; 0: from none. */
+    /* Term of the primary that it replicates from; 0: none. */
     uint64_t follows;
     uint64_t last_term; /* term of the last log entry */
     uint64_t position;  /* of the last log entry */
@@ -92,7 +93,8 @@
     cbw_time_t wait_timeout; /* or after this time; 0: reply at once */
 } cbw_call_t;
 
-/* Bytes of a result with all its rows: what the peer protocol carries. */
+/* Most bytes of a result with all its rows: the limit of the peer protocol.
+ */
 #define Cbw_RESULT_MAX ((size_t)4 * 1024 * 1024)
 
 /* An endpoint's reply. */
--- a/include/carobwind/log.h
+++ b/include/carobwind/log.h
@@ -22,10 +22,7 @@
 extern const char *const CbwLog_LevelString[];
 
 /* Most lines of one event that are written per second, except at level debug.
- * The number of
- * suppressed lines is logged in a line of its own. At 50 statements per second
- * and host this keeps the cost of logging in a flood below 1% of the processor
- * time. */
+ * The number of suppressed lines is logged in a line of its own. */
 #define Cbw_LOG_EVENT_RATE_MAX 20
 /* Size of the longest line, including the newline. */
 #define Cbw_LOG_LINE_MAX 768
--- a/include/carobwind/request.h
+++ b/include/carobwind/request.h
@@ -46,7 +46,7 @@
     CBW_CAUSE_NONE,
     CBW_CAUSE_BUSY,    /* no capacity, or no primary in time: did not run */
     CBW_CAUSE_ABORTED, /* its transaction was lost and is rolled back */
-    CBW_CAUSE_BEHIND,  /* no endpoint has the log position that it must see */
+    CBW_CAUSE_BEHIND,  /* no endpoint has the log position that it requires */
     CBW_CAUSE_READ_ONLY, /* a write in a transaction that only reads */
     CBW_CAUSE_FAILED,    /* the endpoint executed it, and it failed */
     CBW_CAUSE_TIMEOUT,   /* sent, and not answered in the time allowed */
@@ -92,7 +92,7 @@
     void *node;        /* in the order of its rank; NULL: not in one */
     double start;      /* in the virtual time of its rank */
     uint64_t sequence; /* orders requests with the same start */
-    bool behind;       /* it goes behind those that are in time */
+    bool behind;       /* queued after those that can be served in time */
 } cbw_queue_place_t;
 
 /* Owns `statement`, `values`, `shape` and the result of `answer`. */
@@ -123,9 +123,9 @@
     cbw_time_t target; /* latency target of the whole operation; 0: none */
     int64_t config_version; /* of the inventory that routed it */
     bool dispatches;        /* for a read dispatcher, not for the owner */
-    bool takes_over; /* holder unreachable: the owner takes the tenure over */
-    /* Unique in the fleet, for its removal from a queue; 0: it is not removed
-     * when its caller leaves. */
+    bool takes_over; /* holder unreachable: the owner takes over the tenure */
+    /* Unique in the fleet; identifies the request when its caller leaves and
+     * it is removed from its queue. 0: it is not removed. */
     uint64_t id;
 
     /* Set by the owner: */
@@ -169,9 +169,10 @@
 /* Sets the answer's result to a copy. Returns 0, or -1 when out of memory. */
 int CbwRequest_SetResult(cbw_request_t *request, const char *result,
                          size_t size);
-/* Gives the transaction that a request begins another id, before the request
- * is sent again without an answer: the first copy may still begin one, and
- * each must have an id of its own. No effect on other requests. */
+/* Assigns another id to the transaction that a request begins. To be called
+ * before such a request is resent without a reply: the first copy may still
+ * begin a transaction, and each must have its own id. Does nothing for other
+ * requests. */
 void CbwRequest_RenameTransaction(cbw_request_t *request,
                                   uint64_t transaction);
 /* Finishes a request with an outcome and a reason. A result that was set
--- a/src/libcarobwind/log.c
+++ b/src/libcarobwind/log.c
@@ -6,7 +6,7 @@
 #include <string.h>
 #include <time.h>
 
-/* Events whose rates are limited separately. */
+/* Events whose rates are limited separately; further ones share the last. */
 #define EVENT_RATES_MAX 64
 
 const char *const CbwLog_LevelString[] = {"debug", "info", "warning", "error"};
@@ -46,8 +46,8 @@
     return -1;
 }
 
-/* Replaces control characters, which names in records of other writers may
- * contain: a line break would begin another line. */
+/* Replaces control characters, which names from the store may contain: a line
+ * break would let a name forge a log line. */
 static void
 replace_control_characters(char *text)
 {
