libcarobwind: reword comments of the pool

Some comments were figurative or incomplete ("has owed an answer", "its time is over", "the expired tenure, after a pause"), and some told where a value came from instead of what it does. The comment on the choice of a candidate claimed that the log position comes before all else with synchronous commits; the previous primary comes last even then.

Comments only.

--- a/include/carobwind/pool.h
+++ b/include/carobwind/pool.h
@@ -34,9 +34,8 @@
 #define Cbw_POOL_SAMPLES_MAX 256
 /* Least time between two position samples. */
 #define Cbw_POOL_SAMPLE_INTERVAL (10 * Cbw_MSEC)
-/* A state call is sent to an endpoint that has an unanswered call and has
- * been silent for this long. Longer than all but the slowest statements of
- * the users' workloads. */
+/* A state call is sent to an endpoint that has had an unanswered call and has
+ * sent no reply for this long. Longer than most statements take. */
 #define Cbw_POOL_STATE_CALL_AFTER (200 * Cbw_MSEC)
 /* Timeout of a state call, and of a step-down call. */
 #define Cbw_POOL_STATE_CALL_TIMEOUT (250 * Cbw_MSEC)
@@ -67,8 +66,9 @@
 #define Cbw_POOL_BUSY_BACKOFF (5 * Cbw_MSEC)
 /* Most attempts for one request. */
 #define Cbw_POOL_ATTEMPTS_MAX 6
-/* Bytes of a read that may name a log position: in the largest message to an
- * endpoint, 1 MiB, the position, the id and the line end need the rest. */
+/* Longest statement that can be sent with a required log position. The
+ * position, the id and the line end need the rest of the largest message to an
+ * endpoint, 1 MiB. */
 #define Cbw_POOL_POSITIONED_STATEMENT_MAX ((size_t)1048576 - 128)
 /* How long a switchover waits for running writes and transactions, and for a
  * replica to catch up. */
@@ -87,29 +87,27 @@
  * time: either a failover may start, as no peer reaches it, or requests are
  * redirected to a peer that does. */
 #define Cbw_POOL_PROMOTION_RETRY_AFTER (2500 * Cbw_MSEC)
-/* A promotion request without a reply is cancelled after this time. Longer
- * than the slowest answers that the users specify. */
+/* A promotion request without a reply is cancelled after this time. */
 #define Cbw_POOL_ORDER_TIMEOUT Cbw_SEC
-/* A promotion takes effect within this time after its request has arrived; the
- * users specify some hundred ms. */
+/* A promotion takes effect within this time after its request has arrived. */
 #define Cbw_POOL_ORDER_EFFECT Cbw_SEC
 /* No other owner may request a promotion for this long after the last moment
  * at which this one's request can have arrived. Longer than
- * Cbw_POOL_ORDER_EFFECT; the users' rules ask for 3 s. */
+ * Cbw_POOL_ORDER_EFFECT. */
 #define Cbw_POOL_ORDER_LEASE (3 * Cbw_SEC)
 /* How long peers' answers to whether they reach the primary are awaited. */
 #define Cbw_POOL_REACH_TIMEOUT (300 * Cbw_MSEC)
-/* Pause before peers are asked again, when too few of them answered, or when
- * this host is late itself. */
+/* Pause before peers are asked again, when too few of them answered or this
+ * host itself is delayed. */
 #define Cbw_POOL_REACH_PAUSE (300 * Cbw_MSEC)
-/* Rounds of too few answers after which the primary counts as lost: the peers
- * may be lost with it. */
+/* Rounds with too few answers after which the primary counts as lost: the
+ * peers may have failed together with it. */
 #define Cbw_POOL_REACH_ROUNDS 3
-/* A host that is late itself neither promotes nor redirects for this long
- * after the primary was found down. */
+/* A host that is itself delayed neither promotes nor redirects for this long
+ * after it found the primary down. */
 #define Cbw_POOL_OBSERVER_LATE_MAX (4 * Cbw_SEC)
-/* A state call may take this many of the shortest round trips to the endpoint:
- * it may open a connection, and be accepted there, first. */
+/* Timeout of a state call in round trips to the endpoint, the shortest one
+ * measured: a connection may have to be opened and accepted first. */
 #define Cbw_POOL_STATE_CALL_ROUND_TRIPS 6
 #define Cbw_POOL_STATE_CALL_TIMEOUT_MAX (500 * Cbw_MSEC)
 /* A transaction without a statement for this long is rolled back, unless the
@@ -118,14 +116,11 @@
 /* Number of decisions kept for CbwPool_Explain. */
 #define Cbw_POOL_DECISIONS_MAX 32
 /* While the queue of a request cannot be served, the request is refused after
- * its target divided by this. The users' requirements penalize a service that
- * holds a request for longer without sending it to an endpoint. */
+ * its target divided by this: its caller has time for another attempt. */
 #define Cbw_POOL_BLOCKED_WAIT_DIVISOR 4
-/* While other requests are served, a queued request is given up after this
- * percentage of its target. A statement sent after more than 75 % of the
- * target would miss it. The lower limit leaves time for the caller's retries:
- * with a deadline of three targets, a third attempt is queued for at most half
- * of the time that is left to it. */
+/* While other requests are served, a queued request is refused after this
+ * percentage of its target. The rest is left for the endpoint and for the
+ * caller's retries. */
 #define Cbw_POOL_QUEUE_WAIT_PERCENT 60
 /* The retry-after time of a refused request: about the length of a
  * promotion. */
@@ -135,8 +130,7 @@
  * host. */
 #define Cbw_POOL_DEFER_INTERVAL (500 * Cbw_MSEC)
 /* How often state calls are sent to all endpoints while the store is
- * unresponsive. The delay that this adds to an answer is a small part of the
- * shortest latency target (150 ms). */
+ * unresponsive. This delays the answers that await confirmation. */
 #define Cbw_POOL_CONFIRM_INTERVAL (40 * Cbw_MSEC)
 /* How long a confirmation by the endpoints allows new requests to be sent. */
 #define Cbw_POOL_CONFIRM_VALID_FOR (500 * Cbw_MSEC)
@@ -154,7 +148,7 @@
  */
 typedef struct {
     /* Returns whether the endpoints' protocol can carry the request unchanged.
-     * NULL: it carries all. */
+     * NULL: it can carry any request. */
     bool (*can_carry)(void *context, const cbw_request_t *request);
     /* Sends `call`. The reply is passed to CbwPool_OnReply with the call's id.
      * Returns false when no connection is available. */
@@ -255,10 +249,10 @@
     cbw_endpoint_t info;
     int in_flight;    /* requests */
     int transactions; /* that are open */
-    /* End of its log by its latest reply to any call. Reads are routed by it.
-     */
+    /* End of its log according to its latest reply to any call. Reads are
+     * routed by it. */
     cbw_position_t position;
-    /* By its latest reply to a state or step-down call, which was sent at
+    /* From its latest reply to a state or step-down call, which was sent at
      * `reported_as_of` (0: never). Candidates are compared by this position.
      */
     cbw_position_t reported_position;
@@ -276,7 +270,8 @@
      * row. A reply from the endpoint resets it; a request whose answer is lost
      * does not count. */
     int consecutive_failures;
-    /* A call was lost; a state call on a new connection decides. */
+    /* A request's answer was lost. A state call on a new connection decides
+     * whether the endpoint failed. */
     bool suspect;
     bool down;
     cbw_time_t down_since; /* while `down` */
@@ -317,7 +312,7 @@
     const cbw_regions_t *regions;   /* see CbwPool_SetRegions */
     cbw_read_dispatch_t *reads;     /* see CbwPool_SetReadDispatch */
     cbw_time_t leases_until;        /* see CbwPool_HasLease */
-    cbw_time_t no_leases_until;     /* the tenure is to be given up */
+    cbw_time_t no_leases_until;     /* the tenure is to be released */
     cbw_offload_t offload;          /* of reads to other regions */
     size_t mean_bytes;              /* of a statement and its answer */
     const cbw_pool_ops_t *ops;
@@ -341,7 +336,7 @@
     cbw_queue_t replica_queue; /* other reads */
     cbw_gate_t primary_gate;   /* of the queues */
     cbw_gate_t replica_gate;
-    cbw_time_t primary_blocked_since; /* none was usable; 0: one is */
+    cbw_time_t primary_blocked_since; /* no usable primary since; 0: usable */
     cbw_link_t running;               /* requests in flight */
     /* Requests answered by an endpoint that is not yet confirmed to have been
      * the primary. */
@@ -359,8 +354,8 @@
      * record. An endpoint that reports itself as the primary in a lower one
      * has been superseded. */
     uint64_t highest_term;
-    /* Term that the record's primary reported, for a record that has none; the
-     * name is that of the endpoint which reported it. */
+    /* Name and term of the endpoint that last reported itself as the primary.
+     * Used for a record without a term. */
     char reported_primary[Cbw_NAME_MAX];
     uint64_t reported_primary_term;
     cbw_pool_sample_t samples[Cbw_POOL_SAMPLES_MAX]; /* a ring */
@@ -369,7 +364,7 @@
     /* The store is unresponsive, and the endpoints are polled to confirm the
      * primary. */
     bool confirming;
-    /* By then, no other endpoint had been promoted; 0: not confirmed. */
+    /* No other endpoint had been promoted by this time; 0: not confirmed. */
     cbw_time_t confirmed_at;
     /* Term of the primary, as it reports itself; 0: none seen since polling
      * last began. */
@@ -407,10 +402,10 @@
      * answers by now. */
     bool previous_allowed;
     uint64_t previous_primary_term;
-    /* No peer reached the primary; this result holds until then. */
+    /* No peer reached the primary; this result is used until then. */
     cbw_time_t primary_unreachable_until;
     cbw_time_t reach_due_at; /* peers are not asked before */
-    int reach_rounds;        /* of too few answers, in a row */
+    int reach_rounds;        /* consecutive ones with too few answers */
     /* See CbwPool_SetObserver. */
     cbw_time_t observer_delay;
     bool strict_witnesses;
@@ -420,7 +415,7 @@
     cbw_time_t take_over_until;
     /* Requests go to another owner until then. */
     cbw_time_t redirected_until;
-    /* That one carries out a promotion: the record is read meanwhile. */
+    /* That owner carries out a promotion. The record is read meanwhile. */
     bool redirected_to_promoter;
     cbw_time_t transaction_idle_timeout;
     cbw_time_t leaving_limit; /* see CbwPool_SetLeavingLimit */
@@ -452,20 +447,21 @@
 /* Sets the regions of the data centres, which must outlive the pool; NULL, the
  * default: there is one region. To be called before CbwPool_SetEndpoints. */
 void CbwPool_SetRegions(cbw_pool_t *pool, const cbw_regions_t *regions);
-/* Sets what a wait may cost before 1,000 bytes of a read leave the region. */
+/* Sets the price of sending 1,000 bytes of a read to another region, as a
+ * waiting time. */
 void CbwPool_SetRemoteCost(cbw_pool_t *pool, cbw_time_t cost_per_kb);
 /* Makes the pool that of a read dispatcher (see read_dispatch.h), not of an
- * owner: it never has a tenure, and serves reads by `reads`, which must
- * outlive it. Whatever it cannot serve it answers as pending, for the owner.
- * Its endpoints are those that the lease is about. */
+ * owner: it never has a tenure, and serves reads under `reads`, which must
+ * outlive it. Requests that it cannot serve are answered as pending, to be
+ * sent to the owner. Its endpoints are the leased ones. */
 void CbwPool_SetReadDispatch(cbw_pool_t *pool, cbw_read_dispatch_t *reads);
-/* Answers the question of the read dispatcher `holder` for a sample and for a
- * lease on an endpoint of another region. Returns false when this owner can
- * prove nothing now. */
+/* Handles the request of the read dispatcher `holder` for a sample and for a
+ * lease on an endpoint of another region. Returns false when this owner has no
+ * sample that it can vouch for now. */
 bool CbwPool_OfferReads(cbw_pool_t *pool, cbw_time_t now, uint64_t holder,
                         const char *endpoint, cbw_read_offer_t *offer);
 /* Returns whether a lease is in force. Until its end this owner neither
- * requests a promotion nor gives the tenure up: the dispatcher could serve
+ * requests a promotion nor releases the tenure: the dispatcher could serve
  * entries that the promotion discards. */
 bool CbwPool_HasLease(const cbw_pool_t *pool, cbw_time_t now);
 /* Returns whether the pool has an open transaction with that id. */
@@ -478,10 +474,11 @@
  * 0: Cbw_POOL_TRANSACTION_IDLE_TIMEOUT. */
 void CbwPool_SetTransactionIdleTimeout(cbw_pool_t *pool, cbw_time_t timeout);
 /* Sets how long an endpoint that is leaving receives statements, other than
- * those of transactions that are open; 0: while it is listed. */
+ * those of open transactions; 0: as long as it is listed. */
 void CbwPool_SetLeavingLimit(cbw_pool_t *pool, cbw_time_t limit);
-/* Sets whether this owner's host stops. A promotion request without a reply is
- * not repeated then: the next owner may reach the promotion service. */
+/* Sets whether this owner's host is draining. A promotion request without a
+ * reply is not repeated then: the next owner may reach the promotion service.
+ */
 void CbwPool_SetDraining(cbw_pool_t *pool, bool draining);
 /* Sets whether a replica holds each commit before it is answered. Such commits
  * must survive a promotion, so this owner may acknowledge nothing once another
@@ -491,13 +488,13 @@
 void CbwPool_SetSynchronous(cbw_pool_t *pool, bool synchronous);
 /* Replaces the queue policy; queued requests stay queued. */
 void CbwPool_SetQueuePolicy(cbw_pool_t *pool, const cbw_queue_ops_t *policy);
-/* Takes the request with this id out of its queue and answers it as not run,
+/* Removes the request with this id from its queue and answers it as not run,
  * as its caller left. Returns false, and does nothing, when it is not queued
- * or when the policy does not look up requests. */
+ * or the policy cannot look up requests. */
 bool CbwPool_Cancel(cbw_pool_t *pool, cbw_time_t now, uint64_t id);
-/* Answers all queued requests as pending, to be sent to another owner. None of
- * them is in flight; those that are queued again after an attempt are among
- * them. */
+/* Answers all queued requests as pending, to be sent to another owner. This
+ * includes those that were queued again after an attempt; none is in flight.
+ */
 void CbwPool_ReturnUnsent(cbw_pool_t *pool);
 /* Accepts a request. The pool keeps it until ops->answer. */
 void CbwPool_Submit(cbw_pool_t *pool, cbw_time_t now, cbw_request_t *request);
@@ -513,8 +510,9 @@
 /* Handles the answer to ops->request_promotion. */
 void CbwPool_OnPromoteReply(cbw_pool_t *pool, cbw_time_t now,
                             cbw_promote_status_t status);
-/* Tells how late this host itself is (local_health.h; 0: it is not), and
- * whether peers that do not answer say nothing about the primary. */
+/* Sets the delay of this host itself (see local_health.h; 0: none), and
+ * whether peers that do not answer are ignored as witnesses. Otherwise a
+ * missing answer counts as a report that the primary is not reached. */
 void CbwPool_SetObserver(cbw_pool_t *pool, cbw_time_t delay,
                          bool strict_witnesses);
 /* Handles the answer to ops->ask_reach when too few peers answered. */
--- a/src/libcarobwind/include/private/pool.h
+++ b/src/libcarobwind/include/private/pool.h
@@ -72,7 +72,8 @@
  * did. */
 bool CbwPool_RefuseOnArrival_(cbw_pool_t *pool, cbw_time_t now,
                               cbw_request_t *request);
-/* Refuses the queued requests whose time is over, and puts others behind. */
+/* Refuses queued requests that have waited too long or would be served too
+ * late, and moves others behind those that can be served in time. */
 void CbwPool_ExpireQueues_(cbw_pool_t *pool, cbw_time_t now);
 /* Returns whether a replica can take a request of the primary's queue now. */
 bool CbwPool_MayReplicaServe_(const cbw_pool_t *pool, cbw_time_t now,
@@ -98,8 +99,8 @@
                               cbw_pool_transaction_t *transaction, bool clean);
 /* Aborts all calls in flight to an endpoint and drops its transactions. */
 void CbwPool_AbortCalls_(cbw_pool_t *pool, cbw_time_t now, int endpoint);
-/* Returns whether the endpoint is leaving and its time for statements is over,
- * see CbwPool_SetLeavingLimit. */
+/* Returns whether the endpoint is leaving and receives no more statements, see
+ * CbwPool_SetLeavingLimit. */
 bool CbwPool_IsDrainOver_(const cbw_pool_t *pool, cbw_time_t now,
                           int endpoint);
 /* Returns the index of the primary if statements may be sent to it now,
@@ -111,21 +112,21 @@
 bool CbwPool_HasCapacity_(const cbw_pool_t *pool, int endpoint);
 /* Answers a request as pending, to be sent to another host. */
 void CbwPool_HandBack_(cbw_pool_t *pool, cbw_request_t *request);
-/* The share that a read dispatcher may use for requests: one connection of the
- * lease is left for control calls. */
+/* Returns the share of an endpoint that a read dispatcher may use for
+ * requests: one connection of the lease is reserved for control calls. */
 void CbwPool_LeasedShare_(const cbw_pool_t *pool, int *connections,
                           int *slots);
-/* The tenure is to be given up: grants no lease for a while. Returns whether
- * one is in force still. */
+/* Grants no leases for a while, as the tenure is to be released. Returns
+ * whether one is still in force. */
 bool CbwPool_AwaitLeases_(cbw_pool_t *pool, cbw_time_t now);
-/* Measures an endpoint by the answer to a request. */
+/* Records the latency of a request, and its size together with the answer. */
 void CbwPool_Measure_(cbw_pool_t *pool, cbw_time_t now,
                       const cbw_pool_call_t *call, const cbw_reply_t *reply);
-/* Returns whether the first read of the replica queue may be sent to an
- * endpoint of another region. */
+/* Returns whether a read that was taken from the replica queue may be sent to
+ * an endpoint of another region. */
 bool CbwPool_MayLeave_(cbw_pool_t *pool, cbw_time_t now,
                        const cbw_request_t *request);
-/* Takes shares whose lease is over back. */
+/* Reclaims the shares whose lease has ended. */
 void CbwPool_EndLeases_(cbw_pool_t *pool, cbw_time_t now);
 /* Releases the held answers that are confirmed by now, and fails those that
  * cannot be confirmed any more. */
@@ -144,8 +145,9 @@
 /* Sets the primary to the record's, unless the endpoints' states are more
  * recent. */
 void CbwPool_UpdatePrimary_(cbw_pool_t *pool, cbw_time_t now);
-/* There is no record, or it was removed, as operators do for a group that was
- * set up anew: its terms and positions begin again. */
+/* Forgets all terms and log positions. To be called when there is no record:
+ * operators remove it when they recreate the database's group of endpoints,
+ * whose terms and positions start again. */
 void CbwPool_ForgetHistory_(cbw_pool_t *pool);
 /* Forgets the endpoints' confirmation of the primary. */
 void CbwPool_ResetConfirmation_(cbw_pool_t *pool);
@@ -153,9 +155,9 @@
  * primary lacked when it began its term. */
 bool CbwPool_HasDiscardedEntries_(const cbw_pool_t *pool,
                                   cbw_position_t position);
-/* Returns whether reads may see a log that ends at `position`: it has no
- * entries which the present primary lacked when it began its term, as far as
- * the record or the primary itself tells. */
+/* Returns whether reads may see a log that ends at `position`: as far as the
+ * record or the primary's replies tell, it has no entries which the present
+ * primary lacked when it began its term. */
 bool CbwPool_MayShowLog_(const cbw_pool_t *pool, cbw_position_t position);
 /* Returns the name of the endpoint that the first record of the database is to
  * name as the primary, or "" if it is not known. */
@@ -206,10 +208,10 @@
 /* Chooses a candidate and requests its promotion, as soon as the tenure is
  * exclusive and the endpoints' states allow the choice. */
 void CbwPool_ChooseWhenReady_(cbw_pool_t *pool, cbw_time_t now);
-/* Cancels a promotion request that has no reply. */
+/* Cancels the promotion request in flight, if any. */
 void CbwPool_CancelOrder_(cbw_pool_t *pool, cbw_time_t now);
-/* Asks the candidate whether it leads by now. Chooses again if that takes too
- * long. */
+/* Asks the candidate whether it has become the primary. Chooses again if that
+ * takes too long. */
 void CbwPool_PollCandidate_(cbw_pool_t *pool, cbw_time_t now);
 /* Sends the state calls that are due, and advances the promotion. */
 void CbwPool_TickHealth_(cbw_pool_t *pool, cbw_time_t now);
--- a/src/libcarobwind/pool.c
+++ b/src/libcarobwind/pool.c
@@ -381,7 +381,7 @@
 }
 
 /* Refuses a request that the endpoints' protocol cannot carry. Its transaction
- * ends, as the entry takes it for rolled back. */
+ * is rolled back, as the entry assumes after this answer. */
 static void
 refuse_uncarried(cbw_pool_t *pool, cbw_request_t *request)
 {
--- a/src/libcarobwind/pool_confirm.c
+++ b/src/libcarobwind/pool_confirm.c
@@ -1,9 +1,9 @@
-/* Service while the store is unresponsive.  A confirmation of the primary by
+/* Service while the store is unresponsive. A confirmation of the primary by
  * all endpoints replaces the tenure: if one endpoint reports itself as the
- * primary, and every other endpoint of the group reports no higher term, then
- * no other promotion had taken effect when the first of them was asked. An
- * endpoint that was promoted may not be listed any more: a term below the
- * highest known one is superseded, whatever the listed endpoints report. */
+ * primary, and no other endpoint of the group reports a higher term, then no
+ * other promotion had taken effect when the first of them was asked. As a
+ * promoted endpoint may not be listed any more, a term below the highest known
+ * one is superseded, whatever the listed endpoints report. */
 
 #include <inttypes.h>
 #include <string.h>
--- a/src/libcarobwind/pool_dispatch.c
+++ b/src/libcarobwind/pool_dispatch.c
@@ -11,7 +11,8 @@
     return endpoint->connections * 9 / 20;
 }
 
-/* One request more than the slots keeps them busy while answers travel. */
+/* One request more than there are slots keeps all of them busy while answers
+ * are in transit. */
 bool
 CbwPool_HasCapacity_(const cbw_pool_t *pool, int endpoint)
 {
@@ -68,8 +69,8 @@
 }
 
 /* Finds the log position that a replica must hold to serve the request.
- * Returns false when it is not known, or the statement leaves no room for it:
- * then only the primary can serve it. */
+ * Returns false when it is not known, or when the statement is too long to be
+ * sent with it: then only the primary can serve the request. */
 static bool
 required_position(const cbw_pool_t *pool, cbw_time_t now,
                   const cbw_request_t *request, cbw_position_t *position)
@@ -91,7 +92,7 @@
     }
     if (request->rule == CBW_READ_SESSION &&
         parse_session_token(pool, request, &session_position)) {
-        /* Entries of older terms past the promotion's position are lost. */
+        /* The promotion discarded older terms' entries after its position. */
         if (session_position.term < pool->promotion_term &&
             CbwPosition_Compare(session_position, pool->promotion_position) >
                 0) {
@@ -139,9 +140,8 @@
                                             : free_capacity;
 }
 
-/* Returns whether a request of the workspace would find an idle connection at
- * the endpoint. Without a workspace any idle connection would do, and it is
- * not asked for. */
+/* Returns whether an idle connection of the workspace to the endpoint is
+ * known. Not looked up without a workspace: any idle connection will do. */
 static bool
 has_connection(const cbw_pool_t *pool, int endpoint, const char *workspace)
 {
--- a/src/libcarobwind/pool_endpoints.c
+++ b/src/libcarobwind/pool_endpoints.c
@@ -42,8 +42,8 @@
         endpoint->info = *info;
         endpoint->last_reply_at = now;
         endpoint->is_local = strcmp(info->data_centre, pool->data_centre) == 0;
-        /* The confirmation is without this endpoint, which may lead a later
-         * term. */
+        /* The confirmation does not include this endpoint, which may lead a
+         * later term. */
         CbwPool_ResetConfirmation_(pool);
         endpoint->is_in_region = CbwRegions_IsSame(
             pool->regions, info->data_centre, pool->data_centre);
--- a/src/libcarobwind/pool_health.c
+++ b/src/libcarobwind/pool_health.c
@@ -36,7 +36,8 @@
     CbwPool_AbortCalls_(pool, now, endpoint);
 }
 
-/* Whether the endpoint has owed an answer, and sent none, for long. */
+/* Whether the endpoint has had an unanswered call, and has sent no reply, for
+ * Cbw_POOL_STATE_CALL_AFTER. */
 static bool
 is_silent(const cbw_pool_endpoint_t *e, cbw_time_t now)
 {
@@ -45,9 +46,8 @@
            now - e->last_reply_at > Cbw_POOL_STATE_CALL_AFTER;
 }
 
-/* A state call to an endpoint in another region takes several of its round
- * trips if it opens a connection; and this host's own delay is not the
- * endpoint's. */
+/* A state call that opens a connection takes several round trips, which are
+ * long to other regions. The delay of this host is not the endpoint's. */
 static cbw_time_t
 state_call_timeout(const cbw_pool_t *pool, const cbw_pool_endpoint_t *e)
 {
@@ -73,7 +73,7 @@
         return;
     }
     CbwCounter_Add(pool->counters, CBW_COUNTER_STATE_CALLS, 1);
-    /* A connection is opened only where those that exist may be lost: opening
+    /* A connection is opened only if the existing ones may be lost: opening
      * one occupies a slot for longer than the call. */
     call.new_connection =
         e->consecutive_failures > 0 || e->suspect || is_silent(e, now);
@@ -86,8 +86,9 @@
     }
 }
 
-/* Whether the registry has the endpoint as a primary though the record names
- * another one, or none yet. Only the holder looks into that. */
+/* Whether the registry lists the endpoint as a primary, but the record names
+ * another one or does not exist yet. With a record, only the holder of the
+ * tenure checks such endpoints. */
 static bool
 is_doubtful_primary(const cbw_pool_t *pool, int endpoint)
 {
@@ -157,7 +158,7 @@
     }
 }
 
-/* Whether the record has this owner's own promotion. */
+/* Whether the record shows a promotion that this owner began. */
 static bool
 is_promotion_claimed(const cbw_pool_t *pool)
 {
@@ -165,7 +166,7 @@
            !pool->tenure.inherited_promotion;
 }
 
-/* The record shows what became of a swap that had no answer: a promotion has
+/* The record shows the result of a swap that had no answer: a promotion has
  * begun or ended. */
 static void
 resume_from_record(cbw_pool_t *pool, cbw_time_t now)
@@ -280,7 +281,7 @@
 
 /* Returns whether a replica that is not leaving has received everything that
  * the primary wrote; otherwise polls the replicas. An owner that does not know
- * how far that goes asks the primary first. */
+ * the end of the primary's log asks the primary first. */
 static bool
 has_caught_up_replica(cbw_pool_t *pool, cbw_time_t now)
 {
@@ -324,8 +325,8 @@
     return false;
 }
 
-/* Returns whether this owner leaves the database to the record's holder: to
- * one that carries out a promotion, and to any holder if the database is not
+/* Returns whether requests are to be redirected to the record's holder: to one
+ * that carries out a promotion, and to any holder if the database is not
  * assigned to this owner. */
 static bool
 should_defer(const cbw_pool_t *pool, cbw_time_t now)
@@ -344,8 +345,7 @@
            now >= pool->take_over_until;
 }
 
-/* Requests go to the holder because it knows the state of the database better.
- */
+/* The holder knows the state of the database better than this owner. */
 void
 CbwPool_RedirectToHolder_(cbw_pool_t *pool, cbw_time_t now)
 {
@@ -368,8 +368,8 @@
     CbwPool_ReturnUnsent(pool);
 }
 
-/* Whether the record's primary follows another endpoint by now. A report from
- * before its promotion has a lower term. */
+/* Whether the record's primary has reported itself as a replica since its
+ * promotion. A report from before its promotion has a lower term. */
 static bool
 has_lost_lead(const cbw_pool_t *pool, const cbw_pool_endpoint_t *primary)
 {
@@ -426,8 +426,8 @@
     }
 }
 
-/* The leaving primary serves for a while before it is drained again, unless
- * its time is over. */
+/* Lets the leaving primary serve again, to be drained later. Has no effect
+ * once it receives no more statements. */
 static void
 lead_on(cbw_pool_t *pool, cbw_time_t now)
 {
@@ -452,7 +452,8 @@
         return;
     }
     idle = !has_running_writes(pool);
-    /* With synchronous commits the answer counts also if writes run on. */
+    /* With synchronous commits, the result is needed even if writes continue.
+     */
     if (idle || pool->synchronous) {
         caught_up = has_caught_up_replica(pool, now);
     }
@@ -464,7 +465,7 @@
         return;
     }
     if (pool->synchronous && !caught_up) {
-        /* A replica without its log would lose what was acknowledged. */
+        /* A promotion would lose commits that were acknowledged. */
         lead_on(pool, now);
         return;
     }
@@ -510,8 +511,8 @@
     }
 }
 
-/* Notes the term of the record's primary, and that of one which has been
- * superseded without having noticed. */
+/* Records the term of the primary, and makes a superseded primary step down.
+ */
 static void
 check_reported_primary(cbw_pool_t *pool, cbw_time_t now, int endpoint)
 {
--- a/src/libcarobwind/pool_offload.c
+++ b/src/libcarobwind/pool_offload.c
@@ -3,9 +3,9 @@
 #include "carobwind/pool.h"
 #include "private/pool.h"
 
-/* Weight of a measurement in a mean: one in this many. */
+/* A measurement contributes one part in this many to a mean. */
 #define MEAN_DIVISOR 16
-/* Bytes of a message beside the statement and the answer. */
+/* Bytes of a request and its answer, besides the statement and the result. */
 #define MESSAGE_BYTES 200
 
 void
@@ -41,8 +41,8 @@
             : (pool->mean_bytes * (MEAN_DIVISOR - 1) + bytes) / MEAN_DIVISOR;
 }
 
-/* Adds up the endpoints that take reads: those of the owner's region, with the
- * primary, or the replicas elsewhere. */
+/* Sums up the endpoints that can serve reads, either in the owner's region or
+ * outside of it. */
 static cbw_offload_side_t
 sum_side(const cbw_pool_t *pool, cbw_time_t now, bool in_region)
 {
--- a/src/libcarobwind/pool_primary.c
+++ b/src/libcarobwind/pool_primary.c
@@ -1,6 +1,6 @@
-/* Which endpoint is the primary, and how far its log reaches. A change of the
+/* Which endpoint is the primary, and where its log ends. A change of the
  * primary, or of its term, begins a generation: what was learned in an earlier
- * one proves nothing about the freshness of an answer any more. */
+ * one does not prove that an answer is up to date. */
 
 #include <string.h>
 
@@ -82,9 +82,9 @@
     return "";
 }
 
-/* Whether an endpoint that leads `term` is the present primary, and was so all
- * the time. Of two known terms of one endpoint, the lower one is the older
- * information. Where one is not known, the record's epoch decides. */
+/* Whether an endpoint that leads `term` is the present primary and has been so
+ * without interruption. Of two known terms of one endpoint, the lower one is
+ * the older information. If one is not known, the record's epoch decides. */
 static bool
 is_unchanged_primary(const cbw_pool_t *pool, int index, uint64_t term)
 {
@@ -209,8 +209,9 @@
 void
 CbwPool_ObservePromotion_(cbw_pool_t *pool)
 {
-    /* Valid from the sending of the call. The publication may be much later,
-     * and others may have served the new primary by its confirmation since. */
+    /* Valid from the time when the call was sent. The record may be published
+     * much later, and other owners may have acknowledged writes of the new
+     * primary since, by the endpoints' confirmation. */
     CbwPool_ObservePosition_(pool, pool->promotion_as_of,
                              pool->promotion_position);
 }
--- a/src/libcarobwind/pool_promotion.c
+++ b/src/libcarobwind/pool_promotion.c
@@ -1,5 +1,5 @@
-/* A promotion, from its start to the moment at which the candidate leads:
- * which endpoint is chosen, and how it is told that it leads a new term. */
+/* A promotion, from its start until the candidate is the primary: which
+ * endpoint is chosen, and how its promotion is requested and observed. */
 
 #include <inttypes.h>
 #include <stdio.h>
@@ -75,14 +75,14 @@
 }
 
 /* Whether `a` is the better candidate. The previous primary, if allowed, comes
- * last: the promotion began because it was lost or leaves. With discarded
- * entries, an endpoint would undo the promotion that discarded them: reads
- * since then lacked what is in its log. After that, an endpoint that stays is
- * preferred to one that is leaving, and then the higher log position. With
- * synchronous commits, one replica may be the only one that received what was
- * acknowledged: its log position comes before all else. Among equals, one in
- * the owner's region is preferred: a promotion into another region moves the
- * owner. */
+ * last: the promotion began because it was lost or is leaving. The promotion
+ * of an endpoint with discarded entries would restore them, though reads since
+ * then have not shown them. Next, an endpoint that stays is preferred to one
+ * that is leaving, and then the higher log position. With synchronous commits,
+ * a single replica may have received what was acknowledged, so the log
+ * position comes before everything but the previous primary. Among equals, an
+ * endpoint in the owner's region is preferred: a promotion into another region
+ * moves the owner. */
 static bool
 is_better_candidate(const cbw_pool_t *pool, const cbw_pool_endpoint_t *a,
                     const cbw_pool_endpoint_t *b)
@@ -217,8 +217,8 @@
 
 /* Whether the candidate, which reports itself as the primary, is known to be
  * the present one: it leads a later term than the primary that the promotion
- * replaces, and no other endpoint reports a higher term. A promotion that was
- * taken over, or is repeated, may find it so. */
+ * replaces, and no other endpoint reports a higher term. This happens when a
+ * promotion was taken over or is repeated. */
 static bool
 is_present_primary(const cbw_pool_t *pool, int candidate)
 {
@@ -343,9 +343,10 @@
     CbwPool_ObservePromotion_(pool);
 }
 
-/* Whether the candidate leads a term that began with its promotion, or an
- * accepted request had the time to begin one and did not, as the candidate is
- * the present primary. */
+/* Whether the candidate leads a term that began with its promotion. If it is
+ * the present primary already, its promotion may begin no term: then it counts
+ * as promoted Cbw_POOL_PROMOTION_RETRY_AFTER after the request was accepted.
+ */
 static bool
 is_candidate_promoted(const cbw_pool_t *pool, cbw_time_t now)
 {
@@ -389,10 +390,12 @@
 void
 CbwPool_ChooseWhenReady_(cbw_pool_t *pool, cbw_time_t now)
 {
-    /* An expired tenure, after a pause: the record is read again first. */
+    /* A tenure that has expired, as after a pause of this host, is not
+     * exclusive until it is renewed. */
     bool exclusive = CbwTenure_IsExclusive(&pool->tenure, now);
-    /* Until then previous holders acknowledged commits, or an earlier request
-     * of this owner could take effect, which earlier reports lack. */
+    /* Reports from before this time are out of date: previous holders may have
+     * acknowledged commits until then, or an earlier request of this owner may
+     * have taken effect. */
     cbw_time_t reports_from = pool->tenure.exclusive_from;
 
     CbwTenure_AskToRelinquish(&pool->tenure, now);
--- a/src/libcarobwind/pool_queue.c
+++ b/src/libcarobwind/pool_queue.c
@@ -1,10 +1,10 @@
-/* Which requests a pool lets into its queues, and how long it keeps them
+/* Which requests a pool admits to its queues, and how long it keeps them
  * there.
  *
  * Load pattern: the database is short of capacity, or no endpoint may serve it
  * for a while. With the policy "fair" (see queue_fair.c), which is used where
- * workspaces are configured, a request that nothing can serve in time is
- * refused at once, and one whose caller left is taken out. With the other
+ * workspaces are configured, a request that cannot be served in time is
+ * refused at once, and one whose caller left is removed. With the other
  * policies a request is refused when its wait limit has passed. */
 
 #include "carobwind/hold.h"
@@ -109,9 +109,9 @@
                         .stalled = stalled};
 }
 
-/* Returns whether nothing has been able to serve the request for as long as it
- * would be held. Without a tenure it is queued, as it may go to another owner.
- */
+/* Returns whether no endpoint has been able to serve such requests for as long
+ * as this one would be held. Without a tenure it is queued, as it may be sent
+ * to another owner. */
 static bool
 is_unservable(const cbw_pool_t *pool, cbw_time_t now,
               const cbw_request_t *request)
--- a/src/libcarobwind/pool_quota.c
+++ b/src/libcarobwind/pool_quota.c
@@ -39,7 +39,7 @@
         CbwQuota_Requeue(pool->quota, now, request->workspace, token, false);
         break;
     case CBW_POOL_TOKEN_REQUEUED:
-        /* Its token is spent still: it may have run. */
+        /* Its token stays spent: the request may have run. */
         CbwQuota_Requeue(pool->quota, now, request->workspace, token, true);
         break;
     case CBW_POOL_TOKEN_ENDED:
--- a/src/libcarobwind/pool_reach.c
+++ b/src/libcarobwind/pool_reach.c
@@ -3,7 +3,7 @@
 #include "carobwind/pool.h"
 #include "private/pool.h"
 
-/* What peers' answers about a primary that is down for this host lead to. */
+/* Decisions by peers' answers about a primary that is down for this host. */
 
 void
 CbwPool_SetObserver(cbw_pool_t *pool, cbw_time_t delay, bool strict_witnesses)
@@ -12,8 +12,7 @@
     pool->strict_witnesses = strict_witnesses;
 }
 
-/* Whether what this host finds about the primary may be due to its own delay.
- */
+/* Whether the primary may seem down only because of this host's own delay. */
 static bool
 is_observer_late(const cbw_pool_t *pool, cbw_time_t now)
 {
--- a/src/libcarobwind/pool_reads.c
+++ b/src/libcarobwind/pool_reads.c
@@ -6,8 +6,8 @@
 #include "carobwind/pool.h"
 #include "private/pool.h"
 
-/* How long no lease is granted after the tenure was asked for: longer than a
- * lease, after which the asker asks again. */
+/* How long no lease is granted after a request to release the tenure. Longer
+ * than a lease, so that the present ones have ended when it is repeated. */
 #define NO_LEASES_TIME (2 * Cbw_SEC)
 
 void
@@ -134,8 +134,8 @@
             ? pool->promotion_position
             : sample->position;
     offer->age = now - sample->time;
-    /* A primary that may be lost is about to be replaced, which waits for the
-     * leases. */
+    /* A primary that may be lost is about to be replaced, and a promotion
+     * waits until all leases have ended. */
     if (index >= 0 && index != pool->primary && !primary->suspect &&
         !primary->down && primary->consecutive_failures == 0 &&
         !pool->endpoints[index].is_in_region && !pool->endpoints[index].down &&
--- a/src/libcarobwind/pool_reply.c
+++ b/src/libcarobwind/pool_reply.c
@@ -141,7 +141,7 @@
     }
     CbwList_Remove(&request->link);
     request->answer.token[0] = '\0'; /* its log may be discarded */
-    /* An answer that cannot be confirmed is of no more use than a lost one. */
+    /* An answer that cannot be confirmed is treated like a lost one. */
     CbwPool_OnAnswerLost_(pool, now, request, CBW_CAUSE_IN_DOUBT);
 }
 
@@ -190,9 +190,8 @@
 }
 
 /* Returns whether a replica answered a read, or the first statement of a
- * transaction, from a log with discarded entries. It was chosen by what was
- * known of it before: it may have received them since, or a promotion may have
- * discarded them since. */
+ * transaction, from a log with discarded entries. Since it was chosen, it may
+ * have received them, or a promotion may have discarded them. */
 static bool
 shows_discarded_entries(const cbw_pool_t *pool, const cbw_request_t *request,
                         const cbw_pool_call_t *call, const cbw_reply_t *reply)
@@ -289,8 +288,8 @@
     e->lag_backoff_until = now + e->lag_backoff;
 }
 
-/* The request ran outside of its transaction, or in an unknown one. Nothing is
- * known of a write: it may have been committed. */
+/* Handles a request that ran outside of its transaction, or in an unknown one:
+ * a write may or may not have been committed. */
 static void
 on_misplaced(cbw_pool_t *pool, cbw_time_t now, cbw_request_t *request)
 {
@@ -345,7 +344,7 @@
                         "the endpoint gave it up");
         break;
     case CBW_REPLY_TOO_LARGE:
-        /* Trying again would give the same result. */
+        /* A retry would return the same result. */
         CbwPool_Answer_(pool, request, CBW_OUTCOME_UNKNOWN,
                         is_commit(request) ? CBW_CAUSE_IN_DOUBT
                                            : CBW_CAUSE_FAILED,
@@ -362,9 +361,9 @@
     }
 }
 
-/* Whether the reply to a call tells how far the primary's log reaches: a
- * control call answered by an endpoint that does not lead the latest term
- * known does not, though the record may name that endpoint. */
+/* Whether the reply to a call reports the end of the primary's log. The reply
+ * to a control call does so only if the endpoint leads the highest known term:
+ * the record may still name a superseded primary. */
 static bool
 has_primary_position(const cbw_pool_t *pool, const cbw_pool_call_t *call,
                      const cbw_reply_t *reply)
