libcarobwind: rename functions of the pool by what they do

Cause: some names inside the pool were figurative or too general: is_silent, is_doubtful_primary, has_lost_lead, lead_on, refuse_uncarried, describe, ask_later, is_observer_late, NO_LEASES_TIME, CbwPool_MayLeave_, CbwPool_MoveToken_, CbwPool_AwaitLeases_.

Change: is_unresponsive, is_unrecorded_primary, has_been_demoted, abort_drain, refuse_unsupported, make_hold, retry_reach_later, is_observer_delayed, LEASE_PAUSE, CbwPool_MayLeaveRegion_, CbwPool_UpdateToken_, CbwPool_SuspendLeases_. None is used outside of pool*.c.

--- a/src/libcarobwind/include/private/pool.h
+++ b/src/libcarobwind/include/private/pool.h
@@ -49,8 +49,8 @@
 bool CbwPool_RefuseByQuota_(cbw_pool_t *pool, cbw_time_t now,
                             cbw_request_t *request);
 /* Spends or returns the request's token. */
-void CbwPool_MoveToken_(cbw_pool_t *pool, cbw_time_t now,
-                        cbw_request_t *request, cbw_pool_token_step_t step);
+void CbwPool_UpdateToken_(cbw_pool_t *pool, cbw_time_t now,
+                          cbw_request_t *request, cbw_pool_token_step_t step);
 /* Returns the verb of the call that carries the request. */
 cbw_call_verb_t CbwPool_CallVerb_(const cbw_request_t *request);
 /* Sends `call` to an endpoint, for `request` or, with NULL, as a control call.
@@ -118,14 +118,14 @@
                           int *slots);
 /* Grants no leases for a while, as the tenure is to be released. Returns
  * whether one is still in force. */
-bool CbwPool_AwaitLeases_(cbw_pool_t *pool, cbw_time_t now);
+bool CbwPool_SuspendLeases_(cbw_pool_t *pool, cbw_time_t now);
 /* Records the latency of a request, and its size together with the answer. */
 void CbwPool_Measure_(cbw_pool_t *pool, cbw_time_t now,
                       const cbw_pool_call_t *call, const cbw_reply_t *reply);
 /* Returns whether a read that was taken from the replica queue may be sent to
  * an endpoint of another region. */
-bool CbwPool_MayLeave_(cbw_pool_t *pool, cbw_time_t now,
-                       const cbw_request_t *request);
+bool CbwPool_MayLeaveRegion_(cbw_pool_t *pool, cbw_time_t now,
+                             const cbw_request_t *request);
 /* Reclaims the shares whose lease has ended. */
 void CbwPool_EndLeases_(cbw_pool_t *pool, cbw_time_t now);
 /* Releases the held answers that are confirmed by now, and fails those that
--- a/src/libcarobwind/pool.c
+++ b/src/libcarobwind/pool.c
@@ -160,7 +160,7 @@
                 cbw_outcome_t outcome, cbw_cause_t cause, const char *reason)
 {
     CbwList_Remove(&request->link);
-    CbwPool_MoveToken_(pool, 0, request, CBW_POOL_TOKEN_ENDED);
+    CbwPool_UpdateToken_(pool, 0, request, CBW_POOL_TOKEN_ENDED);
     request->answer.cause = cause;
     CbwRequest_End(request, outcome, reason);
     pool->ops->answer(pool->context, request);
@@ -216,7 +216,7 @@
     }
     if (pool->ops->call(pool->context, endpoint, call)) {
         if (request != NULL) {
-            CbwPool_MoveToken_(pool, now, request, CBW_POOL_TOKEN_SENT);
+            CbwPool_UpdateToken_(pool, now, request, CBW_POOL_TOKEN_SENT);
         }
         return true;
     }
@@ -383,7 +383,7 @@
 /* Refuses a request that the endpoints' protocol cannot carry. Its transaction
  * is rolled back, as the entry assumes after this answer. */
 static void
-refuse_uncarried(cbw_pool_t *pool, cbw_request_t *request)
+refuse_unsupported(cbw_pool_t *pool, cbw_request_t *request)
 {
     cbw_pool_transaction_t *transaction =
         request->begins ? NULL
@@ -410,7 +410,7 @@
 {
     if (pool->ops->can_carry != NULL &&
         !pool->ops->can_carry(pool->context, request)) {
-        refuse_uncarried(pool, request);
+        refuse_unsupported(pool, request);
         return;
     }
     if (request->takes_over) {
@@ -443,7 +443,7 @@
 
     while ((request = pool->queue_policy->pop(queue)) != NULL) {
         CbwList_Remove(&request->link);
-        CbwPool_MoveToken_(pool, 0, request, CBW_POOL_TOKEN_ENDED);
+        CbwPool_UpdateToken_(pool, 0, request, CBW_POOL_TOKEN_ENDED);
         request->answer.outcome = CBW_OUTCOME_PENDING;
         pool->ops->answer(pool->context, request);
     }
@@ -520,7 +520,7 @@
 CbwPool_Relinquish(cbw_pool_t *pool, cbw_time_t now)
 {
     if (pool->phase >= CBW_POOL_CLAIMING || CbwPool_IsPromoting(pool, now) ||
-        CbwPool_AwaitLeases_(pool, now)) {
+        CbwPool_SuspendLeases_(pool, now)) {
         return false;
     }
     CbwTenure_Relinquish(&pool->tenure, now);
@@ -544,7 +544,7 @@
 bool
 CbwPool_Release(cbw_pool_t *pool, cbw_time_t now)
 {
-    if (CbwPool_IsPromoting(pool, now) || CbwPool_AwaitLeases_(pool, now)) {
+    if (CbwPool_IsPromoting(pool, now) || CbwPool_SuspendLeases_(pool, now)) {
         return false;
     }
     CbwTenure_Release(&pool->tenure, now);
--- a/src/libcarobwind/pool_dispatch.c
+++ b/src/libcarobwind/pool_dispatch.c
@@ -397,9 +397,10 @@
     if (required_position(pool, now, request, &needed)) {
         choice = choose_replica(pool, now, request, needed, &endpoint);
     }
-    if (choice == REPLICA_FOUND && (pool->endpoints[endpoint].is_in_region ||
-                                    (!primary_has_spare_capacity(pool, now) &&
-                                     CbwPool_MayLeave_(pool, now, request)))) {
+    if (choice == REPLICA_FOUND &&
+        (pool->endpoints[endpoint].is_in_region ||
+         (!primary_has_spare_capacity(pool, now) &&
+          CbwPool_MayLeaveRegion_(pool, now, request)))) {
         return send_request(pool, now, endpoint, request, &pool->replica_queue,
                             &needed);
     }
@@ -439,7 +440,7 @@
         return;
     }
     CbwCounter_Add(pool->counters, CBW_COUNTER_RETRIES, 1);
-    CbwPool_MoveToken_(pool, now, request, CBW_POOL_TOKEN_REQUEUED);
+    CbwPool_UpdateToken_(pool, now, request, CBW_POOL_TOKEN_REQUEUED);
     pool->queue_policy->push_front(
         request->needs_primary ? &pool->primary_queue : &pool->replica_queue,
         request);
--- a/src/libcarobwind/pool_health.c
+++ b/src/libcarobwind/pool_health.c
@@ -39,7 +39,7 @@
 /* Whether the endpoint has had an unanswered call, and has sent no reply, for
  * Cbw_POOL_STATE_CALL_AFTER. */
 static bool
-is_silent(const cbw_pool_endpoint_t *e, cbw_time_t now)
+is_unresponsive(const cbw_pool_endpoint_t *e, cbw_time_t now)
 {
     return e->unanswered_since != 0 &&
            now - e->unanswered_since > Cbw_POOL_STATE_CALL_AFTER &&
@@ -76,7 +76,7 @@
     /* A connection is opened only if the existing ones may be lost: opening
      * one occupies a slot for longer than the call. */
     call.new_connection =
-        e->consecutive_failures > 0 || e->suspect || is_silent(e, now);
+        e->consecutive_failures > 0 || e->suspect || is_unresponsive(e, now);
     e->state_call_due_at = now + Cbw_POOL_IDLE_STATE_CALL_INTERVAL;
     e->state_call_id = pool->last_call_id + 1;
     if (!CbwPool_Send_(pool, now, endpoint, &call, NULL,
@@ -90,7 +90,7 @@
  * another one or does not exist yet. With a record, only the holder of the
  * tenure checks such endpoints. */
 static bool
-is_doubtful_primary(const cbw_pool_t *pool, int endpoint)
+is_unrecorded_primary(const cbw_pool_t *pool, int endpoint)
 {
     return endpoint != pool->primary &&
            pool->endpoints[endpoint].info.reports_primary &&
@@ -109,14 +109,14 @@
     if (e->consecutive_failures > 0 || e->suspect) {
         return true;
     }
-    if (is_silent(e, now)) {
+    if (is_unresponsive(e, now)) {
         return true;
     }
     if (now < e->state_call_due_at) {
         return false;
     }
     if (endpoint != pool->primary) {
-        return is_doubtful_primary(pool, endpoint) ||
+        return is_unrecorded_primary(pool, endpoint) ||
                CbwPool_HasDiscardedEntries_(pool, e->position);
     }
     return now - e->last_reply_at > Cbw_POOL_IDLE_STATE_CALL_INTERVAL ||
@@ -371,7 +371,7 @@
 /* Whether the record's primary has reported itself as a replica since its
  * promotion. A report from before its promotion has a lower term. */
 static bool
-has_lost_lead(const cbw_pool_t *pool, const cbw_pool_endpoint_t *primary)
+has_been_demoted(const cbw_pool_t *pool, const cbw_pool_endpoint_t *primary)
 {
     return pool->tenure.record.term != 0 && primary->reported_as_of != 0 &&
            !primary->is_primary &&
@@ -413,7 +413,7 @@
         return;
     }
     pool->reach_rounds = 0;
-    if (has_lost_lead(pool, e)) {
+    if (has_been_demoted(pool, e)) {
         CbwPool_StartPromotion_(pool, now, "the primary leads no more");
         return;
     }
@@ -429,7 +429,7 @@
 /* Lets the leaving primary serve again, to be drained later. Has no effect
  * once it receives no more statements. */
 static void
-lead_on(cbw_pool_t *pool, cbw_time_t now)
+abort_drain(cbw_pool_t *pool, cbw_time_t now)
 {
     if (CbwPool_IsDrainOver_(pool, now, pool->primary)) {
         return;
@@ -466,7 +466,7 @@
     }
     if (pool->synchronous && !caught_up) {
         /* A promotion would lose commits that were acknowledged. */
-        lead_on(pool, now);
+        abort_drain(pool, now);
         return;
     }
     CbwPool_StartPromotion_(pool, now, "the primary is leaving");
--- a/src/libcarobwind/pool_offload.c
+++ b/src/libcarobwind/pool_offload.c
@@ -70,8 +70,8 @@
 }
 
 bool
-CbwPool_MayLeave_(cbw_pool_t *pool, cbw_time_t now,
-                  const cbw_request_t *request)
+CbwPool_MayLeaveRegion_(cbw_pool_t *pool, cbw_time_t now,
+                        const cbw_request_t *request)
 {
     cbw_offload_side_t here = sum_side(pool, now, true);
     cbw_offload_side_t there = sum_side(pool, now, false);
--- a/src/libcarobwind/pool_queue.c
+++ b/src/libcarobwind/pool_queue.c
@@ -98,7 +98,7 @@
 }
 
 static cbw_hold_t
-describe(const cbw_request_t *request, bool blocked, bool stalled)
+make_hold(const cbw_request_t *request, bool blocked, bool stalled)
 {
     return (cbw_hold_t){.arrived_at = request->arrived_at,
                         .target = request->target,
@@ -116,7 +116,7 @@
 is_unservable(const cbw_pool_t *pool, cbw_time_t now,
               const cbw_request_t *request)
 {
-    cbw_hold_t hold = describe(request, true, false);
+    cbw_hold_t hold = make_hold(request, true, false);
 
     return request->needs_primary && pool->primary_blocked_since != 0 &&
            now - pool->primary_blocked_since >= CbwHold_BlockedLimit(&hold) &&
@@ -203,7 +203,7 @@
              cbw_request_t *request, bool blocked)
 {
     bool stalled = gate_of(pool, queue)->dispatched_at < request->arrived_at;
-    cbw_hold_t hold = describe(request, blocked, stalled);
+    cbw_hold_t hold = make_hold(request, blocked, stalled);
 
     if (!is_fair(pool)) {
         if (now >= queue_deadline(request, blocked)) {
--- a/src/libcarobwind/pool_quota.c
+++ b/src/libcarobwind/pool_quota.c
@@ -23,8 +23,8 @@
 }
 
 void
-CbwPool_MoveToken_(cbw_pool_t *pool, cbw_time_t now, cbw_request_t *request,
-                   cbw_pool_token_step_t step)
+CbwPool_UpdateToken_(cbw_pool_t *pool, cbw_time_t now, cbw_request_t *request,
+                     cbw_pool_token_step_t step)
 {
     cbw_quota_token_t *token = &request->quota_token;
 
--- a/src/libcarobwind/pool_reach.c
+++ b/src/libcarobwind/pool_reach.c
@@ -14,7 +14,7 @@
 
 /* Whether the primary may seem down only because of this host's own delay. */
 static bool
-is_observer_late(const cbw_pool_t *pool, cbw_time_t now)
+is_observer_delayed(const cbw_pool_t *pool, cbw_time_t now)
 {
     return pool->observer_delay > 0 && pool->primary >= 0 &&
            now - pool->endpoints[pool->primary].down_since <
@@ -23,7 +23,7 @@
 
 /* Peers are asked again after a pause. */
 static void
-ask_later(cbw_pool_t *pool, cbw_time_t now, const char *reason)
+retry_reach_later(cbw_pool_t *pool, cbw_time_t now, const char *reason)
 {
     CbwPool_SetPhase_(pool, now, CBW_POOL_SERVING);
     pool->reach_due_at = now + Cbw_POOL_REACH_PAUSE;
@@ -40,7 +40,7 @@
         CbwPool_OnReach(pool, now, NULL);
         return;
     }
-    ask_later(pool, now, "too few of them answered");
+    retry_reach_later(pool, now, "too few of them answered");
 }
 
 void
@@ -49,8 +49,8 @@
     if (pool->phase != CBW_POOL_ASKING_REACH) {
         return;
     }
-    if (is_observer_late(pool, now)) {
-        ask_later(pool, now, "this host itself is late");
+    if (is_observer_delayed(pool, now)) {
+        retry_reach_later(pool, now, "this host itself is late");
         return;
     }
     pool->reach_rounds = 0;
--- a/src/libcarobwind/pool_reads.c
+++ b/src/libcarobwind/pool_reads.c
@@ -8,7 +8,7 @@
 
 /* How long no lease is granted after a request to release the tenure. Longer
  * than a lease, so that the present ones have ended when it is repeated. */
-#define NO_LEASES_TIME (2 * Cbw_SEC)
+#define LEASE_PAUSE (2 * Cbw_SEC)
 
 void
 CbwPool_SetReadDispatch(cbw_pool_t *pool, cbw_read_dispatch_t *reads)
@@ -45,9 +45,9 @@
 }
 
 bool
-CbwPool_AwaitLeases_(cbw_pool_t *pool, cbw_time_t now)
+CbwPool_SuspendLeases_(cbw_pool_t *pool, cbw_time_t now)
 {
-    pool->no_leases_until = now + NO_LEASES_TIME;
+    pool->no_leases_until = now + LEASE_PAUSE;
     return CbwPool_HasLease(pool, now);
 }
 
--- a/src/libcarobwind/pool_reply.c
+++ b/src/libcarobwind/pool_reply.c
@@ -239,7 +239,7 @@
 {
     cbw_pool_transaction_t *transaction;
 
-    CbwPool_MoveToken_(pool, now, request, CBW_POOL_TOKEN_NOT_RUN);
+    CbwPool_UpdateToken_(pool, now, request, CBW_POOL_TOKEN_NOT_RUN);
     if (request->transaction == 0 || request->begins) {
         transaction = CbwPool_FindTransaction_(pool, request->transaction);
         if (transaction != NULL) {
