libcarobwind: reword two reasons of the pool

Cause: "the endpoints cannot be sent this" and "its transaction has begun before" were hard to understand for a reader on call. Both are new and quoted by no document or test.

Change: "the endpoints' protocol cannot carry it" and "its transaction has already begun"; a comment says how a transaction can be begun twice.

--- a/src/libcarobwind/pool.c
+++ b/src/libcarobwind/pool.c
@@ -393,10 +393,10 @@
         CbwPool_DropTransaction_(pool, transaction, false);
     }
     CbwCounter_Add(pool->counters, CBW_COUNTER_MALFORMED, 1);
-    CbwPool_Answer_(pool, request,
-                    request->maybe_sent ? CBW_OUTCOME_UNKNOWN
-                                        : CBW_OUTCOME_NOTRUN,
-                    CBW_CAUSE_MALFORMED, "the endpoints cannot be sent this");
+    CbwPool_Answer_(
+        pool, request,
+        request->maybe_sent ? CBW_OUTCOME_UNKNOWN : CBW_OUTCOME_NOTRUN,
+        CBW_CAUSE_MALFORMED, "the endpoints' protocol cannot carry it");
 }
 
 void
--- a/src/libcarobwind/pool_dispatch.c
+++ b/src/libcarobwind/pool_dispatch.c
@@ -245,10 +245,11 @@
         .min_position = needed != NULL ? needed->index : 0,
     };
 
+    /* The request was sent twice, as hosts of earlier versions do. */
     if (request->begins &&
         CbwPool_FindTransaction_(pool, request->transaction) != NULL) {
         CbwPool_Answer_(pool, request, CBW_OUTCOME_NOTRUN, CBW_CAUSE_ABORTED,
-                        "its transaction has begun before");
+                        "its transaction has already begun");
         return true;
     }
     if (request->begins && !begin_transaction(pool, now, endpoint, request)) {
