--- a/src/libcarobwind/pool_queue.c
+++ b/src/libcarobwind/pool_queue.c
@@ -1,10 +1,10 @@
-/* Which requests a pool lets into its queues, and how long it keeps them
+/* Which requests a pool admits to its queues, and how long it keeps them
  * there.
  *
  * Load pattern: the database is short of capacity, or no endpoint may serve it
  * for a while. With the policy "fair" (see queue_fair.c), which is used where
- * workspaces are configured, a request that nothing can serve in time is
- * refused at once, and one whose caller left is taken out. With the other
+ * workspaces are configured, a request that cannot be served in time is
+ * refused at once, and one whose caller left is removed. With the other
  * policies a request is refused when its wait limit has passed. */
 
 #include "carobwind/hold.h"
@@ -98,7 +98,7 @@
 }
 
 static cbw_hold_t
-describe(const cbw_request_t *request, bool blocked, bool stalled)
+make_hold(const cbw_request_t *request, bool blocked, bool stalled)
 {
     return (cbw_hold_t){.arrived_at = request->arrived_at,
                         .target = request->target,
@@ -109,14 +109,14 @@
                         .stalled = stalled};
 }
 
-/* Returns whether nothing has been able to serve the request for as long as it
- * would be held. Without a tenure it is queued, as it may go to another owner.
- */
+/* Returns whether no endpoint has been able to serve such requests for as long
+ * as this one would be held. Without a tenure it is queued, as it may be sent
+ * to another owner. */
 static bool
 is_unservable(const cbw_pool_t *pool, cbw_time_t now,
               const cbw_request_t *request)
 {
-    cbw_hold_t hold = describe(request, true, false);
+    cbw_hold_t hold = make_hold(request, true, false);
 
     return request->needs_primary && pool->primary_blocked_since != 0 &&
            now - pool->primary_blocked_since >= CbwHold_BlockedLimit(&hold) &&
@@ -203,7 +203,7 @@
              cbw_request_t *request, bool blocked)
 {
     bool stalled = gate_of(pool, queue)->dispatched_at < request->arrived_at;
-    cbw_hold_t hold = describe(request, blocked, stalled);
+    cbw_hold_t hold = make_hold(request, blocked, stalled);
 
     if (!is_fair(pool)) {
         if (now >= queue_deadline(request, blocked)) {
--- a/src/libcarobwind/pool_reads.c
+++ b/src/libcarobwind/pool_reads.c
@@ -6,9 +6,9 @@
 #include "carobwind/pool.h"
 #include "private/pool.h"
 
-/* How long no lease is granted after the tenure was asked for: longer than a
- * lease, after which the asker asks again. */
-#define NO_LEASES_TIME (2 * Cbw_SEC)
+/* How long no lease is granted after a request to release the tenure. Longer
+ * than a lease, so that the present ones have ended when it is repeated. */
+#define LEASE_PAUSE (2 * Cbw_SEC)
 
 void
 CbwPool_SetReadDispatch(cbw_pool_t *pool, cbw_read_dispatch_t *reads)
@@ -45,9 +45,9 @@
 }
 
 bool
-CbwPool_AwaitLeases_(cbw_pool_t *pool, cbw_time_t now)
+CbwPool_SuspendLeases_(cbw_pool_t *pool, cbw_time_t now)
 {
-    pool->no_leases_until = now + NO_LEASES_TIME;
+    pool->no_leases_until = now + LEASE_PAUSE;
     return CbwPool_HasLease(pool, now);
 }
 
@@ -134,8 +134,8 @@
             ? pool->promotion_position
             : sample->position;
     offer->age = now - sample->time;
-    /* A primary that may be lost is about to be replaced, which waits for the
-     * leases. */
+    /* A primary that may be lost is about to be replaced, and a promotion
+     * waits until all leases have ended. */
     if (index >= 0 && index != pool->primary && !primary->suspect &&
         !primary->down && primary->consecutive_failures == 0 &&
         !pool->endpoints[index].is_in_region && !pool->endpoints[index].down &&
