Pool: claim no rollback for a read that ran outside of its transaction

Cause: a later statement that only reads and that an endpoint ran outside of its transaction was answered ABORTED, a promise that nothing is kept. How the endpoint's transaction had ended is not known, and its earlier writes may have been committed with it.

Change: its outcome is unknown, like that of a write.

--- a/src/libcarobwind/pool_reply.c
+++ b/src/libcarobwind/pool_reply.c
@@ -289,11 +289,12 @@
 }
 
 /* Handles a request that ran outside of its transaction, or in an unknown one:
- * a write may or may not have been committed. */
+ * a write may or may not have been committed, nor is it known how the
+ * transaction that the endpoint no longer has open has ended. */
 static void
 on_misplaced(cbw_pool_t *pool, cbw_time_t now, cbw_request_t *request)
 {
-    if (request->writes) {
+    if (request->writes || (request->transaction != 0 && !request->begins)) {
         CbwPool_Answer_(pool, request, CBW_OUTCOME_UNKNOWN, CBW_CAUSE_IN_DOUBT,
                         "it did not run in its transaction");
         return;
--- a/src/test_libcarobwind/test_pool.c
+++ b/src/test_libcarobwind/test_pool.c
@@ -760,6 +760,36 @@
     PoolWorld_Finish(&world);
 }
 
+/* A read that did not run in its transaction was answered as if the writes
+ * before it were rolled back, which is not known. */
+static void
+test_misplaced_read_claims_rollback(void)
+{
+    pool_world_t world;
+    cbw_request_t *write;
+    cbw_request_t *read;
+
+    PoolWorld_Init(&world);
+    write = PoolWorld_NewRequest(&world, true, CBW_READ_LATEST);
+    write->transaction = 7;
+    write->begins = true;
+    PoolWorld_Submit(&world, write);
+    PoolWorld_Reply(&world, PoolWorld_LastOpenCall(&world, CBW_CALL_RUN),
+                    CBW_REPLY_OK, 5);
+    read = PoolWorld_NewRequest(&world, false, CBW_READ_LATEST);
+    read->transaction = 7;
+    PoolWorld_Submit(&world, read);
+    PoolWorld_Reply(&world, PoolWorld_LastOpenCall(&world, CBW_CALL_RUN),
+                    CBW_REPLY_MISPLACED, 5);
+    g_assert_true(world.last_answered == read);
+    g_assert_cmpint(read->answer.outcome, ==, CBW_OUTCOME_UNKNOWN);
+    g_assert_cmpint(read->answer.cause, ==, CBW_CAUSE_IN_DOUBT);
+    g_assert_true(CbwPool_IsIdle(&world.pool));
+    PoolWorld_FreeRequest(write);
+    PoolWorld_FreeRequest(read);
+    PoolWorld_Finish(&world);
+}
+
 void
 Suite_AddPool(void)
 {
@@ -774,6 +804,8 @@
                     test_transaction_idle_timeout);
     g_test_add_func("/pool/transaction-begun-twice",
                     test_transaction_begun_twice);
+    g_test_add_func("/pool/misplaced-read-claims-rollback",
+                    test_misplaced_read_claims_rollback);
     g_test_add_func("/pool/commit-requires-valid-tenure",
                     test_commit_requires_valid_tenure);
     g_test_add_func("/pool/replica-read-carries-position",
