--- a/include/carobwind/session.h
+++ b/include/carobwind/session.h
@@ -40,7 +40,7 @@
 typedef struct {
     char *name;
     /* The shape of the statement (its text without arguments) after "READ " or
-     * "WRITE ", as endpoints take it. */
+     * "WRITE ", as it is sent to endpoints. */
     char *shape;
     bool writes;
 } cbw_prepared_statement_t;
--- a/src/carobwindd/entry_task.c
+++ b/src/carobwindd/entry_task.c
@@ -187,7 +187,8 @@
     }
 }
 
-/* Goes on with the caller's requests, unless it does not read its answers. */
+/* Continues with the caller's requests, unless it does not read its answers.
+ */
 static void
 resume_if_read(session_t *session)
 {
@@ -456,7 +457,7 @@
     session->idle_since = CbwNet_Now();
     ClientLimits_Open(&session->account, &session->resp.stream,
                       CBW_PORT_CALLERS);
-    /* Callers of RESP may open connections that they need later only. */
+    /* RESP callers may open connections before they need them. */
     session->account.lazy_start = true;
 }
 
--- a/src/carobwindd/peer_task.c
+++ b/src/carobwindd/peer_task.c
@@ -1,8 +1,8 @@
 /* The peer task: RPC between daemons, over one client connection to each
  * peer that is called, and over server connections that peers opened. A call
  * without an answer by its deadline ends unanswered. A client connection
- * that stays silent with calls in flight is probed, then retired in favour of
- * a fresh one (liveness.h). */
+ * that receives nothing while calls are in flight is probed, then replaced by
+ * a new one (liveness.h). */
 
 #include <glib.h>
 #include <stdio.h>
@@ -260,7 +260,7 @@
     }
 }
 
-/* Opens a fresh connection in place of a silent one, and ends the calls that
+/* Replaces an unresponsive connection by a new one, and fails the calls that
  * can be repeated. */
 static void
 retire_client(client_connection_t *client, cbw_time_t now)
--- a/src/carobwindd/router_task.c
+++ b/src/carobwindd/router_task.c
@@ -24,9 +24,9 @@
 /* Allowance for answers that come a little after the owner's own deadline. */
 #define ANSWER_MARGIN (200 * Cbw_MSEC)
 #define AVOIDED_MAX 16
-/* In a large fleet an owner that the members hold alive must have been silent
- * for this long before the next one is told to take a database over: owners
- * must not move because a host, or a link, pauses for a second. */
+/* In a large fleet an owner that the members hold alive must have been
+ * unresponsive for this long before the next one takes over a database, so
+ * that a short pause of a host or a link does not move owners. */
 #define TAKE_OVER_SILENCE (1200 * Cbw_MSEC)
 /* A request that finds no owner is refused after its target time divided by
  * this, so that its caller can retry in time. */
@@ -41,8 +41,8 @@
     const cbw_member_t *owner;   /* by rendezvous order; NULL: not looked up */
     char moved_to[Cbw_NAME_MAX]; /* overrides `owner`; "": ownership did not
                                     move */
-    /* `moved_to` has to take the tenure, a time-limited right held in the
-     * store, over from the present holder. */
+    /* `moved_to` has to take over the tenure, a time-limited right held in the
+     * store, from the present holder. */
     bool moved_takes;
     cbw_time_t moved_at; /* when `moved_to` was set */
     /* The read dispatcher for this host's callers; NULL: none. */
@@ -54,7 +54,7 @@
 /* A host that did not answer a request recently. */
 typedef struct {
     char name[Cbw_NAME_MAX];
-    cbw_time_t since; /* without a break */
+    cbw_time_t since; /* avoided continuously */
     cbw_time_t until;
 } avoided_host_t;
 
@@ -156,8 +156,8 @@
     slot->until = now + AVOID_TIME;
 }
 
-/* Returns since when a host has been avoided without a break; Cbw_NEVER: it is
- * not. */
+/* Returns the time since which a host has been avoided continuously, or
+ * Cbw_NEVER when it is not avoided. */
 static cbw_time_t
 avoided_since(const char *name, cbw_time_t now)
 {
@@ -208,7 +208,7 @@
 }
 
 /* Returns the owner to send a request to; NULL: there is none. Sets
- * `takes_over` when that host has to take the tenure over from the present
+ * `takes_over` when that host has to take over the tenure from the present
  * holder. */
 static const cbw_member_t *
 find_owner(const cbw_database_t *database, cbw_time_t now, bool *takes_over)
--- a/src/carobwindd/session_task.c
+++ b/src/carobwindd/session_task.c
@@ -28,7 +28,7 @@
  * and takes a host out after two failed checks. */
 #define DRAIN_LISTEN_TIME (2200 * Cbw_MSEC)
 /* A session that names an unknown kind or key waits this long before it is
- * refused, as the configuration that has it may be on its way. */
+ * refused: the configuration that has it may not have arrived yet. */
 #define ACCESS_WAIT (1500 * Cbw_MSEC)
 
 static session_task_t self;
@@ -385,8 +385,8 @@
     }
 }
 
-/* Whether the next message may be handled: the session waits for no answer and
- * not for its kind, and its caller reads the answers. */
+/* Whether the next message may be handled: the session waits neither for an
+ * answer nor for its kind, and its caller reads the answers. */
 static bool
 may_handle(const session_t *session)
 {
@@ -430,8 +430,8 @@
                                CbwNet_Now());
 }
 
-/* Handles the complete messages in `input` while it may. What a caller sends
- * ahead is read only up to a little. */
+/* Handles the complete messages in `input` as long as may_handle() permits.
+ * Input that a caller sends ahead is read up to a small limit only. */
 static void
 read_messages(session_t *session)
 {
--- a/src/carobwindd/session_task.h
+++ b/src/carobwindd/session_task.h
@@ -1,5 +1,5 @@
-/* The state of the session task, and the parts of it that stand in files of
- * their own. */
+/* The state of the session task, and its functions that are defined in other
+ * files. */
 #ifndef CAROBWINDD_SESSION_TASK_H
 #define CAROBWINDD_SESSION_TASK_H
 
@@ -67,7 +67,8 @@
 bool SessionDrain_ShouldClose(const session_task_t *task,
                               const session_t *session);
 /* Closes the sessions that may be closed. Called while this host drains or is
- * isolated (Daemon_IsIsolated): then its idle sessions are. */
+ * isolated (Daemon_IsIsolated); when it is isolated, idle sessions are closed.
+ */
 void SessionDrain_CloseSessions(session_task_t *task, cbw_time_t now);
 
 /* Returns the state of the session's account. */
