Name the size of a message to an endpoint once

Cause: the read-through found the literal 1,048,576 in three limits of the kernel besides the one of the wire protocol, with nothing that keeps them equal.

A comment of the tests' stand-in is clearer.

--- a/include/carobwind/pool.h
+++ b/include/carobwind/pool.h
@@ -68,8 +68,8 @@
 #define Cbw_POOL_ATTEMPTS_MAX 6
 /* Longest statement that can be sent with a required log position. The
  * position, the id and the line end need the rest of the largest message to an
- * endpoint, 1 MiB. */
-#define Cbw_POOL_POSITIONED_STATEMENT_MAX ((size_t)1048576 - 128)
+ * endpoint. */
+#define Cbw_POOL_POSITIONED_STATEMENT_MAX (Cbw_ENDPOINT_MESSAGE_MAX - 128)
 /* How long a switchover waits for running writes and transactions, and for a
  * replica to catch up. */
 #define Cbw_POOL_DRAIN_TIMEOUT (1500 * Cbw_MSEC)
--- a/include/carobwind/session.h
+++ b/include/carobwind/session.h
@@ -16,10 +16,10 @@
 #define Cbw_SESSION_VALUES_SIZE_MAX ((size_t)262144)
 #define Cbw_SESSION_PREPARED_SIZE_MAX ((size_t)4 * 1024 * 1024)
 /* Bytes of the shape of one prepared statement, and of the arguments of one
- * EXECUTE with its id: the rest of the largest message to an endpoint, 1 MiB,
- * is for the words around them and the endpoint's name for the statement. */
-#define Cbw_SESSION_SHAPE_MAX ((size_t)1048576 - 40)
-#define Cbw_SESSION_ARGUMENTS_MAX ((size_t)1048576 - 32)
+ * EXECUTE with its id: the rest of the largest message to an endpoint is for
+ * the words around them and the endpoint's name for the statement. */
+#define Cbw_SESSION_SHAPE_MAX (Cbw_ENDPOINT_MESSAGE_MAX - 40)
+#define Cbw_SESSION_ARGUMENTS_MAX (Cbw_ENDPOINT_MESSAGE_MAX - 32)
 
 typedef enum {
     CBW_SESSION_IDLE,
--- a/include/carobwind/types.h
+++ b/include/carobwind/types.h
@@ -34,5 +34,8 @@
 #define Cbw_RANKS_MAX 6
 /* Maximum size of a statement or result, in bytes. */
 #define Cbw_STATEMENT_MAX ((size_t)65536)
+/* Most bytes of a message to an endpoint of the platform, with its line end.
+ */
+#define Cbw_ENDPOINT_MESSAGE_MAX ((size_t)1048576)
 
 #endif
--- a/test/lib/platform_standin.tcl
+++ b/test/lib/platform_standin.tcl
@@ -26,8 +26,8 @@
 #                             shape variables transaction}, see `record_run`
 #   keep KEY HEX              the primary commits the bytes HEX under KEY
 #   lists                     returns the number of linearizable range reads
-#   stale 0|1                 1: reads that may be stale return the state of now
-#                             until `stale 0`
+#   stale 0|1                 1: reads that may be stale return the state at the
+#                             time of this command until `stale 0`
 #   reads                     returns the number of reads of the configuration
 #   unaware 0|1               a primary that is replaced does not notice it until
 #                             it is told to step down
