--- a/bench/bench.tcl
+++ b/bench/bench.tcl
@@ -1,7 +1,7 @@
 # End-to-end benchmarks with real processes: tclsh bench/bench.tcl ?PART...?
 # Prints name, value, bound and verdict of each measure. Each bound is a ratio
 # between two configurations of the same run, a target of the project or the users'
-# limit of 19 s without service. Exits with 1 if a bound is missed.
+# limit of 19 s without service. The exit status is 1 if a bound is missed.
 
 source [file join [file dirname [file dirname [file normalize [info script]]]] \
     test lib fleet.tcl]
@@ -26,8 +26,8 @@
 }
 
 # Starts a fleet, runs one load and, after its start, `body`. Returns the
-# results of the load by kind. The delays are those of the workspace Tadla. The
-# load runs for 8 s by default, of which 6 s are measured.
+# results of the load by kind. The load runs for 8 s by default, of which 6 s are
+# measured.
 proc run {fleet_options load_options {body {}}} {
     incr fleet::block
     fleet {*}[dict merge {-hosts 16 -centres {north south west east} \
@@ -112,7 +112,7 @@
     }
 }
 
-# Returns the done requests per second of a load with the default duration.
+# Returns the goodput, in requests per second, of a load with the default duration.
 proc done_per_second {results} {
     set done 0
     foreach kind {payment reading balance} {
@@ -121,8 +121,8 @@
     return [expr {$done / 6.0}]
 }
 
-# The three endpoints can do 1800 statements a second (3 slots of 5 ms each), the
-# primary alone 600 writes. The floods send five times as many.
+# The three endpoints have a capacity of 1800 statements a second (3 slots of 5 ms
+# each), the primary alone of 600 writes. The floods send five times as many.
 proc measure_floods {} {
     set baseline [run {} {}]
     set baseline_p99 [dict get $baseline payment p99_ms]
@@ -133,8 +133,8 @@
     check_bound "  over no flood" \
         [expr {[dict get $flood payment p99_ms] / $baseline_p99}] x <= 1.5 \
         "project's target"
-    # Measures the capacity of the endpoints. The daemons assume 16 slots, so that
-    # far more requests are in flight than the 3 slots of each endpoint can run.
+    # Measures the capacity of the endpoints: the daemons assume 16 slots, and
+    # keep the 3 slots of each endpoint busy.
     set saturated [run {-slots 16 -daemon {--limit-policy=fixed}} \
         {-flood "balance:9000:0:99" -sessions 6000} {
             foreach name $fleet::endpoints {
@@ -180,7 +180,7 @@
     }
     set reads "account:readany:600"
     set owner [run {} [list -mix $reads -seconds 6 -sessions 400]]
-    # Of the daemons' whole run, divided by the 3600 reads that are sent in 6 s.
+    # Of the whole run; divided below by the 3600 reads that are sent in 6 s.
     set owner_cpu_ms $::cpu_ms
     set direct [run {-connections 200 -daemon {--owner-policy=direct}} \
         [list -mix $reads -seconds 6 -sessions 400]]
--- a/bench/capacity.tcl
+++ b/bench/capacity.tcl
@@ -1,5 +1,5 @@
-# Measures the messages, calls, processor time and memory of an idle fleet by the
-# number of its hosts and databases, for docs/CAPACITY.md:
+# Measures the messages, calls, CPU time and memory of an idle fleet, by the number
+# of its hosts and databases, for docs/CAPACITY.md:
 #   tclsh bench/capacity.tcl ?SECONDS?     SECONDS: length of each measurement
 
 source [file join [file dirname [file dirname [file normalize [info script]]]] \
@@ -8,8 +8,8 @@
 set measurement_seconds [expr {[llength $argv] > 0 ? [lindex $argv 0] : 8}]
 set fleet::block 230
 
-# Writes an inventory of `count` databases. Three processes, which listen on all
-# addresses of the block, serve all their endpoints.
+# Writes an inventory of `count` databases, whose endpoints are served by three
+# processes that listen on all addresses of the block.
 proc write_inventory {path count} {
     set file [open $path w]
     foreach centre {north south west east} {
@@ -96,8 +96,8 @@
     return $samples
 }
 
-# Returns the mean over the hosts of the growth of each value per second. Each
-# host has its own times, since querying all hosts takes a while.
+# Returns the mean over the hosts of the growth of each value per second. The
+# hosts are sampled at different times, since querying them takes a while.
 proc mean_rates {before after} {
     set sums {0 0 0 0 0}
     dict for {host row} $after {
--- a/bench/instructions.tcl
+++ b/bench/instructions.tcl
@@ -1,7 +1,7 @@
 # Measures with callgrind the instructions that libcarobwind (the kernel) executes
-# per request under the fixed load of `bench_decisions steady`, the same number in
-# each run of one build: tclsh bench/instructions.tcl. The bound is the value in
-# the last line of bench/instructions.txt plus 10 %.
+# per request under the fixed load of `bench_decisions steady`, which are the same
+# in each run of a build: tclsh bench/instructions.tcl. The bound is 10 % above the
+# value in the last line of bench/instructions.txt.
 
 set root [file dirname [file dirname [file normalize [info script]]]]
 set program [file join $root build bin bench_decisions]
--- a/bench/losses.tcl
+++ b/bench/losses.tcl
@@ -1,9 +1,9 @@
-# Shows what a day of the users' bench lost, as Markdown:
+# Prints as Markdown where a day of the users' bench lost requests:
 #   fleetbench run SITE DAY --log all --report REPORT > LOG
 #   tclsh bench/losses.tcl REPORT LOG
 # For the ten worst windows of two seconds: how the requests ended, and the
 # causes that the hosts' logs give for requests that were not done. Then how the
-# tries of requests that were not served ended, and the prices.
+# last attempts of requests that were not served ended, and the prices.
 
 package require json
 
@@ -12,8 +12,8 @@
 set report [json::json2dict [read $file]]
 close $file
 
-# Window (its first second) to cause to count. A log line of the bench begins with
-# the simulated time and the name of the host.
+# The count by window (its first second) and cause. A log line of the bench begins
+# with the simulated time and the name of the host.
 set causes [dict create]
 set log [open $log_path]
 fconfigure $log -encoding binary
