review/6: a log that an earlier promotion discarded is promoted

Cause: the tenure's record keeps only the index at which the last term began; entries that an earlier promotion discarded pass for valid once a later term begins beyond them, and go before a log that lacks a few of the last term.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -2,6 +2,8 @@
 # Starts three machines of carobwind by the command of deploy/system.toml before a stand-in, see
 # review/standin-2/standin.c. Exits with 1 if STALE was broken, 0 if it held, 2 if it could not run.
 # TROUBLE=0: without the disruptions.
+trouble=6
+[ "${TROUBLE:-1}" = 0 ] && trouble=0
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 daemon=target/bin/carobwindd
@@ -16,7 +18,7 @@
     rm -rf "$work"
 }
 trap finish EXIT
-"$standin" "$net" "$here/record.txt" "${TROUBLE:-1}" &
+"$standin" "$net" "$here/record.txt" "$trouble" &
 judge=$!
 pids=$judge
 sleep 0.2
--- a/review/standin-2/standin.c
+++ b/review/standin-2/standin.c
@@ -1,7 +1,9 @@
 /* A stand-in for the platform, three backends of one database, and its clients, for the scripts of
  * review/N/run.sh. One process, so that all times are of one clock.
  *
- *   standin NETWORK RECORD TROUBLE    e.g. standin 127.40.7 record.txt 1
+ *   standin NETWORK RECORD TROUBLE    e.g. standin 127.40.7 record.txt 6
+ *
+ * TROUBLE is the number of the case whose disruptions are played; 0: none.
  *
  * NETWORK.100:7300  the platform's store (kv-key, kv-range, kv-watch, kv-txn) and POST /failover
  * NETWORK.101 to .103, port 7400: the backends; NETWORK.1 to .3: the machines of carobwind
@@ -1235,7 +1237,25 @@
         connect_client(c, 0, NULL);
     }
     run_for(1000);
-    if (trouble) {
+    if (trouble == 6) {
+        after(1000, set_deaf, 1, 1, NULL);
+        after(1000, set_deaf, 2, 1, NULL);
+        after(2500, crash, 0, 0, NULL);
+        after(3000, set_deaf, 1, 0, NULL);
+        after(3000, set_deaf, 2, 0, NULL);
+        after(5000, set_deaf, 0, 1, NULL);
+        after(5500, start_backend, 0, 0, NULL);
+        after(7900, set_deaf, 2, 1, NULL);
+        after(8000, crash, 1, 0, NULL);
+        after(8100, set_deaf, 2, 0, NULL);
+        after(8500, set_deaf, 1, 1, NULL);
+        after(9500, start_backend, 1, 0, NULL);
+        after(11000, crash, 2, 0, NULL);
+        after(12000, set_deaf, 0, 0, NULL);
+        after(12000, set_deaf, 1, 0, NULL);
+        after(14500, start_backend, 2, 0, NULL);
+    }
+    else if (trouble) {
         after(1000, crash, 2, 0, NULL);
         after(2000, set_deaf, 1, 1, NULL);
         after(3300, crash, 0, 0, NULL);
@@ -1245,7 +1265,7 @@
         after(8500, set_deaf, 1, 0, NULL);
         after(12250, start_backend, 1, 0, NULL);
     }
-    run_for(15000);
+    run_for(trouble == 6 ? 17000 : 15000);
     stopping = true;
     run_for(1000);
     return judge();
