--- a/review/standin-2/standin.c
+++ b/review/standin-2/standin.c
@@ -1251,8 +1251,8 @@
         after(8500, set_deaf, 1, 1, NULL);
         after(9500, start_backend, 1, 0, NULL);
         after(11000, crash, 2, 0, NULL);
-        after(12000, set_deaf, 0, 0, NULL);
-        after(12000, set_deaf, 1, 0, NULL);
+        after(11400, set_deaf, 0, 0, NULL);
+        after(11400, set_deaf, 1, 0, NULL);
         after(14500, start_backend, 2, 0, NULL);
     }
     else if (trouble) {
