Pool: log what a candidate for promotion was preferred to

The log named the endpoint whose promotion was requested, not the others that had answered nor how much of each log counts.

Each choice now logs one line for every other endpoint, and the index up to which each log is valid by the tenure record.

--- a/src/libcarobwind/pool_promotion.c
+++ b/src/libcarobwind/pool_promotion.c
@@ -245,6 +245,31 @@
     return previous_term != 0 || previous_answered;
 }
 
+/* Logs what the other endpoints reported when the candidate was chosen: the
+ * log of the host is then enough to tell why it was preferred. */
+static void
+log_other_reports(cbw_pool_t *pool, cbw_time_t now)
+{
+    for (int i = 0; i < Cbw_POOL_ENDPOINTS_MAX; i++) {
+        const cbw_pool_endpoint_t *e = &pool->endpoints[i];
+        if (!e->used || i == pool->candidate) {
+            continue;
+        }
+        if (e->reported_as_of < pool->phase_since) {
+            CbwPool_LogDecision_(pool, now, "passes over %s: %s", e->info.name,
+                                 e->down ? "down" : "no report in time");
+            continue;
+        }
+        CbwPool_LogDecision_(
+            pool, now,
+            "passes over %s: %s in term %" PRIu64 ", position %" PRIu64
+            ".%" PRIu64 ", valid up to %" PRIu64,
+            e->info.name, e->is_primary ? "primary" : "replica",
+            e->reported_term, e->reported_position.term,
+            e->reported_position.index, valid_position(pool, e).index);
+    }
+}
+
 static void
 request_promotion(cbw_pool_t *pool, cbw_time_t now)
 {
@@ -268,6 +293,7 @@
         }
         return;
     }
+    log_other_reports(pool, now);
     e = &pool->endpoints[pool->candidate];
     pool->candidate_leads =
         e->is_primary && e->reported_term >= pool->highest_term;
@@ -279,11 +305,12 @@
     CbwPool_LogDecision_(
         pool, now,
         "requests the promotion of %s, %s in term %" PRIu64
-        ", position %" PRIu64 ".%" PRIu64 ", fencing token %" PRIu64
-        ", to lead a term above %" PRIu64,
+        ", position %" PRIu64 ".%" PRIu64 ", valid up to %" PRIu64
+        ", fencing token %" PRIu64 ", to lead a term above %" PRIu64,
         e->info.name, e->is_primary ? "primary" : "replica", e->reported_term,
         e->reported_position.term, e->reported_position.index,
-        pool->tenure.version, pool->superseded_term);
+        valid_position(pool, e).index, pool->tenure.version,
+        pool->superseded_term);
     pool->earlier_order_settled_at =
         strcmp(pool->ordered, e->info.name) == 0 ? pool->order_settled_at : 0;
     snprintf(pool->ordered, sizeof(pool->ordered), "%s", e->info.name);
