Pool: know the logs of all earlier terms, not of the last one only

Cause: the tenure record kept one index, at which the present term began. A log counted as discarded only if it went beyond that index. A log of term 1 that term 2 had cut back at 261 counted as valid up to its end, 495, as soon as term 3 began at 1026; the log of term 2, cut back from 1044 to 1026, counted as discarded, and so came after it.

An outdated report would have shown another position at both; a wrong order of the candidates alone the same valid index.

Change: the record keeps the begin of each term of the present log (the new module term_history), up to 16, and merges the oldest on the safe side. A log is compared with all of them. Among logs that all have discarded entries, the one that keeps the most of the present log is chosen. The begin of a term stays as it was when the present primary is promoted again in the same term; a term whose begin was not observed makes all older logs count as discarded.

A record of an earlier version has one index: only logs of the term just before are taken for valid by it. Earlier versions read the present term of a new record, ignore the rest, and drop it when they write.

Tests: /pool/discarded-by-earlier-promotion and /pool/repeated-promotion-keeps-base fail on (e0 is promoted) and pass now; /term-history/*, /tenure/record-terms, /tenure/largest-record. With synchronous commits the same order of events chose the right log before, too. In three existing tests the way to set a record's base changed with the type, no check did.

--- a/include/carobwind/pool.h
+++ b/include/carobwind/pool.h
@@ -327,7 +327,7 @@
     uint64_t primary_term;  /* that it leads; 0: not known */
     uint64_t primary_epoch; /* of the record when the primary was set */
     /* Index of the primary's last log entry when it began `primary_term`, as
-     * far as this owner observed it; else Cbw_TENURE_BASE_UNKNOWN. */
+     * far as this owner observed it; else Cbw_TERM_BASE_UNKNOWN. */
     uint64_t primary_base;
     /* Counts the changes of `primary` and `primary_term`. Calls carry the
      * generation in which they were sent. */
--- a/include/carobwind/tenure.h
+++ b/include/carobwind/tenure.h
@@ -13,6 +13,7 @@
 #define CAROBWIND_TENURE_H
 
 #include "carobwind/promotion.h"
+#include "carobwind/term_history.h"
 #include "carobwind/types.h"
 
 /* Duration of a tenure, from the sending of the call that renewed it. Longer
@@ -56,9 +57,6 @@
     uint64_t version;
 } cbw_tenure_holder_t;
 
-/* `term_base` of a record whose primary is not known to have been promoted. */
-#define Cbw_TENURE_BASE_UNKNOWN UINT64_MAX
-
 /* The record in the store. */
 typedef struct {
     uint64_t epoch;             /* incremented by each promotion */
@@ -69,9 +67,9 @@
     /* That primary's term, as it reported it; 0: not known. Each promotion
      * begins a higher term. */
     uint64_t term;
-    /* Index of its last log entry when it began that term. Other endpoints may
-     * have later entries of earlier terms: those have been discarded. */
-    uint64_t term_base;
+    /* The terms of that primary's log; `term` is the last one, if it is known.
+     */
+    cbw_term_history_t history;
     /* Number of holders whose tenure may not have expired when the current one
      * took over. -1: more than the record can name. */
     int previous_holder_count;
@@ -79,15 +77,17 @@
 } cbw_tenure_record_t;
 
 /* Size of a buffer for a record's text, with its NUL. */
-#define Cbw_TENURE_TEXT_MAX 1024
+#define Cbw_TENURE_TEXT_MAX 2048
 /* Writes the stored form of `record` to `text` of Cbw_TENURE_TEXT_MAX bytes.
  */
 void CbwTenure_FormatRecord(const cbw_tenure_record_t *record, char *text);
 /* Parses the stored form. Earlier versions neither write nor read its last
- * words, `term` and `term_base`. Returns 0, or -1 when the text is malformed.
- * The record then has no holder, an unknown number of previous holders, and a
- * promotion in progress: an owner that takes it over waits for all tenures to
- * expire and carries out a promotion before it serves. */
+ * words, the terms before the present one; still earlier ones no term at all.
+ * Where they are missing, only a log of the term just before the present one
+ * is taken for valid. Returns 0, or -1 when the text is malformed. The record
+ * then has no holder, an unknown number of previous holders, and a promotion
+ * in progress: an owner that takes it over waits for all tenures to expire and
+ * carries out a promotion before it serves. */
 int CbwTenure_ParseRecord(cbw_tenure_record_t *record, const char *text);
 
 typedef struct {
@@ -171,14 +171,15 @@
 /* Swap the record: to `promoting` with the next epoch, or to the end of the
  * promotion with its `primary`. `term` is that of the record's primary, which
  * the promotion replaces (0: not known; a term that the record has is kept),
- * or of the new one, and `term_base` the index of the new one's last log entry
- * then. Return false when a call is in flight or this owner is not the holder.
- */
+ * or of the new one, and `base` the end of the new one's log when it began
+ * that term, all zero if not known: then all logs of earlier terms count as
+ * discarded. Return false when a call is in flight or this owner is not the
+ * holder. */
 bool CbwTenure_BeginPromotion(cbw_tenure_t *tenure, cbw_time_t now,
                               uint64_t term);
 bool CbwTenure_EndPromotion(cbw_tenure_t *tenure, cbw_time_t now,
                             const char *primary, uint64_t term,
-                            uint64_t term_base);
+                            cbw_position_t base);
 /* Asks previous holders to relinquish their tenures, which a promotion would
  * otherwise have to wait for. To be called until the tenure is exclusive. */
 void CbwTenure_AskToRelinquish(cbw_tenure_t *tenure, cbw_time_t now);
--- a/src/libcarobwind/pool.c
+++ b/src/libcarobwind/pool.c
@@ -63,7 +63,7 @@
     pool->counters = counters;
     pool->assigned = true;
     pool->primary = -1;
-    pool->primary_base = Cbw_TENURE_BASE_UNKNOWN;
+    pool->primary_base = Cbw_TERM_BASE_UNKNOWN;
     pool->candidate = -1;
     CbwTenure_Init(&pool->tenure, &tenure_ops, pool, nonce, host);
     CbwQueue_Init(&pool->primary_queue, ranks, rank_count);
--- a/src/libcarobwind/pool_primary.c
+++ b/src/libcarobwind/pool_primary.c
@@ -30,9 +30,8 @@
 bool
 CbwPool_HasDiscardedEntries_(const cbw_pool_t *pool, cbw_position_t position)
 {
-    const cbw_tenure_record_t *record = &pool->tenure.record;
-
-    return position.term < record->term && position.index > record->term_base;
+    return CbwTermHistory_Valid(&pool->tenure.record.history, position).index <
+           position.index;
 }
 
 bool
@@ -113,7 +112,7 @@
     pool->generation++;
     pool->sample_count = 0;
     pool->primary_position = (cbw_position_t){0, 0};
-    pool->primary_base = Cbw_TENURE_BASE_UNKNOWN;
+    pool->primary_base = Cbw_TERM_BASE_UNKNOWN;
     CbwPool_ResetConfirmation_(pool);
     CbwPool_FailHeldAnswers_(pool, now);
     return moved;
@@ -151,7 +150,7 @@
     pool->promotion_term = 0;
     pool->promotion_as_of = 0;
     pool->primary_term = 0;
-    pool->primary_base = Cbw_TENURE_BASE_UNKNOWN;
+    pool->primary_base = Cbw_TERM_BASE_UNKNOWN;
     pool->sample_count = 0;
 }
 
--- a/src/libcarobwind/pool_promotion.c
+++ b/src/libcarobwind/pool_promotion.c
@@ -66,18 +66,15 @@
 static cbw_position_t
 valid_position(const cbw_pool_t *pool, const cbw_pool_endpoint_t *e)
 {
-    cbw_position_t position = e->reported_position;
-
-    if (CbwPool_HasDiscardedEntries_(pool, position)) {
-        position.index = pool->tenure.record.term_base;
-    }
-    return position;
+    return CbwTermHistory_Valid(&pool->tenure.record.history,
+                                e->reported_position);
 }
 
 /* Whether `a` is the better candidate. The previous primary, if allowed, comes
  * last: the promotion began because it was lost or is leaving. The promotion
  * of an endpoint with discarded entries would restore them, though reads since
- * then have not shown them. Next, an endpoint that stays is preferred to one
+ * then have not shown them; if all have some, the one that keeps the most of
+ * the present log is best. Next, an endpoint that stays is preferred to one
  * that is leaving, and then the higher log position. With synchronous commits,
  * a single replica may have received what was acknowledged, so the log
  * position comes before everything but the previous primary. Among equals, an
@@ -103,6 +100,9 @@
     if (a_discarded != b_discarded) {
         return b_discarded;
     }
+    if (a_discarded && order != 0) {
+        return order > 0;
+    }
     if (a->info.leaving != b->info.leaving) {
         return b->info.leaving;
     }
@@ -345,6 +345,22 @@
     CbwPool_SetPhase_(pool, now, CBW_POOL_POLLING_CANDIDATE);
 }
 
+/* Returns the end of the endpoint's log when it began the term that it leads.
+ * Once it has an entry of that term, this is known only if it was observed
+ * before; all zero: not known. */
+static cbw_position_t
+term_base(const cbw_pool_t *pool, const cbw_pool_endpoint_t *e)
+{
+    if (e->reported_position.term < e->reported_term) {
+        return e->reported_position;
+    }
+    if (pool->promotion_term == e->reported_term &&
+        pool->promotion_position.term < e->reported_term) {
+        return pool->promotion_position;
+    }
+    return (cbw_position_t){0, 0};
+}
+
 /* The candidate has become the primary. The new term begins with the log that
  * it has received so far. */
 static void
@@ -353,8 +369,7 @@
     const cbw_pool_endpoint_t *e = &pool->endpoints[pool->candidate];
 
     if (!CbwTenure_EndPromotion(&pool->tenure, now, e->info.name,
-                                e->reported_term,
-                                e->reported_position.index)) {
+                                e->reported_term, term_base(pool, e))) {
         return;
     }
     CbwPool_LogDecision_(
--- a/src/libcarobwind/tenure.c
+++ b/src/libcarobwind/tenure.c
@@ -12,6 +12,25 @@
     return field[0] != '\0' ? field : "-";
 }
 
+/* Writes the present term first, as earlier versions read no more. */
+static void
+format_terms(const cbw_tenure_record_t *record, char *text, size_t size)
+{
+    const cbw_term_history_t *history = &record->history;
+    int earlier = history->count > 0 ? history->count - 1 : 0;
+    int length =
+        snprintf(text, size, " %" PRIu64 " %" PRIu64 " %d", record->term,
+                 history->count > 0 ? history->starts[earlier].base
+                                    : Cbw_TERM_BASE_UNKNOWN,
+                 earlier);
+
+    for (int i = 0; i < earlier; i++) {
+        length += snprintf(text + length, size - (size_t)length,
+                           " %" PRIu64 " %" PRIu64, history->starts[i].term,
+                           history->starts[i].base);
+    }
+}
+
 void
 CbwTenure_FormatRecord(const cbw_tenure_record_t *record, char *text)
 {
@@ -28,8 +47,63 @@
             record->previous_holders[i].host,
             record->previous_holders[i].version);
     }
-    snprintf(text + length, (size_t)(Cbw_TENURE_TEXT_MAX - length),
-             " %" PRIu64 " %" PRIu64, record->term, record->term_base);
+    format_terms(record, text + length,
+                 (size_t)(Cbw_TENURE_TEXT_MAX - length));
+}
+
+/* Parses the terms before `term`, the present one. */
+static int
+parse_earlier_terms(cbw_term_history_t *history, uint64_t term,
+                    const char *text)
+{
+    uint64_t last = 0;
+    int count;
+    int consumed;
+
+    if (sscanf(text, "%d%n", &count, &consumed) != 1 || count < 0 ||
+        count >= Cbw_TERM_HISTORY_MAX) {
+        return -1;
+    }
+    for (int i = 0; i < count; i++) {
+        cbw_term_start_t start;
+        text += consumed;
+        if (sscanf(text, "%" SCNu64 " %" SCNu64 "%n", &start.term, &start.base,
+                   &consumed) != 2 ||
+            start.term <= last || start.term >= term) {
+            return -1;
+        }
+        last = start.term;
+        CbwTermHistory_Add(history, start);
+    }
+    return 0;
+}
+
+static int
+parse_terms(cbw_tenure_record_t *record, const char *text)
+{
+    cbw_term_start_t present;
+    int consumed;
+
+    if (sscanf(text, "%" SCNu64 " %" SCNu64 "%n", &present.term, &present.base,
+               &consumed) != 2 ||
+        present.term == 0) {
+        return 0; /* no term is known */
+    }
+    text += consumed;
+    if (text[strspn(text, " ")] != '\0') {
+        if (parse_earlier_terms(&record->history, present.term, text) != 0) {
+            return -1;
+        }
+    }
+    else if (present.base != Cbw_TERM_BASE_UNKNOWN && present.term > 1) {
+        /* Promotions of an earlier version may have discarded entries of any
+         * term before. */
+        CbwTermHistory_Add(&record->history,
+                           (cbw_term_start_t){present.term - 1, 0});
+    }
+    record->term = present.term;
+    CbwTermHistory_Add(&record->history, present);
+    return 0;
 }
 
 static int
@@ -61,12 +135,7 @@
         }
         text += consumed;
     }
-    if (sscanf(text, "%" SCNu64 " %" SCNu64, &record->term,
-               &record->term_base) != 2) {
-        record->term = 0;
-        record->term_base = 0;
-    }
-    return 0;
+    return parse_terms(record, text);
 }
 
 int
@@ -383,6 +452,16 @@
     }
 }
 
+static void
+begin_term(cbw_tenure_record_t *record, uint64_t term, uint64_t base)
+{
+    if (term == 0) {
+        return;
+    }
+    record->term = term;
+    CbwTermHistory_Add(&record->history, (cbw_term_start_t){term, base});
+}
+
 bool
 CbwTenure_BeginPromotion(cbw_tenure_t *tenure, cbw_time_t now, uint64_t term)
 {
@@ -394,8 +473,7 @@
     proposed.epoch++;
     proposed.promoting = true;
     if (proposed.term == 0) {
-        proposed.term = term;
-        proposed.term_base = Cbw_TENURE_BASE_UNKNOWN;
+        begin_term(&proposed, term, Cbw_TERM_BASE_UNKNOWN);
     }
     if (now >= tenure->exclusive_from) {
         proposed.previous_holder_count = 0;
@@ -406,7 +484,7 @@
 
 bool
 CbwTenure_EndPromotion(cbw_tenure_t *tenure, cbw_time_t now,
-                       const char *primary, uint64_t term, uint64_t term_base)
+                       const char *primary, uint64_t term, cbw_position_t base)
 {
     cbw_tenure_record_t proposed = tenure->record;
 
@@ -414,8 +492,11 @@
         return false;
     }
     proposed.promoting = false;
-    proposed.term = term;
-    proposed.term_base = term_base;
+    /* The promotion of the present primary may leave its term as it was. */
+    if (term != proposed.term) {
+        CbwTermHistory_Truncate(&proposed.history, base.term);
+        begin_term(&proposed, term, base.index);
+    }
     snprintf(proposed.primary, sizeof(proposed.primary), "%s", primary);
     send_swap(tenure, now, &proposed);
     return true;
--- a/src/test_libcarobwind/pool_world.c
+++ b/src/test_libcarobwind/pool_world.c
@@ -173,6 +173,14 @@
 
 static const cbw_rank_t ranks[] = {{.name = "urgent"}, {.name = "other"}};
 
+static void
+init_owner(pool_world_t *world, const char *host)
+{
+    CbwPool_Init(&world->pool, "db", CbwQueue_Policy("ranked"), ranks,
+                 G_N_ELEMENTS(ranks), &ops, world, NONCE + world->restarts,
+                 host, "north", NULL);
+}
+
 void
 PoolWorld_ServeStore(pool_world_t *world)
 {
@@ -285,9 +293,7 @@
     memset(world, 0, sizeof(*world));
     world->now = 100 * Cbw_SEC;
     world->abort_may_have_sent = true;
-    CbwPool_Init(&world->pool, "db", CbwQueue_Policy("ranked"), ranks,
-                 G_N_ELEMENTS(ranks), &ops, world, NONCE, "host", "north",
-                 NULL);
+    init_owner(world, "host");
     world->reports_primary[0] = true;
 }
 
@@ -360,6 +366,21 @@
     PoolWorld_AnswerStates(world, reports);
 }
 
+void
+PoolWorld_RestartOwner(pool_world_t *world)
+{
+    bool synchronous = world->pool.synchronous;
+
+    CbwPool_Finish(&world->pool, world->now);
+    world->sent_count = 0;
+    world->read_pending = false;
+    world->swap_pending = false;
+    world->restarts++;
+    init_owner(world, "other-host");
+    CbwPool_SetSynchronous(&world->pool, synchronous);
+    PoolWorld_SetEndpoints(world);
+}
+
 void
 PoolWorld_Finish(pool_world_t *world)
 {
--- a/src/test_libcarobwind/pool_world.h
+++ b/src/test_libcarobwind/pool_world.h
@@ -49,6 +49,7 @@
     uint64_t fence;
     int cancelled_orders;
     int relinquish_requests;
+    int restarts; /* of the owner */
     int step_downs; /* step-down calls sent */
     char redirected_to[Cbw_NAME_MAX];
     bool carries_nothing;        /* ops.can_carry refuses each request */
@@ -61,6 +62,9 @@
 /* Initializes the world and has the pool acquire the tenure. */
 void PoolWorld_Init(pool_world_t *world);
 void PoolWorld_Finish(pool_world_t *world);
+/* Replaces the pool by that of another host's owner, which knows nothing but
+ * what the store and the endpoints tell. */
+void PoolWorld_RestartOwner(pool_world_t *world);
 /* Passes the endpoints that are listed to the pool. */
 void PoolWorld_SetEndpoints(pool_world_t *world);
 /* Answers the open state calls and step-down calls. */
--- a/src/test_libcarobwind/test_main.c
+++ b/src/test_libcarobwind/test_main.c
@@ -33,6 +33,7 @@
     Suite_AddPeerCalls();
     Suite_AddPolicies();
     Suite_AddPool();
+    Suite_AddPoolBranches();
     Suite_AddPoolConfirm();
     Suite_AddPoolFleet();
     Suite_AddPoolFreshness();
@@ -57,6 +58,7 @@
     Suite_AddStatementText();
     Suite_AddStoreRelay();
     Suite_AddTenure();
+    Suite_AddTermHistory();
     Suite_AddTick();
     Suite_AddTraffic();
     Suite_AddWitness();
--- a/src/test_libcarobwind/test_pool_orders.c
+++ b/src/test_libcarobwind/test_pool_orders.c
@@ -46,7 +46,7 @@
     world.record.promoting = true; /* the record as it was */
     g_strlcpy(world.record.primary, "e0", sizeof(world.record.primary));
     world.record.term = world.pool.tenure.record.term;
-    world.record.term_base = world.pool.tenure.record.term_base;
+    world.record.history = world.pool.tenure.record.history;
     CbwPool_OnSwap(&world.pool, world.now, CBW_STORE_LOST, 0);
     g_assert_true(PoolWorld_RunUntilOrder(&world, 10 * Cbw_SEC, lost));
     g_assert_cmpstr(world.promotion_target, ==, "e2");
--- a/src/test_libcarobwind/test_pool_terms.c
+++ b/src/test_libcarobwind/test_pool_terms.c
@@ -79,7 +79,7 @@
     PoolWorld_Init(&world);
     world.record.epoch++;
     world.record.term = 4;
-    world.record.term_base = 9;
+    CbwTermHistory_Add(&world.record.history, (cbw_term_start_t){4, 9});
     g_strlcpy(world.record.primary, "e1", sizeof(world.record.primary));
     world.version++;
     g_assert_true(PoolWorld_RunUntilOrder(&world, 4 * Cbw_SEC, superseded));
--- a/src/test_libcarobwind/test_tenure.c
+++ b/src/test_libcarobwind/test_tenure.c
@@ -207,7 +207,8 @@
     model.now += Cbw_TENURE_VALID_FOR - Cbw_SEC;
     acquire(&model, 0);
     g_assert_true(CbwTenure_IsExclusive(tenure, model.now + Cbw_SEC));
-    g_assert_true(CbwTenure_EndPromotion(tenure, model.now, "p", 4, 9));
+    g_assert_true(CbwTenure_EndPromotion(tenure, model.now, "p", 4,
+                                         (cbw_position_t){3, 9}));
     complete_calls(&model);
     g_assert_true(CbwTenure_IsValid(tenure, model.now));
     g_assert_cmpstr(model.record.holder.host, ==, "h0");
@@ -429,7 +430,8 @@
     }
     if (owner->promotion_requested && !tenure->call_in_flight &&
         CbwRandom_Below(&model->random, 8) == 0 &&
-        CbwTenure_EndPromotion(tenure, model->now, "p", 4, 9)) {
+        CbwTenure_EndPromotion(tenure, model->now, "p", 4,
+                               (cbw_position_t){3, 9})) {
         owner->promoting = false;
         owner->promotion_requested = false;
     }
@@ -542,7 +544,7 @@
         .promoting = true,
         .primary = "i-1",
         .term = 12,
-        .term_base = 345,
+        .history = {.count = 2, .starts = {{9, 300}, {12, 345}}},
         .previous_holder_count = 2,
         .previous_holders = {{3, "a", 5}, {4, "b", 6}}};
     cbw_tenure_record_t parsed;
@@ -578,6 +580,89 @@
     }
 }
 
+/* A record's words on its terms, and how far a log is valid by them. */
+typedef struct {
+    const char *name;
+    const char *words; /* after the previous holders */
+    cbw_position_t log;
+    uint64_t valid;
+    bool malformed;
+} terms_case_t;
+
+static const terms_case_t terms_cases[] = {
+    {"all terms", "5 100 2 2 30 4 60", {4, 120}, 100, false},
+    {"all terms, an older log", "5 100 2 2 30 4 60", {2, 90}, 60, false},
+    {"a single term", "5 100 0", {2, 90}, 90, false},
+    {"the first term", "5 18446744073709551615 0", {2, 90}, 90, false},
+    {"an earlier version, the term before", "5 100", {4, 90}, 90, false},
+    {"an earlier version, discarded", "5 100", {4, 120}, 100, false},
+    {"an earlier version, an older log", "5 100", {2, 90}, 0, false},
+    {"an earlier version, the first term",
+     "5 18446744073709551615",
+     {2, 90},
+     90,
+     false},
+    {"a still earlier version", "", {2, 90}, 90, false},
+    {"too many terms", "99 100 16", {0, 0}, 0, true},
+    {"a negative number of terms", "5 100 -1", {0, 0}, 0, true},
+    {"terms are missing", "5 100 2 2 30", {0, 0}, 0, true},
+    {"terms descend", "5 100 2 4 30 2 60", {0, 0}, 0, true},
+    {"the present term is among them", "5 100 1 5 30", {0, 0}, 0, true},
+};
+
+static void
+test_record_terms(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(terms_cases); i++) {
+        const terms_case_t *c = &terms_cases[i];
+        char text[Cbw_TENURE_TEXT_MAX];
+        cbw_tenure_record_t parsed;
+
+        g_test_message("%s", c->name);
+        snprintf(text, sizeof(text), "7 9 host-1 0 i-1 1 3 a 5 %s", c->words);
+        g_assert_cmpint(CbwTenure_ParseRecord(&parsed, text), ==,
+                        c->malformed ? -1 : 0);
+        g_assert_cmpuint(CbwTermHistory_Valid(&parsed.history, c->log).index,
+                         ==, c->valid);
+        if (!c->malformed) {
+            cbw_tenure_record_t again;
+            CbwTenure_FormatRecord(&parsed, text);
+            g_assert_cmpint(CbwTenure_ParseRecord(&again, text), ==, 0);
+            g_assert_cmpmem(&again, sizeof(again), &parsed, sizeof(parsed));
+        }
+    }
+}
+
+/* The largest record fits its text. */
+static void
+test_largest_record(void)
+{
+    cbw_tenure_record_t record = {.epoch = UINT64_MAX,
+                                  .promoting = true,
+                                  .term = UINT64_MAX,
+                                  .previous_holder_count =
+                                      Cbw_TENURE_PREVIOUS_HOLDERS_MAX};
+    cbw_tenure_record_t parsed;
+    char text[Cbw_TENURE_TEXT_MAX];
+
+    memset(record.primary, 'p', sizeof(record.primary) - 1);
+    record.holder.nonce = UINT64_MAX;
+    memset(record.holder.host, 'h', sizeof(record.holder.host) - 1);
+    for (int i = 0; i < Cbw_TENURE_PREVIOUS_HOLDERS_MAX; i++) {
+        record.previous_holders[i] = record.holder;
+        record.previous_holders[i].version = UINT64_MAX;
+    }
+    for (uint64_t i = 1; i <= Cbw_TERM_HISTORY_MAX; i++) {
+        CbwTermHistory_Add(
+            &record.history,
+            (cbw_term_start_t){UINT64_MAX - Cbw_TERM_HISTORY_MAX + i,
+                               UINT64_MAX});
+    }
+    CbwTenure_FormatRecord(&record, text);
+    g_assert_cmpint(CbwTenure_ParseRecord(&parsed, text), ==, 0);
+    g_assert_cmpmem(&parsed, sizeof(parsed), &record, sizeof(record));
+}
+
 /* The record has the term of its primary: of the one that a promotion replaces
  * until it ends, also if another owner repeats the promotion. */
 static void
@@ -599,7 +684,8 @@
     g_assert_true(CbwTenure_BeginPromotion(second, model.now, 4));
     complete_calls(&model);
     g_assert_cmpuint(model.record.term, ==, 3);
-    g_assert_true(CbwTenure_EndPromotion(second, model.now, "q", 5, 9));
+    g_assert_true(CbwTenure_EndPromotion(second, model.now, "q", 5,
+                                         (cbw_position_t){4, 9}));
     complete_calls(&model);
     g_assert_cmpuint(model.record.term, ==, 5);
 }
@@ -626,5 +712,7 @@
                     test_checker_detects_missing_wait);
     g_test_add_func("/tenure/record-format", test_record_format);
     g_test_add_func("/tenure/record-term", test_record_term);
+    g_test_add_func("/tenure/record-terms", test_record_terms);
+    g_test_add_func("/tenure/largest-record", test_largest_record);
     g_test_add_func("/tenure/unreadable-record", test_unreadable_record);
 }
