Pool: wait for a log without discarded entries before one with them is promoted

Cause: discarded entries only put an endpoint behind the others that answer within 80 ms. If none of the others did, it was promoted like any other.

Change: without synchronous commits, a promotion waits up to 15 s for a log without discarded entries, if all candidates have some; the previous primary may be one at once, not only after 2.5 s. It ends when one answers, be it as a new name, or when an endpoint has given its discarded entries up. After 15 s the log that keeps most is promoted, with a log line and a counter for what it restores. Meanwhile what no endpoint can serve is refused at once (retry after 1 s), and the record is rewritten every 3 s, so that no other owner takes the promotion over and starts the wait again. A primary that is leaving is not replaced as long as only such logs could take over.

With synchronous commits nothing acknowledged is discarded: no wait.

Tests, which fail on: /pool/valid-log-is-awaited, /pool/requests-during-the-wait, /pool/leaving-primary-has-no-valid-successor. /pool/waiting-promotion-is-kept guards the rewriting.

--- a/include/carobwind/counter.h
+++ b/include/carobwind/counter.h
@@ -48,6 +48,10 @@
     CBW_COUNTER_PROMOTIONS_STARTED,
     CBW_COUNTER_PROMOTIONS_WON,
     CBW_COUNTER_PROMOTIONS_LOST,
+    /* Promotions that waited for a log without discarded entries, and those
+     * that had to restore discarded ones. */
+    CBW_COUNTER_VALID_LOG_WAITS,
+    CBW_COUNTER_DISCARDED_LOGS_PROMOTED,
     CBW_COUNTER_ORDERS_CANCELLED, /* promotion requests without a reply */
     CBW_COUNTER_SWAPS_UNANSWERED, /* of the tenure record */
     /* Run by an endpoint, but not acknowledged, as another one may have been
--- a/include/carobwind/pool.h
+++ b/include/carobwind/pool.h
@@ -76,6 +76,13 @@
 /* How long the candidates' states are awaited before one is chosen, without
  * synchronous commits. */
 #define Cbw_POOL_CANDIDATE_STATE_TIMEOUT (80 * Cbw_MSEC)
+/* How long a promotion without synchronous commits waits for an endpoint whose
+ * log has no discarded entries, if all candidates have some. Crashed endpoints
+ * come back within that time, and a change of the primary still ends within
+ * 19 s (PROMISES.md). */
+#define Cbw_POOL_VALID_LOG_TIMEOUT (15 * Cbw_SEC)
+/* The retry-after time of a request that is refused during that wait. */
+#define Cbw_POOL_VALID_LOG_RETRY_AFTER Cbw_SEC
 /* How often a candidate is asked whether it has become the primary, and a
  * replica whether it has caught up. */
 #define Cbw_POOL_STATE_POLL_INTERVAL (50 * Cbw_MSEC)
@@ -228,7 +235,9 @@
     /* Waits until the tenures of previous holders have ended, and until the
      * candidates have reported their states or
      * Cbw_POOL_CANDIDATE_STATE_TIMEOUT has passed; then chooses one. With
-     * synchronous commits it waits for the states of all endpoints. */
+     * synchronous commits it waits for the states of all endpoints, otherwise
+     * for up to Cbw_POOL_VALID_LOG_TIMEOUT for a log without discarded
+     * entries. */
     CBW_POOL_CHOOSING_CANDIDATE,
     /* A promotion request is in flight. */
     CBW_POOL_REQUESTING_PROMOTION,
@@ -374,10 +383,13 @@
     cbw_time_t last_submit_at; /* when the last request arrived */
     cbw_pool_phase_t phase;
     cbw_time_t phase_since;
-    bool wait_logged;        /* in this phase: whose state is awaited */
-    bool planned;            /* not used */
-    cbw_time_t drain_due_at; /* a leaving primary is not drained before */
-    int candidate;           /* endpoint to be promoted; -1: none */
+    bool wait_logged;           /* in this phase: whose state is awaited */
+    bool planned;               /* not used */
+    cbw_time_t drain_due_at;    /* a leaving primary is not drained before */
+    cbw_time_t promotion_since; /* the present promotion began */
+    /* Each endpoint that could be promoted has discarded entries. */
+    bool awaits_valid_log;
+    int candidate; /* endpoint to be promoted; -1: none */
     /* The candidate is the new primary once it leads a term above this one. */
     uint64_t superseded_term;
     /* The candidate led the highest known term when it was chosen. If it is
--- a/include/carobwind/tenure.h
+++ b/include/carobwind/tenure.h
@@ -33,8 +33,10 @@
 #define Cbw_TENURE_TAKE_OVER_INTERVAL (1500 * Cbw_MSEC)
 
 /* Another owner's promotion may be taken over after this time without a change
- * of the record. Longer than a promotion takes with all its waits. */
+ * of the record. Longer than the steps of a promotion take. */
 #define Cbw_TENURE_PROMOTION_TIMEOUT (Cbw_TENURE_VALID_FOR + 3 * Cbw_SEC)
+/* Interval at which the record is rewritten in a promotion that waits. */
+#define Cbw_TENURE_KEEP_INTERVAL (3 * Cbw_SEC)
 
 /* The store counts as unresponsive when a call has been in flight for this
  * long. Longer than the slowest specified answers (240 ms). */
@@ -180,6 +182,10 @@
 bool CbwTenure_EndPromotion(cbw_tenure_t *tenure, cbw_time_t now,
                             const char *primary, uint64_t term,
                             cbw_position_t base);
+/* Keeps other owners from taking over this owner's promotion: changes the
+ * record's version if that is Cbw_TENURE_KEEP_INTERVAL old. To be called as
+ * long as the promotion waits. */
+void CbwTenure_KeepPromotion(cbw_tenure_t *tenure, cbw_time_t now);
 /* Asks previous holders to relinquish their tenures, which a promotion would
  * otherwise have to wait for. To be called until the tenure is exclusive. */
 void CbwTenure_AskToRelinquish(cbw_tenure_t *tenure, cbw_time_t now);
--- a/src/libcarobwind/counter.c
+++ b/src/libcarobwind/counter.c
@@ -40,6 +40,8 @@
     "promotions_started_total",
     "promotions_won_total",
     "promotions_lost_total",
+    "valid_log_waits_total",
+    "discarded_logs_promoted_total",
     "promotion_orders_cancelled_total",
     "tenure_swaps_unanswered_total",
     "commits_superseded_total",
--- a/src/libcarobwind/include/private/pool.h
+++ b/src/libcarobwind/include/private/pool.h
@@ -208,6 +208,10 @@
 /* Chooses a candidate and requests its promotion, as soon as the tenure is
  * exclusive and the endpoints' states allow the choice. */
 void CbwPool_ChooseWhenReady_(cbw_pool_t *pool, cbw_time_t now);
+/* Returns whether a promotion waits for a log without discarded entries, and
+ * no endpoint that answers has one: nothing can be served until one returns.
+ */
+bool CbwPool_IsValidLogAwaited_(const cbw_pool_t *pool, cbw_time_t now);
 /* Cancels the promotion request in flight, if any. */
 void CbwPool_CancelOrder_(cbw_pool_t *pool, cbw_time_t now);
 /* Asks the candidate whether it has become the primary. Chooses again if that
--- a/src/libcarobwind/pool_health.c
+++ b/src/libcarobwind/pool_health.c
@@ -313,12 +313,15 @@
     return found;
 }
 
+/* Whether a replica can replace the primary: one with discarded entries would
+ * restore them. */
 static bool
 has_remaining_replica(const cbw_pool_t *pool)
 {
     for (int i = 0; i < Cbw_POOL_ENDPOINTS_MAX; i++) {
         const cbw_pool_endpoint_t *e = &pool->endpoints[i];
-        if (i != pool->primary && e->used && !e->down && !e->info.leaving) {
+        if (i != pool->primary && e->used && !e->down && !e->info.leaving &&
+            !CbwPool_HasDiscardedEntries_(pool, e->position)) {
             return true;
         }
     }
--- a/src/libcarobwind/pool_promotion.c
+++ b/src/libcarobwind/pool_promotion.c
@@ -70,11 +70,12 @@
                                 e->reported_position);
 }
 
-/* Whether `a` is the better candidate. The previous primary, if allowed, comes
- * last: the promotion began because it was lost or is leaving. The promotion
- * of an endpoint with discarded entries would restore them, though reads since
- * then have not shown them; if all have some, the one that keeps the most of
- * the present log is best. Next, an endpoint that stays is preferred to one
+/* Whether `a` is the better candidate. The promotion of an endpoint with
+ * discarded entries would restore them, though reads since then have not shown
+ * them; if all have some, the one that keeps the most of the present log is
+ * best. The previous primary, if allowed, comes after the others: the
+ * promotion began because it was lost or is leaving. Next, an endpoint that
+ * stays is preferred to one
  * that is leaving, and then the higher log position. With synchronous commits,
  * a single replica may have received what was acknowledged, so the log
  * position comes before everything but the previous primary. Among equals, an
@@ -91,6 +92,9 @@
     int order =
         CbwPosition_Compare(valid_position(pool, a), valid_position(pool, b));
 
+    if (!pool->synchronous && a_discarded != b_discarded) {
+        return b_discarded;
+    }
     if (is_previous_primary(pool, a) != is_previous_primary(pool, b)) {
         return is_previous_primary(pool, b);
     }
@@ -205,6 +209,8 @@
     pool->previous_primary_term = pool->primary_position.term;
     pool->refused_candidates = 0;
     pool->previous_allowed = false;
+    pool->promotion_since = now;
+    pool->awaits_valid_log = false;
     pool->candidate = -1;
     CbwPool_SetPhase_(pool, now, CBW_POOL_CLAIMING);
     CbwCounter_Add(pool->counters, CBW_COUNTER_PROMOTIONS_STARTED, 1);
@@ -270,6 +276,63 @@
     }
 }
 
+/* Whether the promotion of the candidate would restore discarded entries,
+ * while another endpoint may still come back without any. With synchronous
+ * commits, entries that were acknowledged are never discarded. */
+static bool
+must_await_valid_log(const cbw_pool_t *pool, cbw_time_t now)
+{
+    const cbw_pool_endpoint_t *e = &pool->endpoints[pool->candidate];
+
+    return !pool->synchronous &&
+           now - pool->promotion_since < Cbw_POOL_VALID_LOG_TIMEOUT &&
+           CbwPool_HasDiscardedEntries_(pool, e->reported_position);
+}
+
+/* Even the previous primary is better than any other endpoint now. */
+static void
+await_valid_log(cbw_pool_t *pool, cbw_time_t now)
+{
+    if (pool->awaits_valid_log) {
+        return;
+    }
+    pool->awaits_valid_log = true;
+    pool->previous_allowed = true;
+    CbwCounter_Add(pool->counters, CBW_COUNTER_VALID_LOG_WAITS, 1);
+    log_other_reports(pool, now);
+    CbwPool_LogDecision_(
+        pool, now,
+        "waits up to %d s for a log without discarded entries: the "
+        "best is that of %s, valid up to %" PRIu64,
+        (int)(Cbw_POOL_VALID_LOG_TIMEOUT / Cbw_SEC),
+        pool->endpoints[pool->candidate].info.name,
+        valid_position(pool, &pool->endpoints[pool->candidate]).index);
+}
+
+bool
+CbwPool_IsValidLogAwaited_(const cbw_pool_t *pool, cbw_time_t now)
+{
+    return pool->phase == CBW_POOL_CHOOSING_CANDIDATE &&
+           pool->awaits_valid_log && find_unanswered_candidate(pool, now) < 0;
+}
+
+static void
+report_restored_entries(cbw_pool_t *pool, cbw_time_t now)
+{
+    const cbw_pool_endpoint_t *e = &pool->endpoints[pool->candidate];
+
+    if (!CbwPool_HasDiscardedEntries_(pool, e->reported_position)) {
+        return;
+    }
+    CbwCounter_Add(pool->counters, CBW_COUNTER_DISCARDED_LOGS_PROMOTED, 1);
+    CbwPool_LogDecision_(
+        pool, now,
+        "no log without discarded entries: the promotion of %s restores the "
+        "entries from %" PRIu64 " to %" PRIu64,
+        e->info.name, valid_position(pool, e).index + 1,
+        e->reported_position.index);
+}
+
 static void
 request_promotion(cbw_pool_t *pool, cbw_time_t now)
 {
@@ -284,6 +347,10 @@
         return;
     }
     pool->candidate = choose_candidate(pool, now);
+    if (pool->candidate >= 0 && must_await_valid_log(pool, now)) {
+        await_valid_log(pool, now);
+        pool->candidate = -1;
+    }
     if (pool->candidate < 0) {
         if (now - pool->phase_since > Cbw_POOL_PROMOTION_RETRY_AFTER) {
             pool->refused_candidates = 0;
@@ -293,7 +360,9 @@
         }
         return;
     }
+    pool->awaits_valid_log = false;
     log_other_reports(pool, now);
+    report_restored_entries(pool, now);
     e = &pool->endpoints[pool->candidate];
     pool->candidate_leads =
         e->is_primary && e->reported_term >= pool->highest_term;
@@ -440,6 +509,7 @@
      * have taken effect. */
     cbw_time_t reports_from = pool->tenure.exclusive_from;
 
+    CbwTenure_KeepPromotion(&pool->tenure, now);
     CbwTenure_AskToRelinquish(&pool->tenure, now);
     if (pool->order_settled_at > reports_from &&
         now >= pool->order_settled_at) {
--- a/src/libcarobwind/pool_queue.c
+++ b/src/libcarobwind/pool_queue.c
@@ -109,9 +109,19 @@
                         .stalled = stalled};
 }
 
+/* Returns whether no endpoint may serve the request at present. Without a
+ * tenure it may be sent to another owner. */
+static bool
+has_no_endpoint(const cbw_pool_t *pool, cbw_time_t now,
+                const cbw_request_t *request)
+{
+    return CbwPool_MayServe_(pool, now) && now >= pool->redirected_until &&
+           CbwPool_UsablePrimary_(pool, now) < 0 &&
+           !CbwPool_MayReplicaServe_(pool, now, request);
+}
+
 /* Returns whether no endpoint has been able to serve such requests for as long
- * as this one would be held. Without a tenure it is queued, as it may be sent
- * to another owner. */
+ * as this one would be held. */
 static bool
 is_unservable(const cbw_pool_t *pool, cbw_time_t now,
               const cbw_request_t *request)
@@ -120,9 +130,17 @@
 
     return request->needs_primary && pool->primary_blocked_since != 0 &&
            now - pool->primary_blocked_since >= CbwHold_BlockedLimit(&hold) &&
-           CbwPool_MayServe_(pool, now) && now >= pool->redirected_until &&
-           CbwPool_UsablePrimary_(pool, now) < 0 &&
-           !CbwPool_MayReplicaServe_(pool, now, request);
+           has_no_endpoint(pool, now, request);
+}
+
+/* Returns whether the request would have to wait until a log returns, which
+ * takes seconds, if it comes at all. */
+static bool
+lacks_valid_log(const cbw_pool_t *pool, cbw_time_t now,
+                const cbw_request_t *request)
+{
+    return CbwPool_IsValidLogAwaited_(pool, now) &&
+           has_no_endpoint(pool, now, request);
 }
 
 bool
@@ -136,6 +154,12 @@
 
     request->reviewed = false; /* it may come from another owner's queue */
     gate->burst_wait_percent = is_fair(pool) ? Cbw_HOLD_IN_TIME_PERCENT : 0;
+    if (lacks_valid_log(pool, now, request)) {
+        CbwPool_Refuse_(pool, now, request, CBW_REFUSAL_NO_ENDPOINT,
+                        Cbw_POOL_VALID_LOG_RETRY_AFTER,
+                        "the database waits for a log");
+        return true;
+    }
     if (is_fair(pool) && is_unservable(pool, now, request)) {
         CbwPool_Refuse_(pool, now, request, CBW_REFUSAL_NO_ENDPOINT,
                         Cbw_POOL_REFUSED_RETRY_AFTER,
@@ -205,6 +229,11 @@
     bool stalled = gate_of(pool, queue)->dispatched_at < request->arrived_at;
     cbw_hold_t hold = make_hold(request, blocked, stalled);
 
+    if (lacks_valid_log(pool, now, request)) {
+        refuse_queued(pool, now, queue, request, true,
+                      Cbw_POOL_VALID_LOG_RETRY_AFTER);
+        return;
+    }
     if (!is_fair(pool)) {
         if (now >= queue_deadline(request, blocked)) {
             refuse_queued(pool, now, queue, request, blocked, 0);
--- a/src/libcarobwind/tenure.c
+++ b/src/libcarobwind/tenure.c
@@ -502,6 +502,16 @@
     return true;
 }
 
+void
+CbwTenure_KeepPromotion(cbw_tenure_t *tenure, cbw_time_t now)
+{
+    if (!tenure->call_in_flight && is_holder(tenure) &&
+        now < tenure->valid_until && tenure->record.promoting &&
+        now - tenure->version_seen_at >= Cbw_TENURE_KEEP_INTERVAL) {
+        renew_version(tenure, now);
+    }
+}
+
 void
 CbwTenure_Release(cbw_tenure_t *tenure, cbw_time_t now)
 {
@@ -612,6 +622,7 @@
     }
     settle_swap(tenure, version);
     tenure->version = version;
+    tenure->version_seen_at = now;
     tenure->record = tenure->proposed;
     record_previous_holders(tenure, now);
     if (is_take_over) {
--- a/src/test_libcarobwind/test_pool_branches.c
+++ b/src/test_libcarobwind/test_pool_branches.c
@@ -140,9 +140,216 @@
     PoolWorld_Finish(&world);
 }
 
+/* What follows while e0, whose last entries the promotion of e1 discarded, is
+ * the only endpoint that answers. */
+typedef struct {
+    const char *name;
+    bool synchronous;
+    bool restart; /* of the owner, during the wait */
+    endpoint_report_t later[3];
+    cbw_time_t later_after;
+    const char *chosen;
+    cbw_time_t chosen_after; /* at least */
+    cbw_time_t chosen_by;
+} wait_case_t;
+
+/* Time from the loss of e1 until its promotion begins, at most. */
+#define DETECTION (1500 * Cbw_MSEC)
+
+#define E0_ALONE                                                              \
+    {                                                                         \
+        {.term = 4, .position = {3, 15}}, DOWN, DOWN                          \
+    }
+
+static const wait_case_t wait_cases[] = {
+    {.name = "another replica returns",
+     .later = {{.term = 4, .position = {3, 15}}, DOWN, {.term = 4}},
+     .later_after = 6 * Cbw_SEC,
+     .chosen = "e2",
+     .chosen_after = 6 * Cbw_SEC,
+     .chosen_by = 6 * Cbw_SEC + DETECTION},
+    {.name = "the previous primary returns, as a replica",
+     .later = {{.term = 4, .position = {3, 15}},
+               {.term = 4, .position = {4, 30}},
+               DOWN},
+     .later_after = 5 * Cbw_SEC,
+     .chosen = "e1",
+     .chosen_after = 5 * Cbw_SEC,
+     .chosen_by = 5 * Cbw_SEC + DETECTION},
+    {.name = "e0 gives its discarded entries up",
+     .later = {{.term = 4}, DOWN, DOWN},
+     .later_after = 5 * Cbw_SEC,
+     .chosen = "e0",
+     .chosen_after = 5 * Cbw_SEC,
+     .chosen_by = 5 * Cbw_SEC + DETECTION},
+    {.name = "no other log returns",
+     .later = E0_ALONE,
+     .chosen = "e0",
+     .chosen_after = Cbw_POOL_VALID_LOG_TIMEOUT,
+     .chosen_by = Cbw_POOL_VALID_LOG_TIMEOUT + 3 * Cbw_SEC},
+    {.name = "no other log returns, and a new owner goes on",
+     .restart = true,
+     .later = E0_ALONE,
+     .later_after = 5 * Cbw_SEC,
+     .chosen = "e0",
+     .chosen_after = 5 * Cbw_SEC + Cbw_POOL_VALID_LOG_TIMEOUT,
+     .chosen_by = 5 * Cbw_SEC + Cbw_TENURE_VALID_FOR + DETECTION +
+                  Cbw_POOL_VALID_LOG_TIMEOUT + 3 * Cbw_SEC},
+    {.name = "with synchronous commits nothing acknowledged is discarded",
+     .synchronous = true,
+     .later = E0_ALONE,
+     .chosen = "e0",
+     .chosen_by = DETECTION},
+};
+
+/* e1 leads term 4, and e0 is back with discarded entries. */
+static void
+init_with_discarded_entries(pool_world_t *world, bool synchronous)
+{
+    static const step_t first = E1_LEADS_TERM_4;
+    static const endpoint_report_t returned[] = {
+        {.term = 4, .position = {3, 15}},
+        {.primary = true, .term = 4},
+        {.term = 4}};
+
+    PoolWorld_Init(world);
+    CbwPool_SetSynchronous(&world->pool, synchronous);
+    promote(world, &first);
+    PoolWorld_Run(world, Cbw_SEC, returned);
+}
+
+/* After review/7: an endpoint with discarded entries is not promoted as soon
+ * as it alone answers, since another log may come back; nor never, since it
+ * may not. */
+static void
+test_valid_log_is_awaited(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(wait_cases); i++) {
+        const wait_case_t *c = &wait_cases[i];
+        static const endpoint_report_t alone[] = E0_ALONE;
+        pool_world_t world;
+        cbw_time_t begin;
+
+        g_test_message("%s", c->name);
+        init_with_discarded_entries(&world, c->synchronous);
+        /* Synchronous commits await each endpoint that is listed. */
+        world.unlisted[1] = c->synchronous;
+        world.unlisted[2] = c->synchronous;
+        PoolWorld_SetEndpoints(&world);
+        begin = world.now;
+        if (c->later_after > 0) {
+            g_assert_false(
+                PoolWorld_RunUntilOrder(&world, c->later_after, alone));
+        }
+        if (c->restart) {
+            PoolWorld_RestartOwner(&world);
+        }
+        g_assert_true(
+            PoolWorld_RunUntilOrder(&world, 2 * PROMOTION_LIMIT, c->later));
+        g_assert_cmpstr(world.promotion_target, ==, c->chosen);
+        g_assert_cmpint(world.now - begin, >=, c->chosen_after);
+        g_assert_cmpint(world.now - begin, <=, c->chosen_by);
+        PoolWorld_Finish(&world);
+    }
+}
+
+/* While a log is awaited, the owner rewrites the record often enough that no
+ * other one takes over its promotion, which would start the wait again. */
+static void
+test_waiting_promotion_is_kept(void)
+{
+    static const endpoint_report_t alone[] = E0_ALONE;
+    pool_world_t world;
+    cbw_time_t changed_at;
+    uint64_t version;
+
+    init_with_discarded_entries(&world, false);
+    PoolWorld_Run(&world, 2 * Cbw_SEC, alone);
+    changed_at = world.now;
+    version = world.version;
+    while (world.pool.phase == CBW_POOL_CHOOSING_CANDIDATE) {
+        PoolWorld_Run(&world, 100 * Cbw_MSEC, alone);
+        if (world.version != version) {
+            changed_at = world.now;
+            version = world.version;
+        }
+        g_assert_cmpint(world.now - changed_at, <,
+                        Cbw_TENURE_PROMOTION_TIMEOUT / 2);
+    }
+    g_assert_cmpstr(world.promotion_target, ==, "e0");
+    PoolWorld_Finish(&world);
+}
+
+/* What cannot be served before a log returns is refused at once, and queued
+ * requests are returned when the wait begins. */
+static void
+test_requests_during_the_wait(void)
+{
+    static const cbw_read_consistency_t rules[] = {
+        CBW_READ_LATEST, CBW_READ_SESSION, CBW_READ_BOUNDED};
+    static const endpoint_report_t alone[] = E0_ALONE;
+
+    for (size_t i = 0; i < 2 * G_N_ELEMENTS(rules); i++) {
+        bool queued = i >= G_N_ELEMENTS(rules);
+        pool_world_t world;
+        cbw_request_t *request;
+
+        init_with_discarded_entries(&world, false);
+        while (queued && world.pool.phase < CBW_POOL_CLAIMING) {
+            PoolWorld_Run(&world, 20 * Cbw_MSEC, alone);
+        }
+        if (!queued) {
+            PoolWorld_Run(&world, 4 * Cbw_SEC, alone);
+            g_assert_cmpint(world.pool.phase, ==, CBW_POOL_CHOOSING_CANDIDATE);
+        }
+        request = PoolWorld_NewRequest(&world, false,
+                                       rules[i % G_N_ELEMENTS(rules)]);
+        request->deadline = world.now + 60 * Cbw_SEC;
+        PoolWorld_Submit(&world, request);
+        if (queued) {
+            PoolWorld_Run(&world, Cbw_SEC, alone);
+        }
+        g_assert_true(world.last_answered == request);
+        g_assert_cmpint(request->answer.outcome, ==, CBW_OUTCOME_NOTRUN);
+        g_assert_cmpint(request->answer.retry_after, ==,
+                        Cbw_POOL_VALID_LOG_RETRY_AFTER);
+        PoolWorld_Finish(&world);
+        PoolWorld_FreeRequest(request);
+    }
+}
+
+/* A primary that is leaving leads on while the only other endpoint has
+ * discarded entries: to replace it would make the database wait. */
+static void
+test_leaving_primary_has_no_valid_successor(void)
+{
+    static const endpoint_report_t discarded[] = {
+        {.term = 4, .position = {3, 15}}, {.primary = true, .term = 4}, DOWN};
+    static const endpoint_report_t followed[] = {
+        {.term = 4}, {.primary = true, .term = 4}, DOWN};
+    pool_world_t world;
+
+    init_with_discarded_entries(&world, false);
+    world.unlisted[2] = true;
+    world.leaving[1] = true;
+    PoolWorld_SetEndpoints(&world);
+    g_assert_false(PoolWorld_RunUntilOrder(&world, 10 * Cbw_SEC, discarded));
+    g_assert_cmpint(world.pool.phase, ==, CBW_POOL_SERVING);
+    g_assert_true(PoolWorld_RunUntilOrder(&world, 5 * Cbw_SEC, followed));
+    g_assert_cmpstr(world.promotion_target, ==, "e0");
+    PoolWorld_Finish(&world);
+}
+
 void
 Suite_AddPoolBranches(void)
 {
+    g_test_add_func("/pool/valid-log-is-awaited", test_valid_log_is_awaited);
+    g_test_add_func("/pool/waiting-promotion-is-kept",
+                    test_waiting_promotion_is_kept);
+    g_test_add_func("/pool/requests-during-the-wait",
+                    test_requests_during_the_wait);
+    g_test_add_func("/pool/leaving-primary-has-no-valid-successor",
+                    test_leaving_primary_has_no_valid_successor);
     g_test_add_func("/pool/discarded-by-earlier-promotion",
                     test_discarded_by_earlier_promotion);
     g_test_add_func("/pool/repeated-promotion-keeps-base",
