Pool: serve at once a primary that returns under another name

What callers saw: nothing was served for 2.5 s after the awaited log had come back, if it was that of the primary itself. On this platform it returns under a new name, still in its term; the request to promote it changes nothing, and the owner then waited until it was certain that it would not.

Cause: a candidate counted as the present primary only if it led a later term than the record's. One that leads the record's own term is the record's primary: unless a request of this promotion, or of the one that it continues, may have promoted another endpoint since, nothing is left to wait for.

Test: /pool/present-primary-returns, which fails without the change; with an earlier request that was lost the wait stays.

--- a/include/carobwind/pool.h
+++ b/include/carobwind/pool.h
@@ -398,8 +398,11 @@
     bool candidate_leads;
     bool promote_accepted; /* the reply to the promotion request */
     bool draining;         /* see CbwPool_SetDraining */
-    bool order_lost;       /* the latest request had no reply */
-    bool order_in_flight;  /* the request has no reply yet */
+    /* A request may have been sent in the present promotion, or in the one
+     * that it continues. */
+    bool order_possible;
+    bool order_lost;      /* the latest request had no reply */
+    bool order_in_flight; /* the request has no reply yet */
     /* The endpoint of the latest request. Until `order_settled_at` it may
      * still be promoted, and no other endpoint is requested. */
     char ordered[Cbw_NAME_MAX];
--- a/src/libcarobwind/pool_promotion.c
+++ b/src/libcarobwind/pool_promotion.c
@@ -210,6 +210,7 @@
     pool->refused_candidates = 0;
     pool->previous_allowed = false;
     pool->promotion_since = now;
+    pool->order_possible = pool->tenure.inherited_promotion;
     pool->awaits_valid_log = false;
     pool->candidate = -1;
     CbwPool_SetPhase_(pool, now, CBW_POOL_CLAIMING);
@@ -222,9 +223,10 @@
 }
 
 /* Whether the candidate, which reports itself as the primary, is known to be
- * the present one: it leads a later term than the primary that the promotion
- * replaces, and no other endpoint reports a higher term. This happens when a
- * promotion was taken over or is repeated. */
+ * the present one. Either it leads the record's term, as when the primary that
+ * the promotion replaces returns under another name, and nobody has requested
+ * a promotion since. Or it leads a later one, and no other endpoint reports a
+ * higher term: this happens when a promotion was taken over or is repeated. */
 static bool
 is_present_primary(const cbw_pool_t *pool, int candidate)
 {
@@ -232,9 +234,12 @@
     uint64_t previous_term = CbwPool_RecordPrimaryTerm_(pool);
     bool previous_answered = pool->previous_primary[0] == '\0';
 
-    if (term < pool->highest_term || term <= previous_term) {
+    if (term < pool->highest_term || term < previous_term) {
         return false;
     }
+    if (term == previous_term) {
+        return previous_term != 0 && !pool->order_possible;
+    }
     for (int i = 0; i < Cbw_POOL_ENDPOINTS_MAX; i++) {
         const cbw_pool_endpoint_t *e = &pool->endpoints[i];
         bool answered = e->reported_as_of >= pool->phase_since;
@@ -386,6 +391,7 @@
     pool->order_settled_at =
         now + Cbw_POOL_ORDER_TIMEOUT + Cbw_POOL_ORDER_EFFECT;
     pool->order_in_flight = true;
+    pool->order_possible = true;
     pool->ops->request_promotion(pool->context, e->info.name,
                                  pool->tenure.version);
 }
--- a/src/test_libcarobwind/test_pool_branches.c
+++ b/src/test_libcarobwind/test_pool_branches.c
@@ -253,6 +253,43 @@
     }
 }
 
+/* The present primary may return under another name, still in its term. Its
+ * promotion changes nothing, so it serves as soon as the request is accepted,
+ * unless an earlier request may still promote another endpoint. */
+static void
+test_present_primary_returns(void)
+{
+    static const endpoint_report_t alone[] = E0_ALONE;
+    static const endpoint_report_t returned[] = {
+        {.term = 4, .position = {3, 15}},
+        DOWN,
+        {.primary = true, .term = 4, .position = {4, 30}}};
+
+    for (int requested = 0; requested < 2; requested++) {
+        pool_world_t world;
+
+        init_with_discarded_entries(&world, false);
+        if (requested) {
+            g_assert_true(
+                PoolWorld_RunUntilOrder(&world, PROMOTION_LIMIT, alone));
+            CbwPool_OnPromoteReply(&world.pool, world.now, CBW_PROMOTE_LOST);
+        }
+        else {
+            PoolWorld_Run(&world, 5 * Cbw_SEC, alone);
+        }
+        g_assert_true(PoolWorld_RunUntilOrder(&world, 5 * Cbw_SEC, returned));
+        g_assert_cmpstr(world.promotion_target, ==, "e2");
+        CbwPool_OnPromoteReply(&world.pool, world.now, CBW_PROMOTE_ACCEPTED);
+        PoolWorld_Run(&world, POLLS, returned);
+        g_assert_cmpint(world.record.promoting, ==, requested);
+        PoolWorld_Run(&world, Cbw_POOL_PROMOTION_RETRY_AFTER, returned);
+        g_assert_false(world.record.promoting);
+        g_assert_cmpstr(world.record.primary, ==, "e2");
+        g_assert_cmpuint(world.record.term, ==, 4);
+        PoolWorld_Finish(&world);
+    }
+}
+
 /* While a log is awaited, the owner rewrites the record often enough that no
  * other one takes over its promotion, which would start the wait again. */
 static void
@@ -344,6 +381,8 @@
 Suite_AddPoolBranches(void)
 {
     g_test_add_func("/pool/valid-log-is-awaited", test_valid_log_is_awaited);
+    g_test_add_func("/pool/present-primary-returns",
+                    test_present_primary_returns);
     g_test_add_func("/pool/waiting-promotion-is-kept",
                     test_waiting_promotion_is_kept);
     g_test_add_func("/pool/requests-during-the-wait",
