Simulated fleet: find promotions that restore discarded entries

Cause: the fleet's check of reads compared positions by term and index, so that a log of another branch counted as newer; and a read was checked once, when it was answered, though a later promotion decides whether the commits that it lacked had been discarded for good.

A new case, branches, cuts an endpoint off and crashes the leader.

--- a/src/test_libcarobwind/pool_fleet.h
+++ b/src/test_libcarobwind/pool_fleet.h
@@ -15,6 +15,7 @@
     bool endpoint_crashes; /* endpoints crash and come back with their log */
     bool endpoint_cuts;    /* between hosts and endpoints */
     bool group_cuts;       /* between the endpoints */
+    bool deaf_crashes;     /* an endpoint is cut off, and the leader crashes */
     bool host_cuts;        /* between hosts */
     bool restarts;         /* hosts are killed, or stopped and started */
     bool pauses;           /* hosts pause */
@@ -34,6 +35,12 @@
     int superseded_commits;
     /* Reads of the latest data that lack an acknowledged commit. */
     int stale_reads;
+    /* Promotions that restored acknowledged entries which reads had lacked
+     * since an earlier promotion discarded them: while another log could have
+     * been promoted, and after none had been there for as long as promotions
+     * wait. */
+    int restored_logs;
+    int restored_after_wait;
     int lower_fences; /* promotion requests with a token below an earlier one's
                        */
     int orders_in_turn; /* requests of two hosts within the lease of 3 s */
--- a/src/test_libcarobwind/pool_fleet_callers.c
+++ b/src/test_libcarobwind/pool_fleet_callers.c
@@ -43,6 +43,7 @@
     if (!commits) {
         if (request->transaction == 0) {
             fleet->result->reads_done++;
+            fleet->read_in_term[run->term] = true;
             if (CbwPosition_Compare(run->end, operation->needed) < 0 &&
                 !is_discarded(fleet, operation->needed)) {
                 PoolFleet_ReportFault(fleet, &fleet->result->stale_reads,
@@ -53,6 +54,8 @@
         return;
     }
     fleet->result->commits_acknowledged++;
+    fleet->commits_of_term[run->end.term] =
+        MAX(fleet->commits_of_term[run->end.term], run->end.index);
     if (run->at > fleet->led_since && run->term < fleet->highest_term) {
         PoolFleet_ReportFault(fleet, &fleet->result->superseded_commits,
                               "h%d acknowledges a commit at e%d in term "
--- a/src/test_libcarobwind/pool_fleet_disruptions.c
+++ b/src/test_libcarobwind/pool_fleet_disruptions.c
@@ -64,6 +64,38 @@
         fleet, PoolFleet_Between(fleet, 500 * Cbw_MSEC, 9 * Cbw_SEC), event);
 }
 
+/* An endpoint receives nothing from the others for `length`. */
+static void
+cut_off_endpoint(fleet_t *fleet, int index, cbw_time_t length)
+{
+    for (int i = 0; i < ENDPOINTS; i++) {
+        if (i != index) {
+            set_for(fleet, &fleet->group_cut[index][i], length, "cut e%d-e%d",
+                    index, i);
+            set_for(fleet, &fleet->group_cut[i][index], length, "cut e%d-e%d",
+                    i, index);
+        }
+    }
+}
+
+static void
+crash_later(fleet_t *fleet, event_t *event)
+{
+    crash_endpoint(fleet, event->endpoint);
+}
+
+/* An endpoint misses what the leader writes, and the leader crashes. */
+static void
+crash_before_deaf_endpoint(fleet_t *fleet, int deaf, cbw_time_t length)
+{
+    event_t *event = PoolFleet_NewEvent(crash_later, 0, 0);
+
+    cut_off_endpoint(fleet, deaf, length);
+    event->endpoint = fleet->leader;
+    PoolFleet_Schedule(
+        fleet, PoolFleet_Between(fleet, 100 * Cbw_MSEC, 2 * Cbw_SEC), event);
+}
+
 static void
 end_unregistered(fleet_t *fleet, event_t *event)
 {
@@ -229,7 +261,10 @@
         }
         break;
     case 2:
-        if (disruptions->group_cuts) {
+        if (disruptions->deaf_crashes) {
+            crash_before_deaf_endpoint(fleet, other, length);
+        }
+        else if (disruptions->group_cuts) {
             set_for(fleet, &fleet->group_cut[e][other], length, "cut e%d-e%d",
                     e, other);
             set_for(fleet, &fleet->group_cut[other][e], length, "cut e%d-e%d",
--- a/src/test_libcarobwind/pool_fleet_platform.c
+++ b/src/test_libcarobwind/pool_fleet_platform.c
@@ -296,6 +296,7 @@
     if (!e->up || fleet->leader == event->endpoint) {
         return;
     }
+    PoolFleet_CheckRestored(fleet, event);
     e->term = ++fleet->highest_term;
     e->primary = true;
     fleet->bases[e->term % TERMS_MAX] =
--- a/src/test_libcarobwind/pool_fleet_world.h
+++ b/src/test_libcarobwind/pool_fleet_world.h
@@ -154,6 +154,10 @@
     cbw_time_t led_since;
     cbw_position_t acknowledged; /* highest in a log that was not discarded */
     cbw_position_t bases[TERMS_MAX]; /* end of the log that led each term */
+    uint64_t commits_of_term[TERMS_MAX]; /* highest index acknowledged */
+    bool read_in_term[TERMS_MAX];        /* a read was answered */
+    /* When each host last reached an endpoint without discarded entries. */
+    cbw_time_t valid_log_seen_at[HOSTS];
     uint64_t next_transaction;
     uint64_t next_nonce;
     uint64_t next_generation;
@@ -195,6 +199,12 @@
 void PoolFleet_TickEndpoints(fleet_t *fleet);
 void PoolFleet_UpdateListing(fleet_t *fleet);
 
+/* Logs (pool_fleet_logs.c). */
+
+void PoolFleet_ObserveLogs(fleet_t *fleet);
+/* To be called before the promotion that `order` requests takes effect. */
+void PoolFleet_CheckRestored(fleet_t *fleet, const event_t *order);
+
 /* Hosts (pool_fleet_hosts.c). */
 
 void PoolFleet_SetEndpoints(fleet_t *fleet, host_t *host);
--- a/src/test_libcarobwind/test_pool_fleet.c
+++ b/src/test_libcarobwind/test_pool_fleet.c
@@ -69,6 +69,11 @@
      .releases = true,
      .late_orders = true,
      .lost_orders = true},
+    {.name = "branches",
+     .store_cuts = true,
+     .endpoint_crashes = true,
+     .deaf_crashes = true,
+     .restarts = true},
     {.name = "workspaces",
      .store_cuts = true,
      .endpoint_crashes = true,
@@ -93,17 +98,19 @@
 check_result(const char *name, uint64_t seed, const fleet_result_t *result)
 {
     if (result->superseded_commits == 0 && result->stale_reads == 0 &&
-        result->lower_fences == 0 && result->orders_in_turn == 0 &&
+        result->restored_logs == 0 && result->lower_fences == 0 &&
+        result->orders_in_turn == 0 &&
         result->quiet_successes > result->quiet_failures) {
         return;
     }
     g_test_message(
         "%s, seed %" G_GUINT64_FORMAT
-        ": %d commits at a replaced primary, %d stale reads, %d "
-        "lower fences, %d orders in turn, %d of %d served in the "
+        ": %d commits at a replaced primary, %d stale reads, %d restored "
+        "logs, %d lower fences, %d orders in turn, %d of %d served in the "
         "end; first at %s",
         name, seed, result->superseded_commits, result->stale_reads,
-        result->lower_fences, result->orders_in_turn, result->quiet_successes,
+        result->restored_logs, result->lower_fences, result->orders_in_turn,
+        result->quiet_successes,
         result->quiet_successes + result->quiet_failures, result->first_fault);
     g_test_fail();
 }
@@ -118,16 +125,20 @@
     fleet_result_t result;
     int promotions = 0;
     int commits = 0;
+    int restored = 0;
 
     for (uint64_t seed = first; seed < end; seed++) {
         PoolFleet_Run(seed, disruptions, DURATION, verbose, &result);
         check_result(disruptions->name, seed, &result);
         promotions += result.promotions;
         commits += result.commits_acknowledged;
+        restored += result.restored_after_wait;
     }
     g_test_message("%s: %" G_GUINT64_FORMAT
-                   " seeds, %d promotions, %d commits acknowledged",
-                   disruptions->name, end - first, promotions, commits);
+                   " seeds, %d promotions, %d of which restored entries after "
+                   "a wait, %d commits acknowledged",
+                   disruptions->name, end - first, promotions, restored,
+                   commits);
 }
 
 void
