Scenarios: logs that promotions cut back return first, with real processes

Now an endpoint can be isolated and keeps its log and term, and the position states the term of the last entry, as the published protocol has it. A command of the control connection that fails is answered, so that a scenario fails instead of waiting for ever.

--- a/test/lib/platform_standin.tcl
+++ b/test/lib/platform_standin.tcl
@@ -7,6 +7,8 @@
 # line ends within texts become blanks:
 #   kill E, start E           stops or starts an endpoint
 #   leave E                   registers an endpoint as draining
+#   isolate E 0|1             an endpoint receives nothing from the others, and keeps
+#                             its log and its term when another one is promoted
 #   withdraw E                removes the registration of an endpoint
 #   config TEXT               stores a configuration
 #   store up|down|reject      the store answers, stays silent or answers 503
@@ -50,6 +52,7 @@
 
 set network [lindex $argv 0]
 set database "svc1"
+set first_term 3
 set lag_ms 30
 set service_ms 3
 set rows 1 ;# of the answer to a read
@@ -508,6 +511,9 @@
             continue
         }
         dict set ::endpoints $other role replica
+        if {$other ne $name && [dict get $endpoint isolated]} {
+            continue
+        }
         dict set ::endpoints $other term $term
         if {$other ne $name} {
             dict set ::endpoints $other log [dict get $::endpoints $name log]
@@ -522,11 +528,12 @@
     }
 }
 
-# Returns the position of an endpoint, TERM.LENGTH. Its log is a list of {term
-# key value query_id}.
+# Returns the position of an endpoint, TERM.LENGTH; the term is that of its last
+# entry. Its log is a list of {term key value query_id}.
 proc position {name} {
     set log [dict get $::endpoints $name log]
-    return "[dict get $::endpoints $name term].[llength $log]"
+    set last [lindex $log end]
+    return "[expr {$last eq "" ? $::first_term : [lindex $last 0]}].[llength $log]"
 }
 
 proc value_of {name key} {
@@ -562,6 +569,7 @@
     dict for {other endpoint} $::endpoints {
         if {$other ne $name && [dict get $endpoint up] &&
             [dict get $endpoint role] eq "replica" &&
+            ![dict get $endpoint isolated] &&
             [dict get $endpoint term] == [dict get $::endpoints $name term]} {
             dict set ::endpoints $other log [dict get $::endpoints $name log]
         }
@@ -774,6 +782,10 @@
             register $argument
             return ok
         }
+        isolate {
+            dict set ::endpoints $argument isolated [lindex $line 2]
+            return ok
+        }
         withdraw { delete_key servers/$argument; return ok }
         config { put_key op/config [string range $line 7 end]; return ok }
         store { set ::store_mode $argument; return ok }
@@ -831,7 +843,11 @@
         }
         return
     }
-    puts $channel [string map {\n " " \r " "} [run_command $channel $line]]
+    if {[catch {run_command $channel $line} answer]} {
+        puts stderr $::errorInfo
+        set answer "error: $answer"
+    }
+    puts $channel [string map {\n " " \r " "} $answer]
     flush $channel
 }
 
@@ -847,7 +863,7 @@
     e-1 north 2 primary e-2 south 3 replica e-3 west 4 replica
 } {
     dict set endpoints $name [dict create address $network.9.$number:7400 \
-        zone $zone role $role term 3 log {} state ready channels {} up 0]
+        zone $zone role $role term $first_term log {} state ready channels {} up 0 isolated 0]
     start_endpoint $name
 }
 vwait forever
--- a/test/scenarios/wire.tcl
+++ b/test/scenarios/wire.tcl
@@ -352,6 +352,76 @@
     wire::replace_unlisted_primary 600
 }
 
+# Isolates and stops an endpoint: it returns with the log that it has now.
+proc wire::stop_with_log {endpoint} {
+    control isolate $endpoint 1
+    control kill $endpoint
+}
+
+# Returns the keys in the log of one endpoint that another one's log lacks.
+proc wire::log_difference {endpoint other} {
+    set keys [lmap entry [control log $other] { lindex $entry 1 }]
+    return [lmap entry [control log $endpoint] {
+        if {[lindex $entry 1] in $keys} continue
+        lindex $entry 1
+    }]
+}
+
+# Expects that e-3 leads in the end, and that there was no primary at `idle`.
+proc wire::check_log_of_e3 {outcomes idle} {
+    expect {$idle eq ""} "promoted: $idle"
+    expect {[control primary] eq "e-3"}
+    expect {[lindex [dict values $outcomes] end] eq "done"}
+    check_writes $outcomes 1
+}
+
+scenario wire-discarded-log-alone \
+    "an endpoint whose last entries a promotion discarded is the first to return" {
+    wire::fleet
+    lassign [wire::write_under_load 11 {
+        wire::stop_with_log e-3
+        after 200 { wire::control isolate e-2 1 }
+        after 900 { wire::stop_with_log e-1 }
+        after 3500 {
+            wire::control kill e-2
+            wire::control start e-1
+        }
+        after 7000 {
+            set ::idle_primary [wire::control primary]
+            wire::control start e-3
+        }
+    }] outcomes
+    wire::check_log_of_e3 $outcomes $::idle_primary
+    expect {[llength [wire::log_difference e-1 e-2]] > 0}
+}
+
+scenario wire-older-branch \
+    "after two promotions, the endpoints that return were cut back by one each" {
+    wire::fleet
+    lassign [wire::write_under_load 15 {
+        foreach endpoint {e-2 e-3} { wire::control isolate $endpoint 1 }
+        after 300 {
+            wire::stop_with_log e-1
+            wire::control isolate e-3 0
+        }
+        after 2500 { wire::control start e-1 }
+        after 5000 { wire::control isolate e-3 1 }
+        after 5500 { wire::stop_with_log e-2 }
+        after 8000 {
+            wire::control start e-2
+            wire::stop_with_log e-3
+        }
+        after 11500 {
+            set ::idle_primary [wire::control primary]
+            wire::control start e-3
+        }
+    }] outcomes
+    wire::check_log_of_e3 $outcomes $::idle_primary
+    foreach endpoint {e-1 e-2} {
+        expect {[llength [wire::log_difference $endpoint e-3]] > 0} $endpoint
+    }
+}
+
 scenario wire-primary-leaves \
     "the primary leaves under load; no session is closed, no write lost" {
     wire::fleet
