Pool: discarded entries do not count as having caught up

What callers would see: a leaving primary is replaced before any replica holds its last commits, and these are lost, though the replica that follows needed a moment.

--- a/src/libcarobwind/pool_health.c
+++ b/src/libcarobwind/pool_health.c
@@ -279,6 +279,15 @@
                pool->tenure.exclusive_from;
 }
 
+/* Discarded entries may follow the end of the primary's log. */
+static bool
+is_caught_up(const cbw_pool_t *pool, cbw_position_t position,
+             cbw_position_t end)
+{
+    return CbwPosition_Compare(position, end) >= 0 &&
+           !CbwPool_HasDiscardedEntries_(pool, position);
+}
+
 /* Returns whether a replica that is not leaving has received everything that
  * the primary wrote; otherwise polls the replicas. An owner that does not know
  * the end of the primary's log asks the primary first. */
@@ -302,8 +311,8 @@
         if (i == pool->primary || !e->used || e->down || e->info.leaving) {
             continue;
         }
-        if (CbwPosition_Compare(e->reported_position, end) >= 0 ||
-            CbwPosition_Compare(e->position, end) >= 0) {
+        if (is_caught_up(pool, e->reported_position, end) ||
+            is_caught_up(pool, e->position, end)) {
             found = true;
         }
         else if (now - e->reported_as_of >= Cbw_POOL_STATE_POLL_INTERVAL) {
--- a/src/test_libcarobwind/test_pool_branches.c
+++ b/src/test_libcarobwind/test_pool_branches.c
@@ -377,9 +377,41 @@
     PoolWorld_Finish(&world);
 }
 
+/* A log with discarded entries may end at a higher position than the leaving
+ * primary's. It has not caught up: the replica that follows is awaited. */
+static void
+test_discarded_entries_are_no_catching_up(void)
+{
+    static const step_t steps[] = {E1_LEADS_TERM_4, {E2_LEADS_TERM_5}};
+    static const endpoint_report_t behind[] = {
+        {.term = 5, .position = {4, 12}},
+        {.term = 5, .position = {4, 25}},
+        {.primary = true, .term = 5, .position = {4, 20}}};
+    static const endpoint_report_t caught_up[] = {
+        {.term = 5, .position = {4, 20}},
+        {.term = 5, .position = {4, 25}},
+        {.primary = true, .term = 5, .position = {4, 20}}};
+    pool_world_t world;
+
+    PoolWorld_Init(&world);
+    for (size_t i = 0; i < G_N_ELEMENTS(steps); i++) {
+        promote(&world, &steps[i]);
+    }
+    PoolWorld_Run(&world, Cbw_SEC, behind);
+    world.leaving[2] = true;
+    PoolWorld_SetEndpoints(&world);
+    g_assert_false(PoolWorld_RunUntilOrder(
+        &world, Cbw_POOL_DRAIN_TIMEOUT - 100 * Cbw_MSEC, behind));
+    g_assert_true(PoolWorld_RunUntilOrder(&world, 500 * Cbw_MSEC, caught_up));
+    g_assert_cmpstr(world.promotion_target, ==, "e0");
+    PoolWorld_Finish(&world);
+}
+
 void
 Suite_AddPoolBranches(void)
 {
+    g_test_add_func("/pool/discarded-entries-are-no-catching-up",
+                    test_discarded_entries_are_no_catching_up);
     g_test_add_func("/pool/valid-log-is-awaited", test_valid_log_is_awaited);
     g_test_add_func("/pool/present-primary-returns",
                     test_present_primary_returns);
