Pool: remember a promotion request that was taken

Cause: an owner requested the promotion of e0, which took effect; the link to e0 was cut before the owner saw it, e0 crashed and was unlisted. Then e1, which led an earlier term by an unfinished promotion, counted as the present primary, since only listed endpoints were asked, and served before its own request took effect. The trace shows the order for e0 taken at 1050.262, its effect at 1050.862, e0 unlisted at 1055.320 and e1 leading at once at 1055.510.

Change: a request that was taken, or had no reply, is remembered until the promotion ends. Another endpoint is then the present primary only when its own request has had the time to take effect.

Test: /pool/taken-order-is-remembered fails before for a request that was taken and for one without a reply, and passes now; a refused one changes nothing.

--- a/include/carobwind/pool.h
+++ b/include/carobwind/pool.h
@@ -398,11 +398,14 @@
     bool candidate_leads;
     bool promote_accepted; /* the reply to the promotion request */
     bool draining;         /* see CbwPool_SetDraining */
-    /* A request may have been sent in the present promotion, or in the one
-     * that it continues. */
-    bool order_possible;
-    bool order_lost;      /* the latest request had no reply */
-    bool order_in_flight; /* the request has no reply yet */
+    /* The present promotion continues another owner's. */
+    bool promotion_inherited;
+    /* Endpoint of a request of the present promotion that was not refused; "":
+     * none. */
+    char taken_order[Cbw_NAME_MAX];
+    bool several_orders_taken; /* for other endpoints, too */
+    bool order_lost;           /* the latest request had no reply */
+    bool order_in_flight;      /* the request has no reply yet */
     /* The endpoint of the latest request. Until `order_settled_at` it may
      * still be promoted, and no other endpoint is requested. */
     char ordered[Cbw_NAME_MAX];
--- a/src/libcarobwind/pool_promotion.c
+++ b/src/libcarobwind/pool_promotion.c
@@ -197,6 +197,27 @@
     return late && !pool->synchronous;
 }
 
+/* Records that the endpoint of the latest request may have been promoted, also
+ * if it is lost or unlisted before it is seen to lead. */
+static void
+remember_taken_order(cbw_pool_t *pool)
+{
+    if (pool->taken_order[0] == '\0') {
+        snprintf(pool->taken_order, sizeof(pool->taken_order), "%s",
+                 pool->ordered);
+    }
+    else if (strcmp(pool->taken_order, pool->ordered) != 0) {
+        pool->several_orders_taken = true;
+    }
+}
+
+static void
+forget_taken_orders(cbw_pool_t *pool)
+{
+    pool->taken_order[0] = '\0';
+    pool->several_orders_taken = false;
+}
+
 void
 CbwPool_StartPromotion_(cbw_pool_t *pool, cbw_time_t now, const char *reason)
 {
@@ -210,7 +231,10 @@
     pool->refused_candidates = 0;
     pool->previous_allowed = false;
     pool->promotion_since = now;
-    pool->order_possible = pool->tenure.inherited_promotion;
+    pool->promotion_inherited = pool->tenure.inherited_promotion;
+    if (!pool->promotion_inherited) {
+        forget_taken_orders(pool);
+    }
     pool->awaits_valid_log = false;
     pool->candidate = -1;
     CbwPool_SetPhase_(pool, now, CBW_POOL_CLAIMING);
@@ -222,11 +246,21 @@
     }
 }
 
+/* Whether a request of this promotion may have promoted another endpoint. */
+static bool
+may_have_promoted_other(const cbw_pool_t *pool, const cbw_pool_endpoint_t *e)
+{
+    return pool->several_orders_taken ||
+           (pool->taken_order[0] != '\0' &&
+            strcmp(pool->taken_order, e->info.name) != 0);
+}
+
 /* Whether the candidate, which reports itself as the primary, is known to be
- * the present one. Either it leads the record's term, as when the primary that
- * the promotion replaces returns under another name, and nobody has requested
- * a promotion since. Or it leads a later one, and no other endpoint reports a
- * higher term: this happens when a promotion was taken over or is repeated. */
+ * the present one, and no request of this promotion may have promoted another
+ * endpoint. Either it leads the record's term, as when the primary that the
+ * promotion replaces returns under another name. Or it leads a later one, and
+ * no other endpoint reports a higher term: this happens when a promotion was
+ * taken over or is repeated. */
 static bool
 is_present_primary(const cbw_pool_t *pool, int candidate)
 {
@@ -234,11 +268,12 @@
     uint64_t previous_term = CbwPool_RecordPrimaryTerm_(pool);
     bool previous_answered = pool->previous_primary[0] == '\0';
 
-    if (term < pool->highest_term || term < previous_term) {
+    if (term < pool->highest_term || term < previous_term ||
+        may_have_promoted_other(pool, &pool->endpoints[candidate])) {
         return false;
     }
     if (term == previous_term) {
-        return previous_term != 0 && !pool->order_possible;
+        return previous_term != 0 && !pool->promotion_inherited;
     }
     for (int i = 0; i < Cbw_POOL_ENDPOINTS_MAX; i++) {
         const cbw_pool_endpoint_t *e = &pool->endpoints[i];
@@ -391,7 +426,6 @@
     pool->order_settled_at =
         now + Cbw_POOL_ORDER_TIMEOUT + Cbw_POOL_ORDER_EFFECT;
     pool->order_in_flight = true;
-    pool->order_possible = true;
     pool->ops->request_promotion(pool->context, e->info.name,
                                  pool->tenure.version);
 }
@@ -416,6 +450,7 @@
         CbwPool_SetPhase_(pool, now, CBW_POOL_CHOOSING_CANDIDATE);
         return;
     }
+    remember_taken_order(pool);
     pool->promote_accepted = status == CBW_PROMOTE_ACCEPTED;
     CbwPool_SetPhase_(pool, now, CBW_POOL_POLLING_CANDIDATE);
 }
--- a/src/test_libcarobwind/test_pool_orders.c
+++ b/src/test_libcarobwind/test_pool_orders.c
@@ -346,9 +346,52 @@
     PoolWorld_FreeRequest(read);
 }
 
+/* A promotion request that was taken may have promoted its endpoint, though
+ * that one was lost, and unlisted, before it was seen to lead. Another
+ * endpoint that leads by an earlier unfinished promotion is then not the
+ * present primary: its commits count only after its own request has had its
+ * effect. */
+static void
+test_taken_order_is_remembered(void)
+{
+    static const cbw_promote_status_t statuses[] = {
+        CBW_PROMOTE_ACCEPTED, CBW_PROMOTE_LOST, CBW_PROMOTE_REFUSED};
+    static const endpoint_report_t before[] = {
+        {.primary = true, .term = 3}, {.term = 3}, {.term = 3}};
+    static const endpoint_report_t first[] = {
+        {.unresponsive = true}, {.unresponsive = true}, {.term = 3}};
+    static const endpoint_report_t returned[] = {{.unresponsive = true},
+                                                 {.primary = true, .term = 4},
+                                                 {.unresponsive = true}};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(statuses); i++) {
+        bool taken = statuses[i] != CBW_PROMOTE_REFUSED;
+        pool_world_t world;
+
+        PoolWorld_Init(&world);
+        PoolWorld_Run(&world, Cbw_SEC, before); /* e0's term becomes known */
+        g_assert_true(PoolWorld_RunUntilOrder(&world, 4 * Cbw_SEC, first));
+        g_assert_cmpstr(world.promotion_target, ==, "e2");
+        CbwPool_OnPromoteReply(&world.pool, world.now, statuses[i]);
+        world.unlisted[0] = true;
+        world.unlisted[2] = true;
+        PoolWorld_SetEndpoints(&world);
+        g_assert_true(PoolWorld_RunUntilOrder(&world, 8 * Cbw_SEC, returned));
+        g_assert_cmpstr(world.promotion_target, ==, "e1");
+        CbwPool_OnPromoteReply(&world.pool, world.now, CBW_PROMOTE_ACCEPTED);
+        PoolWorld_Run(&world, 400 * Cbw_MSEC, returned);
+        g_assert_cmpint(world.record.promoting, ==, taken);
+        PoolWorld_Run(&world, Cbw_POOL_PROMOTION_RETRY_AFTER, returned);
+        g_assert_false(world.record.promoting);
+        PoolWorld_Finish(&world);
+    }
+}
+
 void
 Suite_AddPoolOrders(void)
 {
+    g_test_add_func("/pool/taken-order-is-remembered",
+                    test_taken_order_is_remembered);
     g_test_add_func("/pool/unsettled-swap", test_unsettled_swap);
     g_test_add_func("/pool/unanswered-release", test_unanswered_release);
     g_test_add_func("/pool/old-report-of-candidate",
