Pool: what an unrecorded promotion discarded counts as discarded

Cause: e0 was promoted to term 5 at 4.622, and its owner lost the tenure before it recorded that. While the store did not answer, another host served e0 by the endpoints' confirmation. The next promoter knew terms up to 4 by the record, and chose e2 at 4.642, though e0 reported that it led term 5 from 4.622 on.

Change: the begin of the highest term that an endpoint reports to lead counts like one of the record, until the record has a later term. If the endpoint has entries of that term already, its begin is not known, and all logs of earlier terms count as discarded.

Test: /pool/unrecorded-promotion fails without the change (e2 is promoted).

--- a/include/carobwind/pool.h
+++ b/include/carobwind/pool.h
@@ -363,6 +363,10 @@
      * record. An endpoint that reports itself as the primary in a lower one
      * has been superseded. */
     uint64_t highest_term;
+    /* The highest term that an endpoint leads as far as it reported, with the
+     * end of its log then: base 0 once it has entries of that term. Beyond the
+     * record's term, it tells of a promotion that was not recorded. */
+    cbw_term_start_t reported_start;
     /* Name and term of the endpoint that last reported itself as the primary.
      * Used for a record without a term. */
     char reported_primary[Cbw_NAME_MAX];
--- a/src/libcarobwind/include/private/pool.h
+++ b/src/libcarobwind/include/private/pool.h
@@ -151,8 +151,15 @@
 void CbwPool_ForgetHistory_(cbw_pool_t *pool);
 /* Forgets the endpoints' confirmation of the primary. */
 void CbwPool_ResetConfirmation_(cbw_pool_t *pool);
-/* Returns whether a log that ends at `position` has entries which the record's
- * primary lacked when it began its term. */
+/* Records that an endpoint leads `term` with a log that ends at `position`. */
+void CbwPool_ObserveStart_(cbw_pool_t *pool, uint64_t term,
+                           cbw_position_t position);
+/* Returns the end of the part of a log, which ends at `position`, that no
+ * later term is known to have discarded: by the record, or by the report of an
+ * endpoint whose promotion was not recorded. */
+cbw_position_t CbwPool_ValidPosition_(const cbw_pool_t *pool,
+                                      cbw_position_t position);
+/* Returns whether that part is not all of the log. */
 bool CbwPool_HasDiscardedEntries_(const cbw_pool_t *pool,
                                   cbw_position_t position);
 /* Returns whether reads may see a log that ends at `position`: as far as the
--- a/src/libcarobwind/pool_health.c
+++ b/src/libcarobwind/pool_health.c
@@ -540,6 +540,7 @@
     if (!e->is_primary) {
         return;
     }
+    CbwPool_ObserveStart_(pool, e->reported_term, e->reported_position);
     if (endpoint == pool->primary) {
         memcpy(pool->reported_primary, e->info.name,
                sizeof(pool->reported_primary));
--- a/src/libcarobwind/pool_primary.c
+++ b/src/libcarobwind/pool_primary.c
@@ -27,11 +27,33 @@
     }
 }
 
+void
+CbwPool_ObserveStart_(cbw_pool_t *pool, uint64_t term, cbw_position_t position)
+{
+    uint64_t base = position.term < term ? position.index : 0;
+
+    if (term > pool->reported_start.term) {
+        pool->reported_start = (cbw_term_start_t){term, base};
+    }
+}
+
+cbw_position_t
+CbwPool_ValidPosition_(const cbw_pool_t *pool, cbw_position_t position)
+{
+    const cbw_term_start_t *start = &pool->reported_start;
+
+    if (pool->tenure.record.term != 0 &&
+        start->term > pool->tenure.record.term &&
+        position.term < start->term && position.index > start->base) {
+        position.index = start->base;
+    }
+    return CbwTermHistory_Valid(&pool->tenure.record.history, position);
+}
+
 bool
 CbwPool_HasDiscardedEntries_(const cbw_pool_t *pool, cbw_position_t position)
 {
-    return CbwTermHistory_Valid(&pool->tenure.record.history, position).index <
-           position.index;
+    return CbwPool_ValidPosition_(pool, position).index < position.index;
 }
 
 bool
@@ -144,6 +166,7 @@
 CbwPool_ForgetHistory_(cbw_pool_t *pool)
 {
     pool->highest_term = 0;
+    pool->reported_start = (cbw_term_start_t){0, 0};
     pool->reported_primary[0] = '\0';
     pool->primary_position = (cbw_position_t){0, 0};
     pool->promotion_position = (cbw_position_t){0, 0};
--- a/src/libcarobwind/pool_promotion.c
+++ b/src/libcarobwind/pool_promotion.c
@@ -66,8 +66,7 @@
 static cbw_position_t
 valid_position(const cbw_pool_t *pool, const cbw_pool_endpoint_t *e)
 {
-    return CbwTermHistory_Valid(&pool->tenure.record.history,
-                                e->reported_position);
+    return CbwPool_ValidPosition_(pool, e->reported_position);
 }
 
 /* Whether `a` is the better candidate. The promotion of an endpoint with
--- a/src/test_libcarobwind/test_pool_branches.c
+++ b/src/test_libcarobwind/test_pool_branches.c
@@ -377,6 +377,42 @@
     PoolWorld_Finish(&world);
 }
 
+/* A promotion may have taken effect though no record tells of it, and the
+ * endpoints' confirmation may have served its primary: what it discarded
+ * counts as discarded, also once that primary is lost. */
+static void
+test_unrecorded_promotion(void)
+{
+    static const step_t first = E1_LEADS_TERM_4;
+    static const endpoint_report_t promoted[] = {
+        {.primary = true, .term = 5, .position = {4, 20}},
+        DOWN,
+        {.term = 4, .position = {4, 30}}};
+    static const endpoint_report_t lost[] = {
+        DOWN, DOWN, {.term = 4, .position = {4, 30}}};
+
+    for (int is_lost = 0; is_lost < 2; is_lost++) {
+        pool_world_t world;
+
+        PoolWorld_Init(&world);
+        promote(&world, &first);
+        world.record.holder.nonce = NONCE + 7;
+        world.record.promoting = true;
+        world.record.epoch++;
+        world.version++;
+        PoolWorld_RestartOwner(&world);
+        CbwPool_OnHolderUnreachable(&world.pool, world.now, NONCE + 7);
+        g_assert_true(
+            PoolWorld_RunUntilOrder(&world, PROMOTION_LIMIT, promoted));
+        g_assert_cmpstr(world.promotion_target, ==, "e0");
+        CbwPool_OnPromoteReply(&world.pool, world.now, CBW_PROMOTE_LOST);
+        if (is_lost) {
+            g_assert_false(PoolWorld_RunUntilOrder(&world, 5 * Cbw_SEC, lost));
+        }
+        PoolWorld_Finish(&world);
+    }
+}
+
 /* A log with discarded entries may end at a higher position than the leaving
  * primary's. It has not caught up: the replica that follows is awaited. */
 static void
@@ -410,6 +446,7 @@
 void
 Suite_AddPoolBranches(void)
 {
+    g_test_add_func("/pool/unrecorded-promotion", test_unrecorded_promotion);
     g_test_add_func("/pool/discarded-entries-are-no-catching-up",
                     test_discarded_entries_are_no_catching_up);
     g_test_add_func("/pool/valid-log-is-awaited", test_valid_log_is_awaited);
