--- a/src/test_libcarobwind/pool_world.h
+++ b/src/test_libcarobwind/pool_world.h
@@ -49,7 +49,7 @@
     uint64_t fence;
     int cancelled_orders;
     int relinquish_requests;
-    int restarts; /* of the owner */
+    int restarts;   /* of the owner */
     int step_downs; /* step-down calls sent */
     char redirected_to[Cbw_NAME_MAX];
     bool carries_nothing;        /* ops.can_carry refuses each request */
--- a/src/test_libcarobwind/test_pool_terms.c
+++ b/src/test_libcarobwind/test_pool_terms.c
@@ -86,7 +86,8 @@
     CbwTermHistory_Add(&world.record.history, (cbw_term_start_t){4, 9});
     g_strlcpy(world.record.primary, "e1", sizeof(world.record.primary));
     world.version++;
-    g_assert_true(PoolWorld_RunUntilOrder(&world, Cbw_SEC + LOG_WAIT, superseded));
+    g_assert_true(
+        PoolWorld_RunUntilOrder(&world, Cbw_SEC + LOG_WAIT, superseded));
     g_assert_cmpstr(world.promotion_target, ==, "e0");
     CbwPool_OnPromoteReply(&world.pool, world.now, CBW_PROMOTE_ACCEPTED);
     /* Neither after the wait for an order that changes nothing. */
--- a/test/mutants.tcl
+++ b/test/mutants.tcl
@@ -225,6 +225,16 @@
     platform/backend_connection.c
     "connection->result->len + size > Cbw_RESULT_MAX" "connection->result->len > SIZE_MAX - size"
 }
+mutant forgets-terms wire-older-branch {
+    src/libcarobwind/term_history.c
+    "    history->starts\[history->count++\] = start;"
+    "    history->count = 1;\n    history->starts\[0\] = start;"
+}
+mutant promotes-discarded-logs wire-discarded-log-alone {
+    src/libcarobwind/pool_promotion.c
+    "now - pool->promotion_since < Cbw_POOL_VALID_LOG_TIMEOUT"
+    "now - pool->promotion_since < 0"
+}
 
 # Replaces a text in a file. Fails if the file does not contain it.
 proc edit {path from to} {
