--- a/src/libcarobwind/include/private/pool.h
+++ b/src/libcarobwind/include/private/pool.h
@@ -219,6 +219,8 @@
  * no endpoint that answers has one: nothing can be served until one returns.
  */
 bool CbwPool_IsValidLogAwaited_(const cbw_pool_t *pool, cbw_time_t now);
+/* The promotion has ended, and with it what its requests may have done. */
+void CbwPool_ForgetTakenOrders_(cbw_pool_t *pool);
 /* Cancels the promotion request in flight, if any. */
 void CbwPool_CancelOrder_(cbw_pool_t *pool, cbw_time_t now);
 /* Asks the candidate whether it has become the primary. Chooses again if that
--- a/src/libcarobwind/pool_health.c
+++ b/src/libcarobwind/pool_health.c
@@ -145,6 +145,7 @@
     int previous = CbwPool_FindEndpoint_(pool, pool->previous_primary);
 
     CbwPool_SetPhase_(pool, now, CBW_POOL_SERVING);
+    CbwPool_ForgetTakenOrders_(pool);
     if (pool->promotion_term == pool->primary_term) {
         CbwPool_ObservePromotion_(pool);
     }
--- a/src/libcarobwind/pool_promotion.c
+++ b/src/libcarobwind/pool_promotion.c
@@ -210,8 +210,8 @@
     }
 }
 
-static void
-forget_taken_orders(cbw_pool_t *pool)
+void
+CbwPool_ForgetTakenOrders_(cbw_pool_t *pool)
 {
     pool->taken_order[0] = '\0';
     pool->several_orders_taken = false;
@@ -232,7 +232,7 @@
     pool->promotion_since = now;
     pool->promotion_inherited = pool->tenure.inherited_promotion;
     if (!pool->promotion_inherited) {
-        forget_taken_orders(pool);
+        CbwPool_ForgetTakenOrders_(pool);
     }
     pool->awaits_valid_log = false;
     pool->candidate = -1;
