--- a/src/test_libcarobwind/test_pool_branches.c
+++ b/src/test_libcarobwind/test_pool_branches.c
@@ -22,7 +22,7 @@
 
 #define STEPS_MAX 4
 
-/* What happens between the promotions. */
+/* Promotions of one database in a row. */
 typedef struct {
     const char *name;
     bool synchronous;
@@ -45,7 +45,8 @@
             {.term = 4}                                                       \
         }                                                                     \
     }
-/* e2 begins term 5 at 4.20, while e1, which is down, goes on to 4.25. */
+/* e2 begins term 5 at 4.20, while e1, which is down, goes on to 4.25. Fields
+ * of a step, to which others may be added. */
 #define E2_LEADS_TERM_5                                                       \
     .before = {{.term = 4, .position = {3, 15}},                              \
                DOWN,                                                          \
@@ -87,6 +88,20 @@
     PoolWorld_Run(world, POLLS, step->after);
 }
 
+/* Another owner claims a promotion and fails; a new owner continues it. */
+static void
+inherit_promotion(pool_world_t *world)
+{
+    const uint64_t claimant = NONCE + 7;
+
+    world->record.holder.nonce = claimant;
+    world->record.promoting = true;
+    world->record.epoch++;
+    world->version++;
+    PoolWorld_RestartOwner(world);
+    CbwPool_OnHolderUnreachable(&world->pool, world->now, claimant);
+}
+
 /* After review/6: entries that a promotion has discarded stay discarded after
  * the next ones, and their log is not preferred to one that lost less. */
 static void
@@ -123,13 +138,7 @@
 
     PoolWorld_Init(&world);
     promote(&world, &first);
-    /* Another owner claims a promotion, and fails before it requests one. */
-    world.record.holder.nonce = NONCE + 7;
-    world.record.promoting = true;
-    world.record.epoch++;
-    world.version++;
-    PoolWorld_RestartOwner(&world);
-    CbwPool_OnHolderUnreachable(&world.pool, world.now, NONCE + 7);
+    inherit_promotion(&world);
     g_assert_true(PoolWorld_RunUntilOrder(&world, PROMOTION_LIMIT, written));
     g_assert_cmpstr(world.promotion_target, ==, "e1");
     CbwPool_OnPromoteReply(&world.pool, world.now, CBW_PROMOTE_ACCEPTED);
@@ -396,12 +405,7 @@
 
         PoolWorld_Init(&world);
         promote(&world, &first);
-        world.record.holder.nonce = NONCE + 7;
-        world.record.promoting = true;
-        world.record.epoch++;
-        world.version++;
-        PoolWorld_RestartOwner(&world);
-        CbwPool_OnHolderUnreachable(&world.pool, world.now, NONCE + 7);
+        inherit_promotion(&world);
         g_assert_true(
             PoolWorld_RunUntilOrder(&world, PROMOTION_LIMIT, promoted));
         g_assert_cmpstr(world.promotion_target, ==, "e0");
