--- a/include/carobwind/counter.h
+++ b/include/carobwind/counter.h
@@ -48,9 +48,12 @@
     CBW_COUNTER_PROMOTIONS_STARTED,
     CBW_COUNTER_PROMOTIONS_WON,
     CBW_COUNTER_PROMOTIONS_LOST,
-    /* Promotions that waited for a log without discarded entries, and those
-     * that had to restore discarded ones. */
+    /* Promotions that waited for a better log (see cbw_pool_t), operators'
+     * orders to end that wait, promotions of endpoints that were known to lack
+     * acknowledged entries, and those that restored discarded entries. */
     CBW_COUNTER_VALID_LOG_WAITS,
+    CBW_COUNTER_LOSSES_ACCEPTED,
+    CBW_COUNTER_KNOWN_LOSSES,
     CBW_COUNTER_DISCARDED_LOGS_PROMOTED,
     CBW_COUNTER_ORDERS_CANCELLED, /* promotion requests without a reply */
     CBW_COUNTER_SWAPS_UNANSWERED, /* of the tenure record */
--- a/include/carobwind/pool.h
+++ b/include/carobwind/pool.h
@@ -15,6 +15,7 @@
 
 #include "carobwind/counter.h"
 #include "carobwind/endpoint.h"
+#include "carobwind/error.h"
 #include "carobwind/gate.h"
 #include "carobwind/inventory.h"
 #include "carobwind/latency.h"
@@ -76,13 +77,21 @@
 /* How long the candidates' states are awaited before one is chosen, without
  * synchronous commits. */
 #define Cbw_POOL_CANDIDATE_STATE_TIMEOUT (80 * Cbw_MSEC)
-/* How long a promotion without synchronous commits waits for an endpoint whose
- * log has no discarded entries, if all candidates have some. Crashed endpoints
- * come back within that time, and a change of the primary still ends within
- * 19 s (PROMISES.md). */
-#define Cbw_POOL_VALID_LOG_TIMEOUT (15 * Cbw_SEC)
-/* The retry-after time of a request that is refused during that wait. */
-#define Cbw_POOL_VALID_LOG_RETRY_AFTER Cbw_SEC
+/* A replica that lacks an entry which the primary had for this long was cut
+ * off from it, and not only slow. */
+#define Cbw_POOL_REPLICATION_DELAY_MAX Cbw_SEC
+/* How long a promotion without synchronous commits waits for the lost primary,
+ * if all candidates were cut off from it before. With the longest wait for
+ * earlier tenures (Cbw_TENURE_VALID_FOR) and 3 s for the promotion itself, a
+ * change of the primary ends within 19 s (PROMISES.md). */
+#define Cbw_POOL_LOST_PRIMARY_TIMEOUT (10 * Cbw_SEC)
+/* The retry-after time of a request that is refused while a promotion waits
+ * for a valid log (see `awaits_valid_log`) is the time that it has waited,
+ * divided by the first of these and within the other two: callers prolong an
+ * outage by a quarter at most, and a long one costs few attempts. */
+#define Cbw_POOL_LOG_WAIT_RETRY_DIVISOR 4
+#define Cbw_POOL_LOG_WAIT_RETRY_MIN Cbw_SEC
+#define Cbw_POOL_LOG_WAIT_RETRY_MAX (10 * Cbw_SEC)
 /* How often a candidate is asked whether it has become the primary, and a
  * replica whether it has caught up. */
 #define Cbw_POOL_STATE_POLL_INTERVAL (50 * Cbw_MSEC)
@@ -236,8 +245,8 @@
      * candidates have reported their states or
      * Cbw_POOL_CANDIDATE_STATE_TIMEOUT has passed; then chooses one. With
      * synchronous commits it waits for the states of all endpoints, otherwise
-     * for up to Cbw_POOL_VALID_LOG_TIMEOUT for a log without discarded
-     * entries. */
+     * for a log without discarded entries or an operator's order, and for up
+     * to Cbw_POOL_LOST_PRIMARY_TIMEOUT for one that was not cut off. */
     CBW_POOL_CHOOSING_CANDIDATE,
     /* A promotion request is in flight. */
     CBW_POOL_REQUESTING_PROMOTION,
@@ -308,6 +317,15 @@
     cbw_position_t position;
 } cbw_pool_sample_t;
 
+/* The log of the last primary, as far as this owner observed it. */
+typedef struct {
+    uint64_t term; /* that the primary led; 0: nothing is known */
+    /* Its replicas should have received it up to here, as its log had reached
+     * that position Cbw_POOL_REPLICATION_DELAY_MAX before the end of the
+     * observation; all zero: not known. */
+    cbw_position_t replicated;
+} cbw_pool_last_log_t;
+
 /* A decision, as CbwPool_Explain lists it. */
 typedef struct {
     cbw_time_t time;
@@ -373,6 +391,7 @@
     uint64_t reported_primary_term;
     cbw_pool_sample_t samples[Cbw_POOL_SAMPLES_MAX]; /* a ring */
     size_t sample_count;                             /* ever written */
+    cbw_pool_last_log_t last_log;
     bool synchronous; /* see CbwPool_SetSynchronous */
     /* The store is unresponsive, and the endpoints are polled to confirm the
      * primary. */
@@ -391,8 +410,14 @@
     bool planned;               /* not used */
     cbw_time_t drain_due_at;    /* a leaving primary is not drained before */
     cbw_time_t promotion_since; /* the present promotion began */
-    /* Each endpoint that could be promoted has discarded entries. */
+    /* Each endpoint that could be promoted has discarded entries, or was cut
+     * off from the last primary: the promotion waits for another log, or for
+     * CbwPool_AcceptLoss. */
     bool awaits_valid_log;
+    /* During that wait, the endpoint with the best log; "": none yet. */
+    char best_log[Cbw_NAME_MAX];
+    /* The endpoint that CbwPool_AcceptLoss named; "": none. */
+    char accepted_log[Cbw_NAME_MAX];
     int candidate; /* endpoint to be promoted; -1: none */
     /* The candidate is the new primary once it leads a term above this one. */
     uint64_t superseded_term;
@@ -561,6 +586,13 @@
 /* Releases the tenure and stops: this host no longer owns the database.
  * Returns whether it did; it refuses while CbwPool_IsPromoting. */
 bool CbwPool_Release(cbw_pool_t *pool, cbw_time_t now);
+/* An operator's order: the promotion that waits for a valid log may promote
+ * `endpoint`, which has the best log of those that answer. Entries that it
+ * lacks are lost, and discarded ones that it has are restored. The order ends
+ * with the promotion, or when the endpoint is no longer listed. Returns 0, or
+ * -1 with `error` set when no promotion waits or another log is better. */
+int CbwPool_AcceptLoss(cbw_pool_t *pool, cbw_time_t now, const char *endpoint,
+                       cbw_error_t *error);
 /* Returns whether the pool has no request and no open transaction. */
 bool CbwPool_IsIdle(const cbw_pool_t *pool);
 /* Writes a description for operators to `text` of `size` bytes. Returns its
--- a/src/carobwindctl/main.c
+++ b/src/carobwindctl/main.c
@@ -64,6 +64,10 @@
         "  explain DATABASE     print the owner and the primary of a "
         "database, and\n"
         "                       the reasons\n"
+        "  accept-loss DATABASE ENDPOINT\n"
+        "                       let a promotion that waits for a log "
+        "promote ENDPOINT,\n"
+        "                       whose log is the best of those that answer\n"
         "  trace ID             print the spans of a request on all hosts\n"
         "  counters             print the counters of --host in "
         "Prometheus format\n"
@@ -413,6 +417,42 @@
     return code;
 }
 
+/* Orders the owner among the members that are alive or suspect, as for
+ * "explain", to accept losses. The others refuse. */
+static int
+command_accept_loss(const char *database, const char *endpoint)
+{
+    peer_members_result members;
+    cbw_error_t error;
+    cbw_error_t refusal = {0};
+    bool accepted = false;
+
+    if (PeerClient_FetchMembers(host_address, &members, &error) != 0) {
+        return report_error(&error);
+    }
+    for (u_int i = 0; i < members.members.members_len && !accepted; i++) {
+        const peer_member *member = &members.members.members_val[i];
+        char *text;
+        if (member->name[0] == '@' || member->state > 1 ||
+            PeerClient_FetchText(member->address, PEER_EXPLAIN, database,
+                                 &text, &error) != 0) {
+            continue;
+        }
+        free(text);
+        accepted = PeerClient_AcceptLoss(member->address, database, endpoint,
+                                         &refusal) == 0;
+    }
+    PeerClient_FreeMembers(&members);
+    if (accepted) {
+        printf("%s may be promoted with losses\n", endpoint);
+        return EX_OK;
+    }
+    fprintf(stderr, "carobwindctl: %s\n",
+            refusal.text[0] != '\0' ? refusal.text
+                                    : "no reachable host owns the database");
+    return EX_DATAERR;
+}
+
 /* Collects the spans of a request from all members that are not dead
  * (state 3). Names that begin with "@" are those of leaving endpoints. */
 static int
@@ -482,6 +522,7 @@
     COMMAND_SHOW,
     COMMAND_STATUS,
     COMMAND_EXPLAIN,
+    COMMAND_ACCEPT_LOSS,
     COMMAND_TRACE,
     COMMAND_COUNTERS,
     COMMAND_DRAIN,
@@ -492,11 +533,16 @@
     const char *name;
     int word_count; /* including the name; the minimum for incident */
 } commands[] = {
-    [COMMAND_CHECK] = {"check", 2},       [COMMAND_APPLY] = {"apply", 2},
-    [COMMAND_SHOW] = {"show", 1},         [COMMAND_STATUS] = {"status", 1},
-    [COMMAND_EXPLAIN] = {"explain", 2},   [COMMAND_TRACE] = {"trace", 2},
-    [COMMAND_COUNTERS] = {"counters", 1}, [COMMAND_DRAIN] = {"drain", 2},
+    [COMMAND_CHECK] = {"check", 2},
+    [COMMAND_APPLY] = {"apply", 2},
+    [COMMAND_SHOW] = {"show", 1},
+    [COMMAND_STATUS] = {"status", 1},
+    [COMMAND_EXPLAIN] = {"explain", 2},
+    [COMMAND_TRACE] = {"trace", 2},
+    [COMMAND_COUNTERS] = {"counters", 1},
+    [COMMAND_DRAIN] = {"drain", 2},
     [COMMAND_INCIDENT] = {"incident", 3},
+    [COMMAND_ACCEPT_LOSS] = {"accept-loss", 3},
 };
 
 /* Returns the command_t with the name and the number of words, or -1. */
@@ -530,6 +576,8 @@
         return print_daemon_text(host_address, PEER_STATUS, "");
     case COMMAND_EXPLAIN:
         return command_explain(argument);
+    case COMMAND_ACCEPT_LOSS:
+        return command_accept_loss(argument, words[2]);
     case COMMAND_TRACE:
         return command_trace(argument);
     case COMMAND_COUNTERS:
--- a/src/carobwindd/messages.c
+++ b/src/carobwindd/messages.c
@@ -36,6 +36,8 @@
     [PEER_CANCEL] = {CODEC(xdr_peer_cancel_args), CODEC(xdr_bool)},
     [PEER_SAMPLE] = {CODEC(xdr_peer_sample_args),
                      CODEC(xdr_peer_sample_result)},
+    [PEER_ACCEPT_LOSS] = {CODEC(xdr_peer_accept_loss_args),
+                          CODEC(xdr_peer_text_result)},
     [PEER_STORE] = {CODEC(xdr_peer_store_args), CODEC(xdr_peer_store_result)},
     [PEER_QUOTA] = {CODEC(xdr_peer_quota_args), CODEC(xdr_peer_quota_result)},
 };
@@ -61,6 +63,7 @@
     [PEER_QUOTA] = "quota",
     [PEER_CANCEL] = "cancel",
     [PEER_SAMPLE] = "sample",
+    [PEER_ACCEPT_LOSS] = "accept_loss",
 };
 
 const char *const Store_VerbString[Cbw_TRAFFIC_VERBS] = {
--- a/src/carobwindd/messages.h
+++ b/src/carobwindd/messages.h
@@ -221,6 +221,7 @@
     peer_quota_args quota;
     peer_cancel_args cancel;
     peer_sample_args sample;
+    peer_accept_loss_args accept_loss;
 } peer_args_t;
 
 /* Result of a procedure of the peer protocol. */
--- a/src/carobwindd/owner_task.c
+++ b/src/carobwindd/owner_task.c
@@ -280,6 +280,13 @@
                   &inbound->message);
         return;
     }
+    if (inbound->procedure == PEER_ACCEPT_LOSS) {
+        /* With request keys, no promotion waits for a log. */
+        Inbound_SetText(inbound, false, "no promotion waits for a log");
+        Task_Post(TASK_OWNER, TASK_PEER, MESSAGE_INBOUND_DONE,
+                  &inbound->message);
+        return;
+    }
     answer_explain(inbound);
 }
 
--- a/src/carobwindd/peer_server.c
+++ b/src/carobwindd/peer_server.c
@@ -146,6 +146,7 @@
     case PEER_QUOTA:
     case PEER_CANCEL:
     case PEER_SAMPLE:
+    case PEER_ACCEPT_LOSS:
         return TASK_OWNER;
     case PEER_CONFIG:
     case PEER_REGISTRY:
--- a/src/carobwindd/pool_task.c
+++ b/src/carobwindd/pool_task.c
@@ -359,6 +359,20 @@
     set_tick_interval(BUSY_TICK_SECONDS);
 }
 
+static void
+answer_accept_loss(inbound_t *inbound)
+{
+    const peer_accept_loss_args *args = &inbound->args.accept_loss;
+    pool_instance_t *instance = PoolInstance_Find(args->database);
+    cbw_error_t error = {.text = "this host runs no owner of this database"};
+    bool accepted =
+        instance != NULL && CbwPool_AcceptLoss(&instance->pool, CbwNet_Now(),
+                                               args->endpoint, &error) == 0;
+
+    Inbound_SetText(inbound, accepted, accepted ? "" : error.text);
+    Task_Post(TASK_OWNER, TASK_PEER, MESSAGE_INBOUND_DONE, &inbound->message);
+}
+
 static void
 answer_inbound(inbound_t *inbound)
 {
@@ -394,6 +408,10 @@
         ReadPool_AnswerSample(inbound);
         return;
     }
+    if (inbound->procedure == PEER_ACCEPT_LOSS) {
+        answer_accept_loss(inbound);
+        return;
+    }
     instance = PoolInstance_Find(inbound->args.text.subject);
     if (instance == NULL) {
         Inbound_SetText(inbound, false,
--- a/src/libcarobwind/counter.c
+++ b/src/libcarobwind/counter.c
@@ -41,6 +41,8 @@
     "promotions_won_total",
     "promotions_lost_total",
     "valid_log_waits_total",
+    "losses_accepted_total",
+    "known_losses_total",
     "discarded_logs_promoted_total",
     "promotion_orders_cancelled_total",
     "tenure_swaps_unanswered_total",
--- a/src/libcarobwind/include/private/pool.h
+++ b/src/libcarobwind/include/private/pool.h
@@ -169,6 +169,12 @@
 /* Returns the name of the endpoint that the first record of the database is to
  * name as the primary, or "" if it is not known. */
 const char *CbwPool_FirstPrimary_(const cbw_pool_t *pool);
+/* Keeps what was observed of the primary's log beyond the end of its
+ * generation, see `last_log`. To be called before the samples are cleared. */
+void CbwPool_KeepLastLog_(cbw_pool_t *pool);
+/* Returns whether the endpoint's log, which ends at `position`, lacks entries
+ * that the last primary's replicas should have. */
+bool CbwPool_WasCutOff_(const cbw_pool_t *pool, cbw_position_t position);
 /* Records that the primary's log reached `position`, as reported by a call
  * that was sent at `sent`. */
 void CbwPool_ObservePosition_(cbw_pool_t *pool, cbw_time_t sent,
@@ -215,10 +221,12 @@
 /* Chooses a candidate and requests its promotion, as soon as the tenure is
  * exclusive and the endpoints' states allow the choice. */
 void CbwPool_ChooseWhenReady_(cbw_pool_t *pool, cbw_time_t now);
-/* Returns whether a promotion waits for a log without discarded entries, and
- * no endpoint that answers has one: nothing can be served until one returns.
- */
+/* Returns whether a promotion waits for a better log (see `awaits_valid_log`),
+ * and no endpoint that answers has one: nothing can be served until one
+ * returns. */
 bool CbwPool_IsValidLogAwaited_(const cbw_pool_t *pool, cbw_time_t now);
+/* Returns the retry-after time of a request that is refused meanwhile. */
+cbw_time_t CbwPool_LogWaitRetryAfter_(const cbw_pool_t *pool, cbw_time_t now);
 /* The promotion has ended, and with it what its requests may have done. */
 void CbwPool_ForgetTakenOrders_(cbw_pool_t *pool);
 /* Cancels the promotion request in flight, if any. */
--- a/src/libcarobwind/pool_endpoints.c
+++ b/src/libcarobwind/pool_endpoints.c
@@ -22,6 +22,10 @@
                          pool->endpoints[index].info.name);
     CbwPool_AbortCalls_(pool, now, index);
     pool->ops->detach(pool->context, index);
+    /* An endpoint that returns under this name may have another log. */
+    if (strcmp(pool->accepted_log, pool->endpoints[index].info.name) == 0) {
+        pool->accepted_log[0] = '\0';
+    }
     memset(&pool->endpoints[index], 0, sizeof(pool->endpoints[index]));
     if (index == pool->primary) {
         CbwPool_SetPrimary_(pool, now, -1, 0);
--- a/src/libcarobwind/pool_explain.c
+++ b/src/libcarobwind/pool_explain.c
@@ -41,9 +41,9 @@
 
     if (CbwPool_IsValidLogAwaited_(pool, now)) {
         length =
-            append(text, size, length, "waits_for_valid_log_ms\t%" PRId64 "\n",
-                   (pool->promotion_since + Cbw_POOL_VALID_LOG_TIMEOUT - now) /
-                       Cbw_MSEC);
+            append(text, size, length,
+                   "waits_for_valid_log_ms\t%" PRId64 "\nbest_log\t%s\n",
+                   (now - pool->promotion_since) / Cbw_MSEC, pool->best_log);
     }
     for (int i = 0; i < Cbw_POOL_ENDPOINTS_MAX; i++) {
         const cbw_pool_endpoint_t *e = &pool->endpoints[i];
--- a/src/libcarobwind/pool_health.c
+++ b/src/libcarobwind/pool_health.c
@@ -229,16 +229,33 @@
     CbwPool_Dispatch_(pool, now);
 }
 
+/* Whether the swap in flight changes nothing but the record's version. */
+static bool
+is_renewal(const cbw_tenure_t *tenure)
+{
+    const cbw_tenure_record_t *record = &tenure->record;
+    const cbw_tenure_record_t *proposed = &tenure->proposed;
+
+    return tenure->record_known && proposed->epoch == record->epoch &&
+           proposed->promoting == record->promoting &&
+           proposed->holder.nonce == record->holder.nonce &&
+           strcmp(proposed->primary, record->primary) == 0;
+}
+
 void
 CbwPool_OnSwap(cbw_pool_t *pool, cbw_time_t now, cbw_store_status_t status,
                uint64_t version)
 {
+    bool is_notable = status != CBW_STORE_OK || !is_renewal(&pool->tenure);
+
     CbwTenure_OnSwap(&pool->tenure, now, status, version);
     if (status == CBW_STORE_LOST) {
         CbwCounter_Add(pool->counters, CBW_COUNTER_SWAPS_UNANSWERED, 1);
     }
-    CbwPool_LogDecision_(pool, now, "record swap: %s, version %" PRIu64,
-                         CbwPromotion_StoreStatusString[status], version);
+    if (is_notable) {
+        CbwPool_LogDecision_(pool, now, "record swap: %s, version %" PRIu64,
+                             CbwPromotion_StoreStatusString[status], version);
+    }
     on_tenure_changed(pool, now);
     CbwPool_ReleaseHeldAnswers_(pool, now);
     CbwPool_Dispatch_(pool, now);
--- a/src/libcarobwind/pool_primary.c
+++ b/src/libcarobwind/pool_primary.c
@@ -129,6 +129,7 @@
             pool->primary_term != 0 ? pool->primary_term : term;
         return false;
     }
+    CbwPool_KeepLastLog_(pool);
     pool->primary = index;
     pool->primary_term = term;
     pool->generation++;
@@ -175,6 +176,7 @@
     pool->primary_term = 0;
     pool->primary_base = Cbw_TERM_BASE_UNKNOWN;
     pool->sample_count = 0;
+    memset(&pool->last_log, 0, sizeof(pool->last_log));
 }
 
 /* Samples of the primary's log. */
@@ -206,6 +208,38 @@
     return found;
 }
 
+void
+CbwPool_KeepLastLog_(cbw_pool_t *pool)
+{
+    size_t kept = pool->sample_count < Cbw_POOL_SAMPLES_MAX
+                      ? pool->sample_count
+                      : Cbw_POOL_SAMPLES_MAX;
+    const cbw_pool_sample_t *last;
+
+    if (kept == 0 || pool->primary_term == 0) {
+        return;
+    }
+    pool->last_log = (cbw_pool_last_log_t){.term = pool->primary_term};
+    last = &pool->samples[(pool->sample_count - 1) % Cbw_POOL_SAMPLES_MAX];
+    for (size_t i = 1; i < kept; i++) {
+        const cbw_pool_sample_t *sample =
+            &pool->samples[(pool->sample_count - 1 - i) %
+                           Cbw_POOL_SAMPLES_MAX];
+        if (last->time - sample->time >= Cbw_POOL_REPLICATION_DELAY_MAX) {
+            pool->last_log.replicated = sample->position;
+            return;
+        }
+    }
+}
+
+bool
+CbwPool_WasCutOff_(const cbw_pool_t *pool, cbw_position_t position)
+{
+    return pool->last_log.term != 0 &&
+           pool->last_log.term == CbwPool_RecordPrimaryTerm_(pool) &&
+           CbwPosition_Compare(position, pool->last_log.replicated) < 0;
+}
+
 void
 CbwPool_ObservePosition_(cbw_pool_t *pool, cbw_time_t sent,
                          cbw_position_t position)
--- a/src/libcarobwind/pool_promotion.c
+++ b/src/libcarobwind/pool_promotion.c
@@ -72,7 +72,8 @@
 /* Whether `a` is the better candidate. The promotion of an endpoint with
  * discarded entries would restore them, though reads since then have not shown
  * them; if all have some, the one that keeps the most of the present log is
- * best. The previous primary, if allowed, comes after the others: the
+ * best. One that was cut off from the last primary lacks what may still
+ * return. The previous primary, if allowed, comes after the others: the
  * promotion began because it was lost or is leaving. Next, an endpoint that
  * stays is preferred to one
  * that is leaving, and then the higher log position. With synchronous commits,
@@ -88,12 +89,17 @@
         CbwPool_HasDiscardedEntries_(pool, a->reported_position);
     bool b_discarded =
         CbwPool_HasDiscardedEntries_(pool, b->reported_position);
+    bool a_cut_off = CbwPool_WasCutOff_(pool, a->reported_position);
+    bool b_cut_off = CbwPool_WasCutOff_(pool, b->reported_position);
     int order =
         CbwPosition_Compare(valid_position(pool, a), valid_position(pool, b));
 
     if (!pool->synchronous && a_discarded != b_discarded) {
         return b_discarded;
     }
+    if (!pool->synchronous && a_cut_off != b_cut_off) {
+        return b_cut_off;
+    }
     if (is_previous_primary(pool, a) != is_previous_primary(pool, b)) {
         return is_previous_primary(pool, b);
     }
@@ -224,6 +230,7 @@
                                   CbwPool_RecordPrimaryTerm_(pool))) {
         return;
     }
+    CbwPool_KeepLastLog_(pool);
     snprintf(pool->previous_primary, sizeof(pool->previous_primary), "%s",
              pool->tenure.record.primary);
     pool->previous_primary_term = pool->primary_position.term;
@@ -235,6 +242,7 @@
         CbwPool_ForgetTakenOrders_(pool);
     }
     pool->awaits_valid_log = false;
+    pool->accepted_log[0] = '\0';
     pool->candidate = -1;
     CbwPool_SetPhase_(pool, now, CBW_POOL_CLAIMING);
     CbwCounter_Add(pool->counters, CBW_COUNTER_PROMOTIONS_STARTED, 1);
@@ -315,37 +323,93 @@
     }
 }
 
-/* Whether the promotion of the candidate would restore discarded entries,
- * while another endpoint may still come back without any. With synchronous
- * commits, entries that were acknowledged are never discarded. */
+/* Whether the promotion of the candidate would restore discarded entries:
+ * reads that were answered without them would be stale, however long ago that
+ * was. With synchronous commits, entries that were acknowledged are never
+ * discarded. */
+static bool
+restores_discarded_entries(const cbw_pool_t *pool,
+                           const cbw_pool_endpoint_t *e)
+{
+    return !pool->synchronous &&
+           CbwPool_HasDiscardedEntries_(pool, e->reported_position);
+}
+
+/* Whether the promotion of the candidate would discard entries that were
+ * acknowledged long before the primary was lost, and the primary may still
+ * return with them. A primary that answers is being replaced by intention. */
+static bool
+must_await_lost_primary(const cbw_pool_t *pool, cbw_time_t now,
+                        const cbw_pool_endpoint_t *e)
+{
+    int previous = CbwPool_FindEndpoint_(pool, pool->previous_primary);
+
+    return !pool->synchronous &&
+           now - pool->promotion_since < Cbw_POOL_LOST_PRIMARY_TIMEOUT &&
+           (pool->awaits_valid_log || previous < 0 ||
+            pool->endpoints[previous].down) &&
+           CbwPool_WasCutOff_(pool, e->reported_position);
+}
+
 static bool
 must_await_valid_log(const cbw_pool_t *pool, cbw_time_t now)
 {
     const cbw_pool_endpoint_t *e = &pool->endpoints[pool->candidate];
 
-    return !pool->synchronous &&
-           now - pool->promotion_since < Cbw_POOL_VALID_LOG_TIMEOUT &&
-           CbwPool_HasDiscardedEntries_(pool, e->reported_position);
+    return strcmp(pool->accepted_log, e->info.name) != 0 &&
+           (restores_discarded_entries(pool, e) ||
+            must_await_lost_primary(pool, now, e));
 }
 
 /* Even the previous primary is better than any other endpoint now. */
 static void
 await_valid_log(cbw_pool_t *pool, cbw_time_t now)
 {
-    if (pool->awaits_valid_log) {
+    const cbw_pool_endpoint_t *best = &pool->endpoints[pool->candidate];
+
+    if (!pool->awaits_valid_log) {
+        pool->awaits_valid_log = true;
+        pool->previous_allowed = true;
+        pool->best_log[0] = '\0';
+        CbwCounter_Add(pool->counters, CBW_COUNTER_VALID_LOG_WAITS, 1);
+    }
+    if (strcmp(pool->best_log, best->info.name) == 0) {
         return;
     }
-    pool->awaits_valid_log = true;
-    pool->previous_allowed = true;
-    CbwCounter_Add(pool->counters, CBW_COUNTER_VALID_LOG_WAITS, 1);
+    snprintf(pool->best_log, sizeof(pool->best_log), "%s", best->info.name);
     log_other_reports(pool, now);
     CbwPool_LogDecision_(
         pool, now,
-        "waits up to %d s for a log without discarded entries: the "
-        "best is that of %s, valid up to %" PRIu64,
-        (int)(Cbw_POOL_VALID_LOG_TIMEOUT / Cbw_SEC),
-        pool->endpoints[pool->candidate].info.name,
-        valid_position(pool, &pool->endpoints[pool->candidate]).index);
+        "waits for a log %s: the best is that of %s, valid up to %" PRIu64
+        " of %" PRIu64,
+        restores_discarded_entries(pool, best)
+            ? "without discarded entries"
+            : "with the last primary's entries",
+        best->info.name, valid_position(pool, best).index,
+        best->reported_position.index);
+}
+
+int
+CbwPool_AcceptLoss(cbw_pool_t *pool, cbw_time_t now, const char *endpoint,
+                   cbw_error_t *error)
+{
+    if (pool->phase != CBW_POOL_CHOOSING_CANDIDATE ||
+        !pool->awaits_valid_log) {
+        return CbwError_Set(error, CBW_ERROR_INVALID,
+                            "no promotion of %s waits for a log",
+                            pool->database);
+    }
+    if (strcmp(endpoint, pool->best_log) != 0) {
+        return CbwError_Set(error, CBW_ERROR_INVALID,
+                            "the best log is that of %s", pool->best_log);
+    }
+    snprintf(pool->accepted_log, sizeof(pool->accepted_log), "%s", endpoint);
+    CbwCounter_Add(pool->counters, CBW_COUNTER_LOSSES_ACCEPTED, 1);
+    CbwPool_LogDecision_(pool, now,
+                         "an operator accepts the loss of entries: %s may be "
+                         "promoted",
+                         endpoint);
+    return 0;
 }
 
 bool
@@ -355,19 +419,41 @@
            pool->awaits_valid_log && find_unanswered_candidate(pool, now) < 0;
 }
 
+cbw_time_t
+CbwPool_LogWaitRetryAfter_(const cbw_pool_t *pool, cbw_time_t now)
+{
+    cbw_time_t wait =
+        (now - pool->promotion_since) / Cbw_POOL_LOG_WAIT_RETRY_DIVISOR;
+
+    if (wait < Cbw_POOL_LOG_WAIT_RETRY_MIN) {
+        return Cbw_POOL_LOG_WAIT_RETRY_MIN;
+    }
+    return wait < Cbw_POOL_LOG_WAIT_RETRY_MAX ? wait
+                                              : Cbw_POOL_LOG_WAIT_RETRY_MAX;
+}
+
 static void
-report_restored_entries(cbw_pool_t *pool, cbw_time_t now)
+report_losses(cbw_pool_t *pool, cbw_time_t now)
 {
     const cbw_pool_endpoint_t *e = &pool->endpoints[pool->candidate];
 
+    if (CbwPool_WasCutOff_(pool, e->reported_position)) {
+        CbwCounter_Add(pool->counters, CBW_COUNTER_KNOWN_LOSSES, 1);
+        CbwPool_LogDecision_(pool, now,
+                             "the promotion of %s discards entries: the last "
+                             "primary's log was at %" PRIu64 ".%" PRIu64
+                             " or later",
+                             e->info.name, pool->last_log.replicated.term,
+                             pool->last_log.replicated.index);
+    }
     if (!CbwPool_HasDiscardedEntries_(pool, e->reported_position)) {
         return;
     }
     CbwCounter_Add(pool->counters, CBW_COUNTER_DISCARDED_LOGS_PROMOTED, 1);
     CbwPool_LogDecision_(
         pool, now,
-        "no log without discarded entries: the promotion of %s restores the "
-        "entries from %" PRIu64 " to %" PRIu64,
+        "the promotion of %s restores the entries from %" PRIu64
+        " to %" PRIu64,
         e->info.name, valid_position(pool, e).index + 1,
         e->reported_position.index);
 }
@@ -401,7 +487,7 @@
     }
     pool->awaits_valid_log = false;
     log_other_reports(pool, now);
-    report_restored_entries(pool, now);
+    report_losses(pool, now);
     e = &pool->endpoints[pool->candidate];
     pool->candidate_leads =
         e->is_primary && e->reported_term >= pool->highest_term;
--- a/src/libcarobwind/pool_queue.c
+++ b/src/libcarobwind/pool_queue.c
@@ -156,7 +156,7 @@
     gate->burst_wait_percent = is_fair(pool) ? Cbw_HOLD_IN_TIME_PERCENT : 0;
     if (lacks_valid_log(pool, now, request)) {
         CbwPool_Refuse_(pool, now, request, CBW_REFUSAL_NO_ENDPOINT,
-                        Cbw_POOL_VALID_LOG_RETRY_AFTER,
+                        CbwPool_LogWaitRetryAfter_(pool, now),
                         "the database waits for a log");
         return true;
     }
@@ -231,7 +231,7 @@
 
     if (lacks_valid_log(pool, now, request)) {
         refuse_queued(pool, now, queue, request, true,
-                      Cbw_POOL_VALID_LOG_RETRY_AFTER);
+                      CbwPool_LogWaitRetryAfter_(pool, now));
         return;
     }
     if (!is_fair(pool)) {
--- a/src/share/peer.x
+++ b/src/share/peer.x
@@ -231,6 +231,14 @@
     unsigned hyper id;
 };
 
+/* An operator's order to the owner of `database`: its promotion may accept
+ * losses with the log of `endpoint`. The result is whether it waits for such
+ * an order, or why not. */
+struct peer_accept_loss_args {
+    string database<PEER_NAME_MAX>;
+    string endpoint<PEER_NAME_MAX>;
+};
+
 /* A store call that the receiver makes on behalf of a host that cannot reach
  * the store. */
 struct peer_store_args {
@@ -298,5 +306,6 @@
         peer_quota_result PEER_QUOTA(peer_quota_args) = 16;
         bool PEER_CANCEL(peer_cancel_args) = 17;
         peer_sample_result PEER_SAMPLE(peer_sample_args) = 18;
+        peer_text_result PEER_ACCEPT_LOSS(peer_accept_loss_args) = 19;
     } = 1;
 } = 0x20ca0b01;
--- a/src/share/peer_client.c
+++ b/src/share/peer_client.c
@@ -105,6 +105,30 @@
     xdr_free((xdrproc_t)(void (*)(void))xdr_peer_members_result, members);
 }
 
+int
+PeerClient_AcceptLoss(const char *address, const char *database,
+                      const char *endpoint, cbw_error_t *error)
+{
+    peer_accept_loss_args args = {.database = (char *)database,
+                                  .endpoint = (char *)endpoint};
+    CLIENT *client = open_client(address, error);
+    peer_text_result *result;
+    int code = 0;
+
+    if (client == NULL) {
+        return -1;
+    }
+    result = peer_accept_loss_1(args, client);
+    if (result == NULL) {
+        code = set_no_answer(address, error);
+    }
+    else if (!result->found) {
+        code = CbwError_Set(error, CBW_ERROR_INVALID, "%s", result->text);
+    }
+    clnt_destroy(client);
+    return code;
+}
+
 int
 PeerClient_Drain(const char *address, cbw_error_t *error)
 {
--- a/src/share/peer_client.h
+++ b/src/share/peer_client.h
@@ -17,6 +17,11 @@
 int PeerClient_FetchMembers(const char *address, peer_members_result *members,
                             cbw_error_t *error);
 void PeerClient_FreeMembers(peer_members_result *members);
+/* Orders the daemon, if it owns `database`, to accept losses with the log of
+ * `endpoint`, see CbwPool_AcceptLoss. Returns 0, or -1 with `error` set:
+ * CBW_ERROR_INVALID when it is not the owner or refuses. */
+int PeerClient_AcceptLoss(const char *address, const char *database,
+                          const char *endpoint, cbw_error_t *error);
 /* Starts the graceful shutdown of a daemon. Returns 0, or -1 with `error`
  * set. */
 int PeerClient_Drain(const char *address, cbw_error_t *error);
--- a/src/share/peer_clnt.c
+++ b/src/share/peer_clnt.c
@@ -276,3 +276,17 @@
     }
     return (&clnt_res);
 }
+
+peer_text_result *
+peer_accept_loss_1(peer_accept_loss_args arg1, CLIENT *clnt)
+{
+    static peer_text_result clnt_res;
+
+    memset((char *)&clnt_res, 0, sizeof(clnt_res));
+    if (clnt_call(clnt, PEER_ACCEPT_LOSS, (xdrproc_t)xdr_peer_accept_loss_args,
+                  (caddr_t)&arg1, (xdrproc_t)xdr_peer_text_result,
+                  (caddr_t)&clnt_res, TIMEOUT) != RPC_SUCCESS) {
+        return (NULL);
+    }
+    return (&clnt_res);
+}
--- a/src/share/peer_rpc.h
+++ b/src/share/peer_rpc.h
@@ -250,6 +250,12 @@
 };
 typedef struct peer_cancel_args peer_cancel_args;
 
+struct peer_accept_loss_args {
+    char *database;
+    char *endpoint;
+};
+typedef struct peer_accept_loss_args peer_accept_loss_args;
+
 struct peer_store_args {
     u_int verb;
     char *key;
@@ -371,6 +377,10 @@
 extern peer_sample_result *peer_sample_1(peer_sample_args, CLIENT *);
 extern peer_sample_result *peer_sample_1_svc(peer_sample_args,
                                              struct svc_req *);
+#define PEER_ACCEPT_LOSS 19
+extern peer_text_result *peer_accept_loss_1(peer_accept_loss_args, CLIENT *);
+extern peer_text_result *peer_accept_loss_1_svc(peer_accept_loss_args,
+                                                struct svc_req *);
 extern int carobwind_peer_1_freeresult(SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -431,6 +441,9 @@
 #define PEER_SAMPLE 18
 extern peer_sample_result *peer_sample_1();
 extern peer_sample_result *peer_sample_1_svc();
+#define PEER_ACCEPT_LOSS 19
+extern peer_text_result *peer_accept_loss_1();
+extern peer_text_result *peer_accept_loss_1_svc();
 extern int carobwind_peer_1_freeresult();
 #endif /* K&R C */
 
@@ -460,6 +473,7 @@
 extern bool_t xdr_peer_quota_args(XDR *, peer_quota_args *);
 extern bool_t xdr_peer_quota_result(XDR *, peer_quota_result *);
 extern bool_t xdr_peer_cancel_args(XDR *, peer_cancel_args *);
+extern bool_t xdr_peer_accept_loss_args(XDR *, peer_accept_loss_args *);
 extern bool_t xdr_peer_store_args(XDR *, peer_store_args *);
 extern bool_t xdr_peer_store_item(XDR *, peer_store_item *);
 extern bool_t xdr_peer_store_result(XDR *, peer_store_result *);
@@ -490,6 +504,7 @@
 extern bool_t xdr_peer_quota_args();
 extern bool_t xdr_peer_quota_result();
 extern bool_t xdr_peer_cancel_args();
+extern bool_t xdr_peer_accept_loss_args();
 extern bool_t xdr_peer_store_args();
 extern bool_t xdr_peer_store_item();
 extern bool_t xdr_peer_store_result();
--- a/src/share/peer_xdr.c
+++ b/src/share/peer_xdr.c
@@ -607,6 +607,18 @@
     return TRUE;
 }
 
+bool_t
+xdr_peer_accept_loss_args(XDR *xdrs, peer_accept_loss_args *objp)
+{
+    register int32_t *buf;
+
+    if (!xdr_string(xdrs, &objp->database, PEER_NAME_MAX))
+        return FALSE;
+    if (!xdr_string(xdrs, &objp->endpoint, PEER_NAME_MAX))
+        return FALSE;
+    return TRUE;
+}
+
 bool_t
 xdr_peer_store_args(XDR *xdrs, peer_store_args *objp)
 {
--- a/src/test_libcarobwind/pool_fleet.c
+++ b/src/test_libcarobwind/pool_fleet.c
@@ -118,7 +118,6 @@
     (void)event;
     PoolFleet_TickEndpoints(fleet);
     PoolFleet_UpdateListing(fleet);
-    PoolFleet_ObserveLogs(fleet);
     for (int i = 0; i < HOSTS; i++) {
         if (fleet->hosts[i].running && !fleet->hosts[i].paused) {
             PoolFleet_TickHost(fleet, &fleet->hosts[i]);
--- a/src/test_libcarobwind/pool_fleet.h
+++ b/src/test_libcarobwind/pool_fleet.h
@@ -13,6 +13,7 @@
     bool store_cuts;       /* hosts lose the store, or it is down for all */
     bool lost_swaps;       /* answers of the store are lost; swaps run late */
     bool endpoint_crashes; /* endpoints crash and come back with their log */
+    bool long_crashes;     /* some of them only after up to 40 s */
     bool endpoint_cuts;    /* between hosts and endpoints */
     bool group_cuts;       /* between the endpoints */
     bool deaf_crashes;     /* an endpoint is cut off, and the leader crashes */
@@ -36,11 +37,8 @@
     /* Reads of the latest data that lack an acknowledged commit. */
     int stale_reads;
     /* Promotions that restored acknowledged entries which reads had lacked
-     * since an earlier promotion discarded them: while another log could have
-     * been promoted, and after none had been there for as long as promotions
-     * wait. */
+     * since an earlier promotion discarded them. */
     int restored_logs;
-    int restored_after_wait;
     int lower_fences; /* promotion requests with a token below an earlier one's
                        */
     int orders_in_turn; /* requests of two hosts within the lease of 3 s */
--- a/src/test_libcarobwind/pool_fleet_disruptions.c
+++ b/src/test_libcarobwind/pool_fleet_disruptions.c
@@ -51,7 +51,14 @@
 crash_endpoint(fleet_t *fleet, int index)
 {
     event_t *event = PoolFleet_NewEvent(return_endpoint, 0, 0);
+    cbw_time_t longest =
+        fleet->disruptions->long_crashes && PoolFleet_Chance(fleet, 30)
+            ? 40 * Cbw_SEC
+            : 9 * Cbw_SEC;
 
+    if (fleet->now + longest > fleet->disruptions_end + 9 * Cbw_SEC) {
+        longest = 9 * Cbw_SEC;
+    }
     if (!fleet->endpoints[index].up) {
         g_free(event);
         return;
@@ -61,7 +68,7 @@
     fleet->endpoints[index].unregistered_at = fleet->now;
     event->endpoint = index;
     PoolFleet_Schedule(
-        fleet, PoolFleet_Between(fleet, 500 * Cbw_MSEC, 9 * Cbw_SEC), event);
+        fleet, PoolFleet_Between(fleet, 500 * Cbw_MSEC, longest), event);
 }
 
 /* An endpoint receives nothing from the others for `length`. */
--- a/src/test_libcarobwind/pool_fleet_logs.c
+++ b/src/test_libcarobwind/pool_fleet_logs.c
@@ -25,29 +25,6 @@
     }
 }
 
-static bool
-has_only_entries_of(const endpoint_t *e, const branch_t *branch)
-{
-    return branch->ends[e->last_term] >= e->index;
-}
-
-void
-PoolFleet_ObserveLogs(fleet_t *fleet)
-{
-    branch_t branch;
-
-    find_present_branch(fleet, &branch);
-    for (int i = 0; i < HOSTS; i++) {
-        for (int j = 0; j < ENDPOINTS; j++) {
-            const endpoint_t *e = &fleet->endpoints[j];
-            if (e->up && e->listed && !fleet->endpoint_cut[i][j] &&
-                has_only_entries_of(e, &branch)) {
-                fleet->valid_log_seen_at[i] = fleet->now;
-            }
-        }
-    }
-}
-
 /* Whether a read was answered in a later term of the present branch. */
 static bool
 was_read_after(const fleet_t *fleet, const branch_t *branch, uint64_t term)
@@ -66,8 +43,6 @@
     const endpoint_t *e = &fleet->endpoints[order->endpoint];
     cbw_position_t end = {e->last_term, e->index};
     branch_t branch;
-    bool waited = fleet->now - fleet->valid_log_seen_at[order->host] >=
-                  Cbw_POOL_VALID_LOG_TIMEOUT;
 
     find_present_branch(fleet, &branch);
     for (;;) {
@@ -75,10 +50,6 @@
         uint64_t acknowledged =
             MIN(fleet->commits_of_term[end.term], end.index);
         if (acknowledged > kept && was_read_after(fleet, &branch, end.term)) {
-            if (waited) {
-                fleet->result->restored_after_wait++;
-                return;
-            }
             PoolFleet_ReportFault(fleet, &fleet->result->restored_logs,
                                   "the promotion of e%d restores entries of "
                                   "term %" G_GUINT64_FORMAT
--- a/src/test_libcarobwind/pool_fleet_world.h
+++ b/src/test_libcarobwind/pool_fleet_world.h
@@ -156,8 +156,6 @@
     cbw_position_t bases[TERMS_MAX]; /* end of the log that led each term */
     uint64_t commits_of_term[TERMS_MAX]; /* highest index acknowledged */
     bool read_in_term[TERMS_MAX];        /* a read was answered */
-    /* When each host last reached an endpoint without discarded entries. */
-    cbw_time_t valid_log_seen_at[HOSTS];
     uint64_t next_transaction;
     uint64_t next_nonce;
     uint64_t next_generation;
@@ -201,7 +199,6 @@
 
 /* Logs (pool_fleet_logs.c). */
 
-void PoolFleet_ObserveLogs(fleet_t *fleet);
 /* To be called before the promotion that `order` requests takes effect. */
 void PoolFleet_CheckRestored(fleet_t *fleet, const event_t *order);
 
--- a/src/test_libcarobwind/test_pool_branches.c
+++ b/src/test_libcarobwind/test_pool_branches.c
@@ -2,6 +2,7 @@
  * logs of a database's endpoints are then branches of each other. */
 
 #include <glib.h>
+#include <string.h>
 
 #include "pool_world.h"
 #include "suites.h"
@@ -10,12 +11,15 @@
 #define POLLS (400 * Cbw_MSEC)
 /* Longer than a promotion takes, also one by a new owner. */
 #define PROMOTION_LIMIT (30 * Cbw_SEC)
+/* Long enough for any timer of the pool to end. */
+#define LONG_LOSS (3600 * Cbw_SEC)
 
 /* A promotion: what the endpoints report until the pool requests it, which one
  * is chosen, and what they report afterwards. */
 typedef struct {
     endpoint_report_t before[3];
     const char *chosen; /* NULL: no further step */
+    bool by_order;      /* its log has discarded entries */
     endpoint_report_t after[3];
     bool restart; /* of the owner, afterwards */
 } step_t;
@@ -56,31 +60,38 @@
               DOWN,                                                           \
               {.primary = true, .term = 5, .position = {4, 20}}}
 /* e2 is down; e0 still has the log of term 3, and e1 ends at 4.`INDEX`. */
-#define E1_IS_CHOSEN(INDEX)                                                   \
+#define E1_IS_CHOSEN(INDEX, BY_ORDER)                                         \
     {                                                                         \
         .before = {{.term = 4, .position = {3, 15}},                          \
                    {.term = 5, .position = {4, INDEX}},                       \
                    DOWN},                                                     \
-        .chosen = "e1"                                                        \
+        .chosen = "e1", .by_order = (BY_ORDER)                                \
     }
 
 static const branch_case_t branch_cases[] = {
     {.name = "discarded by the last promotion but one",
-     .steps = {E1_LEADS_TERM_4, {E2_LEADS_TERM_5}, E1_IS_CHOSEN(25)}},
+     .steps = {E1_LEADS_TERM_4, {E2_LEADS_TERM_5}, E1_IS_CHOSEN(25, true)}},
     {.name = "by an owner that has seen none of the promotions",
      .steps = {E1_LEADS_TERM_4,
                {E2_LEADS_TERM_5, .restart = true},
-               E1_IS_CHOSEN(25)}},
+               E1_IS_CHOSEN(25, true)}},
     {.name = "a log without discarded entries, though a shorter one",
-     .steps = {E1_LEADS_TERM_4, {E2_LEADS_TERM_5}, E1_IS_CHOSEN(12)}},
+     .steps = {E1_LEADS_TERM_4, {E2_LEADS_TERM_5}, E1_IS_CHOSEN(12, false)}},
     {.name = "with synchronous commits",
      .synchronous = true,
-     .steps = {E1_LEADS_TERM_4, {E2_LEADS_TERM_5}, E1_IS_CHOSEN(25)}},
+     .steps = {E1_LEADS_TERM_4, {E2_LEADS_TERM_5}, E1_IS_CHOSEN(25, false)}},
 };
 
 static void
 promote(pool_world_t *world, const step_t *step)
 {
+    if (step->by_order) {
+        g_assert_false(
+            PoolWorld_RunUntilOrder(world, PROMOTION_LIMIT, step->before));
+        g_assert_cmpint(
+            CbwPool_AcceptLoss(&world->pool, world->now, step->chosen, NULL),
+            ==, 0);
+    }
     g_assert_true(
         PoolWorld_RunUntilOrder(world, PROMOTION_LIMIT, step->before));
     g_assert_cmpstr(world->promotion_target, ==, step->chosen);
@@ -157,7 +168,7 @@
     bool restart; /* of the owner, during the wait */
     endpoint_report_t later[3];
     cbw_time_t later_after;
-    const char *chosen;
+    const char *chosen;      /* NULL: none within LONG_LOSS */
     cbw_time_t chosen_after; /* at least */
     cbw_time_t chosen_by;
 } wait_case_t;
@@ -191,19 +202,12 @@
      .chosen = "e0",
      .chosen_after = 5 * Cbw_SEC,
      .chosen_by = 5 * Cbw_SEC + DETECTION},
-    {.name = "no other log returns",
-     .later = E0_ALONE,
-     .chosen = "e0",
-     .chosen_after = Cbw_POOL_VALID_LOG_TIMEOUT,
-     .chosen_by = Cbw_POOL_VALID_LOG_TIMEOUT + 3 * Cbw_SEC},
+    {.name = "no other log returns", .later = E0_ALONE, .chosen = NULL},
     {.name = "no other log returns, and a new owner goes on",
      .restart = true,
      .later = E0_ALONE,
      .later_after = 5 * Cbw_SEC,
-     .chosen = "e0",
-     .chosen_after = 5 * Cbw_SEC + Cbw_POOL_VALID_LOG_TIMEOUT,
-     .chosen_by = 5 * Cbw_SEC + Cbw_TENURE_VALID_FOR + DETECTION +
-                  Cbw_POOL_VALID_LOG_TIMEOUT + 3 * Cbw_SEC},
+     .chosen = NULL},
     {.name = "with synchronous commits nothing acknowledged is discarded",
      .synchronous = true,
      .later = E0_ALONE,
@@ -227,9 +231,8 @@
     PoolWorld_Run(world, Cbw_SEC, returned);
 }
 
-/* After review/7: an endpoint with discarded entries is not promoted as soon
- * as it alone answers, since another log may come back; nor never, since it
- * may not. */
+/* After review/7 and review/12: an endpoint with discarded entries is not
+ * promoted because it alone answers, however long no other log returns. */
 static void
 test_valid_log_is_awaited(void)
 {
@@ -253,6 +256,12 @@
         if (c->restart) {
             PoolWorld_RestartOwner(&world);
         }
+        if (c->chosen == NULL) {
+            g_assert_false(
+                PoolWorld_RunUntilOrder(&world, LONG_LOSS, c->later));
+            PoolWorld_Finish(&world);
+            continue;
+        }
         g_assert_true(
             PoolWorld_RunUntilOrder(&world, 2 * PROMOTION_LIMIT, c->later));
         g_assert_cmpstr(world.promotion_target, ==, c->chosen);
@@ -278,14 +287,14 @@
         pool_world_t world;
 
         init_with_discarded_entries(&world, false);
+        PoolWorld_Run(&world, 5 * Cbw_SEC, alone);
         if (requested) {
+            g_assert_cmpint(
+                CbwPool_AcceptLoss(&world.pool, world.now, "e0", NULL), ==, 0);
             g_assert_true(
                 PoolWorld_RunUntilOrder(&world, PROMOTION_LIMIT, alone));
             CbwPool_OnPromoteReply(&world.pool, world.now, CBW_PROMOTE_LOST);
         }
-        else {
-            PoolWorld_Run(&world, 5 * Cbw_SEC, alone);
-        }
         g_assert_true(PoolWorld_RunUntilOrder(&world, 5 * Cbw_SEC, returned));
         g_assert_cmpstr(world.promotion_target, ==, "e2");
         CbwPool_OnPromoteReply(&world.pool, world.now, CBW_PROMOTE_ACCEPTED);
@@ -300,20 +309,26 @@
 }
 
 /* While a log is awaited, the owner rewrites the record often enough that no
- * other one takes over its promotion, which would start the wait again. */
+ * other one takes over its promotion, and rarely enough that a long wait costs
+ * the store little. What explains the wait stays to be read. */
 static void
 test_waiting_promotion_is_kept(void)
 {
     static const endpoint_report_t alone[] = E0_ALONE;
+    static char text[32768];
     pool_world_t world;
     cbw_time_t changed_at;
+    cbw_time_t end;
+    uint64_t first;
     uint64_t version;
 
     init_with_discarded_entries(&world, false);
     PoolWorld_Run(&world, 2 * Cbw_SEC, alone);
     changed_at = world.now;
-    version = world.version;
-    while (world.pool.phase == CBW_POOL_CHOOSING_CANDIDATE) {
+    version = first = world.version;
+    end = world.now + LONG_LOSS;
+    while (world.now < end) {
+        g_assert_cmpint(world.pool.phase, ==, CBW_POOL_CHOOSING_CANDIDATE);
         PoolWorld_Run(&world, 100 * Cbw_MSEC, alone);
         if (world.version != version) {
             changed_at = world.now;
@@ -322,10 +337,198 @@
         g_assert_cmpint(world.now - changed_at, <,
                         Cbw_TENURE_PROMOTION_TIMEOUT / 2);
     }
-    g_assert_cmpstr(world.promotion_target, ==, "e0");
+    g_assert_cmpint((cbw_time_t)(world.version - first), <=,
+                    LONG_LOSS / Cbw_TENURE_KEEP_INTERVAL);
+    CbwPool_Explain(&world.pool, world.now, text, sizeof(text));
+    g_assert_nonnull(strstr(text, "\nbest_log\te0\n"));
+    g_assert_nonnull(strstr(text, "waits for a log without discarded"));
     PoolWorld_Finish(&world);
 }
 
+/* A failover without synchronous commits: e0, the primary, goes on from 3.9 to
+ * 3.40 for some seconds, and is lost. */
+typedef struct {
+    const char *name;
+    uint64_t positions[3];    /* of the replicas, in term 3, as e0 is lost */
+    cbw_time_t returns_after; /* e0, with its log; 0: never */
+    bool restart;             /* of the owner, as e0 is lost */
+    const char *promoted;
+    cbw_time_t promoted_after; /* at least */
+    cbw_time_t promoted_by;
+} lost_primary_case_t;
+
+#define FAILOVER_MAX (3 * Cbw_SEC)
+
+static const lost_primary_case_t lost_primary_cases[] = {
+    {.name = "one replica followed",
+     .positions = {0, 9, 40},
+     .promoted = "e2",
+     .promoted_by = FAILOVER_MAX},
+    {.name = "one replica lacks the last second only",
+     .positions = {0, 9, 36},
+     .promoted = "e2",
+     .promoted_by = FAILOVER_MAX},
+    {.name = "both were cut off, and the primary returns",
+     .positions = {0, 9, 12},
+     .returns_after = 6 * Cbw_SEC,
+     .promoted = "e0",
+     .promoted_after = 6 * Cbw_SEC,
+     .promoted_by = 6 * Cbw_SEC + DETECTION},
+    {.name = "both were cut off, and the primary is lost for good",
+     .positions = {0, 9, 12},
+     .promoted = "e2",
+     .promoted_after = Cbw_POOL_LOST_PRIMARY_TIMEOUT,
+     .promoted_by = Cbw_POOL_LOST_PRIMARY_TIMEOUT + FAILOVER_MAX},
+    {.name = "a new owner does not know what the primary had",
+     .positions = {0, 9, 12},
+     .restart = true,
+     .promoted = "e2",
+     .promoted_by = Cbw_TENURE_VALID_FOR + FAILOVER_MAX},
+};
+
+/* After review/12: a replica that was cut off from the primary is not promoted
+ * at once, as that discards what the primary acknowledged and can bring back.
+ */
+static void
+test_lost_primary_is_awaited(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(lost_primary_cases); i++) {
+        const lost_primary_case_t *c = &lost_primary_cases[i];
+        endpoint_report_t reports[3] = {{.primary = true, .term = 3},
+                                        {.term = 3, .position = {3, 9}},
+                                        {.term = 3, .position = {3, 9}}};
+        pool_world_t world;
+        cbw_time_t lost_at;
+
+        g_test_message("%s", c->name);
+        PoolWorld_Init(&world);
+        for (uint64_t index = 10; index <= 40; index += 2) {
+            reports[0].position = (cbw_position_t){3, index};
+            PoolWorld_Run(&world, 500 * Cbw_MSEC, reports);
+        }
+        reports[0].unresponsive = true;
+        reports[1].position.index = c->positions[1];
+        reports[2].position.index = c->positions[2];
+        if (c->restart) {
+            PoolWorld_RestartOwner(&world);
+        }
+        lost_at = world.now;
+        if (c->returns_after > 0) {
+            g_assert_false(
+                PoolWorld_RunUntilOrder(&world, c->returns_after, reports));
+            reports[0].unresponsive = false;
+        }
+        g_assert_true(
+            PoolWorld_RunUntilOrder(&world, PROMOTION_LIMIT, reports));
+        g_assert_cmpstr(world.promotion_target, ==, c->promoted);
+        g_assert_cmpint(world.now - lost_at, >=, c->promoted_after);
+        g_assert_cmpint(world.now - lost_at, <=, c->promoted_by);
+        PoolWorld_Finish(&world);
+    }
+}
+
+/* An operator's order during a wait. */
+typedef struct {
+    const char *name;
+    const char *endpoint;
+    endpoint_report_t later[3];
+    bool restart;  /* of the owner, after the order */
+    bool relisted; /* e0 was not listed for a moment after the order */
+    bool refused;
+    const char *promoted; /* NULL: none */
+} order_case_t;
+
+static const order_case_t order_cases[] = {
+    {.name = "the best log",
+     .endpoint = "e0",
+     .later = E0_ALONE,
+     .promoted = "e0"},
+    {.name = "another endpoint",
+     .endpoint = "e2",
+     .later = E0_ALONE,
+     .refused = true},
+    {.name = "the owner that had the order is lost",
+     .endpoint = "e0",
+     .later = E0_ALONE,
+     .restart = true},
+    {.name = "the endpoint may have another log by now",
+     .endpoint = "e0",
+     .later = E0_ALONE,
+     .relisted = true},
+};
+
+/* Only an operator's order promotes a log with discarded entries, and only the
+ * one that it was given for. */
+static void
+test_loss_is_accepted_by_order(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(order_cases); i++) {
+        const order_case_t *c = &order_cases[i];
+        static const endpoint_report_t alone[] = E0_ALONE;
+        cbw_error_t error;
+        pool_world_t world;
+
+        g_test_message("%s", c->name);
+        init_with_discarded_entries(&world, false);
+        g_assert_cmpint(
+            CbwPool_AcceptLoss(&world.pool, world.now, "e0", &error), ==, -1);
+        PoolWorld_Run(&world, 5 * Cbw_SEC, alone);
+        g_assert_cmpint(
+            CbwPool_AcceptLoss(&world.pool, world.now, c->endpoint, &error),
+            ==, c->refused ? -1 : 0);
+        if (c->relisted) {
+            world.unlisted[0] = true;
+            PoolWorld_SetEndpoints(&world);
+            world.unlisted[0] = false;
+            PoolWorld_SetEndpoints(&world);
+        }
+        if (c->restart) {
+            PoolWorld_RestartOwner(&world);
+        }
+        g_assert_cmpint(
+            PoolWorld_RunUntilOrder(&world, PROMOTION_LIMIT, c->later), ==,
+            c->promoted != NULL);
+        if (c->promoted != NULL) {
+            g_assert_cmpstr(world.promotion_target, ==, c->promoted);
+        }
+        PoolWorld_Finish(&world);
+    }
+}
+
+/* The longer a log has been missing, the later callers are told to return. */
+static void
+test_retry_after_grows_with_the_wait(void)
+{
+    static const struct {
+        cbw_time_t waited;
+        cbw_time_t retry_after;
+    } cases[] = {{2 * Cbw_SEC, Cbw_SEC},
+                 {20 * Cbw_SEC, 5 * Cbw_SEC},
+                 {LONG_LOSS, 10 * Cbw_SEC}};
+    static const endpoint_report_t alone[] = E0_ALONE;
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        pool_world_t world;
+        cbw_request_t *request;
+
+        init_with_discarded_entries(&world, false);
+        while (world.pool.phase != CBW_POOL_CHOOSING_CANDIDATE) {
+            PoolWorld_Run(&world, 20 * Cbw_MSEC, alone);
+        }
+        PoolWorld_Run(&world, cases[i].waited, alone);
+        request = PoolWorld_NewRequest(&world, true, CBW_READ_LATEST);
+        request->deadline = world.now + 60 * Cbw_SEC;
+        PoolWorld_Submit(&world, request);
+        g_assert_true(world.last_answered == request);
+        g_assert_cmpint(request->answer.outcome, ==, CBW_OUTCOME_NOTRUN);
+        g_assert_cmpint(request->answer.retry_after, >=, cases[i].retry_after);
+        g_assert_cmpint(request->answer.retry_after, <,
+                        cases[i].retry_after + 100 * Cbw_MSEC);
+        PoolWorld_Finish(&world);
+        PoolWorld_FreeRequest(request);
+    }
+}
+
 /* What cannot be served before a log returns is refused at once, and queued
  * requests are returned when the wait begins. */
 static void
@@ -358,7 +561,7 @@
         g_assert_true(world.last_answered == request);
         g_assert_cmpint(request->answer.outcome, ==, CBW_OUTCOME_NOTRUN);
         g_assert_cmpint(request->answer.retry_after, ==,
-                        Cbw_POOL_VALID_LOG_RETRY_AFTER);
+                        Cbw_POOL_LOG_WAIT_RETRY_MIN);
         PoolWorld_Finish(&world);
         PoolWorld_FreeRequest(request);
     }
@@ -458,6 +661,12 @@
                     test_present_primary_returns);
     g_test_add_func("/pool/waiting-promotion-is-kept",
                     test_waiting_promotion_is_kept);
+    g_test_add_func("/pool/lost-primary-is-awaited",
+                    test_lost_primary_is_awaited);
+    g_test_add_func("/pool/loss-is-accepted-by-order",
+                    test_loss_is_accepted_by_order);
+    g_test_add_func("/pool/retry-after-grows-with-the-wait",
+                    test_retry_after_grows_with_the_wait);
     g_test_add_func("/pool/requests-during-the-wait",
                     test_requests_during_the_wait);
     g_test_add_func("/pool/leaving-primary-has-no-valid-successor",
--- a/src/test_libcarobwind/test_pool_fleet.c
+++ b/src/test_libcarobwind/test_pool_fleet.c
@@ -74,6 +74,12 @@
      .endpoint_crashes = true,
      .deaf_crashes = true,
      .restarts = true},
+    {.name = "long-branches",
+     .store_cuts = true,
+     .endpoint_crashes = true,
+     .long_crashes = true,
+     .deaf_crashes = true,
+     .restarts = true},
     {.name = "workspaces",
      .store_cuts = true,
      .endpoint_crashes = true,
@@ -125,20 +131,16 @@
     fleet_result_t result;
     int promotions = 0;
     int commits = 0;
-    int restored = 0;
 
     for (uint64_t seed = first; seed < end; seed++) {
         PoolFleet_Run(seed, disruptions, DURATION, verbose, &result);
         check_result(disruptions->name, seed, &result);
         promotions += result.promotions;
         commits += result.commits_acknowledged;
-        restored += result.restored_after_wait;
     }
     g_test_message("%s: %" G_GUINT64_FORMAT
-                   " seeds, %d promotions, %d of which restored entries after "
-                   "a wait, %d commits acknowledged",
-                   disruptions->name, end - first, promotions, restored,
-                   commits);
+                   " seeds, %d promotions, %d commits acknowledged",
+                   disruptions->name, end - first, promotions, commits);
 }
 
 void
--- a/src/test_libcarobwind/test_pool_terms.c
+++ b/src/test_libcarobwind/test_pool_terms.c
@@ -10,9 +10,9 @@
 /* Long enough for several polls, and shorter than any wait of a promotion. */
 #define POLLS (400 * Cbw_MSEC)
 
-/* Longer than a promotion takes that waits for a better log than e0's, which
- * has discarded entries. */
-#define LOG_WAIT (Cbw_POOL_VALID_LOG_TIMEOUT + 3 * Cbw_SEC)
+/* After that time, a promotion waits for a better log than e0's, which has
+ * discarded entries. */
+#define LOG_WAIT (15 * Cbw_SEC)
 
 /* e0, which leads a superseded term, alone answers. */
 static const endpoint_report_t superseded[] = {
@@ -20,6 +20,17 @@
     {.unresponsive = true},
     {.unresponsive = true}};
 
+/* Has e0 promoted by an operator's order. */
+static void
+promote_with_loss(pool_world_t *world, cbw_time_t wait)
+{
+    g_assert_false(PoolWorld_RunUntilOrder(world, wait, superseded));
+    g_assert_cmpint(CbwPool_AcceptLoss(&world->pool, world->now, "e0", NULL),
+                    ==, 0);
+    g_assert_true(PoolWorld_RunUntilOrder(world, POLLS, superseded));
+    g_assert_cmpstr(world->promotion_target, ==, "e0");
+}
+
 /* e1 is promoted to term 4 after e0 was unlisted, and e0 is listed again. It
  * still leads term 3, in which its log has grown. */
 static void
@@ -57,8 +68,7 @@
     cbw_request_t *write;
 
     promote_e1(&world);
-    g_assert_true(PoolWorld_RunUntilOrder(&world, LOG_WAIT, superseded));
-    g_assert_cmpstr(world.promotion_target, ==, "e0");
+    promote_with_loss(&world, LOG_WAIT);
     CbwPool_OnPromoteReply(&world.pool, world.now, CBW_PROMOTE_ACCEPTED);
     write = PoolWorld_NewRequest(&world, true, CBW_READ_LATEST);
     PoolWorld_Submit(&world, write);
@@ -86,9 +96,7 @@
     CbwTermHistory_Add(&world.record.history, (cbw_term_start_t){4, 9});
     g_strlcpy(world.record.primary, "e1", sizeof(world.record.primary));
     world.version++;
-    g_assert_true(
-        PoolWorld_RunUntilOrder(&world, Cbw_SEC + LOG_WAIT, superseded));
-    g_assert_cmpstr(world.promotion_target, ==, "e0");
+    promote_with_loss(&world, Cbw_SEC + LOG_WAIT);
     CbwPool_OnPromoteReply(&world.pool, world.now, CBW_PROMOTE_ACCEPTED);
     /* Neither after the wait for an order that changes nothing. */
     PoolWorld_Run(&world, Cbw_POOL_PROMOTION_RETRY_AFTER + POLLS, superseded);
--- a/test/mutants.tcl
+++ b/test/mutants.tcl
@@ -232,8 +232,8 @@
 }
 mutant promotes-discarded-logs wire-discarded-log-alone {
     src/libcarobwind/pool_promotion.c
-    "now - pool->promotion_since < Cbw_POOL_VALID_LOG_TIMEOUT"
-    "now - pool->promotion_since < 0"
+    "CbwPool_HasDiscardedEntries_(pool, e->reported_position);\n}"
+    "now - pool->promotion_since < 0;\n}"
 }
 
 # Replaces a text in a file. Fails if the file does not contain it.
--- a/test/scenarios/wire.tcl
+++ b/test/scenarios/wire.tcl
@@ -378,7 +378,9 @@
 scenario wire-discarded-log-alone \
     "an endpoint whose last entries a promotion discarded is the first to return" {
     wire::fleet
-    lassign [wire::write_under_load 11 {
+    # e-3 lacks what e-2 acknowledged: it is promoted once e-2 has been awaited
+    # for 10 s.
+    lassign [wire::write_under_load 18 {
         wire::stop_with_log e-3
         after 200 { wire::control isolate e-2 1 }
         after 900 { wire::stop_with_log e-1 }
@@ -395,6 +397,40 @@
     expect {[llength [wire::log_difference e-1 e-2]] > 0}
 }
 
+# Runs the operators' tool against host1. Returns its output or error.
+proc wire::tool {args} {
+    set failed [catch {exec [file join $fleet::bin carobwindctl] \
+        --host=[network].1.1:7100 {*}$args 2>@1} output]
+    return [expr {$failed ? [lindex [split $output "\n"] 0] : $output}]
+}
+
+scenario wire-accept-loss \
+    "only a log with discarded entries is left: it leads by an operator's order alone" {
+    wire::fleet
+    lassign [wire::write_under_load 26 {
+        wire::stop_with_log e-3
+        after 200 { wire::control isolate e-2 1 }
+        after 900 { wire::stop_with_log e-1 }
+        after 3500 {
+            wire::control kill e-2
+            wire::control start e-1
+        }
+        after 22000 {
+            set ::idle_primary [wire::control primary]
+            set ::explained [wire::tool explain svc1]
+            set ::refused [wire::tool accept-loss svc1 e-2]
+            set ::accepted [wire::tool accept-loss svc1 e-1]
+        }
+    }] outcomes
+    expect {$::idle_primary eq ""} "promoted: $::idle_primary"
+    expect {[regexp {best_log +e-1} $::explained]} $::explained
+    expect {$::refused eq "carobwindctl: the best log is that of e-1"} $::refused
+    expect {$::accepted eq "e-1 may be promoted with losses"} $::accepted
+    expect {[wire::control primary] eq "e-1"}
+    expect {[lindex [dict values $outcomes] end] eq "done"}
+    expect {"INDOUBT" ni [lrange [dict values $outcomes] end-20 end]}
+}
+
 scenario wire-older-branch \
     "after two promotions, the endpoints that return were cut back by one each" {
     wire::fleet
