Pool: with synchronous commits, a log is promoted only if it is complete

A replica that alone had received them was not listed, as it had lost the store or was down for 7 s, and the other one was promoted.

Cause, the same in both: the choice of a candidate took the list of endpoints for the set of logs that may have acknowledged commits, and never compared a log with what had been acknowledged. An entry that expired says nothing of a log. In the first case it had expired before the promotion began, in the second it did so during its wait.

Evidence: "requests the promotion of e2, replica in term 3, position 3.9" by an owner that has seen 3.40 at the primary; no call to the unlisted replica.

Change: a log is complete if it reaches the highest position that the owner saw at the last primary after all other tenures had ended, or if it is that primary's. It is promoted without waiting for others. Else the longest log is promoted only if each process that may have received a commit has reported its own, listed or not (pool_copies.c). Else the promotion waits; an operator may end the wait, as for discarded entries. /pool/silent-replica-is-awaited asserted that a silent replica is awaited only as long as it is listed; the cases of /pool/acknowledged-commits-are-awaited replace it, and are stricter. A replica that is silent but not needed no longer delays the promotion.

--- a/include/carobwind/pool.h
+++ b/include/carobwind/pool.h
@@ -20,6 +20,7 @@
 #include "carobwind/inventory.h"
 #include "carobwind/latency.h"
 #include "carobwind/limit.h"
+#include "carobwind/log_copies.h"
 #include "carobwind/offload.h"
 #include "carobwind/position.h"
 #include "carobwind/queue.h"
@@ -80,6 +81,11 @@
 /* A replica that lacks an entry which the primary had for this long was cut
  * off from it, and not only slow. */
 #define Cbw_POOL_REPLICATION_DELAY_MAX Cbw_SEC
+/* With synchronous commits, an endpoint that is not listed any more and did
+ * not leave may still receive commits for this long, as when it has lost the
+ * store.
+ */
+#define Cbw_POOL_COPY_FORGET_AFTER (60 * Cbw_SEC)
 /* How long a promotion without synchronous commits waits for the lost primary,
  * if all candidates were cut off from it before. With the longest wait for
  * earlier tenures (Cbw_TENURE_VALID_FOR) and 3 s for the promotion itself, a
@@ -244,9 +250,10 @@
     /* Waits until the tenures of previous holders have ended, and until the
      * candidates have reported their states or
      * Cbw_POOL_CANDIDATE_STATE_TIMEOUT has passed; then chooses one. With
-     * synchronous commits it waits for the states of all endpoints, otherwise
-     * for a log without discarded entries or an operator's order, and for up
-     * to Cbw_POOL_LOST_PRIMARY_TIMEOUT for one that was not cut off. */
+     * synchronous commits it waits for a log that is known to have all that
+     * was acknowledged, otherwise for a log without discarded entries or an
+     * operator's order, and for up to Cbw_POOL_LOST_PRIMARY_TIMEOUT for one
+     * that was not cut off. */
     CBW_POOL_CHOOSING_CANDIDATE,
     /* A promotion request is in flight. */
     CBW_POOL_REQUESTING_PROMOTION,
@@ -324,8 +331,19 @@
      * that position Cbw_POOL_REPLICATION_DELAY_MAX before the end of the
      * observation; all zero: not known. */
     cbw_position_t replicated;
+    /* Its highest known position, and the time of the last sample: everything
+     * acknowledged by then, or by this owner at any time, is up to there. */
+    cbw_position_t end;
+    cbw_time_t as_of;
 } cbw_pool_last_log_t;
 
+/* With synchronous commits: a process that may have acknowledged commits. */
+typedef struct {
+    cbw_log_copy_t process;
+    cbw_time_t unlisted_since; /* 0: it is listed */
+    bool left;                 /* it was leaving when it was last listed */
+} cbw_pool_copy_t;
+
 /* A decision, as CbwPool_Explain lists it. */
 typedef struct {
     cbw_time_t time;
@@ -392,6 +410,10 @@
     cbw_pool_sample_t samples[Cbw_POOL_SAMPLES_MAX]; /* a ring */
     size_t sample_count;                             /* ever written */
     cbw_pool_last_log_t last_log;
+    /* With synchronous commits, as far as this owner knows; while it does not
+     * hold the tenure, there are none. */
+    cbw_pool_copy_t copies[Cbw_LOG_COPIES_MAX];
+    int copy_count;
     bool synchronous; /* see CbwPool_SetSynchronous */
     /* The store is unresponsive, and the endpoints are polled to confirm the
      * primary. */
@@ -406,12 +428,12 @@
     cbw_time_t last_submit_at; /* when the last request arrived */
     cbw_pool_phase_t phase;
     cbw_time_t phase_since;
-    bool wait_logged;           /* in this phase: whose state is awaited */
     bool planned;               /* not used */
     cbw_time_t drain_due_at;    /* a leaving primary is not drained before */
     cbw_time_t promotion_since; /* the present promotion began */
-    /* Each endpoint that could be promoted has discarded entries, or was cut
-     * off from the last primary: the promotion waits for another log, or for
+    /* Each endpoint that could be promoted has discarded entries, was cut off
+     * from the last primary or, with synchronous commits, may lack
+     * acknowledged ones: the promotion waits for another log, or for
      * CbwPool_AcceptLoss. */
     bool awaits_valid_log;
     /* During that wait, the endpoint with the best log; "": none yet. */
--- a/src/libcarobwind/include/private/pool.h
+++ b/src/libcarobwind/include/private/pool.h
@@ -172,6 +172,15 @@
 /* Keeps what was observed of the primary's log beyond the end of its
  * generation, see `last_log`. To be called before the samples are cleared. */
 void CbwPool_KeepLastLog_(cbw_pool_t *pool);
+/* Updates the processes that may have acknowledged commits, see `copies`. */
+void CbwPool_UpdateCopies_(cbw_pool_t *pool, cbw_time_t now);
+/* Returns the name of such a process that is not listed, neither itself nor as
+ * a process that took over its log, or NULL. The previous primary does not
+ * count: a replica has each commit, too. */
+const char *CbwPool_FindMissingCopy_(const cbw_pool_t *pool);
+/* Returns whether the endpoint's reported log is known to have everything that
+ * was acknowledged with synchronous commits, whatever others report. */
+bool CbwPool_IsComplete_(const cbw_pool_t *pool, const cbw_pool_endpoint_t *e);
 /* Returns whether the endpoint's log, which ends at `position`, lacks entries
  * that the last primary's replicas should have. */
 bool CbwPool_WasCutOff_(const cbw_pool_t *pool, cbw_position_t position);
--- a/src/libcarobwind/pool.c
+++ b/src/libcarobwind/pool.c
@@ -504,6 +504,7 @@
 {
     CbwPool_RedirectToHolder_(pool, now);
     CbwPool_EndLeases_(pool, now);
+    CbwPool_UpdateCopies_(pool, now);
     if (hold_tenure && !pool->stopping &&
         (now >= pool->redirected_until || pool->redirected_to_promoter)) {
         CbwTenure_Tick(&pool->tenure, now, CbwPool_FirstPrimary_(pool));
--- /dev/null
+++ b/src/libcarobwind/pool_copies.c
@@ -0,0 +1,170 @@
+/* Which endpoints may have commits that were acknowledged with synchronous
+ * replication, and which logs are known to have all of them. That an endpoint
+ * is not listed says nothing of its log. */
+
+#include <string.h>
+
+#include "carobwind/pool.h"
+#include "private/pool.h"
+
+/* Returns the listed endpoint that is the copy's process, or has taken over
+ * its log and is known to have one; -1: there is none. */
+static int
+find_listed_copy(const cbw_pool_t *pool, const cbw_log_copy_t *copy)
+{
+    for (int i = 0; i < Cbw_POOL_ENDPOINTS_MAX; i++) {
+        const cbw_pool_endpoint_t *e = &pool->endpoints[i];
+        if (e->used &&
+            (CbwLogCopy_IsProcess(copy, &e->info) ||
+             (CbwLogCopy_IsSuccessor(copy, &e->info) &&
+              e->reported_as_of != 0 && e->reported_position.index > 0))) {
+            return i;
+        }
+    }
+    return -1;
+}
+
+static void
+add_listed(cbw_pool_t *pool, cbw_time_t now, const cbw_endpoint_t *info)
+{
+    cbw_pool_copy_t *copy;
+
+    for (int i = 0; i < pool->copy_count; i++) {
+        if (CbwLogCopy_IsProcess(&pool->copies[i].process, info)) {
+            pool->copies[i].unlisted_since = 0;
+            pool->copies[i].left = info->leaving;
+            return;
+        }
+    }
+    if (pool->copy_count == Cbw_LOG_COPIES_MAX) {
+        CbwPool_LogDecision_(pool, now,
+                             "the log of %s is not awaited: too many copies",
+                             info->name);
+        return;
+    }
+    copy = &pool->copies[pool->copy_count++];
+    memset(copy, 0, sizeof(*copy));
+    CbwLogCopy_Init(&copy->process, info);
+    copy->left = info->leaving;
+}
+
+/* When a copy that is not listed any more can have received its last commit.
+ * An endpoint that has left has ended by the time its entry is removed; any
+ * other may go on for as long as it has only lost the store. */
+static cbw_time_t
+last_commit_at(const cbw_pool_copy_t *copy)
+{
+    return copy->unlisted_since +
+           (copy->left ? 0 : Cbw_POOL_COPY_FORGET_AFTER);
+}
+
+/* Whether a listed replica has everything that the primary had at `time`;
+ * otherwise asks the replicas for their positions. */
+static bool
+is_replicated(cbw_pool_t *pool, cbw_time_t now, cbw_time_t time)
+{
+    cbw_position_t needed;
+
+    if (!CbwPool_PositionAt_(pool, time, &needed)) {
+        return false;
+    }
+    for (int i = 0; i < Cbw_POOL_ENDPOINTS_MAX; i++) {
+        const cbw_pool_endpoint_t *e = &pool->endpoints[i];
+        if (!e->used || e->down || i == pool->primary) {
+            continue;
+        }
+        if (CbwPosition_Compare(e->position, needed) >= 0 &&
+            !CbwPool_HasDiscardedEntries_(pool, e->position)) {
+            return true;
+        }
+        if (now - e->reported_as_of >= Cbw_POOL_IDLE_STATE_CALL_INTERVAL) {
+            CbwPool_SendStateCall_(pool, now, i);
+        }
+    }
+    return false;
+}
+
+/* Whether no acknowledged commit can depend on the copy any more: its log has
+ * passed to a listed endpoint, or a replica has all that it can have. */
+static bool
+is_dispensable(cbw_pool_t *pool, cbw_time_t now, const cbw_pool_copy_t *copy)
+{
+    if (find_listed_copy(pool, &copy->process) >= 0) {
+        return true;
+    }
+    return pool->phase == CBW_POOL_SERVING && pool->primary >= 0 &&
+           !pool->endpoints[pool->primary].down &&
+           CbwTenure_IsExclusive(&pool->tenure, now) &&
+           now >= last_commit_at(copy) &&
+           is_replicated(pool, now, last_commit_at(copy));
+}
+
+void
+CbwPool_UpdateCopies_(cbw_pool_t *pool, cbw_time_t now)
+{
+    bool listed[Cbw_LOG_COPIES_MAX] = {false};
+
+    if (!pool->synchronous || !pool->tenure.held) {
+        pool->copy_count = 0;
+        return;
+    }
+    for (int i = 0; i < Cbw_POOL_ENDPOINTS_MAX; i++) {
+        if (pool->endpoints[i].used) {
+            add_listed(pool, now, &pool->endpoints[i].info);
+        }
+    }
+    for (int i = 0; i < pool->copy_count; i++) {
+        for (int j = 0; j < Cbw_POOL_ENDPOINTS_MAX; j++) {
+            listed[i] |= pool->endpoints[j].used &&
+                         CbwLogCopy_IsProcess(&pool->copies[i].process,
+                                              &pool->endpoints[j].info);
+        }
+    }
+    for (int i = pool->copy_count - 1; i >= 0; i--) {
+        cbw_pool_copy_t *copy = &pool->copies[i];
+        if (listed[i]) {
+            continue;
+        }
+        if (copy->unlisted_since == 0) {
+            copy->unlisted_since = now;
+        }
+        if (is_dispensable(pool, now, copy)) {
+            *copy = pool->copies[--pool->copy_count];
+        }
+    }
+}
+
+const char *
+CbwPool_FindMissingCopy_(const cbw_pool_t *pool)
+{
+    for (int i = 0; i < pool->copy_count; i++) {
+        const cbw_pool_copy_t *copy = &pool->copies[i];
+        if (strcmp(copy->process.name, pool->previous_primary) != 0 &&
+            find_listed_copy(pool, &copy->process) < 0) {
+            return copy->process.name;
+        }
+    }
+    return NULL;
+}
+
+/* Whether `last_log.end` covers what all owners acknowledged: it does if it
+ * was observed after the tenures of the others had ended. */
+static bool
+knows_last_log(const cbw_pool_t *pool)
+{
+    return pool->last_log.term != 0 &&
+           pool->last_log.term == CbwPool_RecordPrimaryTerm_(pool) &&
+           pool->last_log.as_of >= pool->tenure.exclusive_from;
+}
+
+bool
+CbwPool_IsComplete_(const cbw_pool_t *pool, const cbw_pool_endpoint_t *e)
+{
+    uint64_t term = CbwPool_RecordPrimaryTerm_(pool);
+
+    if (e->is_primary && term != 0 && e->reported_term == term) {
+        return true;
+    }
+    return knows_last_log(pool) &&
+           CbwPosition_Compare(e->reported_position, pool->last_log.end) >= 0;
+}
--- a/src/libcarobwind/pool_health.c
+++ b/src/libcarobwind/pool_health.c
@@ -10,7 +10,6 @@
 {
     pool->phase = phase;
     pool->phase_since = now;
-    pool->wait_logged = false;
 }
 
 /* Failures of endpoints. */
--- a/src/libcarobwind/pool_primary.c
+++ b/src/libcarobwind/pool_primary.c
@@ -219,8 +219,10 @@
     if (kept == 0 || pool->primary_term == 0) {
         return;
     }
-    pool->last_log = (cbw_pool_last_log_t){.term = pool->primary_term};
     last = &pool->samples[(pool->sample_count - 1) % Cbw_POOL_SAMPLES_MAX];
+    pool->last_log = (cbw_pool_last_log_t){.term = pool->primary_term,
+                                           .end = pool->primary_position,
+                                           .as_of = last->time};
     for (size_t i = 1; i < kept; i++) {
         const cbw_pool_sample_t *sample =
             &pool->samples[(pool->sample_count - 1 - i) %
--- a/src/libcarobwind/pool_promotion.c
+++ b/src/libcarobwind/pool_promotion.c
@@ -120,8 +120,9 @@
 }
 
 /* Whether the choice of a candidate waits for the endpoint's state. With
- * synchronous commits it waits for any endpoint that is listed, down or not:
- * it may be the only one that received what was acknowledged. The previous
+ * synchronous commits it waits for any endpoint that is listed, down or not,
+ * unless it finds a complete log before: any of them may be the only one that
+ * received what was acknowledged. The previous
  * primary, unless it is a candidate, is asked only for its term, see
  * is_present_primary. */
 static bool
@@ -136,18 +137,47 @@
     return pool->synchronous ? e->used : is_candidate(pool, now, index);
 }
 
+static bool
+is_allowed(const cbw_pool_t *pool, int index)
+{
+    return pool->previous_allowed ||
+           !is_previous_primary(pool, &pool->endpoints[index]);
+}
+
+/* Returns the best of the candidates that are known to have all acknowledged
+ * commits, or -1. */
+static int
+choose_complete_candidate(const cbw_pool_t *pool, cbw_time_t now)
+{
+    int best = -1;
+
+    for (int i = 0; i < Cbw_POOL_ENDPOINTS_MAX; i++) {
+        const cbw_pool_endpoint_t *e = &pool->endpoints[i];
+        if (is_candidate(pool, now, i) &&
+            e->reported_as_of >= pool->phase_since &&
+            CbwPool_IsComplete_(pool, e) &&
+            (best < 0 ||
+             is_better_candidate(pool, e, &pool->endpoints[best]))) {
+            best = i;
+        }
+    }
+    return best;
+}
+
 /* Returns the best of the endpoints that have reported their states, or -1 if
  * there is none or it is no candidate at present. */
 static int
 choose_candidate(const cbw_pool_t *pool, cbw_time_t now)
 {
-    int best = -1;
+    int best = pool->synchronous ? choose_complete_candidate(pool, now) : -1;
 
+    if (best >= 0) {
+        return best;
+    }
     for (int i = 0; i < Cbw_POOL_ENDPOINTS_MAX; i++) {
         const cbw_pool_endpoint_t *e = &pool->endpoints[i];
         if (!is_awaited(pool, now, i) ||
-            e->reported_as_of < pool->phase_since ||
-            (is_previous_primary(pool, e) && !pool->previous_allowed)) {
+            e->reported_as_of < pool->phase_since || !is_allowed(pool, i)) {
             continue;
         }
         if (best < 0 || is_better_candidate(pool, e, &pool->endpoints[best])) {
@@ -168,38 +198,35 @@
     }
 }
 
-/* Returns an endpoint whose state is awaited, or -1. */
+/* Returns an endpoint whose state is awaited, or -1. One that is down is
+ * returned only if all others have answered. */
 static int
 find_unanswered_candidate(const cbw_pool_t *pool, cbw_time_t now)
 {
+    int found = -1;
+
     for (int i = 0; i < Cbw_POOL_ENDPOINTS_MAX; i++) {
+        const cbw_pool_endpoint_t *e = &pool->endpoints[i];
         if (is_awaited(pool, now, i) &&
-            pool->endpoints[i].reported_as_of < pool->phase_since) {
-            return i;
+            e->reported_as_of < pool->phase_since) {
+            found = i;
+            if (!e->down) {
+                return i;
+            }
         }
     }
-    return -1;
+    return found;
 }
 
-/* Whether a candidate may be chosen. Without synchronous commits, endpoints
- * that do not answer in time are passed over. */
+/* Whether a candidate may be chosen. Endpoints that are down or do not answer
+ * in time are passed over; with synchronous commits, see may_lack_commits. */
 static bool
-is_choice_ready(cbw_pool_t *pool, cbw_time_t now)
+is_choice_ready(const cbw_pool_t *pool, cbw_time_t now)
 {
     int unanswered = find_unanswered_candidate(pool, now);
-    bool late = now - pool->phase_since > Cbw_POOL_CANDIDATE_STATE_TIMEOUT;
 
-    if (unanswered < 0) {
-        return true;
-    }
-    if (late && pool->synchronous && !pool->wait_logged) {
-        pool->wait_logged = true;
-        CbwPool_LogDecision_(pool, now,
-                             "waits for the state of %s: it may have commits "
-                             "that no other endpoint has",
-                             pool->endpoints[unanswered].info.name);
-    }
-    return late && !pool->synchronous;
+    return unanswered < 0 || pool->endpoints[unanswered].down ||
+           now - pool->phase_since > Cbw_POOL_CANDIDATE_STATE_TIMEOUT;
 }
 
 /* Records that the endpoint of the latest request may have been promoted, also
@@ -351,19 +378,43 @@
            CbwPool_WasCutOff_(pool, e->reported_position);
 }
 
+/* Whether commits that were acknowledged with synchronous replication may be
+ * missing from the candidate's log: it does not have all that this owner knows
+ * of, and another process that may have them has not reported its log. If all
+ * have, the longest log is complete. */
 static bool
-must_await_valid_log(const cbw_pool_t *pool, cbw_time_t now)
+may_lack_commits(const cbw_pool_t *pool, cbw_time_t now,
+                 const cbw_pool_endpoint_t *e)
+{
+    return pool->synchronous && !CbwPool_IsComplete_(pool, e) &&
+           (find_unanswered_candidate(pool, now) >= 0 ||
+            CbwPool_FindMissingCopy_(pool) != NULL);
+}
+
+/* Returns what the candidate's log lacks while another log is awaited; NULL:
+ * the candidate may be promoted. */
+static const char *
+find_defect(const cbw_pool_t *pool, cbw_time_t now)
 {
     const cbw_pool_endpoint_t *e = &pool->endpoints[pool->candidate];
 
-    return strcmp(pool->accepted_log, e->info.name) != 0 &&
-           (restores_discarded_entries(pool, e) ||
-            must_await_lost_primary(pool, now, e));
+    if (strcmp(pool->accepted_log, e->info.name) == 0) {
+        return NULL;
+    }
+    if (may_lack_commits(pool, now, e)) {
+        return "with all acknowledged commits";
+    }
+    if (restores_discarded_entries(pool, e)) {
+        return "without discarded entries";
+    }
+    return must_await_lost_primary(pool, now, e)
+               ? "with the last primary's entries"
+               : NULL;
 }
 
 /* Even the previous primary is better than any other endpoint now. */
 static void
-await_valid_log(cbw_pool_t *pool, cbw_time_t now)
+await_valid_log(cbw_pool_t *pool, cbw_time_t now, const char *defect)
 {
     const cbw_pool_endpoint_t *best = &pool->endpoints[pool->candidate];
 
@@ -382,10 +433,7 @@
         pool, now,
         "waits for a log %s: the best is that of %s, valid up to %" PRIu64
         " of %" PRIu64,
-        restores_discarded_entries(pool, best)
-            ? "without discarded entries"
-            : "with the last primary's entries",
-        best->info.name, valid_position(pool, best).index,
+        defect, best->info.name, valid_position(pool, best).index,
         best->reported_position.index);
 }
 
@@ -415,8 +463,11 @@
 bool
 CbwPool_IsValidLogAwaited_(const cbw_pool_t *pool, cbw_time_t now)
 {
+    int unanswered = find_unanswered_candidate(pool, now);
+
     return pool->phase == CBW_POOL_CHOOSING_CANDIDATE &&
-           pool->awaits_valid_log && find_unanswered_candidate(pool, now) < 0;
+           pool->awaits_valid_log &&
+           (unanswered < 0 || pool->endpoints[unanswered].down);
 }
 
 cbw_time_t
@@ -462,6 +513,7 @@
 request_promotion(cbw_pool_t *pool, cbw_time_t now)
 {
     const cbw_pool_endpoint_t *e;
+    const char *defect;
 
     if (pool->draining && pool->order_lost) {
         return;
@@ -472,8 +524,9 @@
         return;
     }
     pool->candidate = choose_candidate(pool, now);
-    if (pool->candidate >= 0 && must_await_valid_log(pool, now)) {
-        await_valid_log(pool, now);
+    defect = pool->candidate >= 0 ? find_defect(pool, now) : NULL;
+    if (defect != NULL) {
+        await_valid_log(pool, now, defect);
         pool->candidate = -1;
     }
     if (pool->candidate < 0) {
--- a/src/test_libcarobwind/pool_fleet.h
+++ b/src/test_libcarobwind/pool_fleet.h
@@ -14,7 +14,8 @@
     bool lost_swaps;       /* answers of the store are lost; swaps run late */
     bool endpoint_crashes; /* endpoints crash and come back with their log */
     bool long_crashes;     /* some of them only after up to 40 s */
-    bool endpoint_cuts;    /* between hosts and endpoints */
+    bool endpoint_cuts;    /* between hosts and endpoints; store_losses, too */
+    bool store_losses;     /* endpoints lose the store, and are unlisted */
     bool group_cuts;       /* between the endpoints */
     bool deaf_crashes;     /* an endpoint is cut off, and the leader crashes */
     bool host_cuts;        /* between hosts */
@@ -25,6 +26,7 @@
     bool lost_orders;      /* answers of the promotion service are lost */
     bool differing_views;  /* callers use all hosts, and two are assigned */
     bool workspaces;       /* callers belong to workspaces, and some leave */
+    bool synchronous;      /* a replica has each acknowledged commit */
 } fleet_disruptions_t;
 
 typedef struct {
@@ -39,6 +41,7 @@
     /* Promotions that restored acknowledged entries which reads had lacked
      * since an earlier promotion discarded them. */
     int restored_logs;
+    int lost_commits; /* promotions that lost synchronous commits */
     int lower_fences; /* promotion requests with a token below an earlier one's
                        */
     int orders_in_turn; /* requests of two hosts within the lease of 3 s */
--- a/src/test_libcarobwind/pool_fleet_disruptions.c
+++ b/src/test_libcarobwind/pool_fleet_disruptions.c
@@ -284,7 +284,8 @@
         }
         break;
     case 4:
-        if (disruptions->endpoint_cuts && fleet->endpoints[e].up &&
+        if ((disruptions->endpoint_cuts || disruptions->store_losses) &&
+            fleet->endpoints[e].up &&
             fleet->endpoints[e].unregistered_at == 0) {
             event_t *event = PoolFleet_NewEvent(end_unregistered, 0, 0);
             PoolFleet_Trace(fleet, "e%d loses the store", e);
--- a/src/test_libcarobwind/pool_fleet_hosts.c
+++ b/src/test_libcarobwind/pool_fleet_hosts.c
@@ -186,6 +186,7 @@
         CbwQueue_Policy(fleet->disruptions->workspaces ? "fair" : "ranked"),
         ranks, G_N_ELEMENTS(ranks), &ops, host, ++fleet->next_nonce,
         host->name, "north", NULL);
+    CbwPool_SetSynchronous(&host->pool, fleet->disruptions->synchronous);
     PoolFleet_SetEndpoints(fleet, host);
     host->assigned = fleet->owner == host->index;
     PoolFleet_Trace(fleet, "h%d starts", host->index);
--- a/src/test_libcarobwind/pool_fleet_platform.c
+++ b/src/test_libcarobwind/pool_fleet_platform.c
@@ -193,10 +193,36 @@
     }
 }
 
+/* With synchronous commits: has one replica receive the leader's log, and
+ * others sometimes. Returns whether there is one that follows it. */
+static bool
+replicate_commit(fleet_t *fleet, int leader)
+{
+    const endpoint_t *from = &fleet->endpoints[leader];
+    int first = (int)CbwRandom_Below(&fleet->random, ENDPOINTS);
+    bool received = false;
+
+    for (int i = 0; i < ENDPOINTS && leader == fleet->leader; i++) {
+        int index = (first + i) % ENDPOINTS;
+        endpoint_t *to = &fleet->endpoints[index];
+        if (index == leader || !to->up || to->primary ||
+            fleet->group_cut[index][leader] ||
+            (received && PoolFleet_Chance(fleet, 30))) {
+            continue;
+        }
+        to->term = from->term;
+        to->last_term = from->last_term;
+        to->index = from->index;
+        received = true;
+    }
+    return received;
+}
+
 static void
 run_call(fleet_t *fleet, event_t *event)
 {
     endpoint_t *e = &fleet->endpoints[event->endpoint];
+    uint64_t index_before = e->index;
     event_t *answer;
 
     if (!e->up || fleet->endpoint_cut[event->host][event->endpoint]) {
@@ -216,6 +242,11 @@
     else if (event->verb != CBW_CALL_STATE) {
         run_statement(fleet, event, &answer->reply);
     }
+    if (fleet->disruptions->synchronous && e->index > index_before &&
+        !replicate_commit(fleet, event->endpoint)) {
+        g_free(answer); /* the commit is not acknowledged */
+        return;
+    }
     fill_state(e, &answer->reply);
     PoolFleet_Schedule(fleet, PoolFleet_NetworkDelay(fleet), answer);
 }
@@ -297,6 +328,16 @@
         return;
     }
     PoolFleet_CheckRestored(fleet, event);
+    if (fleet->disruptions->synchronous &&
+        CbwPosition_Compare(fleet->acknowledged,
+                            (cbw_position_t){e->last_term, e->index}) > 0) {
+        PoolFleet_ReportFault(
+            fleet, &fleet->result->lost_commits,
+            "the promotion of e%d at %" G_GUINT64_FORMAT ".%" G_GUINT64_FORMAT
+            " loses commits up to %" G_GUINT64_FORMAT ".%" G_GUINT64_FORMAT,
+            event->endpoint, e->last_term, e->index, fleet->acknowledged.term,
+            fleet->acknowledged.index);
+    }
     e->term = ++fleet->highest_term;
     e->primary = true;
     fleet->bases[e->term % TERMS_MAX] =
--- a/src/test_libcarobwind/test_pool_fleet.c
+++ b/src/test_libcarobwind/test_pool_fleet.c
@@ -80,6 +80,11 @@
      .long_crashes = true,
      .deaf_crashes = true,
      .restarts = true},
+    {.name = "synchronous",
+     .synchronous = true,
+     .endpoint_crashes = true,
+     .store_losses = true,
+     .deaf_crashes = true},
     {.name = "workspaces",
      .store_cuts = true,
      .endpoint_crashes = true,
@@ -104,19 +109,20 @@
 check_result(const char *name, uint64_t seed, const fleet_result_t *result)
 {
     if (result->superseded_commits == 0 && result->stale_reads == 0 &&
-        result->restored_logs == 0 && result->lower_fences == 0 &&
-        result->orders_in_turn == 0 &&
+        result->restored_logs == 0 && result->lost_commits == 0 &&
+        result->lower_fences == 0 && result->orders_in_turn == 0 &&
         result->quiet_successes > result->quiet_failures) {
         return;
     }
     g_test_message(
         "%s, seed %" G_GUINT64_FORMAT
         ": %d commits at a replaced primary, %d stale reads, %d restored "
-        "logs, %d lower fences, %d orders in turn, %d of %d served in the "
+        "logs, %d promotions with lost commits, %d lower fences, %d orders in "
+        "turn, %d of %d served in the "
         "end; first at %s",
         name, seed, result->superseded_commits, result->stale_reads,
-        result->restored_logs, result->lower_fences, result->orders_in_turn,
-        result->quiet_successes,
+        result->restored_logs, result->lost_commits, result->lower_fences,
+        result->orders_in_turn, result->quiet_successes,
         result->quiet_successes + result->quiet_failures, result->first_fault);
     g_test_fail();
 }
--- a/src/test_libcarobwind/test_pool_synchronous.c
+++ b/src/test_libcarobwind/test_pool_synchronous.c
@@ -69,34 +69,184 @@
     }
 }
 
-/* A replica that does not answer may be the only one that received the last
- * commits: it is awaited as long as it is listed. */
+/* A failover with synchronous commits. e0, the primary, has written up to 3.40
+ * when it is lost. */
+typedef struct {
+    const char *name;
+    uint64_t positions[3];     /* of the replicas, in term 3, as e0 is lost */
+    cbw_time_t gone_before;    /* e1 is gone for so long when e0 is lost */
+    cbw_time_t unlisted_after; /* e1's entry, after it is gone; 0: never */
+    bool writes_on;            /* e0 reaches 3.41 just before its loss */
+    cbw_time_t answers_after;  /* e1, after the loss of e0; 0: never */
+    cbw_time_t returns_after;  /* e0, after its loss; 0: never */
+    const char *promoted;      /* NULL: none within LONG_LOSS */
+    cbw_time_t promoted_after; /* at least */
+} loss_case_t;
+
+#define LONG_LOSS (600 * Cbw_SEC)
+/* A promotion takes no longer once there is a complete log. */
+#define FAILOVER_MAX (3 * Cbw_SEC)
+
+static const loss_case_t loss_cases[] = {
+    {.name = "the replica with all commits has lost the store (review/11)",
+     .positions = {0, 40, 9},
+     .gone_before = 1500 * Cbw_MSEC,
+     .unlisted_after = Cbw_MSEC,
+     .answers_after = 1400 * Cbw_MSEC,
+     .promoted = "e1",
+     .promoted_after = 1400 * Cbw_MSEC},
+    {.name = "it is down, and expires during the wait (review/13)",
+     .positions = {0, 40, 9},
+     .gone_before = 200 * Cbw_MSEC,
+     .unlisted_after = 4600 * Cbw_MSEC,
+     .answers_after = 6800 * Cbw_MSEC,
+     .promoted = "e1",
+     .promoted_after = 6800 * Cbw_MSEC},
+    {.name = "it is lost for good, and the primary returns",
+     .positions = {0, 40, 9},
+     .gone_before = 200 * Cbw_MSEC,
+     .unlisted_after = 4600 * Cbw_MSEC,
+     .returns_after = 20 * Cbw_SEC,
+     .promoted = "e0",
+     .promoted_after = 20 * Cbw_SEC},
+    {.name = "both logs with all commits are lost for good",
+     .positions = {0, 40, 9},
+     .gone_before = 200 * Cbw_MSEC,
+     .unlisted_after = 4600 * Cbw_MSEC},
+    {.name = "a replica is down, and the other one has all commits",
+     .positions = {0, 9, 40},
+     .gone_before = 200 * Cbw_MSEC,
+     .promoted = "e2"},
+    {.name = "a replica was unlisted, and the other one has all commits",
+     .positions = {0, 9, 40},
+     .gone_before = 10 * Cbw_SEC,
+     .unlisted_after = 4600 * Cbw_MSEC,
+     .promoted = "e2"},
+    {.name = "both answer, and lack an entry that no replica had received",
+     .positions = {0, 39, 9},
+     .answers_after = Cbw_MSEC,
+     .promoted = "e1"},
+    {.name = "one of these is silent",
+     .positions = {0, 39, 38},
+     .gone_before = 200 * Cbw_MSEC,
+     .answers_after = 7 * Cbw_SEC,
+     .promoted = "e1",
+     .promoted_after = 7 * Cbw_SEC},
+    {.name = "it was forgotten: a replica had everything 60 s later",
+     .positions = {0, 9, 40},
+     .gone_before = 2 * Cbw_POOL_COPY_FORGET_AFTER,
+     .unlisted_after = 4600 * Cbw_MSEC,
+     .writes_on = true,
+     .promoted = "e2"},
+    {.name = "it was not forgotten yet",
+     .positions = {0, 9, 40},
+     .gone_before = Cbw_POOL_COPY_FORGET_AFTER / 2,
+     .unlisted_after = 4600 * Cbw_MSEC,
+     .writes_on = true},
+};
+
 static void
-test_silent_replica_is_awaited(void)
+run_with_listing(pool_world_t *world, const loss_case_t *c, cbw_time_t gone_at,
+                 cbw_time_t until, const endpoint_report_t reports[3])
 {
-    static const endpoint_report_t unresponsive[] = {
-        {.unresponsive = true},
-        {.unresponsive = true},
-        {.term = 3, .position = {3, 7}}};
-    static const endpoint_report_t answers[] = {
-        {.unresponsive = true}, {.term = 3}, {.term = 3, .position = {3, 7}}};
+    cbw_time_t unlisted_at = gone_at + c->unlisted_after;
 
-    for (int unlisted = 0; unlisted < 2; unlisted++) {
+    if (c->unlisted_after != 0 && unlisted_at < until) {
+        PoolWorld_RunUntilOrder(world, unlisted_at - world->now, reports);
+        g_assert_cmpstr(world->promotion_target, ==, "");
+        world->unlisted[1] = true;
+        PoolWorld_SetEndpoints(world);
+    }
+    PoolWorld_RunUntilOrder(world, until - world->now, reports);
+}
+
+static void
+play_loss(pool_world_t *world, const loss_case_t *c)
+{
+    endpoint_report_t reports[3] = {{.primary = true, .term = 3},
+                                    {.term = 3, .position = {3, 9}},
+                                    {.term = 3, .position = {3, 9}}};
+    cbw_time_t gone_at;
+    cbw_time_t lost_at;
+    cbw_time_t changes_at;
+
+    init_synchronous(world);
+    for (uint64_t index = 10; index <= 40; index++) {
+        reports[0].position = (cbw_position_t){3, index};
+        PoolWorld_Run(world, 500 * Cbw_MSEC, reports);
+    }
+    reports[1].position.index = c->positions[1];
+    reports[2].position.index = c->positions[2];
+    gone_at = world->now;
+    lost_at = gone_at + c->gone_before;
+    reports[1].unresponsive = true;
+    run_with_listing(world, c, gone_at, lost_at, reports);
+    g_assert_cmpstr(world->promotion_target, ==, "");
+    if (c->writes_on) {
+        reports[0].position.index = 41;
+        PoolWorld_Run(world, 600 * Cbw_MSEC, reports);
+        lost_at = world->now;
+    }
+    reports[0].unresponsive = true;
+    changes_at = c->answers_after != 0 ? c->answers_after : c->returns_after;
+    if (changes_at != 0) {
+        run_with_listing(world, c, gone_at, lost_at + changes_at, reports);
+        g_assert_cmpstr(world->promotion_target, ==, "");
+        reports[c->answers_after != 0].unresponsive = false;
+        world->unlisted[1] &= c->answers_after == 0;
+        PoolWorld_SetEndpoints(world);
+    }
+    if (c->promoted == NULL) {
+        run_with_listing(world, c, gone_at, lost_at + LONG_LOSS, reports);
+        g_assert_cmpstr(world->promotion_target, ==, "");
+        return;
+    }
+    g_assert_true(PoolWorld_RunUntilOrder(world, FAILOVER_MAX, reports));
+    g_assert_cmpstr(world->promotion_target, ==, c->promoted);
+    g_assert_cmpint(world->now - lost_at, >=, c->promoted_after);
+}
+
+/* A replica that is not listed, or down, may be the only one that received the
+ * last commits: a log that is not known to have them is not promoted, and one
+ * that is, is not delayed. */
+static void
+test_acknowledged_commits_are_awaited(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(loss_cases); i++) {
         pool_world_t world;
 
-        init_synchronous(&world);
-        g_assert_false(PoolWorld_RunUntilOrder(&world, 4 * Cbw_SEC + LONG_WAIT,
-                                               unresponsive));
-        g_assert_true(world.record.promoting);
-        world.unlisted[1] = unlisted;
-        PoolWorld_SetEndpoints(&world);
-        g_assert_true(PoolWorld_RunUntilOrder(
-            &world, Cbw_SEC, unlisted ? unresponsive : answers));
-        g_assert_cmpstr(world.promotion_target, ==, unlisted ? "e2" : "e1");
+        g_test_message("%s", loss_cases[i].name);
+        play_loss(&world, &loss_cases[i]);
         PoolWorld_Finish(&world);
     }
 }
 
+/* An operator may accept the loss of commits that no log which answers has. */
+static void
+test_loss_of_commits_is_accepted(void)
+{
+    const loss_case_t *c = &loss_cases[3];
+    const endpoint_report_t reports[] = {
+        {.unresponsive = true},
+        {.unresponsive = true},
+        {.term = 3, .position = {3, c->positions[2]}}};
+    pool_world_t world;
+    cbw_request_t *write;
+
+    play_loss(&world, c);
+    write = PoolWorld_NewRequest(&world, true, CBW_READ_LATEST);
+    write->deadline = world.now + 60 * Cbw_SEC;
+    PoolWorld_Submit(&world, write);
+    g_assert_true(world.last_answered == write);
+    g_assert_cmpint(write->answer.outcome, ==, CBW_OUTCOME_NOTRUN);
+    g_assert_cmpint(CbwPool_AcceptLoss(&world.pool, world.now, "e2", NULL), ==,
+                    0);
+    g_assert_true(PoolWorld_RunUntilOrder(&world, FAILOVER_MAX, reports));
+    g_assert_cmpstr(world.promotion_target, ==, "e2");
+    PoolWorld_Finish(&world);
+    PoolWorld_FreeRequest(write);
+}
+
 /* A candidate that refuses, as it does not run, may be the only one that
  * received the last commits: no shorter log is promoted in its place. */
 static void
@@ -215,8 +365,10 @@
                     test_choice_follows_last_tenure);
     g_test_add_func("/pool/longest-log-is-promoted",
                     test_longest_log_is_promoted);
-    g_test_add_func("/pool/silent-replica-is-awaited",
-                    test_silent_replica_is_awaited);
+    g_test_add_func("/pool/acknowledged-commits-are-awaited",
+                    test_acknowledged_commits_are_awaited);
+    g_test_add_func("/pool/loss-of-commits-is-accepted",
+                    test_loss_of_commits_is_accepted);
     g_test_add_func("/pool/refused-candidate-is-awaited",
                     test_refused_candidate_is_awaited);
     g_test_add_func("/pool/leaving-primary-leads-on",
