Pool: the processes that may have synchronous commits outlive the owner

Cause: which processes may have acknowledged commits was known to the owner alone, and so was the position that it had seen at the primary.

Change: the tenure record names these processes; a new owner adds them to the listed ones and awaits their logs. One that comes back with its log under another name is known by its address. A primary that leads a later term than the record's is complete, too: otherwise a promotion that its owner did not record would wait for ever.

The tests failed before: with the record's copies not read, /pool/copies-outlive-the-owner fails.

--- a/include/carobwind/log_copies.h
+++ b/include/carobwind/log_copies.h
@@ -23,6 +23,14 @@
     int64_t started_at; /* Unix time in milliseconds; 0: not known */
 } cbw_log_copy_t;
 
+/* A set of processes; all zero: empty. */
+typedef struct {
+    int count;
+    cbw_log_copy_t items[Cbw_LOG_COPIES_MAX];
+} cbw_log_copies_t;
+
+/* Returns whether both sets have the same processes in the same order. */
+bool CbwLogCopies_IsSame(const cbw_log_copies_t *a, const cbw_log_copies_t *b);
 /* Makes the entry of the process that `endpoint` is at present. */
 void CbwLogCopy_Init(cbw_log_copy_t *copy, const cbw_endpoint_t *endpoint);
 /* Returns whether `endpoint` is that process. */
--- a/include/carobwind/pool.h
+++ b/include/carobwind/pool.h
@@ -341,7 +341,6 @@
 typedef struct {
     cbw_log_copy_t process;
     cbw_time_t unlisted_since; /* 0: it is listed */
-    bool left;                 /* it was leaving when it was last listed */
 } cbw_pool_copy_t;
 
 /* A decision, as CbwPool_Explain lists it. */
@@ -414,6 +413,7 @@
      * hold the tenure, there are none. */
     cbw_pool_copy_t copies[Cbw_LOG_COPIES_MAX];
     int copy_count;
+    bool copies_read; /* from the record, since this owner holds the tenure */
     bool synchronous; /* see CbwPool_SetSynchronous */
     /* The store is unresponsive, and the endpoints are polled to confirm the
      * primary. */
--- a/include/carobwind/tenure.h
+++ b/include/carobwind/tenure.h
@@ -12,6 +12,7 @@
 #ifndef CAROBWIND_TENURE_H
 #define CAROBWIND_TENURE_H
 
+#include "carobwind/log_copies.h"
 #include "carobwind/promotion.h"
 #include "carobwind/term_history.h"
 #include "carobwind/types.h"
@@ -72,6 +73,9 @@
     /* The terms of that primary's log; `term` is the last one, if it is known.
      */
     cbw_term_history_t history;
+    /* With synchronous commits, the processes that may have acknowledged
+     * commits: the next owner awaits their logs, listed or not. */
+    cbw_log_copies_t copies;
     /* Number of holders whose tenure may not have expired when the current one
      * took over. -1: more than the record can name. */
     int previous_holder_count;
@@ -79,14 +83,15 @@
 } cbw_tenure_record_t;
 
 /* Size of a buffer for a record's text, with its NUL. */
-#define Cbw_TENURE_TEXT_MAX 2048
+#define Cbw_TENURE_TEXT_MAX 4096
 /* Writes the stored form of `record` to `text` of Cbw_TENURE_TEXT_MAX bytes.
  */
 void CbwTenure_FormatRecord(const cbw_tenure_record_t *record, char *text);
 /* Parses the stored form. Earlier versions neither write nor read its last
- * words, the terms before the present one; still earlier ones no term at all.
- * Where they are missing, only a log of the term just before the present one
- * is taken for valid. Returns 0, or -1 when the text is malformed. The record
+ * words, the log copies; still earlier ones the terms before the present one;
+ * still earlier ones no term at all. Where copies are missing, none is known;
+ * where terms are, only a log of the term just before the present one is taken
+ * for valid. Returns 0, or -1 when the text is malformed. The record
  * then has no holder, an unknown number of previous holders, and a promotion
  * in progress: an owner that takes it over waits for all tenures to expire and
  * carries out a promotion before it serves. */
@@ -116,6 +121,7 @@
     bool call_in_flight;          /* to the store */
     bool swap_in_flight;          /* that call is a swap to `proposed` */
     cbw_tenure_record_t proposed; /* of the last swap */
+    cbw_log_copies_t copies;      /* see CbwTenure_SetCopies */
     cbw_time_t call_sent_at;
     bool last_call_lost; /* the last call got no answer */
     /* A swap got no answer: the store may still carry it out as long as the
@@ -167,6 +173,10 @@
 /* Renews the tenure, or takes it over, if that is due. `primary` is written to
  * a record that does not exist yet; "" when it is not known. */
 void CbwTenure_Tick(cbw_tenure_t *tenure, cbw_time_t now, const char *primary);
+/* Sets the log copies that this owner, the holder, writes with the record from
+ * now on. If the record has others, a swap is due soon. */
+void CbwTenure_SetCopies(cbw_tenure_t *tenure, cbw_time_t now,
+                         const cbw_log_copies_t *copies);
 /* Makes a renewal due at once, unless a call is in flight or was sent within
  * Cbw_TENURE_RETRY_INTERVAL. */
 void CbwTenure_RenewEarly(cbw_tenure_t *tenure, cbw_time_t now);
--- a/src/libcarobwind/pool_copies.c
+++ b/src/libcarobwind/pool_copies.c
@@ -24,6 +24,35 @@
     return -1;
 }
 
+/* Takes the copies that earlier owners knew of: an owner that is lost leaves
+ * nothing but the record. */
+static void
+read_copies(cbw_pool_t *pool, cbw_time_t now)
+{
+    const cbw_log_copies_t *copies = &pool->tenure.record.copies;
+
+    if (pool->copies_read) {
+        return;
+    }
+    pool->copies_read = true;
+    for (int i = 0; i < copies->count; i++) {
+        pool->copies[i] = (cbw_pool_copy_t){.process = copies->items[i],
+                                            .unlisted_since = now};
+    }
+    pool->copy_count = copies->count;
+}
+
+static void
+write_copies(cbw_pool_t *pool, cbw_time_t now)
+{
+    cbw_log_copies_t copies = {.count = pool->copy_count};
+
+    for (int i = 0; i < pool->copy_count; i++) {
+        copies.items[i] = pool->copies[i].process;
+    }
+    CbwTenure_SetCopies(&pool->tenure, now, &copies);
+}
+
 static void
 add_listed(cbw_pool_t *pool, cbw_time_t now, const cbw_endpoint_t *info)
 {
@@ -32,7 +61,6 @@
     for (int i = 0; i < pool->copy_count; i++) {
         if (CbwLogCopy_IsProcess(&pool->copies[i].process, info)) {
             pool->copies[i].unlisted_since = 0;
-            pool->copies[i].left = info->leaving;
             return;
         }
     }
@@ -45,17 +73,14 @@
     copy = &pool->copies[pool->copy_count++];
     memset(copy, 0, sizeof(*copy));
     CbwLogCopy_Init(&copy->process, info);
-    copy->left = info->leaving;
 }
 
 /* When a copy that is not listed any more can have received its last commit.
- * An endpoint that has left has ended by the time its entry is removed; any
- * other may go on for as long as it has only lost the store. */
+ * An endpoint that was leaving goes on as well, until its process ends. */
 static cbw_time_t
 last_commit_at(const cbw_pool_copy_t *copy)
 {
-    return copy->unlisted_since +
-           (copy->left ? 0 : Cbw_POOL_COPY_FORGET_AFTER);
+    return copy->unlisted_since + Cbw_POOL_COPY_FORGET_AFTER;
 }
 
 /* Whether a listed replica has everything that the primary had at `time`;
@@ -104,10 +129,17 @@
 {
     bool listed[Cbw_LOG_COPIES_MAX] = {false};
 
-    if (!pool->synchronous || !pool->tenure.held) {
+    if (!pool->tenure.held) {
+        pool->copy_count = 0;
+        pool->copies_read = false;
+        return;
+    }
+    if (!pool->synchronous) {
         pool->copy_count = 0;
+        write_copies(pool, now);
         return;
     }
+    read_copies(pool, now);
     for (int i = 0; i < Cbw_POOL_ENDPOINTS_MAX; i++) {
         if (pool->endpoints[i].used) {
             add_listed(pool, now, &pool->endpoints[i].info);
@@ -132,6 +164,7 @@
             *copy = pool->copies[--pool->copy_count];
         }
     }
+    write_copies(pool, now);
 }
 
 const char *
@@ -162,7 +195,10 @@
 {
     uint64_t term = CbwPool_RecordPrimaryTerm_(pool);
 
-    if (e->is_primary && term != 0 && e->reported_term == term) {
+    /* A primary of a later term than the record's was promoted as a complete
+     * log, and nothing has been acknowledged since. */
+    if (e->is_primary && term != 0 && e->reported_term >= term &&
+        e->reported_term >= pool->highest_term) {
         return true;
     }
     return knows_last_log(pool) &&
--- a/src/libcarobwind/tenure.c
+++ b/src/libcarobwind/tenure.c
@@ -12,8 +12,9 @@
     return field[0] != '\0' ? field : "-";
 }
 
-/* Writes the present term first, as earlier versions read no more. */
-static void
+/* Writes the present term first, as earlier versions read no more. Returns the
+ * length. */
+static int
 format_terms(const cbw_tenure_record_t *record, char *text, size_t size)
 {
     const cbw_term_history_t *history = &record->history;
@@ -29,6 +30,23 @@
                            " %" PRIu64 " %" PRIu64, history->starts[i].term,
                            history->starts[i].base);
     }
+    return length;
+}
+
+/* Writes nothing if there are no copies: the record then is as earlier
+ * versions write it. */
+static void
+format_copies(const cbw_log_copies_t *copies, char *text, size_t size)
+{
+    int length =
+        copies->count > 0 ? snprintf(text, size, " %d", copies->count) : 0;
+
+    for (int i = 0; i < copies->count; i++) {
+        const cbw_log_copy_t *copy = &copies->items[i];
+        length += snprintf(text + length, size - (size_t)length,
+                           " %s %s %" PRId64, copy->name,
+                           word_or_dash(copy->address), copy->started_at);
+    }
 }
 
 void
@@ -47,50 +65,82 @@
             record->previous_holders[i].host,
             record->previous_holders[i].version);
     }
-    format_terms(record, text + length,
-                 (size_t)(Cbw_TENURE_TEXT_MAX - length));
+    length += format_terms(record, text + length,
+                           (size_t)(Cbw_TENURE_TEXT_MAX - length));
+    format_copies(&record->copies, text + length,
+                  (size_t)(Cbw_TENURE_TEXT_MAX - length));
+}
+
+static int
+parse_copies(cbw_log_copies_t *copies, const char *text)
+{
+    int count;
+    int consumed;
+
+    if (text[strspn(text, " ")] == '\0') {
+        return 0; /* an earlier version wrote the record */
+    }
+    if (sscanf(text, "%d%n", &count, &consumed) != 1 || count < 0 ||
+        count > Cbw_LOG_COPIES_MAX) {
+        return -1;
+    }
+    for (int i = 0; i < count; i++) {
+        cbw_log_copy_t *copy = &copies->items[i];
+        text += consumed;
+        if (sscanf(text, "%47s %31s %" SCNd64 "%n", copy->name, copy->address,
+                   &copy->started_at, &consumed) != 3) {
+            return -1;
+        }
+        if (strcmp(copy->address, "-") == 0) {
+            copy->address[0] = '\0';
+        }
+    }
+    copies->count = count;
+    return 0;
 }
 
-/* Parses the terms before `term`, the present one. */
+/* Parses the terms before `term`, the present one, and advances `text`. */
 static int
 parse_earlier_terms(cbw_term_history_t *history, uint64_t term,
-                    const char *text)
+                    const char **text)
 {
     uint64_t last = 0;
     int count;
     int consumed;
 
-    if (sscanf(text, "%d%n", &count, &consumed) != 1 || count < 0 ||
+    if (sscanf(*text, "%d%n", &count, &consumed) != 1 || count < 0 ||
         count >= Cbw_TERM_HISTORY_MAX) {
         return -1;
     }
+    *text += consumed;
     for (int i = 0; i < count; i++) {
         cbw_term_start_t start;
-        text += consumed;
-        if (sscanf(text, "%" SCNu64 " %" SCNu64 "%n", &start.term, &start.base,
-                   &consumed) != 2 ||
+        if (sscanf(*text, "%" SCNu64 " %" SCNu64 "%n", &start.term,
+                   &start.base, &consumed) != 2 ||
             start.term <= last || start.term >= term) {
             return -1;
         }
+        *text += consumed;
         last = start.term;
         CbwTermHistory_Add(history, start);
     }
     return 0;
 }
 
+/* Parses the terms and advances `text`. */
 static int
-parse_terms(cbw_tenure_record_t *record, const char *text)
+parse_terms(cbw_tenure_record_t *record, const char **text)
 {
     cbw_term_start_t present;
     int consumed;
 
-    if (sscanf(text, "%" SCNu64 " %" SCNu64 "%n", &present.term, &present.base,
-               &consumed) != 2 ||
-        present.term == 0) {
+    if (sscanf(*text, "%" SCNu64 " %" SCNu64 "%n", &present.term,
+               &present.base, &consumed) != 2) {
+        *text = "";
         return 0; /* no term is known */
     }
-    text += consumed;
-    if (text[strspn(text, " ")] != '\0') {
+    *text += consumed;
+    if ((*text)[strspn(*text, " ")] != '\0') {
         if (parse_earlier_terms(&record->history, present.term, text) != 0) {
             return -1;
         }
@@ -101,8 +151,10 @@
         CbwTermHistory_Add(&record->history,
                            (cbw_term_start_t){present.term - 1, 0});
     }
-    record->term = present.term;
-    CbwTermHistory_Add(&record->history, present);
+    if (present.term != 0) {
+        record->term = present.term;
+        CbwTermHistory_Add(&record->history, present);
+    }
     return 0;
 }
 
@@ -135,7 +187,10 @@
         }
         text += consumed;
     }
-    return parse_terms(record, text);
+    if (parse_terms(record, &text) != 0) {
+        return -1;
+    }
+    return parse_copies(&record->copies, text);
 }
 
 int
@@ -199,9 +254,13 @@
     tenure->call_in_flight = true;
     tenure->swap_in_flight = true;
     tenure->proposed = *proposed;
+    if (tenure->held) {
+        tenure->proposed.copies = tenure->copies;
+    }
     tenure->call_sent_at = now;
     tenure->next_call_at = now + Cbw_TENURE_RENEW_INTERVAL;
-    tenure->ops->swap_record(tenure->context, tenure->version, proposed);
+    tenure->ops->swap_record(tenure->context, tenure->version,
+                             &tenure->proposed);
 }
 
 static bool
@@ -314,9 +373,11 @@
     if (tenure->call_in_flight || now < tenure->next_call_at) {
         return;
     }
-    if (is_holder(tenure) && (tenure->swap_unsettled ||
-                              (tenure->record.previous_holder_count != 0 &&
-                               now >= tenure->exclusive_from))) {
+    if (is_holder(tenure) &&
+        (tenure->swap_unsettled ||
+         (tenure->record.previous_holder_count != 0 &&
+          now >= tenure->exclusive_from) ||
+         !CbwLogCopies_IsSame(&tenure->record.copies, &tenure->copies))) {
         renew_version(tenure, now);
         return;
     }
@@ -392,6 +453,7 @@
 begin_holding(cbw_tenure_t *tenure, cbw_time_t now)
 {
     tenure->held = true;
+    tenure->copies = tenure->record.copies;
     tenure->relinquished = 0;
     tenure->relinquish_asked_at = 0;
     tenure->take_over_delayed_from = now;
@@ -443,6 +505,17 @@
     tenure->next_call_at = until;
 }
 
+void
+CbwTenure_SetCopies(cbw_tenure_t *tenure, cbw_time_t now,
+                    const cbw_log_copies_t *copies)
+{
+    tenure->copies = *copies;
+    if (is_holder(tenure) &&
+        !CbwLogCopies_IsSame(&tenure->record.copies, copies)) {
+        CbwTenure_RenewEarly(tenure, now);
+    }
+}
+
 void
 CbwTenure_RenewEarly(cbw_tenure_t *tenure, cbw_time_t now)
 {
--- a/src/test_libcarobwind/pool_world.c
+++ b/src/test_libcarobwind/pool_world.c
@@ -224,7 +224,9 @@
         if (world->unlisted[i]) {
             continue;
         }
-        snprintf(endpoint->name, sizeof(endpoint->name), "e%d", i);
+        snprintf(endpoint->name, sizeof(endpoint->name), "e%d%s", i,
+                 world->suffixes[i] != NULL ? world->suffixes[i] : "");
+        endpoint->started_at = world->started_at[i];
         snprintf(endpoint->address, sizeof(endpoint->address), "10.0.0.%d:1",
                  i + 1);
         snprintf(endpoint->data_centre, sizeof(endpoint->data_centre), "%s",
--- a/src/test_libcarobwind/pool_world.h
+++ b/src/test_libcarobwind/pool_world.h
@@ -35,6 +35,8 @@
     cbw_time_t leaving_since[3]; /* set by PoolWorld_SetEndpoints */
     bool reports_primary[3];
     const char *data_centres[3]; /* NULL: "" */
+    const char *suffixes[3];     /* of the names; NULL: "" */
+    int64_t started_at[3];
     bool abort_may_have_sent; /* result of ops.abort: whether the endpoint may
                                  have received the aborted call */
     /* Workspace of the endpoint's idle connections; "": none. */
--- a/src/test_libcarobwind/test_pool_synchronous.c
+++ b/src/test_libcarobwind/test_pool_synchronous.c
@@ -221,6 +221,94 @@
     }
 }
 
+/* What a new owner finds. e0, the primary, e1, which alone has all commits,
+ * and the owner are lost at the same time; e2 answers. */
+typedef struct {
+    const char *name;
+    bool unlisted; /* e1, when the new owner starts */
+    /* What e1 is when it answers, 8 s later. */
+    const char *suffix; /* of its name */
+    int64_t started_at;
+    uint64_t position;
+    bool returns;         /* e0, after that */
+    const char *promoted; /* NULL: none */
+} takeover_case_t;
+
+static const takeover_case_t takeover_cases[] = {
+    {.name = "it returns as it was",
+     .unlisted = true,
+     .position = 40,
+     .promoted = "e1"},
+    {.name = "it was listed all the time", .position = 40, .promoted = "e1"},
+    {.name = "it returns under another name at its address",
+     .unlisted = true,
+     .suffix = "b",
+     .position = 40,
+     .promoted = "e1b"},
+    {.name = "another endpoint at its address has no log",
+     .unlisted = true,
+     .suffix = "b"},
+    {.name = "the same, and the primary returns",
+     .unlisted = true,
+     .suffix = "b",
+     .returns = true,
+     .promoted = "e0"},
+    {.name = "it starts again under its name, without its log",
+     .unlisted = true,
+     .started_at = 5},
+};
+
+static void
+play_takeover(pool_world_t *world, const takeover_case_t *c)
+{
+    endpoint_report_t reports[3] = {
+        {.primary = true, .term = 3, .position = {3, 40}},
+        {.term = 3, .position = {3, 40}},
+        {.term = 3, .position = {3, 9}}};
+
+    init_synchronous(world);
+    PoolWorld_Run(world, 2 * Cbw_SEC, reports);
+    g_assert_cmpint(world->record.copies.count, ==, 3);
+    reports[0].unresponsive = true;
+    reports[1].unresponsive = true;
+    world->unlisted[0] = true;
+    world->unlisted[1] = c->unlisted;
+    PoolWorld_RestartOwner(world);
+    g_assert_false(PoolWorld_RunUntilOrder(world, 8 * Cbw_SEC, reports));
+    reports[1].unresponsive = false;
+    reports[1].position.index = c->position;
+    world->unlisted[1] = false;
+    world->suffixes[1] = c->suffix;
+    world->started_at[1] = c->started_at;
+    PoolWorld_SetEndpoints(world);
+    if (c->position == 0) {
+        g_assert_false(PoolWorld_RunUntilOrder(world, LONG_LOSS, reports));
+    }
+    world->unlisted[0] = !c->returns;
+    reports[0].unresponsive = !c->returns;
+    PoolWorld_SetEndpoints(world);
+    g_assert_cmpint(PoolWorld_RunUntilOrder(world, LONG_LOSS, reports), ==,
+                    c->promoted != NULL);
+    if (c->promoted != NULL) {
+        g_assert_cmpstr(world->promotion_target, ==, c->promoted);
+    }
+}
+
+/* An owner that is lost leaves in the record which processes may have commits:
+ * the next one awaits them, though it has seen neither them nor the primary.
+ */
+static void
+test_copies_outlive_the_owner(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(takeover_cases); i++) {
+        pool_world_t world;
+
+        g_test_message("%s", takeover_cases[i].name);
+        play_takeover(&world, &takeover_cases[i]);
+        PoolWorld_Finish(&world);
+    }
+}
+
 /* An operator may accept the loss of commits that no log which answers has. */
 static void
 test_loss_of_commits_is_accepted(void)
@@ -367,6 +455,8 @@
                     test_longest_log_is_promoted);
     g_test_add_func("/pool/acknowledged-commits-are-awaited",
                     test_acknowledged_commits_are_awaited);
+    g_test_add_func("/pool/copies-outlive-the-owner",
+                    test_copies_outlive_the_owner);
     g_test_add_func("/pool/loss-of-commits-is-accepted",
                     test_loss_of_commits_is_accepted);
     g_test_add_func("/pool/refused-candidate-is-awaited",
--- a/src/test_libcarobwind/test_tenure.c
+++ b/src/test_libcarobwind/test_tenure.c
@@ -545,6 +545,9 @@
         .primary = "i-1",
         .term = 12,
         .history = {.count = 2, .starts = {{9, 300}, {12, 345}}},
+        .copies = {.count = 2,
+                   .items = {{"i-1", "10.0.0.1:7", 1700000000000},
+                             {"i-2", "", 0}}},
         .previous_holder_count = 2,
         .previous_holders = {{3, "a", 5}, {4, "b", 6}}};
     cbw_tenure_record_t parsed;
@@ -605,6 +608,14 @@
     {"a still earlier version", "", {2, 90}, 90, false},
     {"too many terms", "99 100 16", {0, 0}, 0, true},
     {"a negative number of terms", "5 100 -1", {0, 0}, 0, true},
+    {"with copies", "5 100 1 2 30 1 e0 10.0.0.1:1 0", {2, 90}, 90, false},
+    {"no terms, with copies",
+     "0 18446744073709551615 0 1 e0 10.0.0.1:1 0",
+     {2, 90},
+     90,
+     false},
+    {"too many copies", "5 100 1 2 30 13 e0 10.0.0.1:1 0", {0, 0}, 0, true},
+    {"copies are missing", "5 100 1 2 30 2 e0 10.0.0.1:1 0", {0, 0}, 0, true},
     {"terms are missing", "5 100 2 2 30", {0, 0}, 0, true},
     {"terms descend", "5 100 2 4 30 2 60", {0, 0}, 0, true},
     {"the present term is among them", "5 100 1 5 30", {0, 0}, 0, true},
@@ -658,6 +669,13 @@
             (cbw_term_start_t){UINT64_MAX - Cbw_TERM_HISTORY_MAX + i,
                                UINT64_MAX});
     }
+    record.copies.count = Cbw_LOG_COPIES_MAX;
+    for (int i = 0; i < Cbw_LOG_COPIES_MAX; i++) {
+        cbw_log_copy_t *copy = &record.copies.items[i];
+        memset(copy->name, 'n', sizeof(copy->name) - 1);
+        memset(copy->address, 'a', sizeof(copy->address) - 1);
+        copy->started_at = INT64_MIN;
+    }
     CbwTenure_FormatRecord(&record, text);
     g_assert_cmpint(CbwTenure_ParseRecord(&parsed, text), ==, 0);
     g_assert_cmpmem(&parsed, sizeof(parsed), &record, sizeof(record));
