Pool: a complete log reaches the begin of the present term

Cause: once all processes that may have a commit had answered, the longest log counted as complete, since a replica has each commit. That replica may be the one that was promoted since, and its log the only one until another one follows it.

Change: the longest log must reach the index at which the record's term began; else the promotion waits for one that does.

--- a/src/libcarobwind/include/private/pool.h
+++ b/src/libcarobwind/include/private/pool.h
@@ -181,6 +181,10 @@
 /* Returns whether the endpoint's reported log is known to have everything that
  * was acknowledged with synchronous commits, whatever others report. */
 bool CbwPool_IsComplete_(const cbw_pool_t *pool, const cbw_pool_endpoint_t *e);
+/* Returns whether a log whose valid part ends at `position` reaches the begin
+ * of the record's term. Up to there, what was acknowledged in earlier terms
+ * may be in the log of that term's primary only. */
+bool CbwPool_HasPresentTerm_(const cbw_pool_t *pool, cbw_position_t position);
 /* Returns whether the endpoint's log, which ends at `position`, lacks entries
  * that the last primary's replicas should have. */
 bool CbwPool_WasCutOff_(const cbw_pool_t *pool, cbw_position_t position);
--- a/src/libcarobwind/pool_copies.c
+++ b/src/libcarobwind/pool_copies.c
@@ -204,3 +204,14 @@
     return knows_last_log(pool) &&
            CbwPosition_Compare(e->reported_position, pool->last_log.end) >= 0;
 }
+
+bool
+CbwPool_HasPresentTerm_(const cbw_pool_t *pool, cbw_position_t position)
+{
+    const cbw_term_history_t *history = &pool->tenure.record.history;
+    uint64_t base = history->count > 0
+                        ? history->starts[history->count - 1].base
+                        : Cbw_TERM_BASE_UNKNOWN;
+
+    return base == Cbw_TERM_BASE_UNKNOWN || position.index >= base;
+}
--- a/src/libcarobwind/pool_promotion.c
+++ b/src/libcarobwind/pool_promotion.c
@@ -381,14 +381,16 @@
 /* Whether commits that were acknowledged with synchronous replication may be
  * missing from the candidate's log: it does not have all that this owner knows
  * of, and another process that may have them has not reported its log. If all
- * have, the longest log is complete. */
+ * have, the longest log is complete in the last primary's term; to have all of
+ * the terms before, it must reach that term's begin. */
 static bool
 may_lack_commits(const cbw_pool_t *pool, cbw_time_t now,
                  const cbw_pool_endpoint_t *e)
 {
     return pool->synchronous && !CbwPool_IsComplete_(pool, e) &&
            (find_unanswered_candidate(pool, now) >= 0 ||
-            CbwPool_FindMissingCopy_(pool) != NULL);
+            CbwPool_FindMissingCopy_(pool) != NULL ||
+            !CbwPool_HasPresentTerm_(pool, valid_position(pool, e)));
 }
 
 /* Returns what the candidate's log lacks while another log is awaited; NULL:
--- a/src/test_libcarobwind/test_pool_synchronous.c
+++ b/src/test_libcarobwind/test_pool_synchronous.c
@@ -309,6 +309,41 @@
     }
 }
 
+/* Commits of earlier terms may be in the log of the last primary only: other
+ * logs that end before its term began are not complete, though all answer. */
+static void
+test_log_reaches_present_term(void)
+{
+    static const endpoint_report_t lost[] = {{.unresponsive = true},
+                                             {.term = 3, .position = {3, 40}},
+                                             {.term = 3, .position = {3, 9}}};
+    static const endpoint_report_t promoted[] = {
+        {.unresponsive = true},
+        {.primary = true, .term = 4, .position = {3, 40}},
+        {.term = 3, .position = {3, 9}}};
+    static const endpoint_report_t lost_again[] = {
+        {.term = 3, .position = {3, 20}},
+        {.unresponsive = true},
+        {.term = 3, .position = {3, 9}}};
+    static const endpoint_report_t returned[] = {
+        {.term = 3, .position = {3, 40}},
+        {.unresponsive = true},
+        {.term = 3, .position = {3, 9}}};
+    pool_world_t world;
+
+    init_synchronous(&world);
+    g_assert_true(PoolWorld_RunUntilOrder(&world, 4 * Cbw_SEC, lost));
+    g_assert_cmpstr(world.promotion_target, ==, "e1");
+    CbwPool_OnPromoteReply(&world.pool, world.now, CBW_PROMOTE_ACCEPTED);
+    PoolWorld_Run(&world, POLLS, promoted);
+    g_assert_cmpuint(world.record.term, ==, 4);
+    PoolWorld_RestartOwner(&world);
+    g_assert_false(PoolWorld_RunUntilOrder(&world, LONG_LOSS, lost_again));
+    g_assert_true(PoolWorld_RunUntilOrder(&world, 4 * Cbw_SEC, returned));
+    g_assert_cmpstr(world.promotion_target, ==, "e0");
+    PoolWorld_Finish(&world);
+}
+
 /* An operator may accept the loss of commits that no log which answers has. */
 static void
 test_loss_of_commits_is_accepted(void)
@@ -457,6 +492,8 @@
                     test_acknowledged_commits_are_awaited);
     g_test_add_func("/pool/copies-outlive-the-owner",
                     test_copies_outlive_the_owner);
+    g_test_add_func("/pool/log-reaches-present-term",
+                    test_log_reaches_present_term);
     g_test_add_func("/pool/loss-of-commits-is-accepted",
                     test_loss_of_commits_is_accepted);
     g_test_add_func("/pool/refused-candidate-is-awaited",
