Pool: an endpoint without a log does not end the wait for a valid one

Callers would see: a database waits for a log without discarded entries, an operator starts a new endpoint, and all that the others had is gone.

Cause: an empty log has no discarded entries, so it was preferred to any log with some, also to one whose first 450 entries are valid. Found when the wait lost its timer: nothing but such an endpoint would have ended it.

Change: an empty log comes after all others. The wait goes on while another endpoint with a log answers; if only empty ones do, one is promoted, as before.

The test failed before: /pool/valid-log-is-awaited, "an endpoint without a log comes up", requested e2 at 4.0.

--- a/src/libcarobwind/pool_promotion.c
+++ b/src/libcarobwind/pool_promotion.c
@@ -69,6 +69,15 @@
     return CbwPool_ValidPosition_(pool, e->reported_position);
 }
 
+/* Whether the endpoint's log has discarded entries or none at all: beside one
+ * with entries, an empty log is no better, as its promotion discards all. */
+static bool
+is_last_resort(const cbw_pool_t *pool, const cbw_pool_endpoint_t *e)
+{
+    return e->reported_position.index == 0 ||
+           CbwPool_HasDiscardedEntries_(pool, e->reported_position);
+}
+
 /* Whether `a` is the better candidate. The promotion of an endpoint with
  * discarded entries would restore them, though reads since then have not shown
  * them; if all have some, the one that keeps the most of the present log is
@@ -85,10 +94,8 @@
 is_better_candidate(const cbw_pool_t *pool, const cbw_pool_endpoint_t *a,
                     const cbw_pool_endpoint_t *b)
 {
-    bool a_discarded =
-        CbwPool_HasDiscardedEntries_(pool, a->reported_position);
-    bool b_discarded =
-        CbwPool_HasDiscardedEntries_(pool, b->reported_position);
+    bool a_discarded = is_last_resort(pool, a);
+    bool b_discarded = is_last_resort(pool, b);
     bool a_cut_off = CbwPool_WasCutOff_(pool, a->reported_position);
     bool b_cut_off = CbwPool_WasCutOff_(pool, b->reported_position);
     int order =
