Pool: bound the processes whose logs are awaited, and name the missing one

Change: a full set gives up the process that has been unlisted for the longest time, with one line; the choice logs "passes over E: not listed". Without synchronous commits, nothing is compared in each tick.

Test: /pool/copies-are-bounded.

--- a/include/carobwind/pool.h
+++ b/include/carobwind/pool.h
@@ -81,10 +81,8 @@
 /* A replica that lacks an entry which the primary had for this long was cut
  * off from it, and not only slow. */
 #define Cbw_POOL_REPLICATION_DELAY_MAX Cbw_SEC
-/* With synchronous commits, an endpoint that is not listed any more and did
- * not leave may still receive commits for this long, as when it has lost the
- * store.
- */
+/* With synchronous commits, an endpoint that is not listed any more may still
+ * receive commits for this long, as when it has lost the store. */
 #define Cbw_POOL_COPY_FORGET_AFTER (60 * Cbw_SEC)
 /* How long a promotion without synchronous commits waits for the lost primary,
  * if all candidates were cut off from it before. With the longest wait for
--- a/src/libcarobwind/pool_copies.c
+++ b/src/libcarobwind/pool_copies.c
@@ -53,6 +53,32 @@
     CbwTenure_SetCopies(&pool->tenure, now, &copies);
 }
 
+/* Makes room for another copy: gives up the one that has been unlisted for the
+ * longest time. Returns false when all are listed. */
+static bool
+drop_oldest(cbw_pool_t *pool, cbw_time_t now)
+{
+    cbw_pool_copy_t *oldest = NULL;
+
+    for (int i = 0; i < pool->copy_count; i++) {
+        cbw_pool_copy_t *copy = &pool->copies[i];
+        if (copy->unlisted_since != 0 &&
+            (oldest == NULL ||
+             copy->unlisted_since < oldest->unlisted_since)) {
+            oldest = copy;
+        }
+    }
+    if (oldest == NULL) {
+        return false;
+    }
+    CbwPool_LogDecision_(pool, now,
+                         "the log of %s is not awaited any more: too many "
+                         "endpoints",
+                         oldest->process.name);
+    *oldest = pool->copies[--pool->copy_count];
+    return true;
+}
+
 static void
 add_listed(cbw_pool_t *pool, cbw_time_t now, const cbw_endpoint_t *info)
 {
@@ -64,10 +90,7 @@
             return;
         }
     }
-    if (pool->copy_count == Cbw_LOG_COPIES_MAX) {
-        CbwPool_LogDecision_(pool, now,
-                             "the log of %s is not awaited: too many copies",
-                             info->name);
+    if (pool->copy_count == Cbw_LOG_COPIES_MAX && !drop_oldest(pool, now)) {
         return;
     }
     copy = &pool->copies[pool->copy_count++];
@@ -136,7 +159,9 @@
     }
     if (!pool->synchronous) {
         pool->copy_count = 0;
-        write_copies(pool, now);
+        if (pool->tenure.copies.count > 0) {
+            write_copies(pool, now);
+        }
         return;
     }
     read_copies(pool, now);
--- a/src/libcarobwind/pool_promotion.c
+++ b/src/libcarobwind/pool_promotion.c
@@ -144,6 +144,7 @@
     return pool->synchronous ? e->used : is_candidate(pool, now, index);
 }
 
+/* Whether the endpoint may be chosen as far as the previous primary goes. */
 static bool
 is_allowed(const cbw_pool_t *pool, int index)
 {
@@ -337,6 +338,8 @@
 static void
 log_other_reports(cbw_pool_t *pool, cbw_time_t now)
 {
+    const char *missing;
+
     for (int i = 0; i < Cbw_POOL_ENDPOINTS_MAX; i++) {
         const cbw_pool_endpoint_t *e = &pool->endpoints[i];
         if (!e->used || i == pool->candidate) {
@@ -355,6 +358,10 @@
             e->reported_term, e->reported_position.term,
             e->reported_position.index, valid_position(pool, e).index);
     }
+    missing = CbwPool_FindMissingCopy_(pool);
+    if (missing != NULL) {
+        CbwPool_LogDecision_(pool, now, "passes over %s: not listed", missing);
+    }
 }
 
 /* Whether the promotion of the candidate would restore discarded entries:
--- a/src/test_libcarobwind/test_pool_synchronous.c
+++ b/src/test_libcarobwind/test_pool_synchronous.c
@@ -3,6 +3,7 @@
  */
 
 #include <glib.h>
+#include <string.h>
 
 #include "pool_world.h"
 #include "suites.h"
@@ -309,6 +310,31 @@
     }
 }
 
+/* When there are too many processes, those that are listed stay awaited. */
+static void
+test_copies_are_bounded(void)
+{
+    static const endpoint_report_t reports[] = {
+        {.primary = true, .term = 3}, {.term = 3}, {.term = 3}};
+    pool_world_t world;
+    int listed = 0;
+
+    init_synchronous(&world);
+    for (int64_t start = 1; start <= 2 * Cbw_LOG_COPIES_MAX; start++) {
+        world.started_at[1] = start;
+        PoolWorld_SetEndpoints(&world);
+        PoolWorld_Run(&world, Cbw_SEC, reports);
+    }
+    g_assert_cmpint(world.record.copies.count, ==, Cbw_LOG_COPIES_MAX);
+    for (int i = 0; i < Cbw_LOG_COPIES_MAX; i++) {
+        const cbw_log_copy_t *copy = &world.record.copies.items[i];
+        listed += strcmp(copy->name, "e1") != 0 ||
+                  copy->started_at == 2 * Cbw_LOG_COPIES_MAX;
+    }
+    g_assert_cmpint(listed, ==, 3);
+    PoolWorld_Finish(&world);
+}
+
 /* Commits of earlier terms may be in the log of the last primary only: other
  * logs that end before its term began are not complete, though all answer. */
 static void
@@ -492,6 +518,7 @@
                     test_acknowledged_commits_are_awaited);
     g_test_add_func("/pool/copies-outlive-the-owner",
                     test_copies_outlive_the_owner);
+    g_test_add_func("/pool/copies-are-bounded", test_copies_are_bounded);
     g_test_add_func("/pool/log-reaches-present-term",
                     test_log_reaches_present_term);
     g_test_add_func("/pool/loss-of-commits-is-accepted",
