Tool, scenarios: take two passages that stood twice out

The question for a database's owner stood in "explain" and in "accept-loss", and the loss of all logs but one with discarded entries in two scenarios. Nothing else changes; wire-discarded-log-alone and wire-accept-loss pass.

--- a/src/carobwindctl/main.c
+++ b/src/carobwindctl/main.c
@@ -379,10 +379,26 @@
     return EX_OK;
 }
 
-/* Asks the members that are alive (state 0) or suspect (1), in the order in
- * which --host reports them, and prints the first answer. Only an owner of the
- * database answers. The list also has leaving endpoints, which are not
- * members: their names begin with "@". */
+/* Asks a member that is alive (state 0) or suspect (1) to explain the
+ * database. Only an owner of it answers. The list also has leaving endpoints,
+ * which are not members: their names begin with "@". Returns the text, which
+ * the caller frees, or NULL. */
+static char *
+ask_owner(const peer_member *member, const char *database)
+{
+    cbw_error_t error;
+    char *text = NULL;
+
+    if (member->name[0] == '@' || member->state > 1 ||
+        PeerClient_FetchText(member->address, PEER_EXPLAIN, database, &text,
+                             &error) != 0) {
+        return NULL;
+    }
+    return text;
+}
+
+/* Prints the first answer, in the order in which --host reports the members.
+ */
 static int
 command_explain(const char *database)
 {
@@ -395,10 +411,8 @@
     }
     for (u_int i = 0; i < members.members.members_len && code != EX_OK; i++) {
         const peer_member *member = &members.members.members_val[i];
-        char *text;
-        if (member->name[0] == '@' || member->state > 1 ||
-            PeerClient_FetchText(member->address, PEER_EXPLAIN, database,
-                                 &text, &error) != 0) {
+        char *text = ask_owner(member, database);
+        if (text == NULL) {
             continue;
         }
         if (!json) {
@@ -417,8 +431,8 @@
     return code;
 }
 
-/* Orders the owner among the members that are alive or suspect, as for
- * "explain", to accept losses. The others refuse. */
+/* Orders the first owner that obeys to accept losses. An owner whose promotion
+ * does not wait refuses. */
 static int
 command_accept_loss(const char *database, const char *endpoint)
 {
@@ -432,10 +446,8 @@
     }
     for (u_int i = 0; i < members.members.members_len && !accepted; i++) {
         const peer_member *member = &members.members.members_val[i];
-        char *text;
-        if (member->name[0] == '@' || member->state > 1 ||
-            PeerClient_FetchText(member->address, PEER_EXPLAIN, database,
-                                 &text, &error) != 0) {
+        char *text = ask_owner(member, database);
+        if (text == NULL) {
             continue;
         }
         free(text);
--- a/test/scenarios/wire.tcl
+++ b/test/scenarios/wire.tcl
@@ -375,19 +375,25 @@
     check_writes $outcomes 1
 }
 
+# The primary e-1 is stopped while e-2 receives nothing, and e-2, promoted, as e-1 is
+# back: the log of e-1 alone is left, and has discarded entries. e-3 is stopped first.
+proc wire::leave_discarded_log {} {
+    stop_with_log e-3
+    after 200 { wire::control isolate e-2 1 }
+    after 900 { wire::stop_with_log e-1 }
+    after 3500 {
+        wire::control kill e-2
+        wire::control start e-1
+    }
+}
+
 scenario wire-discarded-log-alone \
     "an endpoint whose last entries a promotion discarded is the first to return" {
     wire::fleet
     # e-3 lacks what e-2 acknowledged: it is promoted once e-2 has been awaited
     # for 10 s.
     lassign [wire::write_under_load 18 {
-        wire::stop_with_log e-3
-        after 200 { wire::control isolate e-2 1 }
-        after 900 { wire::stop_with_log e-1 }
-        after 3500 {
-            wire::control kill e-2
-            wire::control start e-1
-        }
+        wire::leave_discarded_log
         after 7000 {
             set ::idle_primary [wire::control primary]
             wire::control start e-3
@@ -408,13 +414,7 @@
     "only a log with discarded entries is left: it leads by an operator's order alone" {
     wire::fleet
     lassign [wire::write_under_load 26 {
-        wire::stop_with_log e-3
-        after 200 { wire::control isolate e-2 1 }
-        after 900 { wire::stop_with_log e-1 }
-        after 3500 {
-            wire::control kill e-2
-            wire::control start e-1
-        }
+        wire::leave_discarded_log
         after 22000 {
             set ::idle_primary [wire::control primary]
             set ::explained [wire::tool explain svc1]
