--- a/src/test_libcarobwind/test_pool_synchronous.c
+++ b/src/test_libcarobwind/test_pool_synchronous.c
@@ -316,11 +316,12 @@
 {
     static const endpoint_report_t reports[] = {
         {.primary = true, .term = 3}, {.term = 3}, {.term = 3}};
+    const int64_t starts = 2 * (int64_t)Cbw_LOG_COPIES_MAX;
     pool_world_t world;
     int listed = 0;
 
     init_synchronous(&world);
-    for (int64_t start = 1; start <= 2 * Cbw_LOG_COPIES_MAX; start++) {
+    for (int64_t start = 1; start <= starts; start++) {
         world.started_at[1] = start;
         PoolWorld_SetEndpoints(&world);
         PoolWorld_Run(&world, Cbw_SEC, reports);
@@ -328,8 +329,7 @@
     g_assert_cmpint(world.record.copies.count, ==, Cbw_LOG_COPIES_MAX);
     for (int i = 0; i < Cbw_LOG_COPIES_MAX; i++) {
         const cbw_log_copy_t *copy = &world.record.copies.items[i];
-        listed += strcmp(copy->name, "e1") != 0 ||
-                  copy->started_at == 2 * Cbw_LOG_COPIES_MAX;
+        listed += strcmp(copy->name, "e1") != 0 || copy->started_at == starts;
     }
     g_assert_cmpint(listed, ==, 3);
     PoolWorld_Finish(&world);
